--- /dev/null
+++ b/src/jujubelink/core/fleet/state.rs
@@ -0,0 +1,350 @@
+//! The merged view of the fleet.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{FleetPolicy, Freshness, Proof, TargetRecord};
+use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
+use crate::core::ids::{ConfigVersion, ModelId, TargetId, Timestamp};
+
+/// Prompt tokens per second that an engine reads, until an engine's description tells. The engines
+/// of both sites read 92.1 tokens in a millisecond.
+const PREFILL_TOKENS_PER_S: u64 = 92_000;
+
+/// Prompt tokens of one block of the prefix table. The platform's prompts come in parts of a hundred
+/// to ten thousand tokens, and only whole parts are shared.
+const BLOCK_TOKENS: u32 = 1_000;
+
+/// Shortest time that a target which vanished from the list is still remembered, so that a late
+/// reading of its former entry cannot bring it back.
+const REMOVED_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time after the store's return for which a missing entry may still come back: a live target whose
+/// entry lapsed during an outage writes it again within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Removed targets that are remembered; at the bound the oldest are dropped.
+const MAX_REMOVED: usize = 4_096;
+
+/// Name under which the scheduler knows a model of a service: the same model may be served by several
+/// services, and a request belongs to one of them.
+pub fn model_key(service: &str, model: &str) -> ModelId {
+    format!("{service}/{model}").into()
+}
+
+/// What this instance believes about the fleet. All changes grow monotonically: versions of
+/// configuration and weights, and the revision of each target's entry.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    policy: Option<Rc<FleetPolicy>>,
+    freshness: Freshness,
+    /// Targets by name with the revision of their entry.
+    targets: BTreeMap<TargetId, (u64, Rc<TargetRecord>)>,
+    /// Revision at which a target's entry was removed, and when that was learnt.
+    removed: HashMap<TargetId, (u64, Timestamp)>,
+    /// Entries that were missing after an outage of the store, with the time at which they count as
+    /// removed.
+    lapsed: BTreeMap<TargetId, (u64, Timestamp)>,
+    /// When the store answered again after an outage.
+    store_back_at: Option<Timestamp>,
+    /// Targets that announced their leaving; a run never comes back from it.
+    leaving: BTreeSet<(TargetId, u64)>,
+    /// Newest named weights by model, and when they were first heard of.
+    named: BTreeMap<ModelId, (u64, Timestamp)>,
+    /// Weights that targets were seen with since their entry was written, by target and run.
+    observed: HashMap<(TargetId, u64), BTreeMap<ModelId, u64>>,
+    /// Grows with each change of what the scheduler sees.
+    generation: u64,
+}
+
+impl FleetState {
+    /// A state that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration in force.
+    pub fn policy(&self) -> Option<&Rc<FleetPolicy>> {
+        self.policy.as_ref()
+    }
+
+    /// Version in force; 0 without a configuration.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.policy.as_ref().map_or(0, |policy| policy.version)
+    }
+
+    /// Grows with each change of what the scheduler sees.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Puts a configuration in force if its version is larger. Returns whether it was.
+    pub fn offer_policy(&mut self, policy: FleetPolicy) -> bool {
+        if policy.version <= self.config_version() {
+            return false;
+        }
+        self.policy = Some(Rc::new(policy));
+        self.generation += 1;
+        true
+    }
+
+    /// Takes a proof of the newest version.
+    pub fn on_proof(&mut self, proof: Proof) {
+        let in_force = self.config_version();
+        self.freshness.on_proof(proof, in_force);
+    }
+
+    /// The newest proof of the version in force.
+    pub fn proof(&self) -> Option<Proof> {
+        self.freshness.proof(self.config_version())
+    }
+
+    /// Age of the proof that the version in force is the newest.
+    pub fn config_age(&self, now: Timestamp) -> Option<Duration> {
+        self.freshness.age(self.config_version(), now)
+    }
+
+    /// Takes one entry at a revision of the store. Older readings change nothing.
+    pub fn on_target(&mut self, revision: u64, record: TargetRecord) {
+        let known = self.targets.get(&record.id).map_or(0, |(known, _)| *known);
+        let removed = self.removed.get(&record.id).map_or(0, |(at, _)| *at);
+        if revision <= known.max(removed) {
+            return;
+        }
+        if record.is_leaving {
+            self.leaving.insert((record.id.clone(), record.incarnation));
+        }
+        // The entry is newer than what answers told before it was written, except for weights, which
+        // only grow within a run; `weights_of` takes the larger.
+        let id = record.id.clone();
+        self.lapsed.remove(&id);
+        self.targets.insert(id, (revision, Rc::new(record)));
+        self.generation += 1;
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn on_store_back(&mut self, now: Timestamp) {
+        self.store_back_at = Some(now);
+    }
+
+    /// Removes the entries that have not come back in time after an outage. Returns their names.
+    pub fn expire_lapsed(&mut self, now: Timestamp) -> Vec<TargetId> {
+        let due: Vec<(TargetId, u64)> = self
+            .lapsed
+            .iter()
+            .filter(|(_, (_, at))| now >= *at)
+            .map(|(id, (revision, _))| (id.clone(), *revision))
+            .collect();
+        let mut removed = Vec::new();
+        for (id, revision) in due {
+            self.lapsed.remove(&id);
+            self.remove_target(&id, revision, now);
+            removed.push(id);
+        }
+        removed
+    }
+
+    /// Takes the removal of an entry at a revision. Shortly after an outage of the store the entry
+    /// has merely lapsed, and the target is kept until it has had time to write it again.
+    pub fn on_target_removed(&mut self, id: &TargetId, revision: u64, now: Timestamp) {
+        let grace_end = self.store_back_at.map(|at| at + LAPSE_GRACE);
+        if let Some(due) = grace_end.filter(|end| now < *end)
+            && self.targets.contains_key(id)
+        {
+            self.lapsed.insert(id.clone(), (revision, due));
+            return;
+        }
+        self.remove_target(id, revision, now);
+    }
+
+    fn remove_target(&mut self, id: &TargetId, revision: u64, now: Timestamp) {
+        let is_newer = self
+            .targets
+            .get(id)
+            .is_some_and(|(known, _)| *known <= revision);
+        if is_newer {
+            self.targets.remove(id);
+            self.generation += 1;
+        }
+        self.removed.retain(|_, (_, at)| now.saturating_sub(*at) < REMOVED_MEMORY);
+        if self.removed.len() < MAX_REMOVED {
+            let entry = self.removed.entry(id.clone()).or_insert((0, now));
+            entry.0 = entry.0.max(revision);
+            entry.1 = now;
+        }
+        let targets = &self.targets;
+        self.observed.retain(|(id, _), _| targets.contains_key(id));
+        self.leaving.retain(|(id, _)| targets.contains_key(id));
+    }
+
+    /// Takes a whole list at a revision: targets that are not in it are gone.
+    pub fn on_target_list(
+        &mut self,
+        revision: u64,
+        entries: Vec<(u64, TargetRecord)>,
+        now: Timestamp,
+    ) {
+        let listed: BTreeSet<TargetId> =
+            entries.iter().map(|(_, record)| record.id.clone()).collect();
+        let gone: Vec<TargetId> = self
+            .targets
+            .iter()
+            .filter(|(id, (known, _))| !listed.contains(*id) && *known <= revision)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.on_target_removed(&id, revision, now);
+        }
+        for (revision, record) in entries {
+            self.on_target(revision, record);
+        }
+    }
+
+    /// A target by name.
+    pub fn target(&self, id: &str) -> Option<&Rc<TargetRecord>> {
+        self.targets.get(id).map(|(_, record)| record)
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Rc<TargetRecord>> {
+        self.targets.values().map(|(_, record)| record)
+    }
+
+    /// Names of a service's targets that take new work.
+    pub fn serving(&self, service: &str) -> Vec<TargetId> {
+        self.targets()
+            .filter(|record| *record.service == *service && !self.is_leaving(record))
+            .map(|record| record.id.clone())
+            .collect()
+    }
+
+    /// Whether a target takes no new work.
+    pub fn is_leaving(&self, record: &TargetRecord) -> bool {
+        record.is_leaving
+            || self
+                .leaving
+                .contains(&(record.id.clone(), record.incarnation))
+    }
+
+    /// Notes that a target's answer announced its leaving.
+    pub fn set_leaving(&mut self, id: &TargetId) {
+        let Some(record) = self.target(id) else {
+            return;
+        };
+        let run = (id.clone(), record.incarnation);
+        if self.leaving.insert(run) {
+            self.generation += 1;
+        }
+    }
+
+    /// Notes the newest named weights of a model. Returns whether they are new.
+    pub fn on_named_weights(&mut self, model: &ModelId, version: u64, now: Timestamp) -> bool {
+        let known = self.named.get(model).map_or(0, |(known, _)| *known);
+        if version <= known {
+            return false;
+        }
+        self.named.insert(model.clone(), (version, now));
+        self.generation += 1;
+        true
+    }
+
+    /// The newest named weights of a model, and when they were first heard of.
+    pub fn named_weights(&self, model: &str) -> Option<(u64, Timestamp)> {
+        self.named.get(model).copied()
+    }
+
+    /// All models with named weights.
+    pub fn named(&self) -> impl Iterator<Item = (&ModelId, u64)> {
+        self.named.iter().map(|(model, (version, _))| (model, *version))
+    }
+
+    /// Notes the weights that a target answered with.
+    pub fn on_observed_weights(&mut self, id: &TargetId, model: &ModelId, version: u64) {
+        let Some(record) = self.target(id) else {
+            return;
+        };
+        let known = record.weights_of(model).unwrap_or(0);
+        let run = (id.clone(), record.incarnation);
+        let seen = self.observed.entry(run).or_default();
+        let held = seen.entry(model.clone()).or_insert(0);
+        if version > known.max(*held) {
+            *held = version;
+            self.generation += 1;
+        }
+    }
+
+    /// Version of a model's weights that a target is believed to have. Weights only grow within a
+    /// run, so the larger of entry and answers is the newer.
+    pub fn weights_of(&self, record: &TargetRecord, model: &str) -> Option<u64> {
+        let run = (record.id.clone(), record.incarnation);
+        let seen = self.observed.get(&run).and_then(|seen| seen.get(model));
+        record.weights_of(model).max(seen.copied())
+    }
+
+    /// The scheduler's view: engines by service and model, and all other targets.
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        let mut fleet = FleetConfig::default();
+        let Some(policy) = &self.policy else {
+            return ConfigSnapshot::new(0, fleet);
+        };
+        for (name, workspace) in &policy.workspaces {
+            let held = Workspace {
+                weight: 1,
+                rate_tokens_per_s: workspace.rate_per_s as u64,
+                burst_tokens: workspace.burst as u64,
+                priority: workspace.priority.unwrap_or(u8::MAX),
+            };
+            fleet.workspaces.insert(name.clone(), held);
+        }
+        for (service, held) in &policy.services {
+            for model in held.engine.iter().flat_map(|engine| &engine.models) {
+                let version = self.named_weights(model).map_or(0, |(version, _)| version);
+                fleet
+                    .models
+                    .insert(model_key(service, model), scheduler_model(version));
+            }
+        }
+        for record in self.targets() {
+            if let Some(target) = self.scheduler_target(policy, record) {
+                fleet.targets.insert(record.id.clone(), target);
+            }
+        }
+        ConfigSnapshot::new(policy.version, fleet)
+    }
+
+    fn scheduler_target(&self, policy: &FleetPolicy, record: &TargetRecord) -> Option<Target> {
+        let service = policy.services.get(&record.service)?;
+        if service.kv_store.is_some() {
+            return None;
+        }
+        let models = service.engine.iter().flat_map(|engine| &engine.models);
+        Some(Target {
+            kind: match service.engine {
+                Some(_) => TargetKind::Engine,
+                None => TargetKind::Service,
+            },
+            address: record.address,
+            failure_domain: record.failure_domain.to_string(),
+            models: models.map(|model| model_key(&record.service, model)).collect(),
+            max_running: record.slots.max(1),
+            checks_fencing: false,
+            credential: None,
+            is_draining: self.is_leaving(record),
+        })
+    }
+}
+
+fn scheduler_model(version: u64) -> Model {
+    Model {
+        weights_version: Arc::from(version.to_string()),
+        block_bytes: BLOCK_TOKENS,
+        min_bytes_per_token: 1,
+        default_max_tokens: 1,
+        max_tokens_limit: 1,
+        prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+        first_token_deadline_ms: 0,
+        min_ready_targets: 1,
+    }
+}
--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claim;
 pub mod config;
+pub mod fleet;
 pub mod ids;
 pub mod lease;
 pub mod limit;
@@ -13,7 +14,10 @@
 pub mod prefix;
 pub mod prompt;
 pub mod queue;
+pub mod quota;
+pub mod relay;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod scheduler;
 pub mod spread;
--- /dev/null
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -0,0 +1,222 @@
+//! The lease under which orders are given.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::core::ids::{Epoch, ObjectVersion, Timestamp};
+
+/// Value of the lease object.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LeaseRecord {
+    /// Name of the machine that holds the lease.
+    pub holder: String,
+    /// Fencing number; grows with each change of the holder.
+    pub epoch: Epoch,
+    /// Random number of the write, by which its writer finds it again after a lost answer.
+    pub nonce: u64,
+}
+
+/// Times of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// Time from the start of a renewal for which the holder may give orders.
+    pub term: Duration,
+    /// Age of the last renewal at which the holder renews while there is work.
+    pub renew_after: Duration,
+    /// Time for which an unchanged lease must have been observed before another instance takes it:
+    /// the term, and the pause that must lie between the orders of two holders.
+    pub takeover_after: Duration,
+}
+
+/// What to do about the lease next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Nothing before the time.
+    Wait {
+        /// When to ask again.
+        until: Timestamp,
+    },
+    /// Read the object.
+    Read,
+    /// Write the record if the object still has the version; 0 means that it must be absent.
+    Write {
+        /// Version that the object must have.
+        if_version: ObjectVersion,
+        /// Value.
+        record: LeaseRecord,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Observed {
+    version: ObjectVersion,
+    record: Option<LeaseRecord>,
+    /// When the version was first seen.
+    since: Timestamp,
+    /// When the object was last read.
+    read_at: Timestamp,
+    /// False after a call whose outcome is not known.
+    is_current: bool,
+}
+
+/// One instance's view of the lease. Times are of a clock that runs while the machine is suspended.
+///
+/// A holder keeps the lease without renewing it while there is no work. Another instance takes over
+/// only if it has seen the same version for `takeover_after`, so that a holder which renewed last at
+/// that version has stopped for long enough.
+#[derive(Debug)]
+pub struct OrderLease {
+    own_name: Arc<str>,
+    terms: LeaseTerms,
+    observed: Option<Observed>,
+    /// End of the term that this run holds, and its fencing number.
+    held: Option<(Timestamp, Epoch)>,
+    /// When the last renewal was sent.
+    renewed_at: Timestamp,
+    pending_nonce: Option<u64>,
+    /// After a failed call, nothing is asked before.
+    retry_at: Timestamp,
+}
+
+/// Pause after a call to the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between readings of a lease that another instance holds.
+const READ_PERIOD: Duration = Duration::from_millis(1_000);
+
+impl OrderLease {
+    /// A view that has read nothing.
+    pub fn new(own_name: Arc<str>, terms: LeaseTerms) -> Self {
+        Self {
+            own_name,
+            terms,
+            observed: None,
+            held: None,
+            renewed_at: Timestamp::ZERO,
+            pending_nonce: None,
+            retry_at: Timestamp::ZERO,
+        }
+    }
+
+    /// The fencing number, if orders may be given now. Checked immediately before each order.
+    pub fn epoch(&self, now: Timestamp) -> Option<Epoch> {
+        let (until, epoch) = self.held?;
+        (now < until).then_some(epoch)
+    }
+
+    /// Name of the holder as last read.
+    pub fn holder(&self) -> Option<&str> {
+        let record = self.observed.as_ref()?.record.as_ref()?;
+        Some(&record.holder)
+    }
+
+    /// What to do while there is work. `nonce` is a new random number. `is_preferred` tells whether
+    /// this instance is the one that should take a free lease.
+    pub fn next(&self, nonce: u64, is_preferred: bool, now: Timestamp) -> LeaseAction {
+        if now < self.retry_at {
+            return LeaseAction::Wait {
+                until: self.retry_at,
+            };
+        }
+        let Some(observed) = self.observed.as_ref().filter(|held| held.is_current) else {
+            return LeaseAction::Read;
+        };
+        let write = |epoch: Epoch| LeaseAction::Write {
+            if_version: observed.version,
+            record: LeaseRecord {
+                holder: self.own_name.to_string(),
+                epoch,
+                nonce,
+            },
+        };
+        match &observed.record {
+            None if is_preferred => write(1),
+            Some(record) if *record.holder == *self.own_name => {
+                let renew_at = self.renewed_at + self.terms.renew_after;
+                match self.held {
+                    Some((until, _)) if now < until.min(renew_at) => {
+                        LeaseAction::Wait { until: renew_at }
+                    }
+                    // An earlier run of this machine may have held the lease. It is gone, and its
+                    // orders and this run's are those of one holder.
+                    _ => write(record.epoch),
+                }
+            }
+            Some(record)
+                if is_preferred && now >= observed.since + self.terms.takeover_after =>
+            {
+                write(record.epoch + 1)
+            }
+            _ if now >= observed.read_at + READ_PERIOD => LeaseAction::Read,
+            _ => LeaseAction::Wait {
+                until: observed.read_at + READ_PERIOD,
+            },
+        }
+    }
+
+    /// Notes that a write with `nonce` is being sent.
+    pub fn on_write_sent(&mut self, nonce: u64, now: Timestamp) {
+        self.pending_nonce = Some(nonce);
+        self.renewed_at = now;
+    }
+
+    /// Takes the object as read; version 0 means that it is absent. `asked_at` is the time before the
+    /// question.
+    pub fn on_read(
+        &mut self,
+        version: ObjectVersion,
+        record: Option<LeaseRecord>,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) {
+        let is_same = self
+            .observed
+            .as_ref()
+            .is_some_and(|observed| observed.version == version);
+        if let (Some(record), Some(nonce)) = (&record, self.pending_nonce)
+            && record.nonce == nonce
+        {
+            // The write whose answer was lost took effect; its term counts from before it was sent.
+            self.held = Some((self.renewed_at + self.terms.term, record.epoch));
+            self.pending_nonce = None;
+        } else if record.as_ref().map(|record| &*record.holder) != Some(&*self.own_name) {
+            self.held = None;
+        }
+        let since = match &self.observed {
+            Some(observed) if is_same => observed.since,
+            _ => now,
+        };
+        self.observed = Some(Observed {
+            version,
+            record,
+            since,
+            read_at: asked_at,
+            is_current: true,
+        });
+    }
+
+    /// Notes that the write took effect at `version`.
+    pub fn on_written(&mut self, version: ObjectVersion, record: LeaseRecord, now: Timestamp) {
+        if self.pending_nonce == Some(record.nonce) {
+            self.pending_nonce = None;
+        }
+        self.held = Some((self.renewed_at + self.terms.term, record.epoch));
+        self.observed = Some(Observed {
+            version,
+            record: Some(record),
+            since: now,
+            read_at: now,
+            is_current: true,
+        });
+    }
+
+    /// Notes that a call failed, or that the object had another version: it is read again.
+    pub fn on_failed(&mut self, is_conflict: bool, now: Timestamp) {
+        if !is_conflict {
+            self.retry_at = now + RETRY_PAUSE;
+        }
+        if let Some(observed) = &mut self.observed {
+            observed.is_current = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -0,0 +1,190 @@
+//! Choice of the engine that gets the next order.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
+
+/// An engine as the holder sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Name.
+    pub id: TargetId,
+    /// Run.
+    pub incarnation: Incarnation,
+    /// Weights that it is believed to have.
+    pub version: u64,
+    /// Requests of this instance at the engine, by which idle engines go first.
+    pub running: u32,
+}
+
+/// Limits of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutTerms {
+    /// Engines that may load at the same time.
+    pub max_loading: usize,
+    /// Time after an accepted order at which the engine is asked for its state.
+    pub check_after: Duration,
+    /// Time between further questions.
+    pub check_every: Duration,
+    /// Time after which an order without an effect is given again. Orders may be carried out
+    /// seconds late.
+    pub give_again_after: Duration,
+    /// Pause before an engine that refused an order or did not answer gets another.
+    pub pause_after_failure: Duration,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutAction {
+    /// Order an engine to load.
+    Order {
+        /// Engine.
+        target: TargetId,
+        /// Model.
+        model: ModelId,
+        /// Version to load.
+        version: u64,
+    },
+    /// Ask an engine for its state.
+    Check {
+        /// Engine.
+        target: TargetId,
+    },
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The engine carries the order out.
+    Accepted,
+    /// The engine had the version already.
+    Holds,
+    /// Another order is under way, or the engine accepted more orders than expected.
+    Busy,
+    /// The engine refused, or did not answer: the order may be carried out later.
+    Failed,
+}
+
+#[derive(Debug, Clone)]
+struct Pending {
+    incarnation: Incarnation,
+    version: u64,
+    ordered_at: Timestamp,
+    next_check: Timestamp,
+    is_asked: bool,
+}
+
+/// Orders of one model under way.
+#[derive(Debug)]
+pub struct Rollout {
+    model: ModelId,
+    terms: RolloutTerms,
+    pending: BTreeMap<TargetId, Pending>,
+    paused: BTreeMap<TargetId, Timestamp>,
+}
+
+impl Rollout {
+    /// A rollout without orders under way.
+    pub fn new(model: ModelId, terms: RolloutTerms) -> Self {
+        Self {
+            model,
+            terms,
+            pending: BTreeMap::new(),
+            paused: BTreeMap::new(),
+        }
+    }
+
+    /// Engines with an order under way.
+    pub fn loading(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether an order to the engine is under way.
+    pub fn is_pending(&self, target: &str) -> bool {
+        self.pending.contains_key(target)
+    }
+
+    /// What to do to bring `engines` to `newest`. Each action must be reported back.
+    pub fn next(&mut self, newest: u64, engines: &[Engine], now: Timestamp) -> Vec<RolloutAction> {
+        let known: BTreeMap<&TargetId, &Engine> =
+            engines.iter().map(|engine| (&engine.id, engine)).collect();
+        let terms = self.terms;
+        self.pending.retain(|id, pending| {
+            known.get(id).is_some_and(|engine| {
+                engine.incarnation == pending.incarnation
+                    && engine.version < pending.version
+                    && now < pending.ordered_at + terms.give_again_after
+            })
+        });
+        self.paused.retain(|_, until| now < *until);
+        let mut actions = Vec::new();
+        for (id, pending) in &mut self.pending {
+            if !pending.is_asked && now >= pending.next_check {
+                pending.is_asked = true;
+                actions.push(RolloutAction::Check { target: id.clone() });
+            }
+        }
+        let mut waiting: Vec<&Engine> = engines
+            .iter()
+            .filter(|engine| engine.version < newest)
+            .filter(|engine| !self.pending.contains_key(&engine.id))
+            .filter(|engine| !self.paused.contains_key(&engine.id))
+            .collect();
+        // Idle engines finish their runs first, and the oldest weights are worth least.
+        waiting.sort_by_key(|engine| (engine.running, engine.version, engine.id.clone()));
+        let free = self.terms.max_loading.saturating_sub(self.pending.len());
+        for engine in waiting.into_iter().take(free) {
+            self.pending.insert(
+                engine.id.clone(),
+                Pending {
+                    incarnation: engine.incarnation,
+                    version: newest,
+                    ordered_at: now,
+                    next_check: now + self.terms.check_after,
+                    is_asked: false,
+                },
+            );
+            actions.push(RolloutAction::Order {
+                target: engine.id.clone(),
+                model: self.model.clone(),
+                version: newest,
+            });
+        }
+        actions
+    }
+
+    /// Notes how an order ended.
+    pub fn on_order(&mut self, target: &TargetId, result: OrderResult, now: Timestamp) {
+        match result {
+            OrderResult::Accepted => {}
+            OrderResult::Holds => drop(self.pending.remove(target)),
+            OrderResult::Busy | OrderResult::Failed => {
+                self.pending.remove(target);
+                let until = now + self.terms.pause_after_failure;
+                self.paused.insert(target.clone(), until);
+            }
+        }
+    }
+
+    /// Notes that an engine answered a question, or that it could not be asked. `is_busy` tells
+    /// whether an order is in progress there.
+    pub fn on_checked(&mut self, target: &TargetId, is_busy: Option<bool>, now: Timestamp) {
+        let Some(pending) = self.pending.get_mut(target) else {
+            return;
+        };
+        pending.is_asked = false;
+        pending.next_check = now + self.terms.check_every;
+        let is_lost = is_busy == Some(false) && now >= pending.ordered_at + self.terms.check_after;
+        if is_lost {
+            // The state is some hundred milliseconds old; an order that has neither begun nor ended
+            // by now was lost.
+            self.pending.remove(target);
+        }
+    }
+
+    /// Orders under way at engines that are no longer there are forgotten.
+    pub fn retain(&mut self, targets: &BTreeSet<TargetId>) {
+        self.pending.retain(|id, _| targets.contains(id));
+    }
+}
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -556,6 +556,15 @@
         }
     }
 
+    /// Takes the run and the weights of a target without its load.
+    pub fn on_run(&mut self, target: &str, report: &LoadReport) {
+        if let Some(index) = self.router.targets().index(target) {
+            let state = self.router.targets_mut().get_mut(index);
+            state.set_incarnation(report.incarnation);
+            state.set_reported(report.reported_state());
+        }
+    }
+
     /// Notes whether a target takes no new work.
     pub fn set_leaving(&mut self, target: &str, is_leaving: bool) {
         if let Some(index) = self.router.targets().index(target) {
--- a/src/jujubelink/ops/admin/plugin.rs
+++ b/src/jujubelink/ops/admin/plugin.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context as _, Result};
 
 use super::server::AdminHandler;
-use crate::ops::kernel::{Context, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, Plugin, PluginEntry, PluginScope};
 use crate::util::http::{ServerOptions, serve_connection};
 use crate::util::net::{Listener, Stream};
 
@@ -21,7 +21,9 @@
 /// Headers of a request.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 
-inventory::submit! { PluginEntry::new(|| Box::new(AdminPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(AdminPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct AdminPlugin;
 
--- a/src/jujubelink/ops/claims/plugin.rs
+++ b/src/jujubelink/ops/claims/plugin.rs
@@ -9,10 +9,12 @@
 use super::service::SharedClaims;
 use super::sweep::SWEEP_LEASE;
 use super::{Claims, sweep};
-use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope};
 use crate::ops::services::{ClaimService, LeaseService};
 
-inventory::submit! { PluginEntry::new(|| Box::new(ClaimPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(ClaimPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct ClaimPlugin;
 
--- /dev/null
+++ b/src/jujubelink/ops/fleet/plugin.rs
@@ -0,0 +1,42 @@
+//! Registration and tasks.
+
+use std::rc::Rc;
+
+use anyhow::{Context as _, Result};
+
+use super::state::FleetConfigService;
+use super::{Fleet, sync};
+use crate::ops::kernel::{Context, Plugin, PluginEntry, PluginScope};
+use crate::ops::services::ConfigService;
+use crate::ops::store::SharedStore;
+use crate::platform::ObjectStoreClient;
+
+inventory::submit! {
+    PluginEntry::new(|| Box::new(FleetPlugin)).with_scope(PluginScope::FleetStore)
+}
+
+struct FleetPlugin;
+
+impl Plugin for FleetPlugin {
+    fn name(&self) -> &'static str {
+        "fleet"
+    }
+
+    fn register(&self, context: &Context) -> Result<()> {
+        let settings = context.settings();
+        let fleet_settings = settings.fleet.clone().context("no fleet is configured")?;
+        let store: SharedStore = Rc::new(ObjectStoreClient::new(settings.platform.address));
+        let fleet = Rc::new(Fleet::new(context, fleet_settings, store));
+        let service: Rc<dyn ConfigService> = Rc::new(FleetConfigService(Rc::clone(&fleet)));
+        context.provide(fleet);
+        context.provide(service);
+        Ok(())
+    }
+
+    fn start(&self, context: &Context) -> Result<()> {
+        let fleet = context.service::<Fleet>();
+        compio::runtime::spawn(sync::follow_targets(context.clone(), Rc::clone(&fleet))).detach();
+        compio::runtime::spawn(sync::read_news(context.clone(), fleet)).detach();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -0,0 +1,259 @@
+//! The view shared by the parts of the process.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use crate::core::config::ConfigSnapshot;
+use crate::core::fleet::{FleetPolicy, FleetState, Proof, TargetRecord};
+use crate::core::ids::{ModelId, TargetId, Timestamp};
+use crate::ops::kernel::{Context, Notifier};
+use crate::ops::services::ConfigService;
+use crate::ops::settings::FleetSettings;
+use crate::ops::store::{SharedStore, StoredPolicy, TargetChange, TargetChanges};
+
+/// Part of the revocation bound that is left for the way to the target.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(250);
+
+/// Why a key cannot be used now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StaleConfig {
+    /// Age of the last proof, if there is one.
+    pub age: Option<Duration>,
+}
+
+/// View of the fleet with its store.
+pub struct Fleet {
+    context: Context,
+    settings: FleetSettings,
+    store: SharedStore,
+    state: RefCell<FleetState>,
+    raw_policy: RefCell<Option<Bytes>>,
+    snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
+    snapshot_generation: Cell<u64>,
+    changed: Notifier,
+}
+
+impl Fleet {
+    /// A view that knows nothing.
+    pub fn new(context: &Context, settings: FleetSettings, store: SharedStore) -> Self {
+        Self {
+            context: context.clone(),
+            settings,
+            store,
+            state: RefCell::default(),
+            raw_policy: RefCell::default(),
+            snapshot: RefCell::default(),
+            snapshot_generation: Cell::new(0),
+            changed: Notifier::new(),
+        }
+    }
+
+    /// The store.
+    pub fn store(&self) -> &SharedStore {
+        &self.store
+    }
+
+    /// Settings of the fleet.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
+    }
+
+    /// The view, to read.
+    pub fn state(&self) -> std::cell::Ref<'_, FleetState> {
+        self.state.borrow()
+    }
+
+    /// The configuration in force.
+    pub fn policy(&self) -> Option<Rc<FleetPolicy>> {
+        self.state.borrow().policy().cloned()
+    }
+
+    /// Stored form of the configuration in force, for peers.
+    pub fn raw_policy(&self) -> Option<Bytes> {
+        self.raw_policy.borrow().clone()
+    }
+
+    /// Age of the proof that the configuration in force is the newest.
+    pub fn config_age(&self) -> Option<Duration> {
+        let now = self.context.timers().boot_now();
+        self.state.borrow().config_age(now)
+    }
+
+    /// Whether keys may be used now: the configuration was proved to be the newest recently enough
+    /// that no key which it grants can have been withdrawn for longer than the bound.
+    pub fn check_fresh(&self) -> Result<(), StaleConfig> {
+        if !self.settings.is_revocation_strict {
+            return Ok(());
+        }
+        let limit = Duration::from_millis(self.settings.revocation_ms)
+            .saturating_sub(REVOCATION_MARGIN);
+        let age = self.config_age();
+        match age {
+            Some(age) if age < limit => Ok(()),
+            _ => Err(StaleConfig { age }),
+        }
+    }
+
+    /// Whether the configuration is certainly recent enough to deny what it does not name.
+    pub fn may_deny(&self) -> bool {
+        let limit = Duration::from_millis(self.settings.config_ms);
+        self.config_age().is_some_and(|age| age < limit)
+    }
+
+    /// Takes a configuration that was read at `asked_at`, or that a peer passed on with that age.
+    pub fn on_policy(&self, stored: StoredPolicy, asked_at: Timestamp, source: &str) {
+        let version = stored.policy.version;
+        let is_new = self.state.borrow_mut().offer_policy(stored.policy);
+        if is_new {
+            self.raw_policy.replace(Some(stored.raw));
+            slog::info!(self.context.log(), "configuration in force"; "version" => version,
+                "source" => source);
+            self.context.metrics().gauge("config.version", version);
+        }
+        self.on_proof(Proof { version, asked_at });
+        self.refresh();
+    }
+
+    /// Takes a proof of the newest version.
+    pub fn on_proof(&self, proof: Proof) {
+        self.state.borrow_mut().on_proof(proof);
+    }
+
+    /// Takes changes of the targets. A whole list also removes the targets that it does not name.
+    pub fn on_targets(&self, changes: TargetChanges, is_whole: bool) {
+        let now = self.context.timers().boot_now();
+        let mut state = self.state.borrow_mut();
+        let mut written = Vec::new();
+        for change in changes.changes {
+            match change {
+                TargetChange::Written { revision, record } => {
+                    self.log_change(&state, &record, revision);
+                    if is_whole {
+                        written.push((revision, record));
+                    } else {
+                        state.on_target(revision, record);
+                    }
+                }
+                TargetChange::Removed {
+                    revision,
+                    id,
+                    fault,
+                } => {
+                    if state.target(&id).is_some() {
+                        slog::info!(self.context.log(), "target removed"; "target" => &*id,
+                            "revision" => revision, "fault" => fault);
+                    }
+                    state.on_target_removed(&id, revision, now);
+                }
+            }
+        }
+        if is_whole {
+            state.on_target_list(changes.revision, written, now);
+        }
+        drop(state);
+        self.refresh();
+    }
+
+    fn log_change(&self, state: &FleetState, record: &TargetRecord, revision: u64) {
+        let known = state.target(&record.id);
+        let is_same = known.is_some_and(|known| {
+            known.is_leaving == record.is_leaving
+                && known.incarnation == record.incarnation
+                && known.weights == record.weights
+        });
+        if !is_same {
+            let weights: Vec<u64> = record.weights.iter().map(|(_, version)| *version).collect();
+            slog::info!(self.context.log(), "target changed"; "target" => &*record.id,
+                "revision" => revision, "leaving" => record.is_leaving,
+                "incarnation" => record.incarnation, "weights" => format!("{weights:?}"));
+        }
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn on_store_back(&self) {
+        let now = self.context.timers().boot_now();
+        self.state.borrow_mut().on_store_back(now);
+    }
+
+    /// Removes targets that did not come back after an outage of the store.
+    pub fn expire_lapsed(&self) {
+        let now = self.context.timers().boot_now();
+        let removed = self.state.borrow_mut().expire_lapsed(now);
+        for id in removed {
+            slog::info!(self.context.log(), "target removed"; "target" => &*id,
+                "fault" => "its entry did not come back after the outage");
+        }
+        self.refresh();
+    }
+
+    /// Takes named weights, from the store or a peer.
+    pub fn on_named_weights(&self, named: &[(ModelId, u64)], source: &str) {
+        let now = self.context.timers().boot_now();
+        for (model, version) in named {
+            if self.state.borrow_mut().on_named_weights(model, *version, now) {
+                slog::info!(self.context.log(), "weights named"; "model" => &**model,
+                    "version" => *version, "source" => source);
+            }
+        }
+        self.refresh();
+    }
+
+    /// Notes the weights that a target has, by its answer, its report or a peer.
+    pub fn on_observed_weights(&self, target: &TargetId, model: &ModelId, version: u64) {
+        self.state
+            .borrow_mut()
+            .on_observed_weights(target, model, version);
+        self.refresh();
+    }
+
+    /// Notes that a target announced its leaving in an answer.
+    pub fn set_leaving(&self, target: &TargetId) {
+        self.state.borrow_mut().set_leaving(target);
+        self.refresh();
+    }
+
+    /// Tells the scheduler about changes.
+    fn refresh(&self) {
+        let state = self.state.borrow();
+        if state.generation() == self.snapshot_generation.get() || state.policy().is_none() {
+            return;
+        }
+        self.snapshot_generation.set(state.generation());
+        let snapshot = Rc::new(state.snapshot());
+        drop(state);
+        self.snapshot.replace(Some(snapshot));
+        self.changed.notify();
+    }
+}
+
+/// [`ConfigService`] over the view: the scheduler's configuration.
+pub(super) struct FleetConfigService(pub(super) Rc<Fleet>);
+
+impl ConfigService for FleetConfigService {
+    fn current(&self) -> Option<Rc<ConfigSnapshot>> {
+        self.0.snapshot.borrow().clone()
+    }
+
+    fn is_revoked(&self, _key_hash: &str) -> bool {
+        // Keys are withdrawn by new configurations only.
+        false
+    }
+
+    fn changed(&self) -> LocalBoxFuture<'static, ()> {
+        self.0.changed.changed().boxed_local()
+    }
+
+    fn offer(&self, _snapshot: ConfigSnapshot) -> bool {
+        false
+    }
+
+    fn revoke(&self, key_hash: &str) {
+        slog::error!(self.0.context.log(), "keys are withdrawn in the platform's configuration";
+            "key" => key_hash.get(..8));
+    }
+}
--- /dev/null
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -0,0 +1,175 @@
+//! Readings of the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Fleet;
+use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::share::Peers;
+use crate::ops::store::{StoreError, StoreResult, StoredPolicy};
+
+/// Longest wait of a watch. A watch that hangs in silence is noticed after this and the time for an
+/// answer; changes of targets bind two seconds after the machine is back in touch, which takes three.
+const WATCH_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Pause after a change of the targets before the next watch, so that changes which come together
+/// cost one call.
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Age of the news at which the first instance in order asks the store. A configuration has to be in
+/// force two seconds after it was accepted.
+const FIRST_READ_AGE: Duration = Duration::from_millis(700);
+
+/// Age at which the second one asks if the first one's news do not arrive. Relayed news are up to two
+/// rounds of messages older than they were at the first one.
+const SECOND_READ_AGE: Duration = Duration::from_millis(1_450);
+
+/// Added for each further instance, so that they do not all ask together.
+const READ_STEP: Duration = Duration::from_millis(150);
+
+/// Instances behind the second that ask at steps of their own; the others ask together.
+const READ_STEPS: u32 = 3;
+
+/// Period at which the age of the news is looked at.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time without an answer after which the store counts as having been away.
+const OUTAGE_AFTER: Duration = Duration::from_millis(900);
+
+/// Lists the targets, then watches for changes.
+pub(super) async fn follow_targets(context: Context, fleet: Rc<Fleet>) {
+    let timers = *context.timers();
+    let mut revision = None;
+    let mut last_answer = timers.boot_now();
+    loop {
+        let asked_at = timers.boot_now();
+        let result = match revision {
+            None => fleet.store().list_targets().await,
+            Some(after) => fleet.store().watch_targets(after, WATCH_LIMIT).await,
+        };
+        let is_list = revision.is_none();
+        match result {
+            Ok(changes) => {
+                if asked_at.saturating_sub(last_answer) > OUTAGE_AFTER {
+                    fleet.on_store_back();
+                    slog::info!(context.log(), "store regained"; "call" => "targets");
+                }
+                last_answer = timers.boot_now();
+                let is_newer = revision.is_none_or(|known| changes.revision >= known);
+                if is_newer {
+                    revision = Some(changes.revision);
+                }
+                let has_changes = !changes.changes.is_empty();
+                fleet.on_targets(changes, is_list);
+                if has_changes {
+                    timers.sleep(WATCH_PAUSE).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => {
+                slog::warn!(context.log(), "history of the targets is gone; listing again");
+                revision = None;
+            }
+            Err(error) => {
+                slog::warn!(context.log(), "cannot follow the targets"; "error" => %error,
+                    "unanswered_ms" => ms(timers.boot_now().saturating_sub(last_answer)));
+                // A watch may have missed anything by now.
+                revision = None;
+                timers.sleep(RETRY_PAUSE).await;
+            }
+        }
+        fleet.expire_lapsed();
+    }
+}
+
+/// Reads configuration and named weights whenever no other instance has relayed them lately.
+pub(super) async fn read_news(context: Context, fleet: Rc<Fleet>) {
+    let timers = *context.timers();
+    let mut weights_read_at = None;
+    let mut failed_at = None;
+    loop {
+        let peers = context.service::<Peers>();
+        let now = timers.boot_now();
+        let limit = match peers.rank() {
+            0 => FIRST_READ_AGE,
+            rank => SECOND_READ_AGE + READ_STEP * (rank - 1).min(READ_STEPS),
+        };
+        let is_behind = peers.newest_config() > fleet.state().config_version();
+        let is_config_due = is_behind || fleet.config_age().is_none_or(|age| age >= limit);
+        let is_paused = failed_at.is_some_and(|at| now.saturating_sub(at) < RETRY_PAUSE);
+        if is_config_due && !is_paused {
+            failed_at = read_policy(&context, &fleet, &peers)
+                .await
+                .is_err()
+                .then(|| timers.boot_now());
+        }
+        let weights_age = peers
+            .weights_proved_at()
+            .max(weights_read_at)
+            .map(|at| now.saturating_sub(at));
+        if weights_age.is_none_or(|age| age >= limit) && !is_paused && failed_at.is_none() {
+            let asked_at = timers.boot_now();
+            match fleet.store().list_weights().await {
+                Ok(named) => {
+                    weights_read_at = Some(asked_at);
+                    peers.note_weights_proof(asked_at);
+                    fleet.on_named_weights(&named, "store");
+                }
+                Err(error) => {
+                    failed_at = Some(timers.boot_now());
+                    slog::warn!(context.log(), "cannot read the named weights";
+                        "error" => %error);
+                }
+            }
+        }
+        if context.shutdown().lifecycle() == Lifecycle::Closing {
+            return;
+        }
+        timers.sleep(LOOK_PERIOD).await;
+    }
+}
+
+async fn read_policy(context: &Context, fleet: &Fleet, peers: &Peers) -> StoreResult<()> {
+    let asked_at = context.timers().boot_now();
+    let error = match fleet.store().read_policy().await {
+        Ok(Some(stored)) => {
+            fleet.on_policy(stored, asked_at, "store");
+            return Ok(());
+        }
+        // Before the operator's first configuration there is none.
+        Ok(None) => return Ok(()),
+        Err(error) => error,
+    };
+    slog::warn!(context.log(), "cannot read the configuration"; "error" => %error,
+        "age_ms" => fleet.config_age().map(ms));
+    if peers.newest_config() > fleet.state().config_version() {
+        fetch_from_peer(context, fleet, peers).await;
+    }
+    Err(error)
+}
+
+/// Takes the configuration from a peer that has a newer one than this instance can read.
+async fn fetch_from_peer(context: &Context, fleet: &Fleet, peers: &Peers) {
+    let Some((name, raw)) = peers.fetch_policy().await else {
+        return;
+    };
+    match fleet.store().decode_policy(&raw) {
+        Ok(StoredPolicy { policy, raw }) => {
+            let version = policy.version;
+            let stored = StoredPolicy { policy, raw };
+            // The peer's next message proves how recent the version is.
+            fleet.on_policy(stored, Duration::ZERO, &name);
+            peers.apply_proofs(version);
+        }
+        Err(error) => {
+            slog::warn!(context.log(), "a peer passed on an unusable configuration";
+                "peer" => name, "error" => %error);
+        }
+    }
+}
+
+fn ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/src/jujubelink/ops/kernel/mod.rs
+++ b/src/jujubelink/ops/kernel/mod.rs
@@ -4,12 +4,14 @@
 //! `inventory::submit! { PluginEntry::new(|| Box::new(MyPlugin::default())) }`.
 
 mod context;
+mod notifier;
 mod plugin;
 mod shutdown;
 mod timers;
 
 pub use context::Context;
-pub use plugin::{DrainPhase, Plugin, PluginEntry, registered_plugins};
+pub use notifier::Notifier;
+pub use plugin::{DrainPhase, Plugin, PluginEntry, PluginScope, registered_plugins};
 pub use shutdown::{Lifecycle, Shutdown};
 pub use timers::{Interval, Timers};
 
@@ -25,7 +27,7 @@
 
 /// Runs all registered plug-ins until the planned stop has ended.
 pub async fn run_plugins(context: Context) -> Result<()> {
-    let plugins = registered_plugins();
+    let plugins = registered_plugins(context.settings());
     for plugin in &plugins {
         plugin
             .register(&context)
--- a/src/jujubelink/ops/kernel/plugin.rs
+++ b/src/jujubelink/ops/kernel/plugin.rs
@@ -5,6 +5,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::Context;
+use crate::ops::settings::ProcessSettings;
 
 /// Steps of a planned stop, in order. Each begins when all plug-ins have ended the one before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,24 +52,56 @@
     }
 }
 
+/// Deployments that a plug-in is part of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PluginScope {
+    /// All deployments.
+    All,
+    /// Deployments in which this program keeps its own configuration and leases in the object API.
+    OwnState,
+    /// Deployments in which the platform's store holds configuration, targets and named weights.
+    FleetStore,
+}
+
+impl PluginScope {
+    fn includes(self, settings: &ProcessSettings) -> bool {
+        match self {
+            Self::All => true,
+            Self::OwnState => settings.fleet.is_none(),
+            Self::FleetStore => settings.fleet.is_some(),
+        }
+    }
+}
+
 /// Registration of a plug-in.
 pub struct PluginEntry {
     create: fn() -> Box<dyn Plugin>,
+    scope: PluginScope,
 }
 
 impl PluginEntry {
     /// An entry whose plug-in is made by `create`.
     pub const fn new(create: fn() -> Box<dyn Plugin>) -> Self {
-        Self { create }
+        Self {
+            create,
+            scope: PluginScope::All,
+        }
+    }
+
+    /// Limits the plug-in to some deployments.
+    pub const fn with_scope(mut self, scope: PluginScope) -> Self {
+        self.scope = scope;
+        self
     }
 }
 
 inventory::collect!(PluginEntry);
 
-/// One plug-in of each registered kind, in order of name.
-pub fn registered_plugins() -> Vec<Box<dyn Plugin>> {
+/// One plug-in of each kind that is registered for the deployment, in order of name.
+pub fn registered_plugins(settings: &ProcessSettings) -> Vec<Box<dyn Plugin>> {
     let mut plugins: Vec<_> = inventory::iter::<PluginEntry>
         .into_iter()
+        .filter(|entry| entry.scope.includes(settings))
         .map(|entry| (entry.create)())
         .collect();
     // The order in which the linker places entries differs between builds.
--- a/src/jujubelink/ops/kernel/timers.rs
+++ b/src/jujubelink/ops/kernel/timers.rs
@@ -25,6 +25,16 @@
         self.started.elapsed()
     }
 
+    /// Time since the machine's start, from the clock that also runs while the machine is suspended.
+    /// The freshness of keys and the terms of leases are counted on it.
+    pub fn boot_now(&self) -> Timestamp {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(
+            time.tv_sec.unsigned_abs(),
+            u32::try_from(time.tv_nsec).unwrap_or(0),
+        )
+    }
+
     /// Completes after `duration`.
     pub fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + use<> {
         compio::time::sleep(duration)
--- a/src/jujubelink/ops/limits/plugin.rs
+++ b/src/jujubelink/ops/limits/plugin.rs
@@ -10,11 +10,13 @@
 use super::charging::Charging;
 use super::server::LimitsServer;
 use super::{Limits, keeper};
-use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope};
 use crate::ops::peer::PeerServices;
 use crate::ops::services::LimitService;
 
-inventory::submit! { PluginEntry::new(|| Box::new(LimitPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(LimitPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct LimitPlugin;
 
--- a/src/jujubelink/ops/members/plugin.rs
+++ b/src/jujubelink/ops/members/plugin.rs
@@ -9,7 +9,7 @@
 
 use super::directory;
 use super::table::MemberTable;
-use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope};
 use crate::ops::services::{ConfigService, MemberService, MemberState};
 use crate::util::net::{Datagram, traffic};
 
@@ -25,7 +25,9 @@
 /// Receive buffer, above the largest datagram so that a longer one is noticed and rejected.
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
-inventory::submit! { PluginEntry::new(|| Box::new(MembersPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(MembersPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct MembersPlugin;
 
--- a/src/jujubelink/ops/orders/plugin.rs
+++ b/src/jujubelink/ops/orders/plugin.rs
@@ -10,7 +10,7 @@
 use super::holder::OrderHolder;
 use crate::core::config::TargetKind;
 use crate::core::spread::rendezvous_rank;
-use crate::ops::kernel::{Context, DrainPhase, Lifecycle, Plugin, PluginEntry, Shutdown};
+use crate::ops::kernel::{Context, DrainPhase, Lifecycle, Plugin, PluginEntry, PluginScope, Shutdown};
 use crate::ops::services::{ConfigService, LeaseService, MemberService, MemberState};
 
 /// Lease whose holder alone gives orders to engines.
@@ -29,7 +29,9 @@
 /// Seed of the choice of candidates.
 const CANDIDATE_SEED: u64 = 0x6f72_6465;
 
-inventory::submit! { PluginEntry::new(|| Box::new(OrdersPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(OrdersPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct OrdersPlugin;
 
--- a/src/jujubelink/ops/peer/server.rs
+++ b/src/jujubelink/ops/peer/server.rs
@@ -16,7 +16,7 @@
 use tower_service::Service;
 
 use super::{PeerChannels, PeerToken};
-use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, Shutdown};
+use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope, Shutdown};
 use crate::util::http::{Body, Handler, ServerOptions, empty, serve_connection};
 use crate::util::net::{Listener, Stream};
 use futures_util::FutureExt;
@@ -44,7 +44,9 @@
 /// Pause after a failed accept, which is usually a lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-inventory::submit! { PluginEntry::new(|| Box::new(PeerPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(PeerPlugin)).with_scope(PluginScope::OwnState)
+}
 
 type Answer = Pin<Box<dyn Future<Output = Response<Body>>>>;
 type Route = Rc<dyn Fn(Request<Incoming>) -> Answer>;
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -12,6 +12,7 @@
 use super::model::{Endpoint, answer_model_list, answer_model_request};
 use super::plain::answer_plain_request;
 use super::refusal::{Refusal, RefusalCode};
+use super::relay::{Relay, answer_relayed};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::RequestId;
@@ -28,6 +29,8 @@
     pub(super) engines: EngineClient,
     pub(super) keys: KeyWatch,
     pub(super) load: Load,
+    /// Set where the platform's store holds the configuration.
+    pub(super) relay: Option<Rc<Relay>>,
 }
 
 impl Proxy {
@@ -39,6 +42,7 @@
             client,
             keys: KeyWatch::default(),
             load: Load::default(),
+            relay: Relay::new(context),
         })
     }
 
@@ -58,7 +62,7 @@
         })
     }
 
-    fn is_running(&self) -> bool {
+    pub(super) fn is_running(&self) -> bool {
         self.context.shutdown().lifecycle() == Lifecycle::Running
     }
 
@@ -138,7 +142,13 @@
     fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
         // hyper keeps room for the future in each connection; boxed, it takes room only while the
         // head of an answer is awaited.
-        Box::pin(self.0.answer(request))
+        let proxy = self.0;
+        Box::pin(async move {
+            match proxy.relay.clone() {
+                Some(relay) => answer_relayed(proxy, relay, request).await,
+                None => proxy.answer(request).await,
+            }
+        })
     }
 }
 
--- a/src/jujubelink/ops/proxy/mod.rs
+++ b/src/jujubelink/ops/proxy/mod.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod plugin;
 mod refusal;
+mod relay;
 mod request_id;
 
 pub use refusal::{Outcome, Refusal, RefusalCode};
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -48,6 +48,10 @@
         let proxy = self.proxy.get_or_init(|| Proxy::new(context));
         compio::runtime::spawn(accept(Rc::clone(proxy), listener)).detach();
         compio::runtime::spawn(close_idle_connections(Rc::clone(proxy))).detach();
+        if let Some(relay) = &proxy.relay {
+            let relay = Rc::clone(relay);
+            compio::runtime::spawn(relay.follow_runs(context.clone())).detach();
+        }
         let watching = Rc::clone(proxy);
         compio::runtime::spawn(async move { watching.keys.run(&watching.context).await }).detach();
         Ok(())
@@ -140,8 +144,13 @@
     let handler = ClientHandler(Rc::clone(proxy));
     let drain = async move { shutdown.closing().await };
     let tls = proxy.context.find_service::<ServerTls>();
+    let is_relay = proxy.relay.is_some();
     compio::runtime::spawn(async move {
-        let options = ServerOptions::default();
+        let options = ServerOptions {
+            // Behind the platform's entry a closed side means that the client is gone.
+            allows_half_close: !is_relay,
+            ..ServerOptions::default()
+        };
         // A client that breaks its connection is not a fault of the instance.
         let _ = match tls {
             None => serve_connection(stream, handler, options, drain).await,
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/admission.rs
@@ -0,0 +1,118 @@
+//! Whether a request may run: its route, its key and its workspace's limit.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::core::fleet::{FleetPolicy, PolicyRoute, QuotaUnit};
+use crate::core::ids::{Tokens, WorkspaceId};
+use crate::core::relay::RelayHead;
+use crate::ops::fleet::Fleet;
+use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::util::hash::stable_hash;
+
+/// Pause that a client is told while this instance does not know whether its configuration is the
+/// newest. Another instance may know.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What the configuration allows a request.
+#[derive(Debug, Clone)]
+pub(super) struct Admission {
+    pub(super) policy: Rc<FleetPolicy>,
+    pub(super) route: Rc<PolicyRoute>,
+    pub(super) service: Arc<str>,
+    pub(super) workspace: Option<WorkspaceId>,
+}
+
+/// Admits a request by the configuration in force. What an old configuration does not name may be in
+/// a newer one, and is refused for now instead of denied.
+pub(super) fn admit(fleet: &Fleet, head: &RelayHead, path: &str) -> Result<Admission, Refusal> {
+    let policy = fleet
+        .policy()
+        .ok_or_else(|| not_ready("the instance has no configuration yet"))?;
+    let Some(route) = policy.match_route(&head.host, path) else {
+        return Err(deny(fleet, RefusalCode::UnknownRoute, "no such route"));
+    };
+    let route = Rc::clone(route);
+    let needs_key = !route.is_public && !policy.workspaces.is_empty();
+    let workspace = match needs_key {
+        true => Some(authenticate(fleet, &policy, head)?),
+        false => None,
+    };
+    let service = choose_service(&route, head);
+    Ok(Admission {
+        policy,
+        route,
+        service,
+        workspace,
+    })
+}
+
+fn authenticate(
+    fleet: &Fleet,
+    policy: &FleetPolicy,
+    head: &RelayHead,
+) -> Result<WorkspaceId, Refusal> {
+    let key = head.key.as_ref();
+    let Some(workspace) = key.and_then(|key| policy.keys.get(key)) else {
+        return Err(deny(
+            fleet,
+            RefusalCode::InvalidKey,
+            "the key is not known",
+        ));
+    };
+    fleet.check_fresh().map_err(|stale| {
+        let message = match stale.age {
+            Some(age) => format!(
+                "the configuration was last known to be the newest {} ms ago",
+                age.as_millis()
+            ),
+            None => "the configuration is not known to be the newest".to_owned(),
+        };
+        not_ready(message)
+    })?;
+    Ok(workspace.clone())
+}
+
+fn deny(fleet: &Fleet, code: RefusalCode, message: &str) -> Refusal {
+    match fleet.may_deny() {
+        true => Refusal::not_run(code, message),
+        false => not_ready(format!("{message} in a configuration that may be old")),
+    }
+}
+
+fn not_ready(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(RefusalCode::NotReady, message).with_retry_after(STALE_RETRY_AFTER)
+}
+
+/// The service of a request. A route with several splits its traffic by weight; the choice depends
+/// on the request's id only, so that all sends of a request go to one service.
+fn choose_service(route: &PolicyRoute, head: &RelayHead) -> Arc<str> {
+    let total: u64 = route
+        .services
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
+    let mut draw = stable_hash(0, head.id.as_bytes()) % total.max(1);
+    for share in &route.services {
+        let weight = u64::from(share.weight);
+        if draw < weight {
+            return Arc::clone(&share.service);
+        }
+        draw -= weight;
+    }
+    Arc::clone(&route.services[0].service)
+}
+
+/// Units that a request counts against its workspace's limit.
+pub(super) fn units(admission: &Admission, head: &RelayHead) -> Tokens {
+    let workspace = admission.workspace.as_ref();
+    let Some(held) = workspace.and_then(|name| admission.policy.workspaces.get(name)) else {
+        return 0;
+    };
+    match (held.unit, &head.prompt) {
+        (QuotaUnit::Requests, _) => 1,
+        (QuotaUnit::Tokens, Some(prompt)) => prompt.prompt_tokens + prompt.answer_tokens,
+        (QuotaUnit::Tokens, None) => held.plain_tokens,
+    }
+}
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -0,0 +1,529 @@
+//! One relayed request from its arrival to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use hyper::body::Incoming;
+
+use super::Relay;
+use super::admission::{Admission, admit, units};
+use super::body::Answer;
+use super::send::{Opened, SendFailure};
+use crate::core::fleet::model_key;
+use crate::core::ids::{TargetId, Timestamp};
+use crate::core::prefix::PromptFingerprints;
+use crate::core::relay::{Failure, RelayHead, TargetUse, may_send_again};
+use crate::ops::proxy::handler::Proxy;
+use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
+use crate::ops::services::{
+    AttemptOutcome, Charge, ChargeError, LimitService, ModelRequest, Placement, PlacementError,
+    SchedulerService,
+};
+use crate::util::http::collect_limited;
+
+/// Part of the latency objective for which a request waits in the queue. A later send would miss the
+/// objective even at an idle target, and clients are better served by an early refusal that names a
+/// time to come back.
+const QUEUE_PART: f64 = 0.75;
+
+/// Longest part of the time that is left for the head of an answer, while another target may still
+/// be asked.
+const FIRST_TARGET_PART: f64 = 0.45;
+
+/// Time before its deadline at which a request is no longer sent: a target could not answer in it.
+const MIN_SEND_TIME: Duration = Duration::from_millis(10);
+
+/// Part of the bound on new weights after which older ones are no longer used. The rest covers the
+/// time until this instance heard of them, and the wait in a target's queue.
+const OLD_WEIGHTS_PART: f64 = 0.7;
+
+/// Pause that a client is told when no target is in service.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Urgency at engines by the rank of a route or workspace: ranks beyond it count as the last.
+const LAST_PRIORITY: u8 = 9;
+
+/// A relayed request. Dropping it gives up its placement and its charge.
+pub(super) struct Exchange {
+    pub(super) proxy: Rc<Proxy>,
+    pub(super) relay: Rc<Relay>,
+    pub(super) parts: Parts,
+    pub(super) head: RelayHead,
+    pub(super) body: Bytes,
+    pub(super) arrived: Timestamp,
+    pub(super) deadline: Timestamp,
+    pub(super) admission: Option<Admission>,
+    charge: Option<Charge>,
+    pub(super) placement: Option<Placement>,
+    is_model_placement: bool,
+    pub(super) excluded: Vec<TargetId>,
+    /// Sends made, and those of them that a target may have run.
+    pub(super) sends: u32,
+    pub(super) runs: u32,
+    pub(super) may_have_run: bool,
+    /// Last event that the client has.
+    pub(super) last_event: Option<u64>,
+    queued: Duration,
+}
+
+impl Exchange {
+    pub(super) fn new(
+        proxy: &Rc<Proxy>,
+        relay: &Rc<Relay>,
+        parts: Parts,
+        head: RelayHead,
+    ) -> Self {
+        let arrived = proxy.context.timers().boot_now();
+        Self {
+            proxy: Rc::clone(proxy),
+            relay: Rc::clone(relay),
+            parts,
+            last_event: head.last_event,
+            head,
+            body: Bytes::new(),
+            arrived,
+            deadline: Timestamp::MAX,
+            admission: None,
+            charge: None,
+            placement: None,
+            is_model_placement: false,
+            excluded: Vec::new(),
+            sends: 0,
+            runs: 0,
+            may_have_run: false,
+            queued: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn now(&self) -> Timestamp {
+        self.proxy.context.timers().boot_now()
+    }
+
+    pub(super) fn into_head(self) -> RelayHead {
+        self.head.clone()
+    }
+
+    pub(super) fn admission(&self) -> Result<&Admission, Refusal> {
+        let admission = self.admission.as_ref();
+        admission.ok_or_else(|| Refusal::not_run(RefusalCode::Internal, "not admitted"))
+    }
+
+    /// Runs the request up to the head of its answer.
+    pub(super) async fn run(&mut self, body: &mut Option<Incoming>) -> Result<Answer, Refusal> {
+        let admission = admit(&self.relay.fleet, &self.head, self.parts.uri.path())?;
+        let route = Rc::clone(&admission.route);
+        let patience = self.head.patience.unwrap_or(route.timeout);
+        self.deadline = self.arrived + patience.min(route.timeout);
+        let body_limit = admission.policy.limits.body_bytes;
+        let service = admission.service.clone();
+        self.admission = Some(admission);
+        self.relay.with_budget(&service, |budget| {
+            budget.on_request(self.proxy.context.timers().boot_now());
+        });
+        self.read_body(body, body_limit).await?;
+        self.take_charge().await?;
+        loop {
+            self.place().await?;
+            match self.send().await {
+                Ok(Opened::Answer(answer)) => return Ok(answer),
+                Ok(Opened::OwnFailure(answer)) => {
+                    self.runs += 1;
+                    self.may_have_run = true;
+                    if !self.may_resend(Failure::MayHaveRun) {
+                        return Ok(answer);
+                    }
+                    self.end_placement(AttemptOutcome::Failed);
+                }
+                Err(failure) => self.after_failure(failure)?,
+            }
+        }
+    }
+
+    async fn read_body(&mut self, slot: &mut Option<Incoming>, limit: usize) -> Result<(), Refusal> {
+        let Some(body) = slot.take() else {
+            return Ok(());
+        };
+        let left = self.deadline.saturating_sub(self.now());
+        let read = collect_limited(body, limit);
+        let read = self.proxy.context.timers().timeout(left, read).await;
+        match read {
+            Some(Ok(Some(body))) => {
+                self.body = body;
+                Ok(())
+            }
+            Some(Ok(None)) => Err(Refusal::not_run(
+                RefusalCode::RequestTooLarge,
+                format!("the body is larger than {limit} bytes"),
+            )),
+            Some(Err(_)) => Err(Refusal::not_run(
+                RefusalCode::InvalidRequest,
+                "the body broke off",
+            )),
+            None => Err(Refusal::not_run(
+                RefusalCode::DeadlineExceeded,
+                "the body did not arrive in time",
+            )),
+        }
+    }
+
+    async fn take_charge(&mut self) -> Result<(), Refusal> {
+        let admission = self.admission()?;
+        let units = units(admission, &self.head);
+        let Some(workspace) = admission.workspace.clone() else {
+            return Ok(());
+        };
+        let limits = self.proxy.service::<dyn LimitService>();
+        match limits.charge(&workspace, units, self.deadline).await {
+            Ok(charge) => {
+                self.charge = Some(charge);
+                Ok(())
+            }
+            Err(ChargeError::RateLimited { retry_after }) => Err(Refusal::not_run(
+                RefusalCode::RateLimited,
+                "the workspace has used its rate",
+            )
+            .with_retry_after(retry_after)),
+            Err(_) => Err(Refusal::not_run(
+                RefusalCode::NotReady,
+                "the other instances are not known yet",
+            )
+            .with_retry_after(NO_TARGET_RETRY_AFTER)),
+        }
+    }
+
+    /// Gets a target from the scheduler.
+    pub(super) async fn place(&mut self) -> Result<(), Refusal> {
+        let began = self.now();
+        let placed = match &self.head.prompt {
+            Some(_) if self.is_engine_service()? => self.place_model().await,
+            _ => self.place_plain(),
+        };
+        self.queued += self.now().saturating_sub(began);
+        placed
+    }
+
+    fn is_engine_service(&self) -> Result<bool, Refusal> {
+        let admission = self.admission()?;
+        let service = admission.policy.services.get(&admission.service);
+        Ok(service.is_some_and(|service| service.engine.is_some()))
+    }
+
+    async fn place_model(&mut self) -> Result<(), Refusal> {
+        let Some(prompt) = &self.head.prompt else {
+            return self.place_plain();
+        };
+        let admission = self.admission()?;
+        let key = model_key(&admission.service, &prompt.model);
+        let scope = format!("{}/{}", key, self.wall(admission));
+        let fingerprints: Rc<PromptFingerprints> = Rc::new(prompt.fingerprints(&scope));
+        // The scheduler's clock does not run while the machine is suspended; what is left is
+        // counted anew after the wait.
+        let objective = admission.route.objective.mul_f64(QUEUE_PART);
+        let first_due = (self.arrived + objective).min(self.deadline);
+        let mut wait = first_due.saturating_sub(self.now());
+        if self.sends > 0 {
+            let left = self.deadline.saturating_sub(self.now());
+            wait = wait.max(left.mul_f64(FIRST_TARGET_PART));
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.extend(self.old_targets(admission));
+        let request = ModelRequest {
+            id: self.head.id.clone(),
+            workspace: admission.workspace.clone().unwrap_or_else(|| "".into()),
+            model: key,
+            prompt: fingerprints,
+            cost_tokens: prompt.prompt_tokens + prompt.answer_tokens,
+            first_token_deadline: self.proxy.context.timers().now() + wait,
+            excluded,
+            is_suspect: false,
+        };
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        match scheduler.place(&request).await {
+            Ok(placement) => {
+                self.placement = Some(placement);
+                self.is_model_placement = true;
+                Ok(())
+            }
+            Err(error) => Err(self.with_outcome(placement_refusal(error))),
+        }
+    }
+
+    /// Engines whose weights are too old to be used.
+    fn old_targets(&self, admission: &Admission) -> Vec<TargetId> {
+        let state = self.relay.fleet.state();
+        let Some(prompt) = &self.head.prompt else {
+            return Vec::new();
+        };
+        let Some((newest, since)) = state.named_weights(&prompt.model) else {
+            return Vec::new();
+        };
+        let bound = Duration::from_millis(self.relay.fleet.settings().weights_ms);
+        if self.now().saturating_sub(since) < bound.mul_f64(OLD_WEIGHTS_PART) {
+            return Vec::new();
+        }
+        state
+            .targets()
+            .filter(|record| record.service == admission.service)
+            .filter(|record| {
+                let weights = state.weights_of(record, &prompt.model);
+                weights.is_some_and(|weights| weights < newest)
+            })
+            .map(|record| record.id.clone())
+            .collect()
+    }
+
+    fn place_plain(&mut self) -> Result<(), Refusal> {
+        let service = self.admission()?.service.clone();
+        let serving = self.relay.fleet.state().serving(&service);
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        let placed = scheduler
+            .place_plain(&serving, &self.excluded)
+            .or_else(|| scheduler.place_plain(&serving, &[]));
+        match placed {
+            Some(placement) => {
+                self.placement = Some(placement);
+                self.is_model_placement = false;
+                Ok(())
+            }
+            None => Err(self.with_outcome(no_target())),
+        }
+    }
+
+    /// Text that keeps the cached prompts of walled workspaces apart.
+    fn wall(&self, admission: &Admission) -> String {
+        let workspace = admission.workspace.as_ref();
+        let held = workspace.and_then(|name| admission.policy.workspaces.get(name));
+        match (workspace, held) {
+            (Some(name), Some(held)) if held.is_walled => name.to_string(),
+            _ => String::new(),
+        }
+    }
+
+    /// How the request uses an engine with the given weights. Cached prompts are kept apart by
+    /// weights, because targets and stores do not check them.
+    pub(super) fn target_use(&self, weights: Option<u64>) -> Result<TargetUse, Refusal> {
+        let admission = self.admission()?;
+        let wall = self.wall(admission);
+        let version = weights.unwrap_or(0);
+        let workspace = admission.workspace.as_ref();
+        let held = workspace.and_then(|name| admission.policy.workspaces.get(name));
+        let rank = held.and_then(|held| held.priority);
+        Ok(TargetUse {
+            weights,
+            cache_salt: format!("{version}/{wall}"),
+            priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
+        })
+    }
+
+    /// Last checks before a send: what the configuration allows may have changed while the request
+    /// waited, and the machine may have been suspended.
+    pub(super) fn check_send(&self) -> Result<Duration, Refusal> {
+        let held = self.admission()?;
+        let current = admit(&self.relay.fleet, &self.head, self.parts.uri.path())?;
+        if current.service != held.service || current.workspace != held.workspace {
+            return Err(Refusal::not_run(
+                RefusalCode::Overloaded,
+                "the configuration changed while the request waited",
+            )
+            .with_retry_after(Duration::ZERO));
+        }
+        let left = self.deadline.saturating_sub(self.now());
+        if left < MIN_SEND_TIME {
+            return Err(Refusal::not_run(
+                RefusalCode::DeadlineExceeded,
+                "the deadline passed before the request was sent",
+            ));
+        }
+        Ok(left)
+    }
+
+    /// Time for the head of an answer.
+    pub(super) fn head_limit(&self, left: Duration) -> Duration {
+        let is_last = !self.admission.as_ref().is_some_and(|admission| {
+            let route = &admission.route;
+            may_send_again(
+                route.kind,
+                Failure::MayHaveRun,
+                self.runs + 1,
+                self.sends + 1,
+                route.max_attempts,
+            )
+        });
+        match is_last {
+            true => left,
+            false => left.mul_f64(FIRST_TARGET_PART),
+        }
+    }
+
+    /// Whether the request may be sent again, within the budget of its service.
+    pub(super) fn may_resend(&self, failure: Failure) -> bool {
+        let Some(admission) = &self.admission else {
+            return false;
+        };
+        let route = &admission.route;
+        let left = self.deadline.saturating_sub(self.now());
+        if left < MIN_SEND_TIME
+            || !may_send_again(
+                route.kind,
+                failure,
+                self.runs,
+                self.sends,
+                route.max_attempts,
+            )
+        {
+            return false;
+        }
+        // A send that reached no target is no arrival, but the next one may be.
+        let instances = self.relay.peers.fleet_size();
+        let now = self.now();
+        let is_allowed = self
+            .relay
+            .with_budget(&admission.service, |budget| budget.take(instances, now));
+        if !is_allowed {
+            self.proxy.context.metrics().count("relay.resend_refused", 1);
+        }
+        is_allowed
+    }
+
+    fn after_failure(&mut self, failure: SendFailure) -> Result<(), Refusal> {
+        if failure.kind == Failure::MayHaveRun {
+            self.runs += 1;
+            self.may_have_run = true;
+        }
+        slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
+            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
+            "sends" => self.sends);
+        if let Some(placement) = &self.placement
+            && failure.excludes_target
+        {
+            self.excluded.push(placement.target.clone());
+        }
+        self.end_placement(failure.outcome.clone());
+        if failure.is_final || !self.may_resend(failure.kind) {
+            return Err(self.with_outcome(failure.refusal));
+        }
+        Ok(())
+    }
+
+    /// Corrects the outcome of a refusal by earlier sends.
+    pub(super) fn with_outcome(&self, mut refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            refusal.outcome = Outcome::OutcomeUnknown;
+            refusal.retry_after = None;
+        }
+        refusal
+    }
+
+    /// Notes the first event or byte of the answer.
+    pub(super) fn note_first_token(&self) {
+        if let (Some(placement), true) = (&self.placement, self.is_model_placement) {
+            let scheduler = self.proxy.service::<dyn SchedulerService>();
+            scheduler.first_token(placement);
+        }
+    }
+
+    /// Reports the end of the send.
+    pub(super) fn end_placement(&mut self, outcome: AttemptOutcome) {
+        let Some(placement) = self.placement.take() else {
+            return;
+        };
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        if !self.is_model_placement {
+            scheduler.report_plain(placement, outcome);
+            return;
+        }
+        let request = ModelRequest {
+            id: self.head.id.clone(),
+            workspace: "".into(),
+            model: "".into(),
+            prompt: Rc::default(),
+            cost_tokens: 0,
+            first_token_deadline: Timestamp::ZERO,
+            excluded: Vec::new(),
+            is_suspect: false,
+        };
+        scheduler.report(&request, placement, outcome);
+    }
+
+    /// Writes the line about a request that was answered by a target.
+    pub(super) fn log_answer(&self, outcome: &str, status: u16) {
+        let now = self.now();
+        let admission = self.admission.as_ref();
+        slog::info!(self.proxy.context.log(), "request answered"; "request" => &*self.head.id,
+            "outcome" => outcome, "status" => status,
+            "route" => admission.map(|held| held.route.name.to_string()),
+            "workspace" => admission.and_then(|held| held.workspace.as_ref()).map(ToString::to_string),
+            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "sends" => self.sends, "queued_ms" => ms(self.queued),
+            "took_ms" => ms(now.saturating_sub(self.arrived)),
+            "config" => admission.map(|held| held.policy.version),
+            "config_age_ms" => self.relay.fleet.config_age().map(ms));
+        let took = now.saturating_sub(self.arrived);
+        self.proxy.context.metrics().time("relay.answered", took);
+    }
+
+    /// Writes the line about a request that was refused or failed here.
+    pub(super) fn log_refusal(&self, refusal: &Refusal) {
+        let admission = self.admission.as_ref();
+        slog::info!(self.proxy.context.log(), "request refused"; "request" => &*self.head.id,
+            "code" => refusal.code.to_string(), "outcome" => refusal.outcome.to_string(),
+            "reason" => &*refusal.message,
+            "route" => admission.map(|held| held.route.name.to_string()),
+            "workspace" => admission.and_then(|held| held.workspace.as_ref()).map(ToString::to_string),
+            "sends" => self.sends, "queued_ms" => ms(self.queued),
+            "took_ms" => ms(self.now().saturating_sub(self.arrived)),
+            "retry_after_ms" => refusal.retry_after.map(ms),
+            "config" => self.relay.fleet.state().config_version(),
+            "config_age_ms" => self.relay.fleet.config_age().map(ms));
+        let name = format!("relay.refused.{}", refusal.code);
+        self.proxy.context.metrics().count(&name, 1);
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.end_placement(AttemptOutcome::Cancelled);
+        if let Some(charge) = self.charge.take() {
+            // A request that no target can have begun has used nothing.
+            let used = match self.sends > 0 {
+                true => charge.tokens,
+                false => 0,
+            };
+            self.proxy
+                .service::<dyn LimitService>()
+                .settle(charge, used);
+        }
+    }
+}
+
+fn placement_refusal(error: PlacementError) -> Refusal {
+    match error {
+        PlacementError::Overloaded { retry_after } => Refusal::not_run(
+            RefusalCode::Overloaded,
+            "no target can take the request in time",
+        )
+        .with_retry_after(retry_after),
+        PlacementError::NoTarget => no_target(),
+        PlacementError::Quarantined { retry_after } => Refusal::not_run(
+            RefusalCode::Quarantined,
+            "the request has crashed targets",
+        )
+        .with_retry_after(retry_after),
+        PlacementError::NoRetryBudget => Refusal::not_run(
+            RefusalCode::Overloaded,
+            "the budget for sending again is used up",
+        ),
+    }
+}
+
+fn no_target() -> Refusal {
+    Refusal::not_run(RefusalCode::NoTarget, "no target is in service")
+        .with_retry_after(NO_TARGET_RETRY_AFTER)
+}
+
+fn ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -0,0 +1,164 @@
+//! Requests that are passed on as they are: method, path and body belong to the target, and the head
+//! says which workspace, model and prompt they are about.
+//!
+//! A request is authenticated, charged, placed by the scheduler and sent, again where that is
+//! allowed; its answer is passed on as it arrives, complete or visibly broken.
+
+mod admission;
+mod body;
+mod exchange;
+mod ready;
+mod send;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, Version, header};
+use hyper::body::Incoming;
+
+use self::exchange::Exchange;
+use super::handler::Proxy;
+use super::refusal::{Outcome, Refusal, RefusalCode};
+use crate::core::fleet::model_key;
+use crate::core::quota::{ResendBudget, ResendPolicy};
+use crate::core::relay::RelayHead;
+use crate::core::routing::LoadReport;
+use crate::ops::fleet::Fleet;
+use crate::ops::kernel::Context;
+use crate::ops::services::{ConfigService, SchedulerService};
+use crate::ops::share::Peers;
+use crate::platform::decode_request;
+use crate::util::http::{Body, discard};
+
+/// Time after a change at which the scheduler has taken it.
+const RUNS_DELAY: Duration = Duration::from_millis(5);
+
+/// What relayed requests share.
+pub(super) struct Relay {
+    fleet: Rc<Fleet>,
+    peers: Rc<Peers>,
+    /// Budgets of resends by service.
+    budgets: RefCell<HashMap<Arc<str>, ResendBudget>>,
+}
+
+impl Relay {
+    /// The relay, in deployments that have one.
+    pub(super) fn new(context: &Context) -> Option<Rc<Self>> {
+        context.settings().fleet.as_ref()?;
+        Some(Rc::new(Self {
+            fleet: context.service(),
+            peers: context.service(),
+            budgets: RefCell::default(),
+        }))
+    }
+
+    /// Tells the scheduler which run and weights targets have, at each change.
+    pub(super) async fn follow_runs(self: Rc<Self>, context: Context) {
+        let config = context.service::<dyn ConfigService>();
+        let scheduler = context.service::<dyn SchedulerService>();
+        loop {
+            let changed = config.changed();
+            // The scheduler takes new targets at the same change.
+            context.timers().sleep(RUNS_DELAY).await;
+            self.note_runs(&*scheduler);
+            changed.await;
+        }
+    }
+
+    fn note_runs(&self, scheduler: &dyn SchedulerService) {
+        let state = self.fleet.state();
+        for record in state.targets() {
+            for (model, _) in &record.weights {
+                let weights = state.weights_of(record, model).unwrap_or(0);
+                let report = LoadReport {
+                    incarnation: record.incarnation,
+                    model: model_key(&record.service, model).to_string(),
+                    weights_version: weights.to_string(),
+                    ..LoadReport::default()
+                };
+                scheduler.note_run(&record.id, &report);
+            }
+        }
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut ResendBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(Arc::clone(service)).or_insert_with(|| {
+            let settings = self.fleet.settings();
+            ResendBudget::new(ResendPolicy {
+                ratio: settings.resend_ratio,
+                slack: settings.resend_slack,
+                window: Duration::from_secs_f64(settings.resend_window_s),
+            })
+        });
+        act(budget)
+    }
+}
+
+/// Answers a request of a client.
+pub(super) async fn answer_relayed(
+    proxy: Rc<Proxy>,
+    relay: Rc<Relay>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let guard = proxy.load.begin_request();
+    let version = request.version();
+    let (head, body) = request.into_parts();
+    let mut body = Some(body);
+    let result = match decode_request(&head) {
+        Ok(relayed) => {
+            let mut exchange = Exchange::new(&proxy, &relay, head, relayed);
+            match exchange.run(&mut body).await {
+                Ok(response) => Ok(response.into_response(exchange)),
+                Err(refusal) => {
+                    exchange.log_refusal(&refusal);
+                    Err((refusal, Some(exchange.into_head())))
+                }
+            }
+        }
+        Err(fault) => {
+            slog::info!(proxy.context.log(), "request malformed"; "fault" => &fault);
+            let refusal = Refusal::not_run(RefusalCode::InvalidRequest, fault);
+            Err((refusal, None))
+        }
+    };
+    let mut response = match result {
+        Ok(response) => response,
+        Err((refusal, head)) => {
+            if let Some(unread) = body {
+                discard(unread).await;
+            }
+            refusal_response(&refusal, head.as_ref())
+        }
+    };
+    if !proxy.is_running() && version <= Version::HTTP_11 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response.map(|body| guard.hold(body))
+}
+
+/// A refusal in the product's error format. A status that promises that the request has not run is
+/// sent only if that is so.
+fn refusal_response(refusal: &Refusal, head: Option<&RelayHead>) -> Response<Body> {
+    let id = head.map_or("", |head| &*head.id);
+    let mut response = refusal.to_response(id);
+    let status = match (refusal.outcome, refusal.code) {
+        (Outcome::NotRun, RefusalCode::Quarantined) => http::StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::NotRun, code) => code.status(),
+        (_, RefusalCode::DeadlineExceeded) => http::StatusCode::GATEWAY_TIMEOUT,
+        _ => http::StatusCode::BAD_GATEWAY,
+    };
+    *response.status_mut() = status;
+    if let Some(after) = refusal.retry_after {
+        // Clients of the platform take fractions of a second.
+        let value = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::try_from(value) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -0,0 +1,304 @@
+//! One send to one target, up to the head of its answer.
+
+use std::time::Duration;
+
+use http::{Request, Response, Uri, Version};
+use hyper::body::Incoming;
+
+use super::body::Answer;
+use super::exchange::Exchange;
+use crate::core::fleet::{RequestKind, TargetRecord, model_key};
+use crate::core::relay::{AnswerHead, AnswerVerdict, Failure, SendHead, judge_answer};
+use crate::core::routing::LoadReport;
+use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::ops::services::{AttemptOutcome, SchedulerService};
+use crate::platform::{decode_answer, encode_request};
+use crate::util::http::{
+    ClientError, ConnectionMark, RequestOptions, collect_limited, full,
+};
+
+/// Answers of at most this size are read whole before they are passed on, so that one which breaks
+/// off can be asked for again.
+const MAX_WHOLE_BYTES: u64 = 256 * 1024;
+
+/// Pause that a client is told after targets had no place.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// The head of an answer.
+pub(super) enum Opened {
+    /// The answer to deliver.
+    Answer(Answer),
+    /// The target's own failure, which may be delivered.
+    OwnFailure(Answer),
+}
+
+/// Why a send gave no answer.
+pub(super) struct SendFailure {
+    pub(super) kind: Failure,
+    pub(super) refusal: Refusal,
+    pub(super) outcome: AttemptOutcome,
+    /// Whether the target is not tried again for this request.
+    pub(super) excludes_target: bool,
+    /// Whether sending to another target makes no sense.
+    pub(super) is_final: bool,
+}
+
+impl SendFailure {
+    fn new(kind: Failure, code: RefusalCode, message: &str, outcome: AttemptOutcome) -> Self {
+        let refusal = match kind {
+            Failure::MayHaveRun => Refusal::outcome_unknown(code, message),
+            _ => Refusal::not_run(code, message).with_retry_after(FULL_RETRY_AFTER),
+        };
+        Self {
+            kind,
+            refusal,
+            outcome,
+            excludes_target: true,
+            is_final: false,
+        }
+    }
+
+    fn before_send(refusal: Refusal) -> Self {
+        Self {
+            kind: Failure::NotSent,
+            refusal,
+            outcome: AttemptOutcome::Cancelled,
+            excludes_target: false,
+            is_final: true,
+        }
+    }
+
+    fn foreign() -> Self {
+        Self::new(
+            Failure::MayHaveRun,
+            RefusalCode::UpstreamFailed,
+            "the answer belongs to another request",
+            AttemptOutcome::Failed,
+        )
+    }
+
+    fn broken() -> Self {
+        Self::new(
+            Failure::MayHaveRun,
+            RefusalCode::UpstreamFailed,
+            "the connection to the target broke",
+            AttemptOutcome::Crashed,
+        )
+    }
+}
+
+impl Exchange {
+    /// Sends the request to the target of its placement.
+    pub(super) async fn send(&mut self) -> Result<Opened, SendFailure> {
+        let gone = || {
+            SendFailure::new(
+                Failure::NotSent,
+                RefusalCode::NoTarget,
+                "the target was removed",
+                AttemptOutcome::Cancelled,
+            )
+        };
+        let placement = self.placement.as_ref().ok_or_else(gone)?;
+        let record = self.relay.fleet.state().target(&placement.target).cloned();
+        let record = record.ok_or_else(gone)?;
+        if self.relay.fleet.state().is_leaving(&record) {
+            return Err(gone());
+        }
+        let left = self.check_send().map_err(SendFailure::before_send)?;
+        let request = self.request_for(&record, left)?;
+        let options = match self.is_repeatable() {
+            true => RequestOptions::default(),
+            false => RequestOptions::for_single_run(),
+        };
+        let limit = self.head_limit(left);
+        self.sends += 1;
+        let sending = self
+            .proxy
+            .client
+            .send_or_return(record.address, request, options);
+        let response = match self.proxy.context.timers().timeout(limit, sending).await {
+            None => {
+                return Err(SendFailure::new(
+                    Failure::MayHaveRun,
+                    RefusalCode::DeadlineExceeded,
+                    "the target did not answer in time",
+                    AttemptOutcome::TimedOut,
+                ));
+            }
+            Some(Ok(response)) => response,
+            Some(Err(failure)) => {
+                return Err(match failure.error {
+                    ClientError::Connect { .. } => SendFailure::new(
+                        Failure::NotSent,
+                        RefusalCode::NoTarget,
+                        "no connection to the target",
+                        AttemptOutcome::ConnectFailed,
+                    ),
+                    ClientError::Sent { .. } => SendFailure::broken(),
+                });
+            }
+        };
+        self.judge(&record, response).await
+    }
+
+    fn is_repeatable(&self) -> bool {
+        let admission = self.admission.as_ref();
+        admission.is_some_and(|admission| admission.route.kind.is_repeatable())
+    }
+
+    pub(super) fn is_stream(&self) -> bool {
+        let admission = self.admission.as_ref();
+        admission.is_some_and(|admission| admission.route.kind.is_stream())
+    }
+
+    fn request_for(
+        &self,
+        record: &TargetRecord,
+        left: Duration,
+    ) -> Result<Request<crate::util::http::Body>, SendFailure> {
+        let admission = self.admission().map_err(SendFailure::before_send)?;
+        let service = admission.policy.services.get(&admission.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let engine = match (&self.head.prompt, is_engine) {
+            (Some(prompt), true) => {
+                let weights = self.relay.fleet.state().weights_of(record, &prompt.model);
+                Some(self.target_use(weights).map_err(SendFailure::before_send)?)
+            }
+            _ => None,
+        };
+        let send = SendHead {
+            target: record.id.clone(),
+            remaining: left,
+            workspace: admission.workspace.clone(),
+            engine,
+            last_event: self.last_event,
+        };
+        let path = self.parts.uri.path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        let mut request = Request::new(full(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = path.parse::<Uri>().unwrap_or_default();
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = encode_request(&self.parts.headers, &send);
+        Ok(request)
+    }
+
+    async fn judge(
+        &mut self,
+        record: &TargetRecord,
+        response: Response<Incoming>,
+    ) -> Result<Opened, SendFailure> {
+        let head = decode_answer(response.status().as_u16(), response.headers());
+        let verdict = judge_answer(&head, &self.head.id, &record.id);
+        if verdict != AnswerVerdict::Foreign {
+            self.learn(record, &head);
+        }
+        match verdict {
+            AnswerVerdict::Deliver => self.open(response).await.map(Opened::Answer),
+            AnswerVerdict::FailedRun => {
+                let is_passable = head.is_signed && !is_promise(head.status);
+                if !is_passable {
+                    return Err(SendFailure::new(
+                        Failure::MayHaveRun,
+                        RefusalCode::UpstreamFailed,
+                        "the target failed",
+                        AttemptOutcome::Failed,
+                    ));
+                }
+                self.open(response).await.map(Opened::OwnFailure)
+            }
+            AnswerVerdict::Refused => Err(SendFailure::new(
+                Failure::NotRun,
+                RefusalCode::Overloaded,
+                "the target has no place",
+                AttemptOutcome::Refused,
+            )),
+            AnswerVerdict::Misdirected { is_expected_target } => {
+                if is_expected_target {
+                    self.note_other_weights(record);
+                }
+                Err(SendFailure::new(
+                    Failure::NotRun,
+                    RefusalCode::NoTarget,
+                    "the target is another one or has other weights",
+                    AttemptOutcome::Refused,
+                ))
+            }
+            AnswerVerdict::Foreign => {
+                if let Some(mark) = response.extensions().get::<ConnectionMark>() {
+                    mark.discard();
+                }
+                Err(SendFailure::foreign())
+            }
+        }
+    }
+
+    /// Reads a short answer whole; passes a long one or a stream on as it arrives.
+    async fn open(&mut self, response: Response<Incoming>) -> Result<Answer, SendFailure> {
+        let length = http_body::Body::size_hint(response.body()).exact();
+        let is_short = length.is_some_and(|length| length <= MAX_WHOLE_BYTES);
+        let (head, body) = response.into_parts();
+        if self.is_stream() || !is_short {
+            return Ok(Answer::streamed(head, body));
+        }
+        let left = self.deadline.saturating_sub(self.now());
+        let read = collect_limited(body, MAX_WHOLE_BYTES as usize);
+        match self.proxy.context.timers().timeout(left, read).await {
+            Some(Ok(Some(body))) => Ok(Answer::whole(head, body)),
+            _ => Err(SendFailure::broken()),
+        }
+    }
+
+    /// Takes what an answer tells about its target.
+    fn learn(&self, record: &TargetRecord, head: &AnswerHead) {
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        if let (Some(model), Some(weights)) = (model, head.weights) {
+            self.relay
+                .fleet
+                .on_observed_weights(&record.id, model, weights);
+        }
+        let Some((running, waiting, slots)) = head.load else {
+            return;
+        };
+        let weights = model.and_then(|model| self.relay.fleet.state().weights_of(record, model));
+        let report = LoadReport {
+            incarnation: record.incarnation,
+            model: model.map_or_else(String::new, |model| {
+                model_key(&record.service, model).to_string()
+            }),
+            weights_version: weights.map_or_else(String::new, |weights| weights.to_string()),
+            running,
+            waiting,
+            max_running: slots,
+            ..LoadReport::default()
+        };
+        scheduler.note_load(&record.id, &report);
+    }
+
+    /// The target itself refused the weights that it was believed to have: it has the newest ones,
+    /// or is about to.
+    fn note_other_weights(&self, record: &TargetRecord) {
+        let Some(prompt) = &self.head.prompt else {
+            return;
+        };
+        let newest = self.relay.fleet.state().named_weights(&prompt.model);
+        if let Some((newest, _)) = newest {
+            self.relay
+                .fleet
+                .on_observed_weights(&record.id, &prompt.model, newest);
+        }
+    }
+
+    /// Whether a stream may go on at another target.
+    pub(super) fn is_resumable(&self) -> bool {
+        let admission = self.admission.as_ref();
+        admission.is_some_and(|admission| {
+            admission.route.kind == RequestKind::Stream { is_resumable: true }
+        })
+    }
+}
+
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -0,0 +1,341 @@
+//! Takes the lease and gives orders.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::core::ids::{ModelId, TargetId, Timestamp};
+use crate::core::rollout::{
+    Engine, LeaseAction, LeaseTerms, OrderLease, OrderResult, Rollout, RolloutAction, RolloutTerms,
+};
+use crate::ops::fleet::Fleet;
+use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::share::Peers;
+use crate::ops::store::StoreError;
+use crate::platform::{EngineReport, WeightsOrder, read_report, send_weights_order};
+use crate::util::http::Client;
+
+/// Term of the lease. Short, so that another instance takes over soon; a renewal takes 4 ms, and a
+/// quarter of a second while the store is slow.
+const LEASE_TERM: Duration = Duration::from_millis(1_500);
+
+/// Age of a renewal at which the holder renews.
+const RENEW_AFTER: Duration = Duration::from_millis(500);
+
+/// Added to the pause between holders, for clocks that run at slightly different speeds and orders
+/// that are under way at the end of a term.
+const HOLDER_MARGIN: Duration = Duration::from_millis(900);
+
+/// Part of a term that an order may be under way.
+const ORDER_MARGIN: Duration = Duration::from_millis(100);
+
+/// Engines that load at the same time. Loads take longer while more than two or three run, so that
+/// more at a time would only take engines out of service.
+const MAX_LOADING: usize = 3;
+
+/// Time between looks at the work.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Instances in order of name that try to take a free lease; each further one waits longer.
+const PREFERENCE_STEP: Duration = Duration::from_millis(600);
+
+const TERMS: RolloutTerms = RolloutTerms {
+    max_loading: MAX_LOADING,
+    // A load takes 1.3 s, and runs end before it.
+    check_after: Duration::from_millis(1_500),
+    check_every: Duration::from_millis(300),
+    // Orders are carried out up to 12 s late where they are.
+    give_again_after: Duration::from_secs(6),
+    pause_after_failure: Duration::from_millis(500),
+};
+
+/// Gives orders while this instance holds the lease.
+pub(super) struct Giver {
+    context: Context,
+    fleet: Rc<Fleet>,
+    peers: Rc<Peers>,
+    client: Client,
+    lease: RefCell<OrderLease>,
+    rollouts: RefCell<BTreeMap<(String, ModelId), Rollout>>,
+    /// Orders that engines are known to have accepted, by target and run.
+    accepted: RefCell<BTreeMap<(TargetId, u64), u64>>,
+    work_since: RefCell<Option<Timestamp>>,
+}
+
+impl Giver {
+    pub(super) fn new(context: &Context) -> Self {
+        let fleet = context.service::<Fleet>();
+        let peers = context.service::<Peers>();
+        let pause = Duration::from_millis(fleet.settings().holder_pause_ms);
+        let terms = LeaseTerms {
+            term: LEASE_TERM,
+            renew_after: RENEW_AFTER,
+            takeover_after: LEASE_TERM + pause + HOLDER_MARGIN,
+        };
+        Self {
+            context: context.clone(),
+            lease: RefCell::new(OrderLease::new(peers.name().clone(), terms)),
+            fleet,
+            peers,
+            client: Client::new(),
+            rollouts: RefCell::default(),
+            accepted: RefCell::default(),
+            work_since: RefCell::default(),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        self.context.timers().boot_now()
+    }
+
+    pub(super) async fn run(self: Rc<Self>) {
+        loop {
+            self.context.timers().sleep(LOOK_PERIOD).await;
+            if self.context.shutdown().lifecycle() != Lifecycle::Running {
+                return;
+            }
+            let has_work = self.has_work();
+            let now = self.now();
+            let since = {
+                let mut since = self.work_since.borrow_mut();
+                *since = match (has_work, *since) {
+                    (true, held) => held.or(Some(now)),
+                    (false, _) => None,
+                };
+                *since
+            };
+            let Some(since) = since else {
+                continue;
+            };
+            self.keep_lease(since).await;
+            if self.lease.borrow().epoch(self.now()).is_some() {
+                self.give_orders();
+            }
+        }
+    }
+
+    /// Engines of a service with the weights that they are believed to have, for each model.
+    fn engines(&self) -> Vec<((String, ModelId), u64, Vec<Engine>)> {
+        let state = self.fleet.state();
+        let Some(policy) = state.policy() else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for (service, held) in &policy.services {
+            for model in held.engine.iter().flat_map(|engine| &engine.models) {
+                let Some((newest, _)) = state.named_weights(model) else {
+                    continue;
+                };
+                let engines = state
+                    .targets()
+                    .filter(|record| record.service == *service && !state.is_leaving(record))
+                    .filter_map(|record| {
+                        Some(Engine {
+                            id: record.id.clone(),
+                            incarnation: record.incarnation,
+                            version: state.weights_of(record, model)?,
+                            running: 0,
+                        })
+                    })
+                    .collect();
+                found.push(((service.to_string(), model.clone()), newest, engines));
+            }
+        }
+        found
+    }
+
+    fn has_work(&self) -> bool {
+        let is_behind = |(_, newest, engines): &(_, u64, Vec<Engine>)| {
+            engines.iter().any(|engine| engine.version < *newest)
+        };
+        self.engines().iter().any(is_behind)
+    }
+
+    /// Whether this instance should take a free lease now: the first in order at once, the others
+    /// in turn if nobody does.
+    fn is_preferred(&self, since: Timestamp) -> bool {
+        let rank = self.peers.rank();
+        self.now() >= since + PREFERENCE_STEP * rank
+    }
+
+    async fn keep_lease(&self, since: Timestamp) {
+        let now = self.now();
+        let is_preferred = self.is_preferred(since);
+        let action = self.lease.borrow().next(rand::random(), is_preferred, now);
+        match action {
+            LeaseAction::Wait { .. } => {}
+            LeaseAction::Read => self.read_lease().await,
+            LeaseAction::Write { if_version, record } => {
+                let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
+                self.lease.borrow_mut().on_write_sent(record.nonce, now);
+                let written = self.fleet.store().write_lease(if_version, record.clone());
+                match written.await {
+                    Ok(version) => {
+                        if is_takeover {
+                            slog::info!(self.context.log(), "lease for orders taken";
+                                "epoch" => record.epoch, "version" => version);
+                        }
+                        let mut lease = self.lease.borrow_mut();
+                        lease.on_written(version, record, self.now());
+                    }
+                    Err(error) => self.note_failure("write", &error),
+                }
+            }
+        }
+    }
+
+    async fn read_lease(&self) {
+        let asked_at = self.now();
+        match self.fleet.store().read_lease().await {
+            Ok(found) => {
+                let (version, record) = match found {
+                    Some((version, record)) => (version, Some(record)),
+                    None => (0, None),
+                };
+                let now = self.now();
+                let mut lease = self.lease.borrow_mut();
+                lease.on_read(version, record, asked_at, now);
+            }
+            Err(error) => self.note_failure("read", &error),
+        }
+    }
+
+    fn note_failure(&self, call: &str, error: &StoreError) {
+        let is_conflict = matches!(error, StoreError::Conflict);
+        slog::info!(self.context.log(), "lease for orders not changed"; "call" => call,
+            "error" => %error);
+        let now = self.now();
+        self.lease.borrow_mut().on_failed(is_conflict, now);
+    }
+
+    fn give_orders(self: &Rc<Self>) {
+        let now = self.now();
+        for (key, newest, engines) in self.engines() {
+            let mut rollouts = self.rollouts.borrow_mut();
+            let model = key.1.clone();
+            let rollout = rollouts
+                .entry(key.clone())
+                .or_insert_with(|| Rollout::new(model.clone(), TERMS));
+            let actions = rollout.next(newest, &engines, now);
+            drop(rollouts);
+            for action in actions {
+                let (giver, key) = (Rc::clone(self), key.clone());
+                let task = async move {
+                    match action {
+                        RolloutAction::Order {
+                            target,
+                            model,
+                            version,
+                        } => giver.order(&key, target, model, version).await,
+                        RolloutAction::Check { target } => giver.check(&key, target).await,
+                    }
+                };
+                compio::runtime::spawn(task).detach();
+            }
+        }
+    }
+
+    async fn order(
+        &self,
+        key: &(String, ModelId),
+        target: TargetId,
+        model: ModelId,
+        version: u64,
+    ) {
+        let Some(record) = self.fleet.state().target(&target).cloned() else {
+            return;
+        };
+        let run = (target.clone(), record.incarnation);
+        let Some(accepted_orders) = self.accepted_orders(&run).await else {
+            self.note_order(key, &target, OrderResult::Failed);
+            return;
+        };
+        // Checked right before the effect; a term that is about to end does not cover the way.
+        let Some(epoch) = self.lease.borrow().epoch(self.now() + ORDER_MARGIN) else {
+            self.note_order(key, &target, OrderResult::Failed);
+            return;
+        };
+        let order = WeightsOrder {
+            target: target.clone(),
+            address: record.address,
+            model: model.clone(),
+            version,
+            holder: self.peers.name().to_string(),
+            epoch,
+            accepted_orders,
+        };
+        let result = send_weights_order(&self.client, &order).await;
+        slog::info!(self.context.log(), "order given"; "target" => &*target,
+            "incarnation" => record.incarnation, "model" => &*model, "version" => version,
+            "epoch" => epoch, "accepted_orders" => accepted_orders,
+            "outcome" => format!("{result:?}"));
+        self.context.metrics().count("rollout.orders", 1);
+        match result {
+            OrderResult::Accepted => {
+                self.accepted.borrow_mut().insert(run, accepted_orders + 1);
+            }
+            OrderResult::Holds => self.note_weights(&target, record.incarnation, &model, version),
+            OrderResult::Busy | OrderResult::Failed => {
+                self.client.close_address(record.address);
+                self.ask(&target).await;
+            }
+        }
+        self.note_order(key, &target, result);
+    }
+
+    /// Orders that an engine has accepted, which it is asked for if another holder may have given
+    /// some.
+    async fn accepted_orders(&self, run: &(TargetId, u64)) -> Option<u64> {
+        if let Some(known) = self.accepted.borrow().get(run) {
+            return Some(*known);
+        }
+        let report = self.ask(&run.0).await?;
+        Some(report.accepted_orders)
+    }
+
+    fn note_order(&self, key: &(String, ModelId), target: &TargetId, result: OrderResult) {
+        let now = self.now();
+        if let Some(rollout) = self.rollouts.borrow_mut().get_mut(key) {
+            rollout.on_order(target, result, now);
+        }
+    }
+
+    async fn check(&self, key: &(String, ModelId), target: TargetId) {
+        let is_busy = self.ask(&target).await.map(|report| report.is_busy);
+        let now = self.now();
+        if let Some(rollout) = self.rollouts.borrow_mut().get_mut(key) {
+            rollout.on_checked(&target, is_busy, now);
+        }
+    }
+
+    /// Asks an engine for its state and takes what it tells.
+    async fn ask(&self, target: &TargetId) -> Option<EngineReport> {
+        let record = self.fleet.state().target(target).cloned()?;
+        let report = read_report(&self.client, record.address).await?;
+        if report.incarnation != record.incarnation {
+            return None;
+        }
+        let run = (target.clone(), record.incarnation);
+        self.accepted
+            .borrow_mut()
+            .insert(run, report.accepted_orders);
+        for (model, version) in &report.weights {
+            self.note_weights(target, record.incarnation, model, *version);
+        }
+        Some(report)
+    }
+
+    fn note_weights(&self, target: &TargetId, incarnation: u64, model: &ModelId, version: u64) {
+        let before = {
+            let state = self.fleet.state();
+            let record = state.target(target);
+            record.and_then(|record| state.weights_of(record, model))
+        };
+        if before.is_some_and(|before| before < version) {
+            self.fleet.on_observed_weights(target, model, version);
+            self.peers
+                .publish_weights(target, incarnation, model, version);
+        }
+    }
+}
--- a/src/jujubelink/ops/scheduler/plugin.rs
+++ b/src/jujubelink/ops/scheduler/plugin.rs
@@ -46,8 +46,11 @@
         subscribe(&shared);
         compio::runtime::spawn(follow_config(Rc::clone(&shared))).detach();
         compio::runtime::spawn(tick(Rc::clone(&shared))).detach();
-        compio::runtime::spawn(poll_loads(Rc::clone(&shared))).detach();
-        compio::runtime::spawn(EventReaders::new(&shared).run()).detach();
+        if context.settings().fleet.is_none() {
+            // Elsewhere answers carry the load, and each question has a price.
+            compio::runtime::spawn(poll_loads(Rc::clone(&shared))).detach();
+            compio::runtime::spawn(EventReaders::new(&shared).run()).detach();
+        }
         Ok(())
     }
 }
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -14,6 +14,7 @@
 use super::convert::refusal_name;
 use super::rate_log::RateLog;
 use super::slot::Slot;
+use crate::core::routing::LoadReport;
 use crate::core::config::{ConfigSnapshot, TargetKind};
 use crate::core::ids::{Fingerprint, TargetId, Timestamp, WorkspaceId};
 use crate::core::prompt::cache_namespace;
@@ -337,6 +338,18 @@
         })
     }
 
+    fn note_load(&self, target: &TargetId, report: &LoadReport) {
+        let now = self.0.now();
+        self.0
+            .scheduler
+            .borrow_mut()
+            .on_load(target, report, now);
+    }
+
+    fn note_run(&self, target: &TargetId, report: &LoadReport) {
+        self.0.scheduler.borrow_mut().on_run(target, report);
+    }
+
     fn report_plain(&self, placement: Placement, outcome: AttemptOutcome) {
         let mut effects = Vec::new();
         let now = self.0.now();
--- a/src/jujubelink/ops/services.rs
+++ b/src/jujubelink/ops/services.rs
@@ -11,6 +11,7 @@
     WorkspaceId,
 };
 use crate::core::prefix::PromptFingerprints;
+use crate::core::routing::LoadReport;
 
 /// The configuration in force on this instance.
 pub trait ConfigService {
@@ -188,6 +189,12 @@
 
     /// Reports the end of an attempt of a plain request.
     fn report_plain(&self, placement: Placement, outcome: AttemptOutcome);
+
+    /// Takes a load that a target told with an answer.
+    fn note_load(&self, target: &TargetId, report: &LoadReport);
+
+    /// Takes the run and the weights of a target, as known from elsewhere than its load reports.
+    fn note_run(&self, target: &TargetId, report: &LoadReport);
 }
 
 /// Whether and when a failed attempt may be retried.
--- a/src/jujubelink/ops/sessions/plugin.rs
+++ b/src/jujubelink/ops/sessions/plugin.rs
@@ -10,7 +10,7 @@
 use super::Sessions;
 use super::leases::Leases;
 use crate::core::lease::VOUCH_EVERY;
-use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope};
 use crate::ops::services::LeaseService;
 
 /// Time between steps of keeping the session.
@@ -22,7 +22,9 @@
 /// Pause after a failure of the platform.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
-inventory::submit! { PluginEntry::new(|| Box::new(SessionPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(SessionPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct SessionPlugin;
 
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -31,6 +31,73 @@
     /// Export of spans.
     #[serde(default)]
     pub tracing: TracingSettings,
+    /// Present where the platform's store holds configuration, targets and named weights.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetSettings>,
+}
+
+/// An instance in front of a fleet whose configuration, targets and named weights are in the
+/// platform's store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Name of the machine. It names the instance to others and as holder of the lease for orders.
+    pub machine: String,
+    /// Address at which the platform asks whether the instance is ready.
+    pub ready_address: SocketAddr,
+    /// Whether a withdrawn key must stop working within `revocation_ms` also when the store cannot be
+    /// reached.
+    #[serde(default)]
+    pub is_revocation_strict: bool,
+    /// Time within which a withdrawn key must stop working, in milliseconds.
+    #[serde(default = "default_revocation_ms")]
+    pub revocation_ms: u64,
+    /// Time within which a configuration must be in force, in milliseconds.
+    #[serde(default = "default_config_ms")]
+    pub config_ms: u64,
+    /// Resends that each request allows, over all instances.
+    #[serde(default = "default_resend_ratio")]
+    pub resend_ratio: f64,
+    /// Resends that are allowed besides in a window, over all instances.
+    #[serde(default = "default_resend_slack")]
+    pub resend_slack: f64,
+    /// Window of the resends, in seconds.
+    #[serde(default = "default_resend_window_s")]
+    pub resend_window_s: f64,
+    /// Shortest time between orders of two holders to one engine, in milliseconds.
+    #[serde(default = "default_holder_pause_ms")]
+    pub holder_pause_ms: u64,
+    /// Time within which requests must run on newly named weights, in milliseconds.
+    #[serde(default = "default_weights_ms")]
+    pub weights_ms: u64,
+}
+
+fn default_revocation_ms() -> u64 {
+    5_000
+}
+
+fn default_config_ms() -> u64 {
+    2_000
+}
+
+fn default_resend_ratio() -> f64 {
+    0.2
+}
+
+fn default_resend_slack() -> f64 {
+    50.0
+}
+
+fn default_resend_window_s() -> f64 {
+    10.0
+}
+
+fn default_holder_pause_ms() -> u64 {
+    3_000
+}
+
+fn default_weights_ms() -> u64 {
+    12_000
 }
 
 /// Identity and peers.
--- /dev/null
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -0,0 +1,153 @@
+//! Sending and receiving.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use prost::Message;
+
+use super::message::ShareMessage;
+use super::peers::{POLICY_PATH, Peers};
+use crate::ops::kernel::Context;
+use crate::ops::services::ConfigService;
+use crate::ops::store::InstanceRecord;
+use crate::util::http::{Body, Handler, ServerOptions, empty, full, serve_connection};
+use crate::util::net::{Datagram, Listener};
+
+/// Receive buffer, above the largest datagram.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Pause after a failed receive or accept.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between listings of the instances. A new instance makes itself heard to all that it finds
+/// in the list, so that this only finds what messages missed.
+const LIST_PERIOD: Duration = Duration::from_secs(10);
+
+/// Pause after a failed call to the store.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+pub(super) async fn receive(peers: Rc<Peers>, socket: Rc<Datagram>) {
+    let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match ShareMessage::decode(&buffer[..length]) {
+                Ok(message) => peers.on_message(message, from),
+                Err(error) => {
+                    slog::warn!(peers.context.log(), "unreadable message of an instance";
+                        "from" => from.to_string(), "error" => %error);
+                }
+            },
+            Err(error) => {
+                slog::warn!(peers.context.log(), "cannot receive messages of instances";
+                    "error" => %error);
+                peers.context.timers().sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+pub(super) async fn send(peers: Rc<Peers>, socket: Rc<Datagram>) {
+    loop {
+        let bytes = peers.message().encode_to_vec();
+        for address in peers.addresses() {
+            if let Err(error) = socket.send_to(&bytes, address) {
+                slog::debug!(peers.context.log(), "cannot send to an instance";
+                    "address" => address.to_string(), "error" => %error);
+            }
+        }
+        peers.refresh_contacts();
+        peers.context.timers().sleep(peers.period()).await;
+    }
+}
+
+/// Writes this instance's entry, then lists the instances from time to time.
+pub(super) async fn keep_listed(peers: Rc<Peers>, own: InstanceRecord) {
+    let timers = *peers.context.timers();
+    let store = Rc::clone(peers.fleet.store());
+    while let Err(error) = store.write_instance(own.clone()).await {
+        slog::warn!(peers.context.log(), "cannot write the entry of this instance";
+            "error" => %error);
+        timers.sleep(STORE_RETRY_PAUSE).await;
+    }
+    loop {
+        match store.list_instances().await {
+            Ok(listed) => {
+                let gone = peers.on_instances(listed);
+                if peers.rank() == 0 {
+                    for name in gone {
+                        if let Err(error) = store.remove_instance(&name).await {
+                            slog::warn!(peers.context.log(), "cannot remove an entry";
+                                "peer" => &*name, "error" => %error);
+                        }
+                    }
+                }
+                timers.sleep(LIST_PERIOD).await;
+            }
+            Err(error) => {
+                slog::warn!(peers.context.log(), "cannot list the instances"; "error" => %error);
+                timers.sleep(STORE_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Keeps the limits in line with the configuration.
+pub(super) async fn follow_limits(peers: Rc<Peers>) {
+    let config = peers.context.service::<dyn ConfigService>();
+    loop {
+        let changed = config.changed();
+        if let Some(policy) = peers.fleet.policy() {
+            let limits = policy
+                .workspaces
+                .iter()
+                .filter(|(_, workspace)| workspace.rate_per_s > 0.0)
+                .map(|(name, workspace)| (name, workspace.rate_per_s, workspace.burst));
+            peers.buckets.set_limits(limits, peers.now());
+        }
+        changed.await;
+    }
+}
+
+/// Serves the configuration to peers that cannot reach the store.
+pub(super) async fn serve_policy(context: Context, peers: Rc<Peers>, listener: Listener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = PolicyHandler(Rc::clone(&peers));
+                let shutdown = context.shutdown().clone();
+                compio::runtime::spawn(async move {
+                    let drain = async move { shutdown.closing().await };
+                    let options = ServerOptions::default();
+                    // A peer that breaks its connection asks again.
+                    let _ = serve_connection(stream, handler, options, drain).await;
+                })
+                .detach();
+            }
+            Err(error) => {
+                slog::warn!(context.log(), "cannot accept a connection of an instance";
+                    "error" => %error);
+                context.timers().sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct PolicyHandler(Rc<Peers>);
+
+impl Handler for PolicyHandler {
+    fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
+        let raw = match request.uri().path() {
+            POLICY_PATH => self.0.fleet.raw_policy(),
+            _ => None,
+        };
+        let mut response = Response::new(raw.map_or_else(empty, full));
+        if http_body::Body::is_end_stream(response.body()) {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        std::future::ready(response)
+    }
+}
--- /dev/null
+++ b/src/jujubelink/ops/share/limits.rs
@@ -0,0 +1,124 @@
+//! Limits of workspaces over all instances.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use super::message::WorkspaceUse;
+use super::peers::{Peers, workspace_use};
+use crate::core::ids::{InstanceId, Timestamp, Tokens, WorkspaceId};
+use crate::core::quota::{PeerUse, SharedBucket};
+use crate::ops::services::{Charge, ChargeError, LimitService};
+
+/// Buckets by workspace. A workspace without a limit has none.
+#[derive(Default)]
+pub(super) struct Buckets {
+    buckets: RefCell<BTreeMap<WorkspaceId, SharedBucket>>,
+    contacts: RefCell<Vec<(InstanceId, bool)>>,
+    next_charge: Cell<u64>,
+}
+
+impl Buckets {
+    pub(super) fn set_peers(&self, contacts: &[(InstanceId, bool)], now: Timestamp) {
+        if *self.contacts.borrow() == contacts {
+            return;
+        }
+        self.contacts.replace(contacts.to_vec());
+        for bucket in self.buckets.borrow_mut().values_mut() {
+            bucket.set_peers(contacts.iter().map(|(id, is_in)| (id, *is_in)), now);
+        }
+    }
+
+    pub(super) fn totals(&self) -> Vec<WorkspaceUse> {
+        let buckets = self.buckets.borrow();
+        let uses = buckets.iter();
+        uses.map(|(workspace, bucket)| workspace_use(workspace, bucket.total()))
+            .collect()
+    }
+
+    pub(super) fn on_report(
+        &self,
+        workspace: &str,
+        peer: &InstanceId,
+        used: PeerUse,
+        now: Timestamp,
+    ) {
+        if let Some(bucket) = self.buckets.borrow_mut().get_mut(workspace) {
+            bucket.on_report(peer, used, now);
+        }
+    }
+
+    /// Takes the limits of the workspaces in force.
+    pub(super) fn set_limits<'a>(
+        &self,
+        limits: impl Iterator<Item = (&'a WorkspaceId, f64, f64)>,
+        now: Timestamp,
+    ) {
+        let mut held = self.buckets.borrow_mut();
+        let mut kept = BTreeMap::new();
+        for (workspace, rate_per_s, burst) in limits {
+            let mut bucket = held.remove(workspace).unwrap_or_else(|| {
+                let mut bucket = SharedBucket::new(rate_per_s, burst, now);
+                let contacts = self.contacts.borrow();
+                bucket.set_peers(contacts.iter().map(|(id, is_in)| (id, *is_in)), now);
+                bucket
+            });
+            bucket.set_limit(rate_per_s, burst, now);
+            kept.insert(workspace.clone(), bucket);
+        }
+        *held = kept;
+    }
+}
+
+/// [`LimitService`] over the buckets.
+pub(super) struct SharedLimits(pub(super) Rc<Peers>);
+
+impl SharedLimits {
+    fn try_charge(&self, workspace: &WorkspaceId, units: Tokens) -> Result<Charge, ChargeError> {
+        let peers = &self.0;
+        let now = peers.now();
+        if !peers.is_listed() {
+            return Err(ChargeError::Unavailable);
+        }
+        peers.refresh_contacts();
+        if let Some(bucket) = peers.buckets.buckets.borrow_mut().get_mut(workspace) {
+            bucket
+                .charge(units, now)
+                .map_err(|refusal| ChargeError::RateLimited {
+                    retry_after: refusal.retry_after,
+                })?;
+        }
+        let id = peers.buckets.next_charge.get() + 1;
+        peers.buckets.next_charge.set(id);
+        Ok(Charge {
+            id,
+            workspace: workspace.clone(),
+            tokens: units,
+            charged_at: peers.context.timers().now(),
+        })
+    }
+}
+
+impl LimitService for SharedLimits {
+    fn charge(
+        &self,
+        workspace: &WorkspaceId,
+        tokens: Tokens,
+        _deadline: Timestamp,
+    ) -> LocalBoxFuture<'static, Result<Charge, ChargeError>> {
+        let result = self.try_charge(workspace, tokens);
+        async move { result }.boxed_local()
+    }
+
+    fn settle(&self, charge: Charge, used_tokens: Tokens) {
+        let unused = charge.tokens.saturating_sub(used_tokens);
+        let now = self.0.now();
+        let mut buckets = self.0.buckets.buckets.borrow_mut();
+        if let (Some(bucket), true) = (buckets.get_mut(&charge.workspace), unused > 0) {
+            bucket.refund(unused, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/jujubelink/ops/share/peers.rs
@@ -0,0 +1,540 @@
+//! The other instances.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+
+use super::limits::Buckets;
+use super::message::{Heard, ModelWeights, ShareMessage, Suspect, WorkspaceUse};
+use crate::core::fleet::Proof;
+use crate::core::ids::{
+    ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp,
+};
+use crate::core::quota::PeerUse;
+use crate::ops::fleet::Fleet;
+use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::services::{
+    GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState,
+};
+use crate::ops::store::InstanceRecord;
+use crate::util::hash::stable_hash;
+use crate::util::http::{Client, RequestOptions, collect_limited, empty};
+
+/// Shortest time between two messages to a peer. Limits may be overdrawn by what is used in between.
+const MIN_PERIOD: Duration = Duration::from_millis(200);
+
+/// Messages per second that an instance sends at most; with more peers than this allows for, each is
+/// told less often.
+const MAX_MESSAGES_PER_S: u32 = 40;
+
+/// Periods without an echo after which a peer is out of contact. Datagrams are lost at times.
+const CONTACT_PERIODS: u32 = 4;
+
+/// Silence after which an instance is taken for removed for good, longer than any freeze or partition
+/// that machines come back from.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Time for which an observation or a suspect is repeated in messages.
+const REPEAT_FOR: Duration = Duration::from_secs(1);
+
+/// Observations and suspects that are repeated at a time; the oldest is dropped at the bound.
+const MAX_REPEATED: usize = 32;
+
+/// Peers that are kept; further ones are not heard.
+const MAX_PEERS: usize = 1_024;
+
+/// Path of the configuration at a peer.
+pub(super) const POLICY_PATH: &str = "/configuration";
+
+/// Time for a peer to pass on its configuration.
+const POLICY_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest configuration.
+const MAX_POLICY_BYTES: usize = 4 * 1024 * 1024;
+
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) address: SocketAddr,
+    incarnation: Incarnation,
+    /// Time of the peer's machine at which its last message was made.
+    their_sent_at_ms: u64,
+    /// When that message arrived, or when the peer was first listed.
+    heard_at: Timestamp,
+    /// Own time that the peer last echoed: it has heard a message of that time.
+    echoed_at: Timestamp,
+    config_version: ConfigVersion,
+    proof: Option<Proof>,
+    is_leaving: bool,
+}
+
+/// The other instances as this one hears them, with the shared limits.
+pub struct Peers {
+    pub(super) context: Context,
+    pub(super) fleet: Rc<Fleet>,
+    name: InstanceId,
+    started_at: Timestamp,
+    table: RefCell<BTreeMap<InstanceId, Peer>>,
+    is_listed: Cell<bool>,
+    pub(super) buckets: Buckets,
+    weights_proved_at: Cell<Option<Timestamp>>,
+    observed: RefCell<VecDeque<(Timestamp, ModelWeights)>>,
+    suspects: RefCell<VecDeque<(Timestamp, Suspect)>>,
+    handlers: RefCell<Vec<GossipHandler>>,
+    client: Client,
+}
+
+impl Peers {
+    /// A table without peers.
+    pub(super) fn new(context: &Context, fleet: Rc<Fleet>) -> Self {
+        Self {
+            name: fleet.settings().machine.as_str().into(),
+            started_at: context.timers().boot_now(),
+            context: context.clone(),
+            fleet,
+            table: RefCell::default(),
+            is_listed: Cell::new(false),
+            buckets: Buckets::default(),
+            weights_proved_at: Cell::new(None),
+            observed: RefCell::default(),
+            suspects: RefCell::default(),
+            handlers: RefCell::default(),
+            client: Client::new(),
+        }
+    }
+
+    pub(super) fn now(&self) -> Timestamp {
+        self.context.timers().boot_now()
+    }
+
+    /// Name of this instance.
+    pub fn name(&self) -> &InstanceId {
+        &self.name
+    }
+
+    /// Time between messages to each peer, which grows with their number.
+    pub(super) fn period(&self) -> Duration {
+        let peers = self.table.borrow().len() as u32;
+        MIN_PERIOD.max(Duration::from_secs(1) * peers / MAX_MESSAGES_PER_S)
+    }
+
+    fn contact_limit(&self) -> Duration {
+        self.period() * CONTACT_PERIODS
+    }
+
+    fn is_in_contact(&self, peer: &Peer, now: Timestamp) -> bool {
+        let limit = self.contact_limit();
+        let is_recent = |at: Timestamp| at >= self.started_at && now.saturating_sub(at) < limit;
+        is_recent(peer.heard_at) && is_recent(peer.echoed_at) && !peer.is_leaving
+    }
+
+    /// Whether the instances of the fleet are known; until then limits cannot be shared.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.get()
+    }
+
+    /// Instances of the fleet, this one included.
+    pub fn fleet_size(&self) -> usize {
+        self.table.borrow().len() + 1
+    }
+
+    /// Live instances that come before this one in the order of names.
+    pub fn rank(&self) -> u32 {
+        let now = self.now();
+        let table = self.table.borrow();
+        let before = table
+            .iter()
+            .filter(|(name, peer)| **name < self.name && self.is_in_contact(peer, now));
+        before.count() as u32
+    }
+
+    /// Whether another instance is in contact.
+    pub fn is_heard(&self, name: &str) -> bool {
+        let now = self.now();
+        let table = self.table.borrow();
+        table
+            .get(name)
+            .is_some_and(|peer| self.is_in_contact(peer, now))
+    }
+
+    /// Newest version of the configuration that a peer has.
+    pub fn newest_config(&self) -> ConfigVersion {
+        let table = self.table.borrow();
+        let versions = table.values().map(|peer| peer.config_version);
+        versions.max().unwrap_or(0)
+    }
+
+    /// When the named weights were last read, by whichever instance.
+    pub fn weights_proved_at(&self) -> Option<Timestamp> {
+        self.weights_proved_at.get()
+    }
+
+    /// Notes a reading of the named weights.
+    pub fn note_weights_proof(&self, asked_at: Timestamp) {
+        let newest = self.weights_proved_at.get().max(Some(asked_at));
+        self.weights_proved_at.set(newest);
+    }
+
+    /// Uses the proofs of peers for a version that has just come into force here.
+    pub fn apply_proofs(&self, version: ConfigVersion) {
+        let table = self.table.borrow();
+        let proofs = table.values().filter_map(|peer| peer.proof);
+        for proof in proofs.filter(|proof| proof.version == version) {
+            self.fleet.on_proof(proof);
+        }
+    }
+
+    /// Tells the others which weights a target was seen with.
+    pub fn publish_weights(
+        &self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        model: &ModelId,
+        version: u64,
+    ) {
+        let observed = ModelWeights {
+            target: target.to_string(),
+            incarnation,
+            model: model.to_string(),
+            version,
+        };
+        push_repeated(&self.observed, self.now(), observed);
+    }
+
+    /// Takes the list of instances of the store. Returns those that have been silent for so long
+    /// that their entry can be removed.
+    pub(super) fn on_instances(&self, listed: Vec<InstanceRecord>) -> Vec<InstanceId> {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        for record in listed {
+            let name: InstanceId = record.name.as_str().into();
+            if name == self.name || table.len() >= MAX_PEERS {
+                continue;
+            }
+            let address = record.address;
+            let peer = table.entry(name.clone()).or_insert_with(|| {
+                slog::info!(self.context.log(), "instance listed"; "peer" => &*name,
+                    "address" => address.to_string());
+                Peer::new(address, now)
+            });
+            peer.address = address;
+        }
+        self.is_listed.set(true);
+        let gone: Vec<InstanceId> = table
+            .iter()
+            .filter(|(_, peer)| now.saturating_sub(peer.heard_at) > FORGET_AFTER)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            slog::info!(self.context.log(), "instance forgotten"; "peer" => &**name);
+            table.remove(name);
+        }
+        drop(table);
+        self.refresh_contacts();
+        gone
+    }
+
+    /// Brings the shared limits in line with who is in contact now.
+    pub(super) fn refresh_contacts(&self) {
+        let now = self.now();
+        let table = self.table.borrow();
+        let contacts: Vec<(InstanceId, bool)> = table
+            .iter()
+            .map(|(name, peer)| (name.clone(), self.is_in_contact(peer, now)))
+            .collect();
+        drop(table);
+        self.buckets.set_peers(&contacts, now);
+    }
+
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.table
+            .borrow()
+            .values()
+            .map(|peer| peer.address)
+            .collect()
+    }
+
+    /// The message to all peers.
+    pub(super) fn message(&self) -> ShareMessage {
+        let now = self.now();
+        let heard = self.table.borrow();
+        let heard = heard
+            .iter()
+            .filter(|(_, peer)| peer.their_sent_at_ms > 0)
+            .map(|(name, peer)| Heard {
+                name_hash: stable_hash(0, name.as_bytes()),
+                sent_at_ms: peer.their_sent_at_ms,
+            });
+        let state = self.fleet.state();
+        let proof = state.proof();
+        let age = |asked_at: Timestamp| ms(now.saturating_sub(asked_at));
+        ShareMessage {
+            name: self.name.to_string(),
+            incarnation: self.context.incarnation(),
+            sent_at_ms: ms(now),
+            heard: heard.collect(),
+            uses: self.buckets.totals(),
+            config_version: state.config_version(),
+            config_age_ms: proof.map(|proof| age(proof.asked_at)),
+            named: state
+                .named()
+                .map(|(model, version)| ModelWeights {
+                    model: model.to_string(),
+                    version,
+                    ..ModelWeights::default()
+                })
+                .collect(),
+            named_age_ms: self.weights_proved_at.get().map(age),
+            observed: repeated(&self.observed, now),
+            suspects: repeated(&self.suspects, now),
+            is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
+        }
+    }
+
+    /// Takes a message.
+    pub(super) fn on_message(&self, message: ShareMessage, from: SocketAddr) {
+        let name: InstanceId = message.name.as_str().into();
+        if name == self.name {
+            return;
+        }
+        let now = self.now();
+        let own_hash = stable_hash(0, self.name.as_bytes());
+        let echoed = message
+            .heard
+            .iter()
+            .find(|heard| heard.name_hash == own_hash)
+            .map(|heard| Duration::from_millis(heard.sent_at_ms))
+            .filter(|at| *at >= self.started_at && *at <= now);
+        let mut table = self.table.borrow_mut();
+        if !table.contains_key(&name) && table.len() >= MAX_PEERS {
+            return;
+        }
+        let peer = table.entry(name.clone()).or_insert_with(|| {
+            slog::info!(self.context.log(), "instance heard"; "peer" => &*name,
+                "address" => from.to_string());
+            Peer::new(from, now)
+        });
+        let is_restart = peer.incarnation != message.incarnation;
+        if !is_restart && message.sent_at_ms <= peer.their_sent_at_ms {
+            return;
+        }
+        peer.address = from;
+        peer.incarnation = message.incarnation;
+        peer.their_sent_at_ms = message.sent_at_ms;
+        peer.heard_at = now;
+        peer.config_version = message.config_version;
+        peer.is_leaving = message.is_leaving;
+        if let Some(echoed) = echoed {
+            peer.echoed_at = peer.echoed_at.max(echoed);
+            // The message was made after the echoed one arrived, so that what it calls `age` old is
+            // no older than this on the clock here, however long the message itself took.
+            let asked_at = |age_ms: u64| echoed.checked_sub(Duration::from_millis(age_ms));
+            peer.proof = message
+                .config_age_ms
+                .and_then(asked_at)
+                .map(|asked_at| Proof {
+                    version: message.config_version,
+                    asked_at,
+                });
+            if let Some(proof) = peer.proof {
+                self.fleet.on_proof(proof);
+            }
+            if let Some(at) = message.named_age_ms.and_then(asked_at) {
+                self.note_weights_proof(at);
+            }
+        }
+        drop(table);
+        self.refresh_contacts();
+        for used in &message.uses {
+            let report = PeerUse {
+                incarnation: message.incarnation,
+                total: used.total,
+            };
+            self.buckets.on_report(&used.workspace, &name, report, now);
+        }
+        self.take_weights(&message, &name);
+        for suspect in &message.suspects {
+            let item = GossipItem::Quarantine {
+                fingerprint: suspect.fingerprint,
+                crashes: suspect.crashes,
+                remaining: Duration::from_millis(suspect.remaining_ms),
+            };
+            for handler in self.handlers.borrow().iter() {
+                handler(&item);
+            }
+        }
+    }
+
+    fn take_weights(&self, message: &ShareMessage, name: &str) {
+        let named: Vec<(ModelId, u64)> = message
+            .named
+            .iter()
+            .map(|named| (named.model.as_str().into(), named.version))
+            .collect();
+        self.fleet.on_named_weights(&named, name);
+        for seen in &message.observed {
+            let target: TargetId = seen.target.as_str().into();
+            let is_same_run = self
+                .fleet
+                .state()
+                .target(&target)
+                .is_some_and(|record| record.incarnation == seen.incarnation);
+            if is_same_run {
+                let model = seen.model.as_str().into();
+                self.fleet
+                    .on_observed_weights(&target, &model, seen.version);
+            }
+        }
+    }
+
+    /// Asks the peers with the newest configuration for it. Returns its stored form and the peer's
+    /// name.
+    pub async fn fetch_policy(&self) -> Option<(String, Bytes)> {
+        let newest = self.newest_config();
+        let candidates: Vec<(InstanceId, SocketAddr)> = self
+            .table
+            .borrow()
+            .iter()
+            .filter(|(_, peer)| peer.config_version == newest)
+            .map(|(name, peer)| (name.clone(), peer.address))
+            .collect();
+        for (name, address) in candidates.into_iter().take(2) {
+            let fetch = self.fetch_from(address);
+            let limit = self.context.timers().timeout(POLICY_TIMEOUT, fetch);
+            if let Some(Some(raw)) = limit.await {
+                return Some((name.to_string(), raw));
+            }
+            self.client.close_address(address);
+            slog::warn!(self.context.log(), "a peer did not pass on its configuration";
+                "peer" => &*name);
+        }
+        None
+    }
+
+    async fn fetch_from(&self, address: SocketAddr) -> Option<Bytes> {
+        let request = Request::builder()
+            .uri(POLICY_PATH)
+            .header("host", address.to_string())
+            .body(empty())
+            .ok()?;
+        let options = RequestOptions::default();
+        let response = self.client.send(address, request, options).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        collect_limited(response.into_body(), MAX_POLICY_BYTES)
+            .await
+            .ok()?
+    }
+}
+
+impl Peer {
+    fn new(address: SocketAddr, now: Timestamp) -> Self {
+        Self {
+            address,
+            incarnation: 0,
+            their_sent_at_ms: 0,
+            heard_at: now,
+            echoed_at: Timestamp::ZERO,
+            config_version: 0,
+            proof: None,
+            is_leaving: false,
+        }
+    }
+}
+
+fn push_repeated<T>(list: &RefCell<VecDeque<(Timestamp, T)>>, now: Timestamp, item: T) {
+    let mut list = list.borrow_mut();
+    if list.len() >= MAX_REPEATED {
+        list.pop_front();
+    }
+    list.push_back((now + REPEAT_FOR, item));
+}
+
+fn repeated<T: Clone>(list: &RefCell<VecDeque<(Timestamp, T)>>, now: Timestamp) -> Vec<T> {
+    let mut list = list.borrow_mut();
+    list.retain(|(until, _)| now < *until);
+    list.iter().map(|(_, item)| item.clone()).collect()
+}
+
+fn ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+impl MemberService for Peers {
+    fn self_id(&self) -> InstanceId {
+        self.name.clone()
+    }
+
+    fn self_incarnation(&self) -> Incarnation {
+        self.context.incarnation()
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let members = table.iter().map(|(name, peer)| Member {
+            instance: name.clone(),
+            incarnation: peer.incarnation,
+            state: match (peer.is_leaving, self.is_in_contact(peer, now)) {
+                (true, _) => MemberState::Leaving,
+                (false, true) => MemberState::Alive,
+                (false, false) => MemberState::Suspect,
+            },
+            failure_domain: String::new(),
+            region: String::new(),
+            config_version: peer.config_version,
+        });
+        members.collect()
+    }
+
+    fn leave(&self) {}
+
+    fn leaving_targets(&self) -> Rc<std::collections::BTreeSet<TargetId>> {
+        let state = self.fleet.state();
+        let leaving = state.targets().filter(|record| state.is_leaving(record));
+        Rc::new(leaving.map(|record| record.id.clone()).collect())
+    }
+
+    fn set_target_leaving(&self, target: &TargetId, is_leaving: bool) {
+        if is_leaving {
+            self.fleet.set_leaving(target);
+        }
+    }
+}
+
+impl GossipService for Peers {
+    fn publish(&self, item: GossipItem) {
+        // Digests of cached prefixes are not exchanged here: placement by rendezvous hashing needs
+        // none at this size.
+        if let GossipItem::Quarantine {
+            fingerprint,
+            crashes,
+            remaining,
+        } = item
+        {
+            let suspect = Suspect {
+                fingerprint,
+                crashes,
+                remaining_ms: ms(remaining),
+            };
+            push_repeated(&self.suspects, self.now(), suspect);
+        }
+    }
+
+    fn subscribe(&self, handler: GossipHandler) {
+        self.handlers.borrow_mut().push(handler);
+    }
+}
+
+/// Use of limits in a message.
+pub(super) fn workspace_use(workspace: &str, total: u64) -> WorkspaceUse {
+    WorkspaceUse {
+        workspace: workspace.to_owned(),
+        total,
+    }
+}
--- a/src/jujubelink/ops/spread/mod.rs
+++ b/src/jujubelink/ops/spread/mod.rs
@@ -6,7 +6,6 @@
 
 mod calls;
 mod gossip;
-mod notifier;
 mod plugin;
 mod push;
 mod server;
@@ -15,5 +14,5 @@
 mod watch;
 mod withdrawals;
 
-pub use notifier::Notifier;
+pub use crate::ops::kernel::Notifier;
 pub use state::{CONFIG_OBJECT, ConfigState};
--- a/src/jujubelink/ops/spread/plugin.rs
+++ b/src/jujubelink/ops/spread/plugin.rs
@@ -17,12 +17,14 @@
 use super::withdrawals;
 use crate::core::ids::InstanceId;
 use crate::core::spread::{Propagation, SpreadEffect};
-use crate::ops::kernel::{Context, Plugin, PluginEntry};
+use crate::ops::kernel::{Context, Plugin, PluginEntry, PluginScope};
 use crate::ops::members::MemberTable;
 use crate::ops::peer::PeerServices;
 use crate::ops::services::{ConfigService, GossipService};
 
-inventory::submit! { PluginEntry::new(|| Box::new(SpreadPlugin)) }
+inventory::submit! {
+    PluginEntry::new(|| Box::new(SpreadPlugin)).with_scope(PluginScope::OwnState)
+}
 
 struct SpreadPlugin;
 
--- a/src/jujubelink/ops/spread/state.rs
+++ b/src/jujubelink/ops/spread/state.rs
@@ -6,12 +6,11 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
-use super::notifier::Notifier;
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::{ConfigVersion, KeyHash};
 use crate::core::membership::Summary;
 use crate::core::spread::{ConfigDelta, DeltaHistory, RevocationSet};
-use crate::ops::kernel::Context;
+use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 
 /// Platform object that holds the configuration.
--- /dev/null
+++ b/src/jujubelink/platform/configuration.rs
@@ -0,0 +1,223 @@
+//! The configuration as stored.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::core::fleet::{
+    EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
+    RequestLimits, ServiceShare,
+};
+use crate::util::hash::sha256_hex;
+
+/// Bounds that hold if the configuration names none.
+const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
+const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
+const DEFAULT_IDLE_MS: f64 = 15_000.0;
+const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
+const DEFAULT_OBJECTIVE_MS: f64 = 1_000.0;
+const DEFAULT_EVENT_GAP_MS: f64 = 1_000.0;
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<Route>,
+    #[serde(default)]
+    services: Vec<Service>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    limits: Limits,
+}
+
+#[derive(Deserialize)]
+struct Route {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: Option<f64>,
+    target_latency_ms: Option<f64>,
+    gap_aim_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<Split>,
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct Split {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    name: String,
+    max_connections: Option<u32>,
+    engine: Option<Engine>,
+    kv_store_addr: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Engine {
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    kv_capacity: f64,
+    #[serde(default)]
+    models: Vec<EngineModel>,
+}
+
+#[derive(Deserialize)]
+struct EngineModel {
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    #[serde(default)]
+    unit: String,
+    #[serde(default)]
+    plain_tokens: u64,
+    #[serde(default)]
+    dedicated: bool,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+#[derive(Default, Deserialize)]
+struct Limits {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    idle_timeout_ms: Option<f64>,
+}
+
+/// Decodes a configuration.
+pub fn decode_configuration(spec: &serde_json::Value) -> Result<FleetPolicy, String> {
+    let document = Document::deserialize(spec).map_err(|error| error.to_string())?;
+    let mut routes: HashMap<String, Vec<Rc<PolicyRoute>>> = HashMap::new();
+    for route in document.routes {
+        let host = route.host.to_ascii_lowercase();
+        routes
+            .entry(host)
+            .or_default()
+            .push(Rc::new(decode_route(route)?));
+    }
+    for of_host in routes.values_mut() {
+        of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+    }
+    let services = document.services.into_iter().map(|service| {
+        let held = PolicyService {
+            max_connections: service.max_connections.unwrap_or(u32::MAX),
+            engine: service.engine.map(decode_engine),
+            kv_store: service.kv_store_addr,
+        };
+        (service.name.into(), held)
+    });
+    let mut keys = HashMap::new();
+    let mut workspaces = BTreeMap::new();
+    for tenant in document.tenants {
+        let name: std::sync::Arc<str> = tenant.name.as_str().into();
+        for key in &tenant.api_keys {
+            keys.insert(sha256_hex(key.as_bytes()).into(), name.clone());
+        }
+        workspaces.insert(name, decode_workspace(&tenant));
+    }
+    let limits = document.limits;
+    Ok(FleetPolicy {
+        version: document.version,
+        routes,
+        services: services.collect(),
+        workspaces,
+        keys,
+        limits: RequestLimits {
+            header_bytes: limits.max_header_bytes.unwrap_or(DEFAULT_HEADER_BYTES),
+            body_bytes: limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+            idle: duration_ms(limits.idle_timeout_ms, DEFAULT_IDLE_MS),
+        },
+    })
+}
+
+fn decode_route(route: Route) -> Result<PolicyRoute, String> {
+    let kind = match route.kind.as_str() {
+        "idempotent" => RequestKind::Idempotent,
+        "non_idempotent" => RequestKind::SingleRun,
+        "streaming" => RequestKind::Stream {
+            is_resumable: route.resumable,
+        },
+        other => return Err(format!("route {}: unknown kind {other:?}", route.name)),
+    };
+    let mut services: Vec<ServiceShare> = route
+        .traffic_split
+        .into_iter()
+        .map(|split| ServiceShare {
+            service: split.service.into(),
+            weight: split.weight.max(0.0) as u32,
+        })
+        .collect();
+    if services.is_empty() {
+        let service = route
+            .service
+            .ok_or_else(|| format!("route {} names no service", route.name))?;
+        services.push(ServiceShare {
+            service: service.into(),
+            weight: 1,
+        });
+    }
+    Ok(PolicyRoute {
+        name: route.name.into(),
+        path_prefix: route.path_prefix,
+        kind,
+        services,
+        max_attempts: route.max_attempts.unwrap_or(1).max(1),
+        timeout: duration_ms(route.timeout_ms, DEFAULT_TIMEOUT_MS),
+        objective: duration_ms(route.target_latency_ms, DEFAULT_OBJECTIVE_MS),
+        event_gap: duration_ms(route.gap_aim_ms, DEFAULT_EVENT_GAP_MS),
+        priority: route.priority,
+        is_public: route.public,
+    })
+}
+
+fn decode_engine(engine: Engine) -> EngineTraits {
+    let models = engine.models.into_iter().map(|model| model.name.into());
+    EngineTraits {
+        slots: engine.slots,
+        memory_tokens: engine.kv_capacity as u64,
+        models: models.collect(),
+    }
+}
+
+fn decode_workspace(tenant: &Tenant) -> PolicyWorkspace {
+    PolicyWorkspace {
+        unit: match tenant.unit.as_str() {
+            "tokens" => QuotaUnit::Tokens,
+            _ => QuotaUnit::Requests,
+        },
+        rate_per_s: tenant.rate_per_s,
+        burst: tenant.burst,
+        plain_tokens: tenant.plain_tokens,
+        priority: tenant.priority,
+        is_walled: tenant.dedicated,
+    }
+}
+
+fn duration_ms(value: Option<f64>, default: f64) -> Duration {
+    Duration::from_secs_f64(value.unwrap_or(default).max(0.0) / 1000.0)
+}
--- /dev/null
+++ b/src/jujubelink/platform/mod.rs
@@ -0,0 +1,20 @@
+//! Adapter to the platform: its names, formats and calls.
+//!
+//! Everything that the platform says is decoded here once, into types of this project, and everything
+//! that leaves is encoded here. Nothing in this folder decides. `docs/platform.md` maps the words:
+//! a machine of the platform is an instance, a zone a failure domain, a tenant a workspace and a
+//! server a target.
+
+mod configuration;
+mod engine;
+mod names;
+mod request;
+mod store;
+mod target_entry;
+
+pub use configuration::decode_configuration;
+pub use engine::{EngineReport, read_report, send_weights_order, WeightsOrder};
+pub use names::READY_PATH;
+pub use request::{decode_answer, decode_request, encode_request, is_reserved_answer_header};
+pub use store::ObjectStoreClient;
+pub use target_entry::decode_target;
--- /dev/null
+++ b/src/jujubelink/platform/request.rs
@@ -0,0 +1,161 @@
+//! Heads of requests and answers.
+
+use std::time::Duration;
+
+use http::header::{AUTHORIZATION, HOST, HeaderName};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue};
+
+use super::names::{
+    ANSWER_SIGNATURE, ATTEMPT_ID, CACHE_SALT, DEADLINE_MS, EXPECT_TARGET, EXPECT_WEIGHTS,
+    LAST_EVENT_ID, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, TARGET_ID, TARGET_LOAD,
+    TOKEN_COUNT, WEIGHTS, WORKSPACE,
+};
+use crate::core::relay::{AnswerHead, PromptHead, RelayHead, SendHead};
+use crate::util::hash::{sha256_hex, stable_hash};
+
+/// Longest time that a client's head may name; a longer one is cut.
+const MAX_PATIENCE_MS: u64 = 3_600_000;
+
+/// Parts of a prompt that are read; further ones are left out of the placement.
+const MAX_PARTS: usize = 64;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// Decodes a client's head. The error names what is wrong with it.
+pub fn decode_request(head: &Parts) -> Result<RelayHead, String> {
+    let headers = &head.headers;
+    let id = text(headers, ATTEMPT_ID).filter(|id| !id.is_empty());
+    let id = id.ok_or_else(|| format!("the header {ATTEMPT_ID} is missing"))?;
+    let host = match head.uri.authority() {
+        Some(authority) => authority.as_str().to_owned(),
+        None => headers
+            .get(HOST)
+            .and_then(|host| host.to_str().ok())
+            .unwrap_or_default()
+            .to_owned(),
+    };
+    let patience = match text(headers, DEADLINE_MS) {
+        Some(value) => Some(decode_ms(value)?),
+        None => None,
+    };
+    Ok(RelayHead {
+        id: id.into(),
+        host,
+        key: decode_key(headers),
+        patience,
+        prompt: decode_prompt(headers)?,
+        last_event: text(headers, LAST_EVENT_ID).and_then(|value| value.trim().parse().ok()),
+    })
+}
+
+fn decode_ms(value: &str) -> Result<Duration, String> {
+    let ms: f64 = value
+        .trim()
+        .parse()
+        .ok()
+        .filter(|ms: &f64| ms.is_finite() && *ms >= 0.0)
+        .ok_or_else(|| format!("the header {DEADLINE_MS} is not a number"))?;
+    Ok(Duration::from_secs_f64(
+        ms.min(MAX_PATIENCE_MS as f64) / 1000.0,
+    ))
+}
+
+fn decode_key(headers: &HeaderMap) -> Option<std::sync::Arc<str>> {
+    let (scheme, key) = text(headers, AUTHORIZATION.as_str())?.split_once(' ')?;
+    let is_bearer = scheme.eq_ignore_ascii_case("bearer");
+    is_bearer.then(|| sha256_hex(key.trim().as_bytes()).into())
+}
+
+fn decode_prompt(headers: &HeaderMap) -> Result<Option<PromptHead>, String> {
+    let (Some(model), Some(counts)) = (text(headers, MODEL), text(headers, TOKEN_COUNT)) else {
+        return Ok(None);
+    };
+    let broken = || format!("the header {TOKEN_COUNT} is not two numbers");
+    let (prompt, answer) = counts.split_once(',').ok_or_else(broken)?;
+    let number = |text: &str| text.trim().parse::<u64>().map_err(|_| broken());
+    let mut parts = Vec::new();
+    for part in text(headers, PROMPT_PARTS).unwrap_or_default().split(',') {
+        let Some((name, tokens)) = part.trim().split_once(':') else {
+            continue;
+        };
+        if let (Ok(tokens), true) = (tokens.parse(), parts.len() < MAX_PARTS) {
+            parts.push((stable_hash(0, name.as_bytes()), tokens));
+        }
+    }
+    Ok(Some(PromptHead {
+        model: model.into(),
+        prompt_tokens: number(prompt)?,
+        answer_tokens: number(answer)?,
+        parts,
+    }))
+}
+
+/// Headers for a target: the client's without those of its connection, its key and those that only
+/// this program sets, and what the send adds.
+pub fn encode_request(client: &HeaderMap, send: &SendHead) -> HeaderMap {
+    let mut headers = client.clone();
+    for name in CONNECTION_HEADERS.iter().chain(&RESERVED) {
+        headers.remove(*name);
+    }
+    headers.remove(AUTHORIZATION);
+    let mut set = |name: &'static str, value: String| {
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(EXPECT_TARGET, send.target.to_string());
+    set(DEADLINE_MS, send.remaining.as_millis().to_string());
+    if let Some(workspace) = &send.workspace {
+        set(WORKSPACE, workspace.to_string());
+    }
+    if let Some(engine) = &send.engine {
+        set(CACHE_SALT, engine.cache_salt.clone());
+        set(PRIORITY, engine.priority.to_string());
+        if let Some(weights) = engine.weights {
+            set(EXPECT_WEIGHTS, weights.to_string());
+        }
+    }
+    if let Some(event) = send.last_event {
+        set(LAST_EVENT_ID, event.to_string());
+    }
+    headers
+}
+
+/// Decodes the head of a target's answer.
+pub fn decode_answer(status: u16, headers: &HeaderMap) -> AnswerHead {
+    let load = text(headers, TARGET_LOAD).and_then(|value| {
+        let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
+        Some((numbers.next()??, numbers.next()??, numbers.next()??))
+    });
+    let connection = text(headers, "connection").unwrap_or_default();
+    AnswerHead {
+        status,
+        request_id: text(headers, ATTEMPT_ID).map(str::to_owned),
+        is_signed: headers.contains_key(ANSWER_SIGNATURE),
+        is_not_run: headers.contains_key(NOT_RUN),
+        target: text(headers, TARGET_ID).map(str::to_owned),
+        load,
+        weights: text(headers, WEIGHTS).and_then(|value| value.trim().parse().ok()),
+        is_closing: connection.eq_ignore_ascii_case("close"),
+    }
+}
+
+/// Whether a header of a target's answer stays on its own connection.
+pub fn is_reserved_answer_header(name: &HeaderName) -> bool {
+    CONNECTION_HEADERS.contains(&name.as_str())
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/src/jujubelink/platform/store.rs
@@ -0,0 +1,372 @@
+//! Client of the platform's object store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{Method, Request, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::names::{
+    CONFIG_NAME, KIND_CONFIG, KIND_INSTANCES, KIND_LEASES, KIND_TARGETS, KIND_WEIGHTS,
+    OBJECTS_PATH, ORDER_LEASE,
+};
+use super::{decode_configuration, decode_target};
+use crate::core::ids::{ModelId, ObjectVersion};
+use crate::core::rollout::LeaseRecord;
+use crate::ops::store::{
+    FleetStore, InstanceRecord, StoreCall, StoreError, StoreResult, StoredPolicy, TargetChange,
+    TargetChanges,
+};
+use crate::util::http::{Body, Client, RequestOptions, collect_limited, empty, full};
+
+/// Time for an answer. The store answers in 4 ms, and in a quarter of a second on slow days.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Largest answer: a page of a list of about 1 MB.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Pages of a list that are read; a list that is still longer is an unusable answer.
+const MAX_PAGES: usize = 64;
+
+#[derive(Deserialize)]
+struct Metadata {
+    name: String,
+    revision: ObjectVersion,
+}
+
+#[derive(Deserialize)]
+struct Object {
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    items: Vec<Object>,
+    #[serde(default)]
+    truncated: bool,
+    current_rev: ObjectVersion,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    object: Object,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[derive(Deserialize)]
+struct Events {
+    #[serde(default)]
+    events: Vec<Event>,
+    current_rev: ObjectVersion,
+}
+
+#[derive(Deserialize)]
+struct NamedWeights {
+    model: String,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct StoredInstance {
+    address: SocketAddr,
+}
+
+/// [`FleetStore`] over the platform's HTTP API. Clones share connections.
+#[derive(Clone)]
+pub struct ObjectStoreClient {
+    address: SocketAddr,
+    http: Client,
+}
+
+impl ObjectStoreClient {
+    /// A client for the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            http: Client::new(),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+        limit: Duration,
+    ) -> StoreResult<(StatusCode, Bytes)> {
+        let builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string());
+        let request: Request<Body> = match body {
+            Some(body) => builder
+                .header("content-type", "application/json")
+                .body(full(body.to_string())),
+            None => builder.body(empty()),
+        }
+        .map_err(|error| bad_answer(error.to_string()))?;
+        let exchange = async {
+            let response = self
+                .http
+                .send(self.address, request, RequestOptions::default())
+                .await
+                .map_err(|error| no_answer(error.to_string()))?;
+            let status = response.status();
+            let body = collect_limited(response.into_body(), MAX_ANSWER_BYTES)
+                .await
+                .map_err(|error| no_answer(error.to_string()))?
+                .ok_or_else(|| bad_answer("it is too large".to_owned()))?;
+            Ok((status, body))
+        };
+        match compio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The connection may have gone silent; the next call makes a new one.
+                self.http.close_address(self.address);
+                Err(no_answer(format!("nothing within {} ms", limit.as_millis())))
+            }
+        }
+    }
+
+    async fn get(&self, path: &str, limit: Duration) -> StoreResult<Option<Bytes>> {
+        match self.send(Method::GET, path, None, limit).await? {
+            (StatusCode::OK, body) => Ok(Some(body)),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (StatusCode::GONE, _) => Err(StoreError::HistoryGone),
+            (status, _) => Err(refused(status)),
+        }
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> StoreResult<ObjectVersion> {
+        match self.send(method, path, body, ANSWER_TIMEOUT).await? {
+            (status, body) if status.is_success() => {
+                // A removal answers without an object.
+                Ok(parse::<Object>(&body).map_or(0, |object| object.metadata.revision))
+            }
+            (StatusCode::CONFLICT | StatusCode::NOT_FOUND, _) => Err(StoreError::Conflict),
+            (status, _) => Err(refused(status)),
+        }
+    }
+
+    /// All objects of a kind, with the revision of the store at the first page.
+    async fn list(&self, kind: &str) -> StoreResult<(Vec<Object>, ObjectVersion)> {
+        let mut objects: Vec<Object> = Vec::new();
+        let mut revision = None;
+        for _ in 0..MAX_PAGES {
+            let path = match objects.last() {
+                Some(last) => format!("{OBJECTS_PATH}/{kind}?after={}", last.metadata.name),
+                None => format!("{OBJECTS_PATH}/{kind}"),
+            };
+            let Some(body) = self.get(&path, ANSWER_TIMEOUT).await? else {
+                return Ok((Vec::new(), 0));
+            };
+            let page: Page = parse(&body)?;
+            let first = *revision.get_or_insert(page.current_rev);
+            let is_last = !page.truncated || page.items.is_empty();
+            objects.extend(page.items);
+            if is_last {
+                return Ok((objects, first));
+            }
+        }
+        Err(bad_answer(format!("the list of {kind} does not end")))
+    }
+}
+
+fn target_change(object: Object, is_removed: bool, revision: ObjectVersion) -> TargetChange {
+    let Metadata { name, revision: at } = object.metadata;
+    let removed = |fault| TargetChange::Removed {
+        revision: revision.max(at),
+        id: name.as_str().into(),
+        fault,
+    };
+    if is_removed {
+        return removed(None);
+    }
+    match decode_target(&name, &object.spec) {
+        Ok(record) => TargetChange::Written {
+            revision: at,
+            record,
+        },
+        Err(fault) => removed(Some(fault)),
+    }
+}
+
+impl FleetStore for ObjectStoreClient {
+    fn read_policy(&self) -> StoreCall<Option<StoredPolicy>> {
+        let client = self.clone();
+        async move {
+            let path = format!("{OBJECTS_PATH}/{KIND_CONFIG}/{CONFIG_NAME}");
+            match client.get(&path, ANSWER_TIMEOUT).await? {
+                Some(raw) => client.decode_policy(&raw).map(Some),
+                None => Ok(None),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn decode_policy(&self, raw: &Bytes) -> StoreResult<StoredPolicy> {
+        let object: Object = parse(raw)?;
+        let policy = decode_configuration(&object.spec).map_err(bad_answer)?;
+        Ok(StoredPolicy {
+            policy,
+            raw: raw.clone(),
+        })
+    }
+
+    fn list_targets(&self) -> StoreCall<TargetChanges> {
+        let client = self.clone();
+        async move {
+            let (objects, revision) = client.list(KIND_TARGETS).await?;
+            let changes = objects.into_iter();
+            Ok(TargetChanges {
+                changes: changes
+                    .map(|object| target_change(object, false, 0))
+                    .collect(),
+                revision,
+            })
+        }
+        .boxed_local()
+    }
+
+    fn watch_targets(&self, after: ObjectVersion, limit: Duration) -> StoreCall<TargetChanges> {
+        let client = self.clone();
+        async move {
+            let wait_ms = limit.as_millis();
+            let path = format!("{OBJECTS_PATH}/{KIND_TARGETS}?watch={after}&wait_ms={wait_ms}");
+            let body = client.get(&path, limit + ANSWER_TIMEOUT).await?;
+            let events: Events = parse(&body.unwrap_or_default())?;
+            let revision = events.current_rev;
+            let changes = events.events.into_iter();
+            Ok(TargetChanges {
+                changes: changes
+                    .map(|event| target_change(event.object, event.removed, 0))
+                    .collect(),
+                revision,
+            })
+        }
+        .boxed_local()
+    }
+
+    fn list_weights(&self) -> StoreCall<Vec<(ModelId, u64)>> {
+        let client = self.clone();
+        async move {
+            let (objects, _) = client.list(KIND_WEIGHTS).await?;
+            objects
+                .into_iter()
+                .map(|object| {
+                    let named = NamedWeights::deserialize(&object.spec)
+                        .map_err(|error| bad_answer(error.to_string()))?;
+                    Ok((named.model.into(), named.version))
+                })
+                .collect()
+        }
+        .boxed_local()
+    }
+
+    fn read_lease(&self) -> StoreCall<Option<(ObjectVersion, LeaseRecord)>> {
+        let client = self.clone();
+        async move {
+            let path = format!("{OBJECTS_PATH}/{KIND_LEASES}/{ORDER_LEASE}");
+            let Some(body) = client.get(&path, ANSWER_TIMEOUT).await? else {
+                return Ok(None);
+            };
+            let object: Object = parse(&body)?;
+            let record = LeaseRecord::deserialize(&object.spec)
+                .map_err(|error| bad_answer(error.to_string()))?;
+            Ok(Some((object.metadata.revision, record)))
+        }
+        .boxed_local()
+    }
+
+    fn write_lease(
+        &self,
+        if_version: ObjectVersion,
+        record: LeaseRecord,
+    ) -> StoreCall<ObjectVersion> {
+        let client = self.clone();
+        async move {
+            let path = format!("{OBJECTS_PATH}/{KIND_LEASES}");
+            let mut body = json!({ "metadata": { "name": ORDER_LEASE }, "spec": record });
+            if if_version == 0 {
+                return client.write(Method::POST, &path, Some(body)).await;
+            }
+            body["metadata"]["revision"] = if_version.into();
+            let path = format!("{path}/{ORDER_LEASE}");
+            client.write(Method::PUT, &path, Some(body)).await
+        }
+        .boxed_local()
+    }
+
+    fn list_instances(&self) -> StoreCall<Vec<InstanceRecord>> {
+        let client = self.clone();
+        async move {
+            let (objects, _) = client.list(KIND_INSTANCES).await?;
+            objects
+                .into_iter()
+                .map(|object| {
+                    let stored = StoredInstance::deserialize(&object.spec)
+                        .map_err(|error| bad_answer(error.to_string()))?;
+                    Ok(InstanceRecord {
+                        name: object.metadata.name,
+                        address: stored.address,
+                    })
+                })
+                .collect()
+        }
+        .boxed_local()
+    }
+
+    fn write_instance(&self, record: InstanceRecord) -> StoreCall<()> {
+        let client = self.clone();
+        async move {
+            let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}");
+            let body = json!({ "metadata": { "name": &record.name },
+                "spec": { "address": record.address } });
+            let created = client.write(Method::POST, &path, Some(body.clone())).await;
+            match created {
+                Err(StoreError::Conflict) => {
+                    let path = format!("{path}/{}", record.name);
+                    client.write(Method::PUT, &path, Some(body)).await.map(drop)
+                }
+                other => other.map(drop),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn remove_instance(&self, name: &str) -> StoreCall<()> {
+        let client = self.clone();
+        let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}/{name}");
+        async move { client.write(Method::DELETE, &path, None).await.map(drop) }.boxed_local()
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> StoreResult<T> {
+    serde_json::from_slice(body).map_err(|error| bad_answer(error.to_string()))
+}
+
+fn refused(status: StatusCode) -> StoreError {
+    StoreError::Refused {
+        status: status.as_u16(),
+    }
+}
+
+fn bad_answer(reason: String) -> StoreError {
+    StoreError::BadAnswer { reason }
+}
+
+fn no_answer(reason: String) -> StoreError {
+    StoreError::NoAnswer { reason }
+}
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -5,11 +5,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use compio::time::timeout;
 use derive_more::{Display, Error};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 
@@ -108,8 +110,39 @@
 struct IdleConnection {
     sender: http1::SendRequest<Body>,
     since: Instant,
+    /// Time for which the other end keeps an idle connection, if it tells.
+    kept_for: Option<Duration>,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, max_idle: Duration) -> bool {
+        let idle = self.since.elapsed();
+        idle < max_idle && self.kept_for.is_none_or(|kept| idle + KEEP_ALIVE_MARGIN < kept)
+    }
+}
+
+/// Mark on an answer by which its connection is not used again.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionMark {
+    is_discarded: Arc<AtomicBool>,
+}
+
+impl ConnectionMark {
+    /// Keeps the connection from carrying another request: what it delivers next may belong to the
+    /// request before.
+    pub fn discard(&self) {
+        self.is_discarded.store(true, Ordering::Relaxed);
+    }
+
+    fn is_discarded(&self) -> bool {
+        self.is_discarded.load(Ordering::Relaxed)
+    }
+}
+
+/// Time before the end of the other end's keep-alive at which a connection is no longer used: a
+/// request that crosses the close would be lost.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
+
 /// A client; clones share the pool.
 #[derive(Clone, Default)]
 pub struct Client {
@@ -146,10 +179,7 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
             match sender.try_send_request(request).await {
-                Ok(response) => {
-                    self.return_when_ready(address, sender);
-                    return Ok(response);
-                }
+                Ok(response) => return Ok(self.return_when_ready(address, sender, response)),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendFailure::sent(address, failure.into_error())),
@@ -161,10 +191,7 @@
             Err(error) => return Err(SendFailure::unsent(error, request)),
         };
         match sender.try_send_request(request).await {
-            Ok(response) => {
-                self.return_when_ready(address, sender);
-                Ok(response)
-            }
+            Ok(response) => Ok(self.return_when_ready(address, sender, response)),
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => {
                     let source = io::Error::other(failure.into_error());
@@ -179,7 +206,7 @@
     /// Closes idle connections that nothing has used for `max_idle`.
     pub fn close_idle(&self, max_idle: Duration) {
         self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|connection| connection.since.elapsed() < max_idle);
+            connections.retain(|connection| connection.is_usable(max_idle));
             !connections.is_empty()
         });
     }
@@ -197,17 +224,27 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.since.elapsed() < max_idle && connection.sender.is_ready() {
+            if connection.is_usable(max_idle) && connection.sender.is_ready() {
                 return Some(connection.sender);
             }
         }
         None
     }
 
-    fn return_when_ready(&self, address: SocketAddr, mut sender: http1::SendRequest<Body>) {
+    /// Puts the connection of an answer back into the pool once the answer has ended. The answer
+    /// carries a [`ConnectionMark`].
+    fn return_when_ready(
+        &self,
+        address: SocketAddr,
+        mut sender: http1::SendRequest<Body>,
+        mut response: Response<Incoming>,
+    ) -> Response<Incoming> {
         let idle = Rc::clone(&self.idle);
+        let kept_for = keep_alive(response.headers());
+        let mark = ConnectionMark::default();
+        response.extensions_mut().insert(mark.clone());
         compio::runtime::spawn(async move {
-            if sender.ready().await.is_err() {
+            if sender.ready().await.is_err() || mark.is_discarded() {
                 return;
             }
             let mut idle = idle.borrow_mut();
@@ -216,13 +253,24 @@
                 connections.push(IdleConnection {
                     sender,
                     since: Instant::now(),
+                    kept_for,
                 });
             }
         })
         .detach();
+        response
     }
 }
 
+/// Time in the field `timeout` of the header `keep-alive`.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|field| field.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
+
 async fn connect(address: SocketAddr) -> Result<http1::SendRequest<Body>, ClientError> {
     let failed = |source| ClientError::Connect { address, source };
     let stream = timeout(CONNECT_TIMEOUT, Stream::connect(address))
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -7,6 +7,6 @@
 pub mod sse;
 
 pub use body::{Body, BodyError, collect_limited, discard, empty, full, hold};
-pub use client::{Client, ClientError, RequestOptions, SendFailure};
+pub use client::{Client, ClientError, ConnectionMark, RequestOptions, SendFailure};
 pub use executor::LocalExecutor;
 pub use server::{Handler, ServerOptions, serve_connection};
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -42,6 +42,9 @@
     pub ping_interval: Duration,
     /// Time without an answer to a ping after which the connection is closed.
     pub ping_timeout: Duration,
+    /// Whether a client that has closed its sending side still waits for the answer. If not, its
+    /// request is cancelled.
+    pub allows_half_close: bool,
 }
 
 impl Default for ServerOptions {
@@ -52,6 +55,7 @@
             max_concurrent_streams: 128,
             ping_interval: Duration::from_secs(10),
             ping_timeout: Duration::from_secs(10),
+            allows_half_close: true,
         }
     }
 }
@@ -74,7 +78,7 @@
         .timer(CompioTimer)
         .header_read_timeout(options.header_timeout)
         .max_buf_size(options.max_header_bytes)
-        .half_close(true);
+        .half_close(options.allows_half_close);
     builder
         .http2()
         .timer(CompioTimer)
