Fetch cached parts between engines and keep requests from engines that load

Cause: shared parts of prompts were read again wherever a request left the home of its prefix, and engines that load weights refused 1,589 of 3,951 arrivals. Change: a placement names the deepest believed holder, from which the chosen engine fetches; the holder of the order lease tells which engines load.

--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::core::fleet::TargetAddress;
 use crate::core::ids::{KeyHash, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
 use crate::core::prefix::PromptFingerprints;
 use crate::util::hash::{combine, stable_hash};
@@ -84,6 +85,8 @@
     pub cache_salt: String,
     /// Urgency, 0 first.
     pub priority: u8,
+    /// Engine from which the target fetches cached parts of the prompt.
+    pub fetch_from: Option<TargetAddress>,
 }
 
 /// What one send adds to the client's head.
--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -95,14 +95,10 @@
         }
     }
 
-    /// Engines with an order under way.
-    pub fn loading(&self) -> usize {
-        self.pending.len()
-    }
-
-    /// Whether an order to the engine is under way.
-    pub fn is_pending(&self, target: &str) -> bool {
-        self.pending.contains_key(target)
+    /// Engines with an order under way, by their run.
+    pub fn loading(&self) -> impl Iterator<Item = (TargetId, Incarnation)> + '_ {
+        let pending = self.pending.iter();
+        pending.map(|(id, pending)| (id.clone(), pending.incarnation))
     }
 
     /// What to do to bring `engines` to `newest`. Each action must be reported back.
--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -47,7 +47,10 @@
         now: Timestamp,
     ) -> Option<Choice> {
         let mut survey = std::mem::take(&mut self.survey);
-        let choice = self.choose_with(&mut survey, request, random, now);
+        let mut choice = self.choose_with(&mut survey, request, random, now);
+        if let (Some(choice), true) = (&mut choice, self.engines_fetch) {
+            choice.fetch_from = self.fetch_source(&survey, choice, now);
+        }
         self.survey = survey;
         choice
     }
@@ -71,6 +74,41 @@
         better(request, best, more).or_else(|| self.choose_any(state, survey, request, now))
     }
 
+    /// The engine from which the chosen one should fetch what it lacks of the prompt: the deepest
+    /// believed holder, or else a member of the replica set if the chosen one is none.
+    ///
+    /// A fetch moves tokens a hundred times faster than an engine reads them, and a source that has
+    /// nothing costs a millisecond.
+    fn fetch_source(
+        &self,
+        survey: &Survey,
+        choice: &Choice,
+        now: Timestamp,
+    ) -> Option<TargetIndex> {
+        let chosen = self.targets.get(choice.target);
+        let depth = |target: TargetIndex| {
+            let believed = survey.believed_blocks(target);
+            (believed, survey.home_blocks(target))
+        };
+        let is_source = |target: &TargetIndex| {
+            let state = self.targets.get(*target);
+            *target != choice.target
+                && state.settings.is_some()
+                && now >= state.doubtful_until
+                && state.busy_until <= now
+                && state.share > 0.0
+                && state.reported.weights_hash == chosen.reported.weights_hash
+        };
+        let candidates = survey.candidates.iter().copied();
+        let source = candidates
+            .filter(is_source)
+            .max_by_key(|target| depth(*target))?;
+        let (believed, home) = depth(source);
+        let is_deeper = believed > choice.cached_blocks
+            || (choice.cached_blocks == 0 && home > choice.home_blocks);
+        is_deeper.then_some(source)
+    }
+
     /// Collects the candidates of a request: its replica sets, believed holders and random targets.
     pub(super) fn collect(
         &self,
@@ -160,6 +198,9 @@
         let mut wait_s = state.load.wait_s(max_running, &model.times, unseen, now);
         let has_room = wait_s <= MAX_ENGINE_WAIT_S || state.load.own() == 0;
         wait_s += TIE_S * draw(survey.random, state.name_hash);
+        let busy_s = state.busy_until.saturating_sub(now).as_secs_f64();
+        wait_s += busy_s;
+        let has_room = has_room && busy_s == 0.0;
         if now < state.doubtful_until {
             wait_s += DOUBT_S;
         }
@@ -182,6 +223,7 @@
             home_blocks,
             known_blocks,
             import_blocks: 0,
+            fetch_from: None,
             wait_s,
             prefill_s: missing * model.block_prefill_s,
             has_room,
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -53,6 +53,8 @@
     /// Leading blocks that a transfer from the KV cache store should fill before the request, 0 if
     /// none.
     pub import_blocks: u32,
+    /// Engine that has more of the prompt cached and from which the target should fetch it.
+    pub fetch_from: Option<TargetIndex>,
     /// Expected time until the prefill begins, in seconds.
     pub wait_s: f64,
     /// Expected time of the prefill or the transfer, in seconds.
@@ -113,6 +115,8 @@
     /// Instances in the fleet, at least 1.
     instances: u32,
     has_kv_store: bool,
+    /// Whether engines fetch cached blocks from each other.
+    engines_fetch: bool,
     survey: Survey,
 }
 
@@ -188,6 +192,12 @@
         self.instances = instances.max(1);
     }
 
+    /// Notes that engines fetch cached blocks from each other.
+    pub fn with_engine_fetch(mut self) -> Self {
+        self.engines_fetch = true;
+        self
+    }
+
     /// Targets.
     pub fn targets(&self) -> &TargetTable {
         &self.targets
--- a/src/jujubelink/core/routing/table.rs
+++ b/src/jujubelink/core/routing/table.rs
@@ -68,6 +68,8 @@
     pub lifetime: Duration,
     /// Until when the target is taken for slow because an attempt just broke or found no listener.
     pub doubtful_until: Timestamp,
+    /// Until when the target is expected to refuse requests because it loads weights.
+    pub busy_until: Timestamp,
 }
 
 impl TargetState {
@@ -85,6 +87,7 @@
             generation: 0,
             lifetime: INITIAL_LIFETIME,
             doubtful_until: Timestamp::ZERO,
+            busy_until: Timestamp::ZERO,
         }
     }
 
@@ -100,6 +103,7 @@
     pub fn set_reported(&mut self, reported: ReportedState) {
         if self.reported.weights_hash != reported.weights_hash && self.reported.weights_hash != 0 {
             self.forget_cache();
+            self.busy_until = Timestamp::ZERO;
         }
         self.reported = reported;
     }
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// A scheduler in front of engines that fetch cached blocks from each other.
+    pub fn with_engine_fetch(mut self) -> Self {
+        self.router = self.router.with_engine_fetch();
+        self
+    }
+
     /// Takes a configuration; the state of unchanged targets is kept.
     pub fn on_config(&mut self, config: &ConfigSnapshot) {
         self.router.on_config(config);
@@ -287,6 +293,8 @@
         self.target_budgets.get(&choice.target, now).on_request();
         let state = self.router.targets().get(choice.target);
         let (target, incarnation) = (state.id.clone(), state.incarnation);
+        let source = choice.fetch_from;
+        let fetch_from = source.map(|source| self.router.targets().get(source).id.clone());
         let placement = self.running.add(Attempt {
             target: choice.target,
             generation: state.generation,
@@ -312,6 +320,7 @@
             incarnation,
             cached_blocks: choice.cached_blocks,
             import_blocks: choice.import_blocks,
+            fetch_from,
             expected_first_token: Duration::from_secs_f64(choice.first_token_s()),
         }));
         true
@@ -565,6 +574,14 @@
         }
     }
 
+    /// Notes that a target loads weights and refuses requests until then.
+    pub fn set_busy(&mut self, target: &str, until: Timestamp) {
+        if let Some(index) = self.router.targets().index(target) {
+            let state = self.router.targets_mut().get_mut(index);
+            state.busy_until = state.busy_until.max(until);
+        }
+    }
+
     /// Notes whether a target takes no new work.
     pub fn set_leaving(&mut self, target: &str, is_leaving: bool) {
         if let Some(index) = self.router.targets().index(target) {
--- a/src/jujubelink/core/scheduler/types.rs
+++ b/src/jujubelink/core/scheduler/types.rs
@@ -50,6 +50,8 @@
     pub cached_blocks: u32,
     /// Leading blocks to fetch from the KV cache store before the request; 0 if none.
     pub import_blocks: u32,
+    /// Engine that has more of the prompt cached and from which the target should fetch it.
+    pub fetch_from: Option<TargetId>,
     /// Expected time from now to the first token.
     pub expected_first_token: Duration,
 }
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -14,7 +14,7 @@
 
 /// Pause after a change of the targets before the next watch, so that changes which come together
 /// cost one call.
-const WATCH_PAUSE: Duration = Duration::from_millis(150);
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -11,7 +11,7 @@
 use super::admission::{Admission, admit, units};
 use super::body::Answer;
 use super::send::{Opened, SendFailure};
-use crate::core::fleet::model_key;
+use crate::core::fleet::{TargetAddress, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{Failure, RelayHead, TargetUse, may_send_again};
@@ -314,9 +314,19 @@
             weights,
             cache_salt: format!("{version}/{wall}"),
             priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
+            fetch_from: self.fetch_source(weights),
         })
     }
 
+    /// Address of the engine to fetch cached parts from, if it has the same weights.
+    fn fetch_source(&self, weights: Option<u64>) -> Option<TargetAddress> {
+        let source = self.placement.as_ref()?.fetch_from.as_ref()?;
+        let model = &self.head.prompt.as_ref()?.model;
+        let state = self.relay.fleet.state();
+        let record = state.target(source)?;
+        (state.weights_of(record, model) == weights).then_some(record.address)
+    }
+
     /// Last checks before a send: what the configuration allows may have changed while the request
     /// waited, and the machine may have been suspended.
     pub(super) fn check_send(&self) -> Result<Duration, Refusal> {
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -21,6 +21,10 @@
 /// off can be asked for again.
 const MAX_WHOLE_BYTES: u64 = 256 * 1024;
 
+/// Time for which an engine that refused while it had places gets no further request. A load takes
+/// 1.3 s; news of its end may come sooner.
+const LOADING_TIME: Duration = Duration::from_millis(400);
+
 /// Pause that a client is told after targets had no place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -207,6 +211,16 @@
                 }
                 self.open(response).await.map(Opened::OwnFailure)
             }
+            AnswerVerdict::Refused if self.is_loading(&head) => {
+                let scheduler = self.proxy.service::<dyn SchedulerService>();
+                scheduler.note_busy(&record.id, LOADING_TIME);
+                Err(SendFailure::new(
+                    Failure::NotRun,
+                    RefusalCode::Overloaded,
+                    "the target loads weights",
+                    AttemptOutcome::Refused,
+                ))
+            }
             AnswerVerdict::Refused => Err(SendFailure::new(
                 Failure::NotRun,
                 RefusalCode::Overloaded,
@@ -233,6 +247,12 @@
         }
     }
 
+    /// Whether an engine refuses although it has places: it loads weights.
+    fn is_loading(&self, head: &AnswerHead) -> bool {
+        let has_places = |(running, waiting, slots)| running + waiting < slots;
+        self.head.prompt.is_some() && head.load.is_none_or(has_places)
+    }
+
     /// Reads a short answer whole; passes a long one or a stream on as it arrives.
     async fn open(&mut self, response: Response<Incoming>) -> Result<Answer, SendFailure> {
         let length = http_body::Body::size_hint(response.body()).exact();
--- a/src/jujubelink/ops/rollout/run.rs
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -106,11 +106,15 @@
                 *since
             };
             let Some(since) = since else {
+                self.peers.set_loading(std::iter::empty());
                 continue;
             };
             self.keep_lease(since).await;
             if self.lease.borrow().epoch(self.now()).is_some() {
                 self.give_orders();
+                let rollouts = self.rollouts.borrow();
+                let loading = rollouts.values().flat_map(Rollout::loading);
+                self.peers.set_loading(loading);
             }
         }
     }
--- a/src/jujubelink/ops/scheduler/convert.rs
+++ b/src/jujubelink/ops/scheduler/convert.rs
@@ -49,6 +49,7 @@
             target: dispatch.target.clone(),
             incarnation: dispatch.incarnation,
             expected_cached_blocks: dispatch.cached_blocks,
+            fetch_from: dispatch.fetch_from.clone(),
         }
     }
 }
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -55,9 +55,13 @@
 
 impl Shared {
     pub(super) fn new(context: &Context) -> Rc<Self> {
+        let scheduler = match context.settings().fleet {
+            Some(_) => Scheduler::new().with_engine_fetch(),
+            None => Scheduler::new(),
+        };
         Rc::new(Self {
             context: context.clone(),
-            scheduler: RefCell::default(),
+            scheduler: RefCell::new(scheduler),
             client: Client::new(),
             rate_log: RateLog::default(),
             waiters: RefCell::default(),
@@ -335,6 +339,7 @@
             target,
             incarnation: 0,
             expected_cached_blocks: 0,
+            fetch_from: None,
         })
     }
 
@@ -346,6 +351,11 @@
             .on_load(target, report, now);
     }
 
+    fn note_busy(&self, target: &TargetId, duration: Duration) {
+        let until = self.0.now() + duration;
+        self.0.scheduler.borrow_mut().set_busy(target, until);
+    }
+
     fn note_run(&self, target: &TargetId, report: &LoadReport) {
         self.0.scheduler.borrow_mut().on_run(target, report);
     }
--- a/src/jujubelink/ops/services.rs
+++ b/src/jujubelink/ops/services.rs
@@ -114,6 +114,8 @@
     pub incarnation: Incarnation,
     /// Blocks of the prompt that the target is believed to have cached.
     pub expected_cached_blocks: u32,
+    /// Engine that has more of the prompt cached and from which the target should fetch it.
+    pub fetch_from: Option<TargetId>,
 }
 
 /// Reason why no target was chosen. Nothing has been sent in any of these cases.
@@ -193,6 +195,9 @@
     /// Takes a load that a target told with an answer.
     fn note_load(&self, target: &TargetId, report: &LoadReport);
 
+    /// Notes that a target refuses requests for a while because it loads weights.
+    fn note_busy(&self, target: &TargetId, duration: Duration);
+
     /// Takes the run and the weights of a target, as known from elsewhere than its load reports.
     fn note_run(&self, target: &TargetId, report: &LoadReport);
 }
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -39,6 +39,17 @@
     pub(super) version: u64,
 }
 
+/// An engine that loads weights.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Loading {
+    /// Engine.
+    #[prost(string, tag = "1")]
+    pub(super) target: String,
+    /// Run of the engine.
+    #[prost(uint64, tag = "2")]
+    pub(super) incarnation: u64,
+}
+
 /// A request that crashed targets.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Suspect {
@@ -89,6 +100,9 @@
     /// Requests that crashed targets.
     #[prost(message, repeated, tag = "11")]
     pub(super) suspects: Vec<Suspect>,
+    /// Engines that carry out an order of the sender.
+    #[prost(message, repeated, tag = "13")]
+    pub(super) loading: Vec<Loading>,
     /// Whether the sender stops.
     #[prost(bool, tag = "12")]
     pub(super) is_leaving: bool,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -10,7 +10,7 @@
 use http::{Request, StatusCode};
 
 use super::limits::Buckets;
-use super::message::{Heard, ModelWeights, ShareMessage, Suspect, WorkspaceUse};
+use super::message::{Heard, Loading, ModelWeights, ShareMessage, Suspect, WorkspaceUse};
 use crate::core::fleet::Proof;
 use crate::core::ids::{
     ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp,
@@ -20,6 +20,7 @@
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::services::{
     GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState,
+    SchedulerService,
 };
 use crate::ops::store::InstanceRecord;
 use crate::util::hash::stable_hash;
@@ -45,6 +46,9 @@
 /// Observations and suspects that are repeated at a time; the oldest is dropped at the bound.
 const MAX_REPEATED: usize = 32;
 
+/// Periods for which an engine counts as loading after a message said so.
+const LOADING_PERIODS: u32 = 2;
+
 /// Peers that are kept; further ones are not heard.
 const MAX_PEERS: usize = 1_024;
 
@@ -84,6 +88,7 @@
     weights_proved_at: Cell<Option<Timestamp>>,
     observed: RefCell<VecDeque<(Timestamp, ModelWeights)>>,
     suspects: RefCell<VecDeque<(Timestamp, Suspect)>>,
+    loading: RefCell<Vec<Loading>>,
     handlers: RefCell<Vec<GossipHandler>>,
     client: Client,
 }
@@ -102,6 +107,7 @@
             weights_proved_at: Cell::new(None),
             observed: RefCell::default(),
             suspects: RefCell::default(),
+            loading: RefCell::default(),
             handlers: RefCell::default(),
             client: Client::new(),
         }
@@ -205,6 +211,32 @@
         push_repeated(&self.observed, self.now(), observed);
     }
 
+    /// Tells the others, as long as it holds, which engines carry out an order and refuse requests.
+    pub fn set_loading(&self, loading: impl Iterator<Item = (TargetId, Incarnation)>) {
+        let loading = loading.map(|(target, incarnation)| Loading {
+            target: target.to_string(),
+            incarnation,
+        });
+        self.loading.replace(loading.collect());
+        self.note_loading(&self.loading.borrow());
+    }
+
+    /// Keeps requests from engines that load, until the next message at most.
+    fn note_loading(&self, loading: &[Loading]) {
+        let scheduler = self.context.service::<dyn SchedulerService>();
+        for held in loading {
+            let target: TargetId = held.target.as_str().into();
+            let is_same_run = self
+                .fleet
+                .state()
+                .target(&target)
+                .is_some_and(|record| record.incarnation == held.incarnation);
+            if is_same_run {
+                scheduler.note_busy(&target, self.period() * LOADING_PERIODS);
+            }
+        }
+    }
+
     /// Takes the list of instances of the store. Returns those that have been silent for so long
     /// that their entry can be removed.
     pub(super) fn on_instances(&self, listed: Vec<InstanceRecord>) -> Vec<InstanceId> {
@@ -291,6 +323,7 @@
             named_age_ms: self.weights_proved_at.get().map(age),
             observed: repeated(&self.observed, now),
             suspects: repeated(&self.suspects, now),
+            loading: self.loading.borrow().clone(),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
         }
     }
@@ -356,6 +389,7 @@
             };
             self.buckets.on_report(&used.workspace, &name, report, now);
         }
+        self.note_loading(&message.loading);
         self.take_weights(&message, &name);
         for suspect in &message.suspects {
             let item = GossipItem::Quarantine {
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -36,6 +36,9 @@
 /// Weights that made an answer.
 pub(super) const WEIGHTS: &str = "jujubelink-weight-versions";
 
+/// Engine or store from which a target fetches cached parts of the prompt.
+pub(super) const KV_FETCH: &str = "jujubelink-kv-fetch";
+
 /// Headers that only this program may set; a client's are dropped.
 pub(super) const RESERVED: [&str; 12] = [
     WORKSPACE,
@@ -43,7 +46,7 @@
     EXPECT_WEIGHTS,
     CACHE_SALT,
     PRIORITY,
-    "jujubelink-kv-fetch",
+    KV_FETCH,
     "jujubelink-kv-save",
     "jujubelink-pin-ms",
     "jujubelink-hold",
