Save prompts to the store of KV cache and fetch from it

Cause: parts of prompts that other instances had placed were not found by an instance that did not know of them. Change: each model request names the store to save to, and to fetch from when no engine is believed to hold more; candidates keep reading the lease, so that a takeover need not wait; requests leave replaced weights by the time at which the next version was named.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -25,6 +25,9 @@
 /// entry lapsed during an outage writes it again within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Named weights of a model that are remembered.
+const MAX_NAMED: usize = 64;
+
 /// Removed targets that are remembered; at the bound the oldest are dropped.
 const MAX_REMOVED: usize = 4_096;
 
@@ -51,8 +54,8 @@
     store_back_at: Option<Timestamp>,
     /// Targets that announced their leaving; a run never comes back from it.
     leaving: BTreeSet<(TargetId, u64)>,
-    /// Newest named weights by model, and when they were first heard of.
-    named: BTreeMap<ModelId, (u64, Timestamp)>,
+    /// Named weights by model and version, and when they were first heard of.
+    named: BTreeMap<ModelId, BTreeMap<u64, Timestamp>>,
     /// Weights that targets were seen with since their entry was written, by target and run.
     observed: HashMap<(TargetId, u64), BTreeMap<ModelId, u64>>,
     /// Grows with each change of what the scheduler sees.
@@ -241,23 +244,37 @@
 
     /// Notes the newest named weights of a model. Returns whether they are new.
     pub fn on_named_weights(&mut self, model: &ModelId, version: u64, now: Timestamp) -> bool {
-        let known = self.named.get(model).map_or(0, |(known, _)| *known);
-        if version <= known {
+        if version <= self.named_weights(model).unwrap_or(0) {
             return false;
         }
-        self.named.insert(model.clone(), (version, now));
+        let versions = self.named.entry(model.clone()).or_default();
+        versions.insert(version, now);
+        while versions.len() > MAX_NAMED {
+            // Dropping the second oldest keeps the earliest time at which any newer one was named.
+            let second = versions.keys().nth(1).copied();
+            second.map(|version| versions.remove(&version));
+        }
         self.generation += 1;
         true
     }
 
-    /// The newest named weights of a model, and when they were first heard of.
-    pub fn named_weights(&self, model: &str) -> Option<(u64, Timestamp)> {
-        self.named.get(model).copied()
+    /// The newest named weights of a model.
+    pub fn named_weights(&self, model: &str) -> Option<u64> {
+        self.named.get(model)?.keys().next_back().copied()
+    }
+
+    /// When the first version after `version` of a model's weights was heard of.
+    pub fn replaced_at(&self, model: &str, version: u64) -> Option<Timestamp> {
+        let mut newer = self.named.get(model)?.range(version + 1..);
+        newer.next().map(|(_, at)| *at)
     }
 
     /// All models with named weights.
     pub fn named(&self) -> impl Iterator<Item = (&ModelId, u64)> {
-        self.named.iter().map(|(model, (version, _))| (model, *version))
+        self.named.iter().filter_map(|(model, versions)| {
+            let (newest, _) = versions.last_key_value()?;
+            Some((model, *newest))
+        })
     }
 
     /// Notes the weights that a target answered with.
@@ -300,7 +317,7 @@
         }
         for (service, held) in &policy.services {
             for model in held.engine.iter().flat_map(|engine| &engine.models) {
-                let version = self.named_weights(model).map_or(0, |(version, _)| version);
+                let version = self.named_weights(model).unwrap_or(0);
                 fleet
                     .models
                     .insert(model_key(service, model), scheduler_model(version));
--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -85,8 +85,10 @@
     pub cache_salt: String,
     /// Urgency, 0 first.
     pub priority: u8,
-    /// Engine from which the target fetches cached parts of the prompt.
+    /// Engine or store from which the target fetches cached parts of the prompt.
     pub fetch_from: Option<TargetAddress>,
+    /// Store to which the target sends the parts that it has read.
+    pub save_to: Option<TargetAddress>,
 }
 
 /// What one send adds to the client's head.
--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -28,14 +28,23 @@
     pub takeover_after: Duration,
 }
 
+/// What this instance is to the lease now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseRole {
+    /// Since when there are orders to give.
+    pub work_since: Option<Timestamp>,
+    /// Whether this instance is among those that take the lease over. They keep reading it until it
+    /// has been unchanged for long enough, so that a takeover need not wait then.
+    pub is_candidate: bool,
+    /// Time from the start of work that is left to the holder, and to candidates before this one.
+    pub patience: Duration,
+}
+
 /// What to do about the lease next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseAction {
-    /// Nothing before the time.
-    Wait {
-        /// When to ask again.
-        until: Timestamp,
-    },
+    /// Nothing for now.
+    Wait,
     /// Read the object.
     Read,
     /// Write the record if the object still has the version; 0 means that it must be absent.
@@ -110,13 +119,14 @@
         Some(&record.holder)
     }
 
-    /// What to do while there is work. `nonce` is a new random number. `is_preferred` tells whether
-    /// this instance is the one that should take a free lease.
-    pub fn next(&self, nonce: u64, is_preferred: bool, now: Timestamp) -> LeaseAction {
+    /// What to do now. `nonce` is a new random number.
+    pub fn next(&self, role: LeaseRole, nonce: u64, now: Timestamp) -> LeaseAction {
         if now < self.retry_at {
-            return LeaseAction::Wait {
-                until: self.retry_at,
-            };
+            return LeaseAction::Wait;
+        }
+        let is_own = self.holder() == Some(&*self.own_name);
+        if (is_own && role.work_since.is_none()) || (!is_own && !role.is_candidate) {
+            return LeaseAction::Wait;
         }
         let Some(observed) = self.observed.as_ref().filter(|held| held.is_current) else {
             return LeaseAction::Read;
@@ -129,28 +139,27 @@
                 nonce,
             },
         };
+        let is_turn = role.work_since.is_some_and(|at| now >= at + role.patience);
         match &observed.record {
-            None if is_preferred => write(1),
-            Some(record) if *record.holder == *self.own_name => {
+            None if is_turn => write(1),
+            Some(record) if is_own => {
                 let renew_at = self.renewed_at + self.terms.renew_after;
                 match self.held {
-                    Some((until, _)) if now < until.min(renew_at) => {
-                        LeaseAction::Wait { until: renew_at }
-                    }
+                    Some((until, _)) if now < until.min(renew_at) => LeaseAction::Wait,
                     // An earlier run of this machine may have held the lease. It is gone, and its
                     // orders and this run's are those of one holder.
                     _ => write(record.epoch),
                 }
             }
-            Some(record)
-                if is_preferred && now >= observed.since + self.terms.takeover_after =>
-            {
-                write(record.epoch + 1)
+            Some(record) => {
+                let is_settled = now >= observed.since + self.terms.takeover_after;
+                match (is_settled, is_turn) {
+                    (true, true) => write(record.epoch + 1),
+                    (false, _) if now >= observed.read_at + READ_PERIOD => LeaseAction::Read,
+                    _ => LeaseAction::Wait,
+                }
             }
-            _ if now >= observed.read_at + READ_PERIOD => LeaseAction::Read,
-            _ => LeaseAction::Wait {
-                until: observed.read_at + READ_PERIOD,
-            },
+            None => LeaseAction::Wait,
         }
     }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -256,19 +256,17 @@
         let Some(prompt) = &self.head.prompt else {
             return Vec::new();
         };
-        let Some((newest, since)) = state.named_weights(&prompt.model) else {
-            return Vec::new();
-        };
         let bound = Duration::from_millis(self.relay.fleet.settings().weights_ms);
-        if self.now().saturating_sub(since) < bound.mul_f64(OLD_WEIGHTS_PART) {
-            return Vec::new();
-        }
+        let limit = bound.mul_f64(OLD_WEIGHTS_PART);
+        let now = self.now();
         state
             .targets()
             .filter(|record| record.service == admission.service)
             .filter(|record| {
-                let weights = state.weights_of(record, &prompt.model);
-                weights.is_some_and(|weights| weights < newest)
+                state
+                    .weights_of(record, &prompt.model)
+                    .and_then(|weights| state.replaced_at(&prompt.model, weights))
+                    .is_some_and(|at| now.saturating_sub(at) >= limit)
             })
             .map(|record| record.id.clone())
             .collect()
@@ -307,6 +305,8 @@
         let admission = self.admission()?;
         let wall = self.wall(admission);
         let version = weights.unwrap_or(0);
+        let mut services = admission.policy.services.values();
+        let store = services.find_map(|service| service.kv_store);
         let workspace = admission.workspace.as_ref();
         let held = workspace.and_then(|name| admission.policy.workspaces.get(name));
         let rank = held.and_then(|held| held.priority);
@@ -314,7 +314,8 @@
             weights,
             cache_salt: format!("{version}/{wall}"),
             priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
-            fetch_from: self.fetch_source(weights),
+            fetch_from: self.fetch_source(weights).or(store),
+            save_to: store,
         })
     }
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -303,7 +303,7 @@
             return;
         };
         let newest = self.relay.fleet.state().named_weights(&prompt.model);
-        if let Some((newest, _)) = newest {
+        if let Some(newest) = newest {
             self.relay
                 .fleet
                 .on_observed_weights(&record.id, &prompt.model, newest);
--- a/src/jujubelink/ops/rollout/run.rs
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -7,7 +7,7 @@
 
 use crate::core::ids::{ModelId, TargetId, Timestamp};
 use crate::core::rollout::{
-    Engine, LeaseAction, LeaseTerms, OrderLease, OrderResult, Rollout, RolloutAction, RolloutTerms,
+    Engine, LeaseAction, LeaseRole, LeaseTerms, OrderLease, OrderResult, Rollout, RolloutAction, RolloutTerms,
 };
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
@@ -30,21 +30,28 @@
 /// Part of a term that an order may be under way.
 const ORDER_MARGIN: Duration = Duration::from_millis(100);
 
-/// Engines that load at the same time. Loads take longer while more than two or three run, so that
-/// more at a time would only take engines out of service.
-const MAX_LOADING: usize = 3;
+/// Engines with an order under way at the same time. Up to three load at full speed; the others let
+/// their runs finish meanwhile. With 3 a rollout over 18 engines took 15 s, and with 7 the engines
+/// left could not carry the load of a calm day.
+const MAX_LOADING: usize = 5;
 
 /// Time between looks at the work.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Instances in order of name that try to take a free lease; each further one waits longer.
-const PREFERENCE_STEP: Duration = Duration::from_millis(600);
+/// Live instances, first in order of name, that take the lease over. Others would only add calls.
+const CANDIDATES: u32 = 3;
+
+/// Time that each candidate leaves to the one before.
+const CANDIDATE_STEP: Duration = Duration::from_millis(400);
+
+/// Time that candidates leave to a holder that is heard, to renew the lease for new work.
+const HOLDER_PATIENCE: Duration = Duration::from_millis(1_000);
 
 const TERMS: RolloutTerms = RolloutTerms {
     max_loading: MAX_LOADING,
     // A load takes 1.3 s, and runs end before it.
-    check_after: Duration::from_millis(1_500),
-    check_every: Duration::from_millis(300),
+    check_after: Duration::from_millis(1_350),
+    check_every: Duration::from_millis(200),
     // Orders are carried out up to 12 s late where they are.
     give_again_after: Duration::from_secs(6),
     pause_after_failure: Duration::from_millis(500),
@@ -105,12 +112,10 @@
                 };
                 *since
             };
-            let Some(since) = since else {
-                self.peers.set_loading(std::iter::empty());
-                continue;
-            };
             self.keep_lease(since).await;
-            if self.lease.borrow().epoch(self.now()).is_some() {
+            if since.is_none() {
+                self.peers.set_loading(std::iter::empty());
+            } else if self.lease.borrow().epoch(self.now()).is_some() {
                 self.give_orders();
                 let rollouts = self.rollouts.borrow();
                 let loading = rollouts.values().flat_map(Rollout::loading);
@@ -128,7 +133,7 @@
         let mut found = Vec::new();
         for (service, held) in &policy.services {
             for model in held.engine.iter().flat_map(|engine| &engine.models) {
-                let Some((newest, _)) = state.named_weights(model) else {
+                let Some(newest) = state.named_weights(model) else {
                     continue;
                 };
                 let engines = state
@@ -156,19 +161,27 @@
         self.engines().iter().any(is_behind)
     }
 
-    /// Whether this instance should take a free lease now: the first in order at once, the others
-    /// in turn if nobody does.
-    fn is_preferred(&self, since: Timestamp) -> bool {
+    fn role(&self, work_since: Option<Timestamp>) -> LeaseRole {
+        let lease = self.lease.borrow();
+        let is_holder_heard = lease.holder().is_some_and(|name| self.peers.is_heard(name));
         let rank = self.peers.rank();
-        self.now() >= since + PREFERENCE_STEP * rank
+        let left_to_holder = match is_holder_heard {
+            true => HOLDER_PATIENCE,
+            false => Duration::ZERO,
+        };
+        LeaseRole {
+            work_since,
+            is_candidate: rank < CANDIDATES,
+            patience: left_to_holder + CANDIDATE_STEP * rank,
+        }
     }
 
-    async fn keep_lease(&self, since: Timestamp) {
+    async fn keep_lease(&self, work_since: Option<Timestamp>) {
         let now = self.now();
-        let is_preferred = self.is_preferred(since);
-        let action = self.lease.borrow().next(rand::random(), is_preferred, now);
+        let role = self.role(work_since);
+        let action = self.lease.borrow().next(role, rand::random(), now);
         match action {
-            LeaseAction::Wait { .. } => {}
+            LeaseAction::Wait => {}
             LeaseAction::Read => self.read_lease().await,
             LeaseAction::Write { if_version, record } => {
                 let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -39,6 +39,9 @@
 /// Engine or store from which a target fetches cached parts of the prompt.
 pub(super) const KV_FETCH: &str = "jujubelink-kv-fetch";
 
+/// Store to which a target sends the parts of the prompt that it has read.
+pub(super) const KV_SAVE: &str = "jujubelink-kv-save";
+
 /// Headers that only this program may set; a client's are dropped.
 pub(super) const RESERVED: [&str; 12] = [
     WORKSPACE,
@@ -47,7 +50,7 @@
     CACHE_SALT,
     PRIORITY,
     KV_FETCH,
-    "jujubelink-kv-save",
+    KV_SAVE,
     "jujubelink-pin-ms",
     "jujubelink-hold",
     "jujubelink-kv-backup",
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -8,7 +8,7 @@
 
 use super::names::{
     ANSWER_SIGNATURE, ATTEMPT_ID, CACHE_SALT, DEADLINE_MS, EXPECT_TARGET, EXPECT_WEIGHTS,
-    KV_FETCH, LAST_EVENT_ID, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, TARGET_ID, TARGET_LOAD,
+    KV_FETCH, KV_SAVE, LAST_EVENT_ID, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, TARGET_ID, TARGET_LOAD,
     TOKEN_COUNT, WEIGHTS, WORKSPACE,
 };
 use crate::core::relay::{AnswerHead, PromptHead, RelayHead, SendHead};
@@ -125,6 +125,9 @@
         if let Some(source) = engine.fetch_from {
             set(KV_FETCH, source.to_string());
         }
+        if let Some(store) = engine.save_to {
+            set(KV_SAVE, store.to_string());
+        }
         if let Some(weights) = engine.weights {
             set(EXPECT_WEIGHTS, weights.to_string());
         }
