Fetch from the store of KV cache before engines

Cause: engines that are believed to hold a part have often evicted it; the store has what any engine has read. Change: the store is the source where there is one.

--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -314,7 +314,7 @@
             weights,
             cache_salt: format!("{version}/{wall}"),
             priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
-            fetch_from: self.fetch_source(weights).or(store),
+            fetch_from: store.or_else(|| self.fetch_source(weights)),
             save_to: store,
         })
     }
