--- /dev/null
+++ b/crates/jujubelink-standins/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for the users' platform: its object store, and targets that speak its protocol.
+
+mod store;
+mod target;
+
+pub use store::{ObjectStore, StoreDoor, StoreMode};
+pub use target::{FleetTarget, TargetFault};
--- /dev/null
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -0,0 +1,271 @@
+//! The object store: kinds of objects with revisions, conditional writes and watches.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use jujubelink::platform::names::OBJECTS_PATH;
+use jujubelink::util::http::{Body, collect_limited, full};
+use serde_json::{Value, json};
+
+use crate::StandIn;
+
+/// Largest object.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+/// Time between looks for news of a watch.
+const WATCH_STEP: Duration = Duration::from_millis(5);
+
+/// How a door of the store behaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// Answers.
+    #[default]
+    Up,
+    /// Refuses all calls with 503, before any effect.
+    Refusing,
+    /// Accepts calls and never answers; nothing is done.
+    Silent,
+}
+
+struct Object {
+    revision: u64,
+    created_at: u64,
+    spec: Value,
+}
+
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    is_removed: bool,
+}
+
+/// The objects, which all doors share.
+#[derive(Default)]
+pub struct ObjectStore {
+    objects: RefCell<BTreeMap<(String, String), Object>>,
+    history: RefCell<Vec<Change>>,
+    /// Changes up to here are forgotten.
+    forgotten: Cell<u64>,
+    revision: Cell<u64>,
+    /// Next writes that take effect without an answer.
+    lost_answers: Cell<u32>,
+}
+
+impl ObjectStore {
+    /// An empty store.
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    /// Writes an object as the operator or a target does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let revision = self.next_revision();
+        let key = (kind.to_owned(), name.to_owned());
+        let mut objects = self.objects.borrow_mut();
+        let created_at = objects.get(&key).map_or(revision, |held| held.created_at);
+        let object = Object {
+            revision,
+            created_at,
+            spec,
+        };
+        self.note(kind, revision, render(name, &object), false);
+        objects.insert(key, object);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = self.objects.borrow_mut().remove(&key) {
+            let revision = self.next_revision();
+            self.note(kind, revision, render(name, &object), true);
+        }
+    }
+
+    /// The spec of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let objects = self.objects.borrow();
+        let object = objects.get(&(kind.to_owned(), name.to_owned()))?;
+        Some(object.spec.clone())
+    }
+
+    /// Forgets the history, which ends watches that go back further.
+    pub fn compact(&self) {
+        self.history.borrow_mut().clear();
+        self.forgotten.set(self.revision.get());
+    }
+
+    /// Lets the next writes take effect without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        self.lost_answers.set(count);
+    }
+
+    fn next_revision(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+
+    fn note(&self, kind: &str, revision: u64, object: Value, is_removed: bool) {
+        self.history.borrow_mut().push(Change {
+            revision,
+            kind: kind.to_owned(),
+            object,
+            is_removed,
+        });
+    }
+
+    fn list(&self, kind: &str) -> Response<Body> {
+        let objects = self.objects.borrow();
+        let of_kind = objects.iter().filter(|((held, _), _)| held == kind);
+        let items: Vec<Value> = of_kind
+            .map(|((_, name), object)| render(name, object))
+            .collect();
+        answer(
+            StatusCode::OK,
+            &json!({ "items": items, "truncated": false, "current_rev": self.revision.get() }),
+        )
+    }
+
+    fn read(&self, kind: &str, name: &str) -> Response<Body> {
+        let objects = self.objects.borrow();
+        match objects.get(&(kind.to_owned(), name.to_owned())) {
+            Some(object) => answer(StatusCode::OK, &render(name, object)),
+            None => answer(StatusCode::NOT_FOUND, &json!({ "error": "absent" })),
+        }
+    }
+
+    async fn watch(&self, kind: &str, after: u64, limit: Duration) -> Response<Body> {
+        let mut waited = Duration::ZERO;
+        loop {
+            if after < self.forgotten.get() {
+                return answer(StatusCode::GONE, &json!({ "error": "forgotten" }));
+            }
+            let history = self.history.borrow();
+            let news = history
+                .iter()
+                .filter(|change| change.kind == kind && change.revision > after);
+            let events: Vec<Value> = news
+                .map(|change| json!({ "object": change.object, "removed": change.is_removed }))
+                .collect();
+            drop(history);
+            if !events.is_empty() || waited >= limit {
+                let body = json!({ "events": events, "current_rev": self.revision.get() });
+                return answer(StatusCode::OK, &body);
+            }
+            compio::time::sleep(WATCH_STEP).await;
+            waited += WATCH_STEP;
+        }
+    }
+
+    fn write(&self, kind: &str, name: &str, body: &Value, must_be_absent: bool) -> Response<Body> {
+        let key = (kind.to_owned(), name.to_owned());
+        let held = self.objects.borrow().get(&key).map(|held| held.revision);
+        let wanted = body["metadata"]["revision"].as_u64();
+        let is_conflict = match (held, must_be_absent) {
+            (Some(_), true) => true,
+            (None, false) => return answer(StatusCode::NOT_FOUND, &json!({})),
+            (held, _) => wanted.is_some() && wanted != held,
+        };
+        if is_conflict {
+            return answer(StatusCode::CONFLICT, &json!({ "error": "conflict" }));
+        }
+        self.put(kind, name, body["spec"].clone());
+        self.read(kind, name)
+    }
+
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let body = collect_limited(body, MAX_OBJECT_BYTES).await;
+        let body = body.ok().flatten().unwrap_or_default();
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let path = head.uri.path().strip_prefix(OBJECTS_PATH);
+        let path = path.unwrap_or_default().trim_start_matches('/');
+        let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        let query = |field: &str| {
+            let fields = head.uri.query().unwrap_or_default().split('&');
+            let mut values = fields.filter_map(|pair| pair.strip_prefix(field)?.strip_prefix('='));
+            values.next().and_then(|value| value.parse::<u64>().ok())
+        };
+        match (&head.method, name, query("watch")) {
+            (&Method::GET, "", Some(after)) => {
+                let limit = Duration::from_millis(query("wait_ms").unwrap_or(0));
+                self.watch(kind, after, limit).await
+            }
+            (&Method::GET, "", None) => self.list(kind),
+            (&Method::GET, name, _) => self.read(kind, name),
+            (&Method::POST, "", _) => {
+                let name = body["metadata"]["name"].as_str().unwrap_or_default();
+                self.write(kind, name, &body, true)
+            }
+            (&Method::PUT, name, _) => self.write(kind, name, &body, false),
+            (&Method::DELETE, name, _) => {
+                self.remove(kind, name);
+                answer(StatusCode::OK, &json!({}))
+            }
+            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &json!({})),
+        }
+    }
+}
+
+/// One address of the store with a behaviour of its own, as the platform may turn some machines away
+/// and serve the others.
+pub struct StoreDoor {
+    store: Rc<ObjectStore>,
+    mode: Cell<StoreMode>,
+}
+
+impl StoreDoor {
+    /// A door that answers.
+    pub fn new(store: &Rc<ObjectStore>) -> Rc<Self> {
+        Rc::new(Self {
+            store: Rc::clone(store),
+            mode: Cell::default(),
+        })
+    }
+
+    /// Changes the behaviour.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.mode.set(mode);
+    }
+}
+
+impl StandIn for StoreDoor {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        match self.mode.get() {
+            StoreMode::Refusing => {
+                return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "busy" }));
+            }
+            StoreMode::Silent => return pending().await,
+            StoreMode::Up => {}
+        }
+        let is_write = request.method() != Method::GET;
+        let response = self.store.call(request).await;
+        let lost = self.store.lost_answers.get();
+        if is_write && lost > 0 {
+            self.store.lost_answers.set(lost - 1);
+            return pending().await;
+        }
+        match self.mode.get() {
+            StoreMode::Up => response,
+            // A watch that was waiting hangs as well.
+            _ => pending().await,
+        }
+    }
+}
+
+fn render(name: &str, object: &Object) -> Value {
+    json!({ "metadata": { "name": name, "revision": object.revision,
+        "create_rev": object.created_at, "finalizers": [], "deleting": false },
+        "spec": object.spec, "status": null })
+}
+
+fn answer(status: StatusCode, body: &Value) -> Response<Body> {
+    let mut response = Response::new(full(body.to_string()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -0,0 +1,222 @@
+//! A target that speaks the users' protocol: a plain service or a model engine.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::StreamBody;
+use hyper::body::Incoming;
+use jujubelink::platform::names::{
+    ANSWER_SIGNATURE, ATTEMPT_ID, EXPECT_TARGET, EXPECT_WEIGHTS, LAST_EVENT_ID, MODEL, NOT_RUN,
+    ORDER_PATH, REPORT_PATH, TARGET_ID, TARGET_LOAD, WEIGHTS,
+};
+use jujubelink::util::http::{Body, BodyError, collect_limited, empty, full};
+use serde_json::{Value, json};
+
+use crate::StandIn;
+
+/// Largest body.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Events of a whole stream.
+const EVENTS: u64 = 5;
+
+/// What a target does wrong with its next request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetFault {
+    /// States that it has not run the request.
+    Refuse,
+    /// Runs the request and answers with its own failure.
+    Fail,
+    /// Runs the request and answers under another request's id.
+    AnswerForeign,
+    /// Runs the request and never answers.
+    Hang,
+    /// Ends the stream within the event after the given number of whole ones.
+    BreakAfter(u64),
+    /// Answers late.
+    Delay(Duration),
+}
+
+/// The stand-in.
+pub struct FleetTarget {
+    id: String,
+    version: Cell<u64>,
+    faults: RefCell<VecDeque<TargetFault>>,
+    seen: RefCell<Vec<(HeaderMap, Bytes)>>,
+    runs: Cell<u64>,
+    orders: RefCell<Vec<Value>>,
+}
+
+impl FleetTarget {
+    /// A target without faults, with version 1 of its weights.
+    pub fn new(id: &str) -> Rc<Self> {
+        Rc::new(Self {
+            id: id.to_owned(),
+            version: Cell::new(1),
+            faults: RefCell::default(),
+            seen: RefCell::default(),
+            runs: Cell::new(0),
+            orders: RefCell::default(),
+        })
+    }
+
+    /// Adds a fault of a next request.
+    pub fn add_fault(&self, fault: TargetFault) {
+        self.faults.borrow_mut().push_back(fault);
+    }
+
+    /// Head and body of each request so far.
+    pub fn seen(&self) -> Vec<(HeaderMap, Bytes)> {
+        self.seen.borrow().clone()
+    }
+
+    /// Requests that began to run.
+    pub fn runs(&self) -> u64 {
+        self.runs.get()
+    }
+
+    /// Orders so far.
+    pub fn orders(&self) -> Vec<Value> {
+        self.orders.borrow().clone()
+    }
+
+    /// Version of the weights.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        let accepted = self.orders.borrow().len() as u64;
+        let status = match order["expected_rev"].as_u64() {
+            Some(expected) if expected != accepted => StatusCode::CONFLICT,
+            _ => StatusCode::ACCEPTED,
+        };
+        if status == StatusCode::ACCEPTED {
+            self.version.set(order["version"].as_u64().unwrap_or(0));
+            self.orders.borrow_mut().push(order);
+        }
+        with_status(status, empty())
+    }
+
+    fn report(&self) -> Response<Body> {
+        let model = json!({ "name": "m", "version": self.version.get(), "adapters": [] });
+        let body = json!({ "phase": "both", "models": [model], "busy": false,
+            "sequence": self.orders.borrow().len(), "born": 1 });
+        with_status(StatusCode::OK, full(body.to_string()))
+    }
+
+    fn misdirected(&self, headers: &HeaderMap) -> bool {
+        let differs = |name: &str, own: &str| {
+            let expected = headers.get(name).and_then(|value| value.to_str().ok());
+            expected.is_some_and(|expected| expected != own)
+        };
+        differs(EXPECT_TARGET, &self.id) || differs(EXPECT_WEIGHTS, &self.version.get().to_string())
+    }
+
+    fn head(&self, id: &str, status: StatusCode, body: Body) -> Response<Body> {
+        let mut response = with_status(status, body);
+        let headers = response.headers_mut();
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, value.parse().expect("a valid header value"));
+        };
+        set(ATTEMPT_ID, id.to_owned());
+        set(ANSWER_SIGNATURE, format!("stamp-of-{}", self.id));
+        set(TARGET_LOAD, "1,0,8".to_owned());
+        response
+    }
+
+    fn stream(&self, id: &str, headers: &HeaderMap, fault: Option<TargetFault>) -> Response<Body> {
+        let last = headers
+            .get(LAST_EVENT_ID)
+            .and_then(|value| value.to_str().ok());
+        let first = last
+            .and_then(|last| last.parse::<u64>().ok())
+            .map_or(1, |last| last + 1);
+        let mut frames: Vec<Result<Frame<Bytes>, BodyError>> = Vec::new();
+        for event in first..=EVENTS {
+            if fault == Some(TargetFault::BreakAfter(event - first)) {
+                frames.push(Ok(Frame::data(Bytes::from(format!("id: {event}\nda")))));
+                frames.push(Err("broken off".into()));
+                break;
+            }
+            let text = format!("id: {event}\ndata: piece {event}\n\n");
+            frames.push(Ok(Frame::data(Bytes::from(text))));
+        }
+        let body = Box::pin(StreamBody::new(futures_util::stream::iter(frames)));
+        let mut response = self.head(id, StatusCode::OK, body);
+        let version = self.version.get().to_string();
+        let headers = response.headers_mut();
+        headers.insert(WEIGHTS, version.parse().expect("a number"));
+        response
+    }
+}
+
+impl StandIn for FleetTarget {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let body = collect_limited(body, MAX_BODY_BYTES).await;
+        let body = body.ok().flatten().unwrap_or_default();
+        match head.uri.path() {
+            ORDER_PATH => return self.order(&body),
+            REPORT_PATH => return self.report(),
+            _ => {}
+        }
+        self.seen
+            .borrow_mut()
+            .push((head.headers.clone(), body.clone()));
+        if self.misdirected(&head.headers) {
+            let mut response = with_status(StatusCode::MISDIRECTED_REQUEST, empty());
+            let id = self.id.parse().expect("a valid header value");
+            response.headers_mut().insert(TARGET_ID, id);
+            return response;
+        }
+        let fault = self.faults.borrow_mut().pop_front();
+        if fault == Some(TargetFault::Refuse) {
+            let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, empty());
+            let yes = "1".parse().expect("a valid header value");
+            response.headers_mut().insert(NOT_RUN, yes);
+            return response;
+        }
+        self.runs.set(self.runs.get() + 1);
+        let id = head.headers.get(ATTEMPT_ID);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let whole = || {
+            let text = format!(
+                "{} {} {}",
+                head.method,
+                head.uri,
+                String::from_utf8_lossy(&body)
+            );
+            full(text)
+        };
+        match fault {
+            Some(TargetFault::Hang) => pending().await,
+            Some(TargetFault::Fail) => {
+                self.head(id, StatusCode::INTERNAL_SERVER_ERROR, full("own failure"))
+            }
+            Some(TargetFault::AnswerForeign) => self.head("another", StatusCode::OK, whole()),
+            fault => {
+                if let Some(TargetFault::Delay(delay)) = fault {
+                    compio::time::sleep(delay).await;
+                }
+                match head.headers.contains_key(MODEL) {
+                    true => self.stream(id, &head.headers, fault),
+                    false => self.head(id, StatusCode::OK, whole()),
+                }
+            }
+        }
+    }
+}
+
+fn with_status(status: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- a/crates/jujubelink-standins/src/lib.rs
+++ b/crates/jujubelink-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! failures that tests ask for. They are no simulator of a fleet.
 
 pub mod engine;
+pub mod fleet;
 pub mod platform;
 pub mod ports;
 mod server;
--- a/src/bin/jujubelink/serve.rs
+++ b/src/bin/jujubelink/serve.rs
@@ -42,6 +42,6 @@
     for finding in &loaded.findings {
         slog::warn!(log, "settings"; "finding" => finding.to_string());
     }
-    jujubelink::ops::serve::serve(settings)?;
+    jujubelink::ops::serve::serve(settings, options.settings)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -37,7 +37,7 @@
 /// View of the fleet with its store.
 pub struct Fleet {
     context: Context,
-    settings: FleetSettings,
+    settings: RefCell<Rc<FleetSettings>>,
     store: SharedStore,
     state: RefCell<FleetState>,
     raw_policy: RefCell<Option<Bytes>>,
@@ -51,7 +51,7 @@
     pub fn new(context: &Context, settings: FleetSettings, store: SharedStore) -> Self {
         Self {
             context: context.clone(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             store,
             state: RefCell::default(),
             raw_policy: RefCell::default(),
@@ -67,8 +67,13 @@
     }
 
     /// Settings of the fleet.
-    pub fn settings(&self) -> &FleetSettings {
-        &self.settings
+    pub fn settings(&self) -> Rc<FleetSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes changed settings. Addresses and the name of the machine are used at the start only.
+    pub fn set_settings(&self, settings: FleetSettings) {
+        self.settings.replace(Rc::new(settings));
     }
 
     /// The view, to read.
@@ -95,11 +100,11 @@
     /// Whether keys may be used now: the configuration was proved to be the newest recently enough
     /// that no key which it grants can have been withdrawn for longer than the bound.
     pub fn check_fresh(&self) -> Result<(), StaleConfig> {
-        if !self.settings.is_revocation_strict {
+        if !self.settings().is_revocation_strict {
             return Ok(());
         }
         let limit =
-            Duration::from_millis(self.settings.revocation_ms).saturating_sub(REVOCATION_MARGIN);
+            Duration::from_millis(self.settings().revocation_ms).saturating_sub(REVOCATION_MARGIN);
         let age = self.config_age();
         match age {
             Some(age) if age < limit => Ok(()),
@@ -109,7 +114,7 @@
 
     /// Whether the configuration is certainly recent enough to deny what it does not name.
     pub fn may_deny(&self) -> bool {
-        let limit = Duration::from_millis(self.settings.config_ms);
+        let limit = Duration::from_millis(self.settings().config_ms);
         self.config_age().is_some_and(|age| age < limit)
     }
 
@@ -205,7 +210,7 @@
         let now = self.context.timers().boot_now();
         let naming = match is_first {
             true => {
-                let bound = Duration::from_millis(self.settings.weights_ms);
+                let bound = Duration::from_millis(self.settings().weights_ms);
                 let allowed = bound.mul_f64(OLD_WEIGHTS_PART);
                 Naming {
                     at: (now + FIRST_OLD_WEIGHTS).saturating_sub(allowed),
@@ -226,7 +231,7 @@
 
     /// Whether a target with the given weights may still be used: no newer ones were named long ago.
     pub fn may_use_weights(&self, model: &str, version: u64) -> bool {
-        let bound = Duration::from_millis(self.settings.weights_ms);
+        let bound = Duration::from_millis(self.settings().weights_ms);
         let now = self.context.timers().boot_now();
         let replaced_at = self.state.borrow().replaced_at(model, version);
         replaced_at.is_none_or(|at| now.saturating_sub(at) < bound.mul_f64(OLD_WEIGHTS_PART))
@@ -235,7 +240,10 @@
     /// Takes named weights with the time of their naming.
     pub fn on_named_weights(&self, named: &[(ModelId, u64, Naming)], source: &str) {
         for (model, version, naming) in named {
-            if self.state.borrow_mut().on_named_weights(model, *version, *naming)
+            if self
+                .state
+                .borrow_mut()
+                .on_named_weights(model, *version, *naming)
             {
                 slog::info!(self.context.log(), "weights named"; "model" => &**model,
                     "version" => *version, "source" => source);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -257,7 +257,9 @@
             .filter(|record| {
                 state
                     .weights_of(record, &prompt.model)
-                    .is_some_and(|weights| !self.relay.fleet.may_use_weights(&prompt.model, weights))
+                    .is_some_and(|weights| {
+                        !self.relay.fleet.may_use_weights(&prompt.model, weights)
+                    })
             })
             .map(|record| record.id.clone())
             .collect()
--- a/src/jujubelink/ops/serve.rs
+++ b/src/jujubelink/ops/serve.rs
@@ -1,17 +1,21 @@
 //! Runs the serving process.
 
 use anyhow::{Context as _, Result};
+use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::Level;
+use std::path::PathBuf;
 
 use crate::ops::kernel::{self, Context};
 use crate::ops::settings::ProcessSettings;
 use crate::ops::telemetry::{Metrics, new_logger};
 
-/// Runs an instance until a planned stop has ended.
-pub fn serve(settings: ProcessSettings) -> Result<()> {
+/// Runs an instance until a planned stop has ended. `paths` are the files of the settings, which are
+/// read again on SIGHUP and when they change.
+pub fn serve(settings: ProcessSettings, paths: Vec<PathBuf>) -> Result<()> {
     let context = new_context(settings)?;
     kernel::run(async {
         stop_on_signal(&context)?;
+        reload::watch(&context, paths)?;
         kernel::run_plugins(context).await
     })?
 }
@@ -36,7 +40,8 @@
 
 /// Requests the planned stop on SIGTERM and SIGINT.
 fn stop_on_signal(context: &Context) -> Result<()> {
-    let mut signals = signal::Signals::new().context("install signal handlers")?;
+    let mut signals =
+        signal::Signals::new(&[SIGTERM, SIGINT]).context("install signal handlers")?;
     let shutdown = context.shutdown().clone();
     compio::runtime::spawn(async move {
         while signals.next().await.is_ok() {
@@ -47,26 +52,99 @@
     Ok(())
 }
 
+mod reload {
+    //! Settings that change while the process runs.
+
+    use std::path::PathBuf;
+    use std::time::Duration;
+
+    use anyhow::{Context as _, Result};
+    use futures_util::FutureExt;
+    use signal_hook::consts::SIGHUP;
+
+    use super::signal::Signals;
+    use crate::ops::fleet::Fleet;
+    use crate::ops::kernel::Context;
+    use crate::ops::settings::{ProcessSettings, SourceText, load_process, read_sources};
+
+    /// Time between looks for a change that no signal announced.
+    const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
+    /// Reads the settings again on SIGHUP and when a file has changed.
+    pub(super) fn watch(context: &Context, paths: Vec<PathBuf>) -> Result<()> {
+        let mut signals = Signals::new(&[SIGHUP]).context("install the handler of SIGHUP")?;
+        let context = context.clone();
+        compio::runtime::spawn(async move {
+            let mut held = read_sources(&paths).ok();
+            loop {
+                let timers = *context.timers();
+                let is_signal = futures_util::select! {
+                    signal = signals.next().fuse() => signal.is_ok(),
+                    () = timers.sleep(LOOK_PERIOD).fuse() => false,
+                };
+                match read_sources(&paths) {
+                    Ok(sources) if is_signal || held.as_ref() != Some(&sources) => {
+                        reload(&context, &sources);
+                        held = Some(sources);
+                    }
+                    Ok(_) => {}
+                    Err(error) => {
+                        slog::warn!(context.log(), "cannot read the settings again";
+                            "error" => format!("{error:#}"));
+                    }
+                }
+            }
+        })
+        .detach();
+        Ok(())
+    }
+
+    fn reload(context: &Context, sources: &[SourceText]) {
+        let loaded = load_process(sources);
+        let Some(settings) = loaded.settings else {
+            for finding in &loaded.findings {
+                slog::warn!(context.log(), "changed settings are not used";
+                    "finding" => finding.to_string());
+            }
+            return;
+        };
+        let is_restart_needed = without_fleet(&settings) != without_fleet(context.settings());
+        slog::info!(context.log(), "settings reloaded";
+            "waits_for_restart" => is_restart_needed);
+        if let (Some(fleet), Some(changed)) = (context.find_service::<Fleet>(), settings.fleet) {
+            fleet.set_settings(changed);
+        }
+    }
+
+    /// The part that takes effect at the next start only.
+    fn without_fleet(settings: &ProcessSettings) -> ProcessSettings {
+        ProcessSettings {
+            fleet: None,
+            ..settings.clone()
+        }
+    }
+}
+
 mod signal {
-    //! SIGTERM and SIGINT as readiness of a socket, without a thread.
+    //! Signals as readiness of a socket, without a thread.
 
     use std::future::poll_fn;
     use std::io::{self, Read};
     use std::os::unix::net::UnixStream;
 
     use compio::runtime::fd::PollFd;
-    use signal_hook::consts::{SIGINT, SIGTERM};
 
     pub(super) struct Signals {
         receiver: PollFd<UnixStream>,
     }
 
     impl Signals {
-        pub(super) fn new() -> io::Result<Self> {
+        pub(super) fn new(numbers: &[i32]) -> io::Result<Self> {
             let (receiver, sender) = UnixStream::pair()?;
             receiver.set_nonblocking(true)?;
-            signal_hook::low_level::pipe::register(SIGTERM, sender.try_clone()?)?;
-            signal_hook::low_level::pipe::register(SIGINT, sender)?;
+            for number in numbers {
+                signal_hook::low_level::pipe::register(*number, sender.try_clone()?)?;
+            }
             Ok(Self {
                 receiver: PollFd::new(receiver)?,
             })
--- a/src/jujubelink/platform/mod.rs
+++ b/src/jujubelink/platform/mod.rs
@@ -7,7 +7,7 @@
 
 mod configuration;
 mod engine;
-mod names;
+pub mod names;
 mod request;
 mod store;
 mod target_entry;
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -4,46 +4,46 @@
 pub const READY_PATH: &str = "/api/ready";
 
 /// Identifier of a client's attempt; targets echo it.
-pub(super) const ATTEMPT_ID: &str = "jujubelink-attempt-id";
+pub const ATTEMPT_ID: &str = "jujubelink-attempt-id";
 /// Milliseconds that the sender waits.
-pub(super) const DEADLINE_MS: &str = "jujubelink-deadline-ms";
+pub const DEADLINE_MS: &str = "jujubelink-deadline-ms";
 /// Parts of the prompt as `ID:TOKENS`, in order.
-pub(super) const PROMPT_PARTS: &str = "jujubelink-prompt-prefix";
+pub const PROMPT_PARTS: &str = "jujubelink-prompt-prefix";
 /// Last event of a stream that the client has.
-pub(super) const LAST_EVENT_ID: &str = "last-event-id";
+pub const LAST_EVENT_ID: &str = "last-event-id";
 /// Signature of the target's answer.
-pub(super) const ANSWER_SIGNATURE: &str = "jujubelink-server-stamp";
+pub const ANSWER_SIGNATURE: &str = "jujubelink-server-stamp";
 /// Workspace that holds the client's key.
-pub(super) const WORKSPACE: &str = "jujubelink-tenant";
+pub const WORKSPACE: &str = "jujubelink-tenant";
 /// Target that alone may run the request.
-pub(super) const EXPECT_TARGET: &str = "jujubelink-expect-instance";
+pub const EXPECT_TARGET: &str = "jujubelink-expect-instance";
 /// Weights under which alone the request may run.
-pub(super) const EXPECT_WEIGHTS: &str = "jujubelink-expect-version";
+pub const EXPECT_WEIGHTS: &str = "jujubelink-expect-version";
 /// Running and waiting requests and places of a target.
-pub(super) const TARGET_LOAD: &str = "jujubelink-server-load";
+pub const TARGET_LOAD: &str = "jujubelink-server-load";
 /// Set on an answer to a request that has not run.
-pub(super) const NOT_RUN: &str = "jujubelink-not-executed";
+pub const NOT_RUN: &str = "jujubelink-not-executed";
 /// Target that answered.
-pub(super) const TARGET_ID: &str = "jujubelink-instance-id";
+pub const TARGET_ID: &str = "jujubelink-instance-id";
 /// Model of the request.
-pub(super) const MODEL: &str = "jujubelink-model";
+pub const MODEL: &str = "jujubelink-model";
 /// Tokens of the prompt and most tokens of the answer.
-pub(super) const TOKEN_COUNT: &str = "jujubelink-token-count";
+pub const TOKEN_COUNT: &str = "jujubelink-token-count";
 /// Text under which a target keeps cached prompts apart.
-pub(super) const CACHE_SALT: &str = "jujubelink-cache-salt";
+pub const CACHE_SALT: &str = "jujubelink-cache-salt";
 /// Urgency of a request at a target, 0 to 9.
-pub(super) const PRIORITY: &str = "jujubelink-request-priority";
+pub const PRIORITY: &str = "jujubelink-request-priority";
 /// Weights that made an answer.
-pub(super) const WEIGHTS: &str = "jujubelink-weight-versions";
+pub const WEIGHTS: &str = "jujubelink-weight-versions";
 
 /// Engine or store from which a target fetches cached parts of the prompt.
-pub(super) const KV_FETCH: &str = "jujubelink-kv-fetch";
+pub const KV_FETCH: &str = "jujubelink-kv-fetch";
 
 /// Store to which a target sends the parts of the prompt that it has read.
-pub(super) const KV_SAVE: &str = "jujubelink-kv-save";
+pub const KV_SAVE: &str = "jujubelink-kv-save";
 
 /// Headers that only this program may set; a client's are dropped.
-pub(super) const RESERVED: [&str; 12] = [
+pub const RESERVED: [&str; 12] = [
     WORKSPACE,
     EXPECT_TARGET,
     EXPECT_WEIGHTS,
@@ -59,23 +59,23 @@
 ];
 
 /// Path of objects of a kind.
-pub(super) const OBJECTS_PATH: &str = "/api/objects";
+pub const OBJECTS_PATH: &str = "/api/objects";
 /// Kind of the configuration.
-pub(super) const KIND_CONFIG: &str = "config";
+pub const KIND_CONFIG: &str = "config";
 /// Name of the configuration.
-pub(super) const CONFIG_NAME: &str = "main";
+pub const CONFIG_NAME: &str = "main";
 /// Kind of the targets' entries.
-pub(super) const KIND_TARGETS: &str = "servers";
+pub const KIND_TARGETS: &str = "servers";
 /// Kind of the named weights.
-pub(super) const KIND_WEIGHTS: &str = "versions";
+pub const KIND_WEIGHTS: &str = "versions";
 /// Kind of this program's instances.
-pub(super) const KIND_INSTANCES: &str = "jujubelink-instances";
+pub const KIND_INSTANCES: &str = "jujubelink-instances";
 /// Kind of this program's leases.
-pub(super) const KIND_LEASES: &str = "jujubelink-leases";
+pub const KIND_LEASES: &str = "jujubelink-leases";
 /// Name of the lease for orders.
-pub(super) const ORDER_LEASE: &str = "orders";
+pub const ORDER_LEASE: &str = "orders";
 
 /// Path of a target's state.
-pub(super) const REPORT_PATH: &str = "/api/report";
+pub const REPORT_PATH: &str = "/api/report";
 /// Path of orders to a target.
-pub(super) const ORDER_PATH: &str = "/api/order";
+pub const ORDER_PATH: &str = "/api/order";
--- /dev/null
+++ b/tests/testsuite/fleet.rs
@@ -0,0 +1,176 @@
+//! The view of the fleet: versions, targets, weights and the freshness of keys.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use jujubelink::core::fleet::{
+    FleetPolicy, FleetState, Freshness, Naming, Proof, RequestLimits, TargetRecord,
+};
+use jujubelink::core::ids::{ModelId, TargetId};
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn policy(version: u64) -> FleetPolicy {
+    FleetPolicy {
+        version,
+        routes: HashMap::new(),
+        services: BTreeMap::new(),
+        workspaces: BTreeMap::new(),
+        keys: HashMap::new(),
+        limits: RequestLimits {
+            header_bytes: 1024,
+            body_bytes: 1024,
+            idle: secs(1),
+        },
+    }
+}
+
+fn record(id: &str, incarnation: u64, is_leaving: bool) -> TargetRecord {
+    TargetRecord {
+        id: id.into(),
+        service: "llm".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: "a".into(),
+        slots: 4,
+        is_leaving,
+        weights: vec![("m".into(), 1)],
+        incarnation,
+    }
+}
+
+fn known_at(at: Duration) -> Naming {
+    Naming {
+        at,
+        is_assumed: false,
+    }
+}
+
+/// Guards against a step back to an older configuration by a late reading or a slow peer.
+#[test]
+fn keeps_the_newest_configuration() {
+    let mut state = FleetState::new();
+    assert!(state.offer_policy(policy(7)));
+    assert!(!state.offer_policy(policy(5)));
+    assert!(!state.offer_policy(policy(7)));
+    assert_eq!(state.config_version(), 7);
+}
+
+/// Guards against a key that is used on a proof of an older version: the newer version may have
+/// withdrawn it.
+#[test]
+fn a_proof_counts_for_its_own_version_only() {
+    let mut freshness = Freshness::default();
+    let proof = |version, at| Proof {
+        version,
+        asked_at: secs(at),
+    };
+    freshness.on_proof(proof(4, 10), 5);
+    assert_eq!(freshness.age(5, secs(11)), None);
+    freshness.on_proof(proof(5, 10), 5);
+    freshness.on_proof(proof(5, 8), 5);
+    assert_eq!(freshness.age(5, secs(11)), Some(secs(1)));
+    assert_eq!(freshness.age(6, secs(11)), None);
+}
+
+/// Guards against an old reading that brings back a target which has left, and against one that
+/// takes back the announcement of its leaving within the same run.
+#[test]
+fn late_readings_do_not_bring_targets_back() {
+    let mut state = FleetState::new();
+    let id: TargetId = "t".into();
+    state.on_target(5, record("t", 1, true));
+    state.on_target(4, record("t", 1, false));
+    assert!(state.is_leaving(state.target("t").unwrap()));
+    state.on_target(6, record("t", 1, false));
+    assert!(state.is_leaving(state.target("t").unwrap()));
+    assert!(state.serving("llm").is_empty());
+    state.on_target_removed(&id, 8, secs(1));
+    state.on_target(7, record("t", 1, false));
+    assert!(state.target("t").is_none());
+    state.on_target(9, record("t", 2, false));
+    assert_eq!(state.serving("llm"), [id]);
+}
+
+/// Guards against live targets that are dropped because their entries lapsed while the store was
+/// away, and against gone ones that are kept for ever.
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_come_back() {
+    let mut state = FleetState::new();
+    state.on_target(1, record("back", 1, false));
+    state.on_target(2, record("gone", 1, false));
+    state.on_store_back(secs(10));
+    state.on_target_list(20, Vec::new(), secs(10) + ms(50));
+    assert_eq!(state.serving("llm").len(), 2);
+    state.on_target(21, record("back", 1, false));
+    assert!(state.expire_lapsed(secs(12)).is_empty());
+    let removed = state.expire_lapsed(secs(12) + ms(200));
+    assert_eq!(removed, [TargetId::from("gone")]);
+    assert_eq!(state.serving("llm"), [TargetId::from("back")]);
+}
+
+/// Guards against a list without a target that was written after the list was made.
+#[test]
+fn a_list_removes_only_what_it_can_know() {
+    let mut state = FleetState::new();
+    state.on_target(5, record("old", 1, false));
+    state.on_target(30, record("new", 1, false));
+    state.on_target_list(20, Vec::new(), secs(1));
+    assert_eq!(state.serving("llm"), [TargetId::from("new")]);
+}
+
+/// Guards against weights that seem to step back because an entry is older than an answer.
+#[test]
+fn weights_only_grow_within_a_run() {
+    let mut state = FleetState::new();
+    let model: ModelId = "m".into();
+    let id: TargetId = "t".into();
+    state.on_target(1, record("t", 1, false));
+    state.on_observed_weights(&id, &model, 3);
+    state.on_target(2, record("t", 1, false));
+    let weights = state.weights_of(state.target("t").unwrap(), "m");
+    assert_eq!(weights, Some(3));
+    state.on_target(3, record("t", 2, false));
+    let weights = state.weights_of(state.target("t").unwrap(), "m");
+    assert_eq!(weights, Some(1));
+}
+
+/// Guards against weights whose age is counted from the newest naming: when versions follow each
+/// other quickly, the one in use would seem to be replaced only just now (seed: `quiet-1`, VERSION
+/// broken 70 times).
+#[test]
+fn weights_are_replaced_by_the_first_newer_version() {
+    let mut state = FleetState::new();
+    let model: ModelId = "m".into();
+    assert!(state.on_named_weights(&model, 1, known_at(secs(0))));
+    assert_eq!(state.replaced_at("m", 1), None);
+    assert!(state.on_named_weights(&model, 2, known_at(secs(2))));
+    assert!(state.on_named_weights(&model, 3, known_at(secs(7))));
+    assert!(!state.on_named_weights(&model, 2, known_at(secs(9))));
+    assert_eq!(state.replaced_at("m", 1), Some(secs(2)));
+    assert_eq!(state.replaced_at("m", 2), Some(secs(7)));
+    assert_eq!(state.named_weights("m"), Some(3));
+}
+
+/// Guards against a restarted process that takes weights for newly named which were named long ago
+/// (`hunt-c3bc-7`, VERSION broken 87 times): what a peer knows goes before what was assumed.
+#[test]
+fn the_time_of_a_naming_survives_a_restart_through_peers() {
+    let mut state = FleetState::new();
+    let model: ModelId = "m".into();
+    let assumed = Naming {
+        at: secs(100),
+        is_assumed: true,
+    };
+    assert!(state.on_named_weights(&model, 2, assumed));
+    assert_eq!(state.namings().next().unwrap().2, None);
+    state.on_named_weights(&model, 2, known_at(secs(95)));
+    state.on_named_weights(&model, 2, assumed);
+    state.on_named_weights(&model, 2, known_at(secs(97)));
+    assert_eq!(state.replaced_at("m", 1), Some(secs(95)));
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -234,7 +234,8 @@
     let fleet = "zzzz = 1\nlimit_layout.zzzz = 1\norders.zzzz = 1\nworkspaces.x.zzzz = 1\n\
         keys.x.zzzz = 1\nmodels.x.zzzz = 1\ntargets.x.zzzz = 1\nroutes.x.zzzz = 1\n";
     let process = "zzzz = 1\ninstance.zzzz = 1\nlisten.zzzz = 1\nlisten.tls.zzzz = 1\nplatform.zzzz = 1\nlog.zzzz = 1\n\
-        metrics.zzzz = 1\nstop.zzzz = 1\nadmin.zzzz = 1\nadmin.keys.x.zzzz = 1\ntracing.zzzz = 1\n";
+        metrics.zzzz = 1\nstop.zzzz = 1\nadmin.zzzz = 1\nadmin.keys.x.zzzz = 1\ntracing.zzzz = 1\n\
+        fleet.zzzz = 1\n";
     let fleet = load_fleet(&[source("fleet", fleet)]).findings;
     let process = load_process(&[source("process", process)]).findings;
     let mut sections = 0;
@@ -251,7 +252,7 @@
             );
         }
     }
-    assert_eq!(sections, 19, "{}", lines(&[fleet, process].concat()));
+    assert_eq!(sections, 20, "{}", lines(&[fleet, process].concat()));
 }
 
 /// Guards against shipped examples that no longer load.
