--- a/crates/jujubelink-standins/src/fleet/mod.rs
+++ b/crates/jujubelink-standins/src/fleet/mod.rs
@@ -4,4 +4,4 @@
 mod target;
 
 pub use store::{ObjectStore, StoreDoor, StoreMode};
-pub use target::{FleetTarget, TargetFault};
+pub use target::{FaultPlan, FleetTarget, TargetFault};
--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -43,34 +43,33 @@
     Delay(Duration),
 }
 
+/// Faults of the next requests, at whichever of the targets that share the plan they arrive. `None`
+/// is a request without a fault.
+pub type FaultPlan = Rc<RefCell<VecDeque<Option<TargetFault>>>>;
+
 /// The stand-in.
 pub struct FleetTarget {
     id: String,
     version: Cell<u64>,
-    faults: RefCell<VecDeque<TargetFault>>,
+    faults: FaultPlan,
     seen: RefCell<Vec<(HeaderMap, Bytes)>>,
     runs: Cell<u64>,
     orders: RefCell<Vec<Value>>,
 }
 
 impl FleetTarget {
-    /// A target without faults, with version 1 of its weights.
-    pub fn new(id: &str) -> Rc<Self> {
+    /// A target with version 1 of its weights.
+    pub fn new(id: &str, faults: &FaultPlan) -> Rc<Self> {
         Rc::new(Self {
             id: id.to_owned(),
             version: Cell::new(1),
-            faults: RefCell::default(),
+            faults: Rc::clone(faults),
             seen: RefCell::default(),
             runs: Cell::new(0),
             orders: RefCell::default(),
         })
     }
 
-    /// Adds a fault of a next request.
-    pub fn add_fault(&self, fault: TargetFault) {
-        self.faults.borrow_mut().push_back(fault);
-    }
-
     /// Head and body of each request so far.
     pub fn seen(&self) -> Vec<(HeaderMap, Bytes)> {
         self.seen.borrow().clone()
@@ -177,7 +176,7 @@
             response.headers_mut().insert(TARGET_ID, id);
             return response;
         }
-        let fault = self.faults.borrow_mut().pop_front();
+        let fault = self.faults.borrow_mut().pop_front().flatten();
         if fault == Some(TargetFault::Refuse) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, empty());
             let yes = "1".parse().expect("a valid header value");
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -107,7 +107,19 @@
             return Err(gone());
         }
         let left = self.check_send().map_err(SendFailure::before_send)?;
-        let request = self.request_for(&record, left)?;
+        let weights = self.weights_at(&record);
+        if let (Some(prompt), Some(version)) = (&self.head.prompt, weights)
+            && !self.relay.fleet.may_use_weights(&prompt.model, version)
+        {
+            // The target restarted on old weights, or they became too old while the request waited.
+            return Err(SendFailure::new(
+                Failure::NotSent,
+                RefusalCode::NoTarget,
+                "the target's weights are too old",
+                AttemptOutcome::Cancelled,
+            ));
+        }
+        let request = self.request_for(&record, left, weights)?;
         let options = match self.is_repeatable() {
             true => RequestOptions::default(),
             false => RequestOptions::for_single_run(),
@@ -153,19 +165,26 @@
         admission.is_some_and(|admission| admission.route.kind.is_stream())
     }
 
+    /// Weights that the request is bound to at a target: those that the target is believed to have,
+    /// or the newest ones if nothing is known.
+    fn weights_at(&self, record: &TargetRecord) -> Option<u64> {
+        let model = &self.head.prompt.as_ref()?.model;
+        let state = self.relay.fleet.state();
+        let known = state.weights_of(record, model);
+        known.or_else(|| state.named_weights(model))
+    }
+
     fn request_for(
         &self,
         record: &TargetRecord,
         left: Duration,
+        weights: Option<u64>,
     ) -> Result<Request<crate::util::http::Body>, SendFailure> {
         let admission = self.admission().map_err(SendFailure::before_send)?;
         let service = admission.policy.services.get(&admission.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
         let engine = match (&self.head.prompt, is_engine) {
-            (Some(prompt), true) => {
-                let weights = self.relay.fleet.state().weights_of(record, &prompt.model);
-                Some(self.target_use(weights).map_err(SendFailure::before_send)?)
-            }
+            (Some(_), true) => Some(self.target_use(weights).map_err(SendFailure::before_send)?),
             _ => None,
         };
         let send = SendHead {
