--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -139,20 +139,22 @@
         }
     }
 
+    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+        let history = self.history.borrow();
+        let news = history
+            .iter()
+            .filter(|change| change.kind == kind && change.revision > after);
+        news.map(|change| json!({ "object": change.object, "removed": change.is_removed }))
+            .collect()
+    }
+
     async fn watch(&self, kind: &str, after: u64, limit: Duration) -> Response<Body> {
         let mut waited = Duration::ZERO;
         loop {
             if after < self.forgotten.get() {
                 return answer(StatusCode::GONE, &json!({ "error": "forgotten" }));
             }
-            let history = self.history.borrow();
-            let news = history
-                .iter()
-                .filter(|change| change.kind == kind && change.revision > after);
-            let events: Vec<Value> = news
-                .map(|change| json!({ "object": change.object, "removed": change.is_removed }))
-                .collect();
-            drop(history);
+            let events = self.events(kind, after);
             if !events.is_empty() || waited >= limit {
                 let body = json!({ "events": events, "current_rev": self.revision.get() });
                 return answer(StatusCode::OK, &body);
