--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -168,8 +168,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct MetricsSettings {
-    /// statsd address; metrics are off without it.
+    /// statsd address that metrics are sent to.
     pub statsd_address: Option<SocketAddr>,
+    /// Address at which metrics are served as text, if they are not sent to a statsd address.
+    pub listen_address: Option<SocketAddr>,
 }
 
 /// Planned stop.
--- a/src/jujubelink/ops/telemetry/metrics.rs
+++ b/src/jujubelink/ops/telemetry/metrics.rs
@@ -1,19 +1,21 @@
-//! Metrics in the statsd format.
+//! Metrics: sent in the statsd format, or served when they are asked for.
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::ServedMetrics;
 use anyhow::{Context, Result};
 use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
 
 /// Prefix of all metric names.
 const METRIC_PREFIX: &str = "jujubelink";
 
-/// Sends metrics; clones share the socket.
+/// Sends or keeps metrics; clones share the socket.
 #[derive(Clone)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
+    served: Option<ServedMetrics>,
 }
 
 impl Metrics {
@@ -22,9 +24,24 @@
         let client = StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink);
         Self {
             client: Arc::new(client),
+            served: None,
         }
     }
 
+    /// Metrics that are kept until they are asked for.
+    pub fn kept() -> Self {
+        let served = ServedMetrics::default();
+        Self {
+            client: Arc::new(StatsdClient::from_sink(METRIC_PREFIX, served.clone())),
+            served: Some(served),
+        }
+    }
+
+    /// The metrics that are kept.
+    pub fn served(&self) -> Option<ServedMetrics> {
+        self.served.clone()
+    }
+
     /// Metrics sent as datagrams to a statsd address.
     pub fn new(address: SocketAddr) -> Result<Self> {
         let socket = UdpSocket::bind("0.0.0.0:0").context("bind the metrics socket")?;
@@ -33,6 +50,7 @@
         let client = StatsdClient::from_sink(METRIC_PREFIX, sink);
         Ok(Self {
             client: Arc::new(client),
+            served: None,
         })
     }
 
