Release the order lease at a planned stop

Cause: with machines stopped one after the other, each new holder waited out the former one's term and pause, and was soon stopped itself; requests were refused because few engines had weights that may be used. Change: a stopping holder marks the lease released, after which 3.5 s are waited instead of 5.4 s; the instance that started last comes first; old weights are used for 85% of their bound instead of 70%. The simulation of the lease has planned stops.

--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -12,6 +12,9 @@
     pub holder: String,
     /// Fencing number; grows with each change of the holder.
     pub epoch: Epoch,
+    /// Whether the holder has given its last order and waits for another one to take over.
+    #[serde(default)]
+    pub is_released: bool,
     /// Random number of the write, by which its writer finds it again after a lost answer.
     pub nonce: u64,
 }
@@ -26,6 +29,8 @@
     /// Time for which an unchanged lease must have been observed before another instance takes it:
     /// the term, and the pause that must lie between the orders of two holders.
     pub takeover_after: Duration,
+    /// The same for a lease that its holder released after its last order.
+    pub takeover_after_release: Duration,
 }
 
 /// What this instance is to the lease now.
@@ -136,6 +141,7 @@
             record: LeaseRecord {
                 holder: self.own_name.to_string(),
                 epoch,
+                is_released: false,
                 nonce,
             },
         };
@@ -152,7 +158,11 @@
                 }
             }
             Some(record) => {
-                let is_settled = now >= observed.since + self.terms.takeover_after;
+                let pause = match record.is_released {
+                    true => self.terms.takeover_after_release,
+                    false => self.terms.takeover_after,
+                };
+                let is_settled = now >= observed.since + pause;
                 match (is_settled, is_turn) {
                     (true, true) => write(record.epoch + 1),
                     (false, _) if now >= observed.read_at + READ_PERIOD => LeaseAction::Read,
@@ -163,6 +173,24 @@
         }
     }
 
+    /// Gives the lease back, with the write that tells so: no order may be given from now on. `None`
+    /// if another instance holds it.
+    pub fn release(&mut self, nonce: u64) -> Option<(ObjectVersion, LeaseRecord)> {
+        self.held = None;
+        let observed = self.observed.as_mut()?;
+        let record = observed.record.as_ref()?;
+        if *record.holder != *self.own_name || !observed.is_current || record.is_released {
+            return None;
+        }
+        let released = LeaseRecord {
+            is_released: true,
+            nonce,
+            ..record.clone()
+        };
+        observed.is_current = false;
+        Some((observed.version, released))
+    }
+
     /// Notes that a write with `nonce` is being sent.
     pub fn on_write_sent(&mut self, nonce: u64, now: Timestamp) {
         self.pending_nonce = Some(nonce);
@@ -184,6 +212,7 @@
             .is_some_and(|observed| observed.version == version);
         if let (Some(record), Some(nonce)) = (&record, self.pending_nonce)
             && record.nonce == nonce
+            && !record.is_released
         {
             // The write whose answer was lost took effect; its term counts from before it was sent.
             self.held = Some((self.renewed_at + self.terms.term, record.epoch));
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -21,7 +21,7 @@
 
 /// Part of the bound on new weights after which older ones are no longer used. The rest covers the
 /// time until this instance heard of them, and the wait in a target's queue.
-const OLD_WEIGHTS_PART: f64 = 0.7;
+const OLD_WEIGHTS_PART: f64 = 0.85;
 
 /// Time after its start for which a process uses weights of which it does not know when they were
 /// replaced, so that a start of all instances does not leave few engines for all requests.
--- a/src/jujubelink/ops/rollout/run.rs
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -28,6 +28,9 @@
 /// that are under way at the end of a term.
 const HOLDER_MARGIN: Duration = Duration::from_millis(900);
 
+/// Added to the pause after a lease was released: an order may have been under way until then.
+const RELEASE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Part of a term that an order may be under way.
 const ORDER_MARGIN: Duration = Duration::from_millis(100);
 
@@ -80,6 +83,7 @@
             term: LEASE_TERM,
             renew_after: RENEW_AFTER,
             takeover_after: LEASE_TERM + pause + HOLDER_MARGIN,
+            takeover_after_release: pause + RELEASE_MARGIN,
         };
         Self {
             context: context.clone(),
@@ -101,7 +105,7 @@
         loop {
             self.context.timers().sleep(LOOK_PERIOD).await;
             if self.context.shutdown().lifecycle() != Lifecycle::Running {
-                return;
+                return self.release().await;
             }
             let has_work = self.has_work();
             let now = self.now();
@@ -125,6 +129,17 @@
         }
     }
 
+    /// Lets another instance take over without waiting for the end of the term.
+    async fn release(&self) {
+        self.peers.set_loading(std::iter::empty());
+        let Some((version, record)) = self.lease.borrow_mut().release(rand::random()) else {
+            return;
+        };
+        let written = self.fleet.store().write_lease(version, record).await;
+        slog::info!(self.context.log(), "lease for orders released"; "version" => version,
+            "error" => written.err().map(|error| error.to_string()));
+    }
+
     /// Engines of a service with the weights that they are believed to have, for each model.
     fn engines(&self) -> Vec<((String, ModelId), u64, Vec<Engine>)> {
         let state = self.fleet.state();
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -106,6 +106,9 @@
     /// Engines that carry out an order of the sender.
     #[prost(message, repeated, tag = "13")]
     pub(super) loading: Vec<Loading>,
+    /// Time since the start of the sender.
+    #[prost(uint64, tag = "14")]
+    pub(super) uptime_ms: u64,
     /// Whether the sender stops.
     #[prost(bool, tag = "12")]
     pub(super) is_leaving: bool,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -43,6 +43,9 @@
 /// Observations and suspects that are repeated at a time; the oldest is dropped at the bound.
 const MAX_REPEATED: usize = 32;
 
+/// Starts that lie closer together count as the same: all instances of a fleet start within 0.3 s.
+const SAME_START: Duration = Duration::from_millis(1_000);
+
 /// Periods for which an engine counts as loading after a message said so.
 const LOADING_PERIODS: u32 = 2;
 
@@ -71,6 +74,8 @@
     config_version: ConfigVersion,
     proof: Option<Proof>,
     is_leaving: bool,
+    /// When the peer's process started.
+    started_at: Timestamp,
 }
 
 /// The other instances as this one hears them, with the shared limits.
@@ -145,13 +150,20 @@
         self.table.borrow().len() + 1
     }
 
-    /// Live instances that come before this one in the order of names.
+    /// Live instances that come before this one: those that started clearly later, and then by name.
+    /// Instances are often stopped one after the other, so that the youngest one stays longest.
     pub fn rank(&self) -> u32 {
         let now = self.now();
         let table = self.table.borrow();
+        let is_before = |name: &InstanceId, peer: &Peer| {
+            if peer.started_at > self.started_at + SAME_START {
+                return true;
+            }
+            peer.started_at + SAME_START >= self.started_at && *name < self.name
+        };
         let before = table
             .iter()
-            .filter(|(name, peer)| **name < self.name && self.is_in_contact(peer, now));
+            .filter(|(name, peer)| self.is_in_contact(peer, now) && is_before(name, peer));
         before.count() as u32
     }
 
@@ -323,6 +335,7 @@
             observed: repeated(&self.observed, now),
             suspects: repeated(&self.suspects, now),
             loading: self.loading.borrow().clone(),
+            uptime_ms: ms(now.saturating_sub(self.started_at)),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
         }
     }
@@ -360,6 +373,7 @@
         peer.heard_at = now;
         peer.config_version = message.config_version;
         peer.is_leaving = message.is_leaving;
+        peer.started_at = now.saturating_sub(Duration::from_millis(message.uptime_ms));
         if let Some(echoed) = echoed {
             peer.echoed_at = peer.echoed_at.max(echoed);
             // The message was made after the echoed one arrived, so that what it calls `age` old is
@@ -484,6 +498,7 @@
             config_version: 0,
             proof: None,
             is_leaving: false,
+            started_at: Timestamp::ZERO,
         }
     }
 }
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -17,6 +17,7 @@
     term: Duration::from_millis(1_500),
     renew_after: Duration::from_millis(500),
     takeover_after: Duration::from_millis(5_400),
+    takeover_after_release: Duration::from_millis(3_500),
 };
 
 fn ms(millis: u64) -> Duration {
@@ -55,7 +56,7 @@
 }
 
 /// Plays instances that want to give orders through lost and late answers, outages of single
-/// instances and suspensions. Returns the times of orders by holder and fencing number.
+/// instances, suspensions and planned stops. Returns the times of orders by holder and fencing number.
 fn play(seed: u64) -> Vec<(u64, usize, u64)> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut store = Store::default();
@@ -90,6 +91,18 @@
             if let Some(epoch) = leases[own].epoch(ms(now_ms)) {
                 orders.push((now_ms, own, epoch));
             }
+            // A planned stop gives the lease back, with an answer or without, and starts anew.
+            if random.next_u32() % 500 == 0 {
+                if let Some((version, record)) = leases[own].release(random.next_u64()) {
+                    match random.next_u32() % 3 {
+                        0 => {}
+                        1 => store.late.push((now_ms + 2_000, version, record)),
+                        _ => drop(store.write(version, record)),
+                    }
+                }
+                leases[own] = OrderLease::new(Arc::from(names[own]), TERMS);
+                suspended_until[own] = now_ms + u64::from(random.next_u32() % 4_000);
+            }
         }
     }
     orders
@@ -169,6 +182,7 @@
     let record = LeaseRecord {
         holder: "a".to_owned(),
         epoch: 1,
+        is_released: false,
         nonce: 9,
     };
     lease.on_write_sent(9, ms(1_000));
