Ask an engine for its weights after 421, and let new buckets hold something

After a restart of all instances every limit began empty, and requests within it were refused for two seconds. Change: the engine's own report counts, also for a run that its entry does not tell of yet; a new bucket holds a share of 40% of what the limit tolerates; failed calls for the lease are repeated less often.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -7,7 +7,7 @@
 
 use super::{FleetPolicy, Freshness, Proof, TargetRecord};
 use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
-use crate::core::ids::{ConfigVersion, ModelId, TargetId, Timestamp};
+use crate::core::ids::{ConfigVersion, Incarnation, ModelId, TargetId, Timestamp};
 
 /// Prompt tokens per second that an engine reads, until an engine's description tells. The engines
 /// of both sites read 92.1 tokens in a millisecond.
@@ -334,6 +334,33 @@
         }
     }
 
+    /// Takes what a target reports about itself. A later run than the entry's replaces the entry until
+    /// the target has written a new one.
+    pub fn on_report(
+        &mut self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        weights: &[(ModelId, u64)],
+    ) {
+        let Some((revision, record)) = self.targets.get(id) else {
+            return;
+        };
+        if incarnation > record.incarnation {
+            let restarted = TargetRecord {
+                incarnation,
+                weights: weights.to_vec(),
+                ..(**record).clone()
+            };
+            let entry = (*revision, Rc::new(restarted));
+            self.targets.insert(id.clone(), entry);
+            self.generation += 1;
+        } else if incarnation == record.incarnation {
+            for (model, version) in weights {
+                self.on_observed_weights(id, model, *version);
+            }
+        }
+    }
+
     /// Version of a model's weights that a target is believed to have. Weights only grow within a
     /// run, so the larger of entry and answers is the newer.
     pub fn weights_of(&self, record: &TargetRecord, model: &str) -> Option<u64> {
--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -49,12 +49,13 @@
 }
 
 impl SharedBucket {
-    /// A bucket that holds nothing yet: what former runs used of the burst is not known.
-    pub fn new(rate_per_s: f64, burst: f64, now: Timestamp) -> Self {
+    /// A bucket that holds `level` at first. What former runs used of the burst is not known, so that
+    /// it can only be a part of what the limit tolerates.
+    pub fn new(rate_per_s: f64, burst: f64, level: f64, now: Timestamp) -> Self {
         Self {
             rate_per_s,
             burst,
-            level: 0.0,
+            level: level.min(burst),
             updated: now,
             total: 0,
             peers: BTreeMap::new(),
--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -90,10 +90,14 @@
     pending_nonce: Option<u64>,
     /// After a failed call, nothing is asked before.
     retry_at: Timestamp,
+    /// Calls that failed one after the other.
+    failures: u32,
 }
 
-/// Pause after a call to the store that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a call to the store that failed. It doubles with each further failure up to the
+/// longest, because a store that turns an instance away prices each call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time between readings of a lease that another instance holds.
 const READ_PERIOD: Duration = Duration::from_millis(1_000);
@@ -109,6 +113,7 @@
             renewed_at: Timestamp::ZERO,
             pending_nonce: None,
             retry_at: Timestamp::ZERO,
+            failures: 0,
         }
     }
 
@@ -206,6 +211,7 @@
         asked_at: Timestamp,
         now: Timestamp,
     ) {
+        self.failures = 0;
         let is_same = self
             .observed
             .as_ref()
@@ -235,6 +241,7 @@
 
     /// Notes that the write took effect at `version`.
     pub fn on_written(&mut self, version: ObjectVersion, record: LeaseRecord, now: Timestamp) {
+        self.failures = 0;
         if self.pending_nonce == Some(record.nonce) {
             self.pending_nonce = None;
         }
@@ -251,7 +258,9 @@
     /// Notes that a call failed, or that the object had another version: it is read again.
     pub fn on_failed(&mut self, is_conflict: bool, now: Timestamp) {
         if !is_conflict {
-            self.retry_at = now + RETRY_PAUSE;
+            let doubled = RETRY_PAUSE * 2u32.pow(self.failures.min(8));
+            self.retry_at = now + doubled.min(MAX_RETRY_PAUSE);
+            self.failures += 1;
         }
         if let Some(observed) = &mut self.observed {
             observed.is_current = false;
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -10,7 +10,7 @@
 
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{FleetPolicy, FleetState, Naming, Proof, TargetRecord};
-use crate::core::ids::{ModelId, TargetId, Timestamp};
+use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
@@ -260,6 +260,19 @@
         self.refresh();
     }
 
+    /// Takes a target's own report.
+    pub fn on_report(
+        &self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        weights: &[(ModelId, u64)],
+    ) {
+        self.state
+            .borrow_mut()
+            .on_report(target, incarnation, weights);
+        self.refresh();
+    }
+
     /// Notes that a target announced its leaving in an answer.
     pub fn set_leaving(&self, target: &TargetId) {
         self.state.borrow_mut().set_leaving(target);
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -11,7 +11,7 @@
 mod send;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,7 @@
 use super::handler::Proxy;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use crate::core::fleet::model_key;
+use crate::core::ids::TargetId;
 use crate::core::quota::{ResendBudget, ResendPolicy};
 use crate::core::relay::RelayHead;
 use crate::core::routing::LoadReport;
@@ -42,6 +43,8 @@
     peers: Rc<Peers>,
     /// Budgets of resends by service.
     budgets: RefCell<HashMap<Arc<str>, ResendBudget>>,
+    /// Targets that are being asked which weights they have.
+    asked: RefCell<BTreeSet<TargetId>>,
 }
 
 impl Relay {
@@ -52,6 +55,7 @@
             fleet: context.service(),
             peers: context.service(),
             budgets: RefCell::default(),
+            asked: RefCell::default(),
         }))
     }
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -1,5 +1,6 @@
 //! One send to one target, up to the head of its answer.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Request, Response, Uri, Version};
@@ -12,7 +13,7 @@
 use crate::core::routing::LoadReport;
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::services::{AttemptOutcome, SchedulerService};
-use crate::platform::{decode_answer, encode_request};
+use crate::platform::{decode_answer, encode_request, read_report};
 use crate::util::http::{ClientError, ConnectionMark, RequestOptions, collect_limited, full};
 
 /// Answers of at most this size are read whole before they are passed on, so that one which breaks
@@ -246,7 +247,7 @@
             )),
             AnswerVerdict::Misdirected { is_expected_target } => {
                 if is_expected_target {
-                    self.note_other_weights(record);
+                    self.ask_for_weights(record);
                 }
                 Err(SendFailure::new(
                     Failure::NotRun,
@@ -313,18 +314,29 @@
         scheduler.note_load(&record.id, &report);
     }
 
-    /// The target itself refused the weights that it was believed to have: it has the newest ones,
-    /// or is about to.
-    fn note_other_weights(&self, record: &TargetRecord) {
-        let Some(prompt) = &self.head.prompt else {
+    /// The target itself refused the weights that it was believed to have: it is asked which it has,
+    /// and gets no further request until it has answered.
+    fn ask_for_weights(&self, record: &TargetRecord) {
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        scheduler.note_busy(&record.id, LOADING_TIME);
+        let (relay, proxy) = (Rc::clone(&self.relay), Rc::clone(&self.proxy));
+        let (target, address) = (record.id.clone(), record.address);
+        if !relay.asked.borrow_mut().insert(target.clone()) {
             return;
-        };
-        let newest = self.relay.fleet.state().named_weights(&prompt.model);
-        if let Some(newest) = newest {
-            self.relay
-                .fleet
-                .on_observed_weights(&record.id, &prompt.model, newest);
         }
+        compio::runtime::spawn(async move {
+            let report = read_report(&proxy.client, address).await;
+            slog::info!(proxy.context.log(), "target asked for its weights";
+                "target" => &*target, "report" => format!("{report:?}"));
+            if let Some(report) = report {
+                relay
+                    .fleet
+                    .on_report(&target, report.incarnation, &report.weights);
+            }
+            proxy.context.timers().sleep(LOADING_TIME).await;
+            relay.asked.borrow_mut().remove(&target);
+        })
+        .detach();
     }
 
     /// Whether a stream may go on at another target.
--- a/src/jujubelink/ops/rollout/run.rs
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -340,6 +340,8 @@
     async fn ask(&self, target: &TargetId) -> Option<EngineReport> {
         let record = self.fleet.state().target(target).cloned()?;
         let report = read_report(&self.client, record.address).await?;
+        self.fleet
+            .on_report(target, report.incarnation, &report.weights);
         if report.incarnation != record.incarnation {
             return None;
         }
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -64,6 +64,15 @@
     /// Window of the resends, in seconds.
     #[serde(default = "default_resend_window_s")]
     pub resend_window_s: f64,
+    /// Window over which limits of workspaces hold, in seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Part of a limit by which it may be exceeded in a window.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Units by which it may be exceeded besides.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Shortest time between orders of two holders to one engine, in milliseconds.
     #[serde(default = "default_holder_pause_ms")]
     pub holder_pause_ms: u64,
@@ -92,6 +101,10 @@
     10.0
 }
 
+fn default_quota_window_s() -> f64 {
+    8.0
+}
+
 fn default_holder_pause_ms() -> u64 {
     3_000
 }
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -105,7 +105,8 @@
                 .iter()
                 .filter(|(_, workspace)| workspace.rate_per_s > 0.0)
                 .map(|(name, workspace)| (name, workspace.rate_per_s, workspace.burst));
-            peers.buckets.set_limits(limits, peers.now());
+            let first_level = |rate_per_s, burst| peers.first_level(rate_per_s, burst);
+            peers.buckets.set_limits(limits, first_level, peers.now());
         }
         changed.await;
     }
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -55,13 +55,15 @@
     pub(super) fn set_limits<'a>(
         &self,
         limits: impl Iterator<Item = (&'a WorkspaceId, f64, f64)>,
+        first_level: impl Fn(f64, f64) -> f64,
         now: Timestamp,
     ) {
         let mut held = self.buckets.borrow_mut();
         let mut kept = BTreeMap::new();
         for (workspace, rate_per_s, burst) in limits {
             let mut bucket = held.remove(workspace).unwrap_or_else(|| {
-                let mut bucket = SharedBucket::new(rate_per_s, burst, now);
+                let level = first_level(rate_per_s, burst);
+                let mut bucket = SharedBucket::new(rate_per_s, burst, level, now);
                 let contacts = self.contacts.borrow();
                 bucket.set_peers(contacts.iter().map(|(id, is_in)| (id, *is_in)), now);
                 bucket
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -43,6 +43,10 @@
 /// Observations and suspects that are repeated at a time; the oldest is dropped at the bound.
 const MAX_REPEATED: usize = 32;
 
+/// Part of the tolerance of a limit that the first levels of all buckets may use. The rest covers
+/// what is used between two messages.
+const FIRST_PART: f64 = 0.4;
+
 /// Starts that lie closer together count as the same: all instances of a fleet start within 0.3 s.
 const SAME_START: Duration = Duration::from_millis(1_000);
 
@@ -145,6 +149,15 @@
         self.is_listed.get()
     }
 
+    /// Units that a new bucket may hold: this instance's share of a part of what the limit tolerates
+    /// beyond itself.
+    pub(super) fn first_level(&self, rate_per_s: f64, burst: f64) -> f64 {
+        let settings = self.fleet.settings();
+        let limit = rate_per_s * settings.quota_window_s + burst;
+        let tolerated = limit * settings.quota_overage + settings.quota_slack;
+        tolerated * FIRST_PART / self.fleet_size() as f64
+    }
+
     /// Instances of the fleet, this one included.
     pub fn fleet_size(&self) -> usize {
         self.table.borrow().len() + 1
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -174,3 +174,22 @@
     state.on_named_weights(&model, 2, known_at(secs(97)));
     assert_eq!(state.replaced_at("m", 1), Some(secs(95)));
 }
+
+/// Guards against a wrong guess of an engine's weights that sticks: after a restart it has older ones
+/// than were seen before, and says so (seed: `scale-2` on Pedra Polida, 400 requests refused with 421).
+#[test]
+fn a_report_of_a_later_run_replaces_the_entry() {
+    let mut state = FleetState::new();
+    let model: ModelId = "m".into();
+    let id: TargetId = "t".into();
+    state.on_target(1, record("t", 5, false));
+    state.on_observed_weights(&id, &model, 3);
+    state.on_report(&id, 4, &[(model.clone(), 9)]);
+    let weights = |state: &FleetState| state.weights_of(state.target("t").unwrap(), "m");
+    assert_eq!(weights(&state), Some(3));
+    state.on_report(&id, 6, &[(model.clone(), 2)]);
+    assert_eq!(weights(&state), Some(2));
+    assert_eq!(state.target("t").unwrap().incarnation, 6);
+    state.on_report(&id, 6, &[(model.clone(), 4)]);
+    assert_eq!(weights(&state), Some(4));
+}
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -28,7 +28,7 @@
 
 impl Fleet {
     fn new(size: usize, cut: Vec<(usize, usize)>) -> Self {
-        let buckets = (0..size).map(|_| SharedBucket::new(RATE, BURST, ms(0)));
+        let buckets = (0..size).map(|_| SharedBucket::new(RATE, BURST, 0.0, ms(0)));
         let mut fleet = Self {
             buckets: buckets.collect(),
             cut,
@@ -141,7 +141,7 @@
 /// own when it wakes.
 #[test]
 fn a_suspended_instance_accrues_its_own_share() {
-    let mut bucket = SharedBucket::new(RATE, 100_000.0, ms(0));
+    let mut bucket = SharedBucket::new(RATE, 100_000.0, 0.0, ms(0));
     let peers: Vec<InstanceId> = (1..10).map(name).collect();
     bucket.set_peers(peers.iter().map(|id| (id, true)), ms(0));
     assert!(bucket.level(ms(5_000)) <= RATE * 5.0 / 10.0);
@@ -150,7 +150,7 @@
 /// Guards against a request that is larger than the burst and would be refused for ever.
 #[test]
 fn a_request_above_the_burst_waits_for_a_full_bucket() {
-    let mut bucket = SharedBucket::new(RATE, BURST, ms(0));
+    let mut bucket = SharedBucket::new(RATE, BURST, 0.0, ms(0));
     let refusal = bucket.charge(2_000, ms(100)).unwrap_err();
     assert_eq!(refusal.retry_after, ms(400));
     assert!(bucket.charge(2_000, ms(500)).is_ok());
