Pass the list of targets on to peers and drop replaced targets

Change: an instance that cannot follow the targets takes a peer's list; a target whose address another one answers is gone until it writes again.

--- a/src/jujubelink/core/fleet/records.rs
+++ b/src/jujubelink/core/fleet/records.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::ids::{Incarnation, ModelId, TargetId};
 
 /// Where a target listens.
 pub type TargetAddress = SocketAddr;
 
 /// A target's own entry.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Name; a restarted target may keep it.
     pub id: TargetId,
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -231,6 +231,25 @@
         }
     }
 
+    /// All entries with their revisions, to pass on.
+    pub fn entries(&self) -> Vec<(u64, TargetRecord)> {
+        let entries = self.targets.values();
+        entries
+            .map(|(revision, record)| (*revision, (**record).clone()))
+            .collect()
+    }
+
+    /// Notes that another target answers at the address of this one, which is gone then. Its entry is
+    /// believed again once the target has written it anew.
+    pub fn on_replaced(&mut self, id: &TargetId, now: Timestamp) -> bool {
+        let Some((revision, _)) = self.targets.get(id) else {
+            return false;
+        };
+        let revision = *revision;
+        self.remove_target(id, revision, now);
+        true
+    }
+
     /// A target by name.
     pub fn target(&self, id: &str) -> Option<&Rc<TargetRecord>> {
         self.targets.get(id).map(|(_, record)| record)
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
 
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{FleetPolicy, FleetState, Naming, Proof, TargetRecord};
@@ -34,6 +35,13 @@
     pub age: Option<Duration>,
 }
 
+/// List of targets between instances.
+#[derive(Serialize, Deserialize)]
+struct PassedTargets {
+    revision: u64,
+    entries: Vec<(u64, TargetRecord)>,
+}
+
 /// View of the fleet with its store.
 pub struct Fleet {
     context: Context,
@@ -43,6 +51,8 @@
     raw_policy: RefCell<Option<Bytes>>,
     snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
     snapshot_generation: Cell<u64>,
+    /// Revision of the store up to which the targets are known.
+    target_revision: Cell<u64>,
     changed: Notifier,
 }
 
@@ -57,6 +67,7 @@
             raw_policy: RefCell::default(),
             snapshot: RefCell::default(),
             snapshot_generation: Cell::new(0),
+            target_revision: Cell::new(0),
             changed: Notifier::new(),
         }
     }
@@ -140,6 +151,8 @@
     /// Takes changes of the targets. A whole list also removes the targets that it does not name.
     pub fn on_targets(&self, changes: TargetChanges, is_whole: bool) {
         let now = self.context.timers().boot_now();
+        let newest = self.target_revision.get().max(changes.revision);
+        self.target_revision.set(newest);
         let mut state = self.state.borrow_mut();
         let mut written = Vec::new();
         for change in changes.changes {
@@ -273,6 +286,57 @@
         self.refresh();
     }
 
+    /// Notes that another target answers at the address of this one.
+    pub fn on_replaced(&self, target: &TargetId, by: Option<&str>) {
+        let now = self.context.timers().boot_now();
+        if self.state.borrow_mut().on_replaced(target, now) {
+            slog::info!(self.context.log(), "target removed"; "target" => &**target,
+                "fault" => "another target has its address", "by" => by);
+        }
+        self.refresh();
+    }
+
+    /// The list of targets, to pass on to peers that cannot reach the store.
+    pub fn raw_targets(&self) -> Bytes {
+        let list = PassedTargets {
+            revision: self.target_revision.get(),
+            entries: self.state.borrow().entries(),
+        };
+        match serde_json::to_vec(&list) {
+            Ok(raw) => raw.into(),
+            Err(error) => {
+                slog::error!(self.context.log(), "cannot encode the list of targets";
+                    "error" => %error);
+                Bytes::new()
+            }
+        }
+    }
+
+    /// Takes a list of targets that a peer passed on. One that is older than the own one is dropped.
+    pub fn on_passed_targets(&self, raw: &[u8], peer: &str) {
+        let list: PassedTargets = match serde_json::from_slice(raw) {
+            Ok(list) => list,
+            Err(error) => {
+                slog::warn!(self.context.log(), "a peer passed on an unusable list of targets";
+                    "peer" => peer, "error" => %error);
+                return;
+            }
+        };
+        if list.revision <= self.target_revision.get() {
+            return;
+        }
+        slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
+            "revision" => list.revision);
+        let changes = list.entries.into_iter();
+        let changes = TargetChanges {
+            changes: changes
+                .map(|(revision, record)| TargetChange::Written { revision, record })
+                .collect(),
+            revision: list.revision,
+        };
+        self.on_targets(changes, true);
+    }
+
     /// Notes that a target announced its leaving in an answer.
     pub fn set_leaving(&self, target: &TargetId) {
         self.state.borrow_mut().set_leaving(target);
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -80,6 +80,10 @@
                     "unanswered_ms" => ms(timers.boot_now().saturating_sub(last_answer)));
                 // A watch may have missed anything by now.
                 revision = None;
+                let peers = context.service::<Peers>();
+                if let Some((name, raw)) = peers.fetch_targets().await {
+                    fleet.on_passed_targets(&raw, &name);
+                }
                 timers.sleep(RETRY_PAUSE).await;
             }
         }
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -246,8 +246,13 @@
                 AttemptOutcome::Refused,
             )),
             AnswerVerdict::Misdirected { is_expected_target } => {
-                if is_expected_target {
-                    self.ask_for_weights(record);
+                match (is_expected_target, &head.target) {
+                    (true, _) => self.ask_for_weights(record),
+                    (false, Some(other)) => {
+                        let fleet = &self.relay.fleet;
+                        fleet.on_replaced(&record.id, Some(other));
+                    }
+                    (false, None) => {}
                 }
                 Err(SendFailure::new(
                     Failure::NotRun,
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -9,7 +9,7 @@
 use prost::Message;
 
 use super::message::ShareMessage;
-use super::peers::{POLICY_PATH, Peers};
+use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
 use crate::ops::kernel::Context;
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
@@ -112,12 +112,12 @@
     }
 }
 
-/// Serves the configuration to peers that cannot reach the store.
-pub(super) async fn serve_policy(context: Context, peers: Rc<Peers>, listener: Listener) {
+/// Serves the configuration and the list of targets to peers that cannot reach the store.
+pub(super) async fn serve_readings(context: Context, peers: Rc<Peers>, listener: Listener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = PolicyHandler(Rc::clone(&peers));
+                let handler = ReadingsHandler(Rc::clone(&peers));
                 let shutdown = context.shutdown().clone();
                 compio::runtime::spawn(async move {
                     let drain = async move { shutdown.closing().await };
@@ -137,12 +137,13 @@
 }
 
 #[derive(Clone)]
-struct PolicyHandler(Rc<Peers>);
+struct ReadingsHandler(Rc<Peers>);
 
-impl Handler for PolicyHandler {
+impl Handler for ReadingsHandler {
     fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
         let raw = match request.uri().path() {
             POLICY_PATH => self.0.fleet.raw_policy(),
+            TARGETS_PATH => Some(self.0.fleet.raw_targets()),
             _ => None,
         };
         let mut response = Response::new(raw.map_or_else(empty, full));
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -56,14 +56,18 @@
 /// Peers that are kept; further ones are not heard.
 const MAX_PEERS: usize = 1_024;
 
-/// Path of the configuration at a peer.
+/// Paths of the configuration and of the list of targets at a peer.
 pub(super) const POLICY_PATH: &str = "/configuration";
+pub(super) const TARGETS_PATH: &str = "/targets";
 
-/// Time for a peer to pass on its configuration.
-const POLICY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for a peer to pass on what it is asked for.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Largest configuration.
-const MAX_POLICY_BYTES: usize = 4 * 1024 * 1024;
+/// Peers that are asked one after the other.
+const MAX_ASKED: usize = 2;
+
+/// Largest configuration or list.
+const MAX_FETCHED_BYTES: usize = 4 * 1024 * 1024;
 
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -463,29 +467,48 @@
     /// name.
     pub async fn fetch_policy(&self) -> Option<(String, Bytes)> {
         let newest = self.newest_config();
-        let candidates: Vec<(InstanceId, SocketAddr)> = self
+        self.fetch(POLICY_PATH, |peer| peer.config_version == newest)
+            .await
+    }
+
+    /// Asks peers in contact for their list of targets. Returns it and the peer's name.
+    pub async fn fetch_targets(&self) -> Option<(String, Bytes)> {
+        let now = self.now();
+        self.fetch(TARGETS_PATH, |peer| self.is_in_contact(peer, now))
+            .await
+    }
+
+    /// Asks up to [`MAX_ASKED`] random peers that `is_asked` selects.
+    async fn fetch(
+        &self,
+        path: &'static str,
+        is_asked: impl Fn(&Peer) -> bool,
+    ) -> Option<(String, Bytes)> {
+        let mut candidates: Vec<(InstanceId, SocketAddr)> = self
             .table
             .borrow()
             .iter()
-            .filter(|(_, peer)| peer.config_version == newest)
+            .filter(|(_, peer)| is_asked(peer))
             .map(|(name, peer)| (name.clone(), peer.address))
             .collect();
-        for (name, address) in candidates.into_iter().take(2) {
-            let fetch = self.fetch_from(address);
-            let limit = self.context.timers().timeout(POLICY_TIMEOUT, fetch);
+        let draw: u64 = rand::random();
+        candidates.sort_by_key(|(name, _)| stable_hash(draw, name.as_bytes()));
+        for (name, address) in candidates.into_iter().take(MAX_ASKED) {
+            let fetch = self.fetch_from(address, path);
+            let limit = self.context.timers().timeout(FETCH_TIMEOUT, fetch);
             if let Some(Some(raw)) = limit.await {
                 return Some((name.to_string(), raw));
             }
             self.client.close_address(address);
-            slog::warn!(self.context.log(), "a peer did not pass on its configuration";
-                "peer" => &*name);
+            slog::warn!(self.context.log(), "a peer did not pass on what it was asked for";
+                "peer" => &*name, "path" => path);
         }
         None
     }
 
-    async fn fetch_from(&self, address: SocketAddr) -> Option<Bytes> {
+    async fn fetch_from(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
         let request = Request::builder()
-            .uri(POLICY_PATH)
+            .uri(path)
             .header("host", address.to_string())
             .body(empty())
             .ok()?;
@@ -494,7 +517,7 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        collect_limited(response.into_body(), MAX_POLICY_BYTES)
+        collect_limited(response.into_body(), MAX_FETCHED_BYTES)
             .await
             .ok()?
     }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -193,3 +193,18 @@
     state.on_report(&id, 6, &[(model.clone(), 4)]);
     assert_eq!(weights(&state), Some(4));
 }
+
+/// Guards against requests to the address of a target that is gone, on an instance that the store
+/// turns away and whose list grows old (seed: `scale-2` on Pedra Polida).
+#[test]
+fn a_replaced_target_is_gone_until_it_writes_again() {
+    let mut state = FleetState::new();
+    let id: TargetId = "t".into();
+    state.on_target(3, record("t", 1, false));
+    assert!(state.on_replaced(&id, secs(1)));
+    assert!(!state.on_replaced(&id, secs(1)));
+    state.on_target(3, record("t", 1, false));
+    assert!(state.serving("llm").is_empty());
+    state.on_target(4, record("t", 2, false));
+    assert_eq!(state.serving("llm"), [id]);
+}
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -312,6 +312,16 @@
             (status == 200).then_some(())
         })
         .await;
+        // A target leaves meanwhile; the peer passes the list on as well.
+        site.announce("s1", "draining", 1);
+        eventually("requests go elsewhere", || async {
+            let before = site.services[0].runs();
+            for _ in 0..6 {
+                second.call("r", "GET", "/read/x").await;
+            }
+            (site.services[0].runs() == before).then_some(())
+        })
+        .await;
         // The proof is renewed through the peer for longer than a reading lasts.
         compio::time::sleep(Duration::from_millis(5_500)).await;
         assert_eq!(second.call("r", "GET", "/read/x").await.status, 200);
