Weigh fetches by the store's shared links

Cause: counted at the time of a fetch, a miss cost next to nothing, requests left the homes of their prefixes, and 60 to 100 fetches of 220 MB a second filled the store's link of 15 GB/s; after the restart of all instances answers took 1.5 s for ten seconds. Change: a fetch weighs three times its time in the choice, expected blocks are not counted twice, and an engine that was seen with the prompt within 1.5 s is the source instead of the store.

--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -1,7 +1,9 @@
 //! Choice of a target by expected time to the first token.
 
 use super::{Choice, ModelState, RouteRequest, Router};
-use crate::core::ids::Timestamp;
+use std::time::Duration;
+
+use crate::core::ids::{Fingerprint, Timestamp};
 use crate::core::routing::survey::{FirstLevel, Survey, SurveyInput};
 use crate::core::routing::{TargetIndex, rendezvous_score};
 
@@ -39,6 +41,10 @@
 const FETCH_START_S: f64 = 0.002;
 const FETCH_BLOCK_S: f64 = 0.003;
 
+/// Age of a belief up to which an engine is a better source than the store. Engines evict cached
+/// blocks within seconds, and a fetch from one that has none is followed by a whole prefill.
+const SOURCE_AGE: Duration = Duration::from_millis(1_500);
+
 impl Router {
     /// Chooses the target with the lowest expected time to the first token. `random` decides the
     /// alternatives. Targets without room are chosen only if all candidates are.
@@ -53,7 +59,7 @@
         let mut survey = std::mem::take(&mut self.survey);
         let mut choice = self.choose_with(&mut survey, request, random, now);
         if let (Some(choice), true) = (&mut choice, self.engines_fetch) {
-            choice.fetch_from = self.fetch_source(&survey, choice, now);
+            choice.fetch_from = self.fetch_source(request.blocks, &survey, choice, now);
         }
         self.survey = survey;
         choice
@@ -78,39 +84,32 @@
         better(request, best, more).or_else(|| self.choose_any(state, survey, request, now))
     }
 
-    /// The engine from which the chosen one should fetch what it lacks of the prompt: the deepest
-    /// believed holder, or else a member of the replica set if the chosen one is none.
-    ///
-    /// A fetch moves tokens a hundred times faster than an engine reads them, and a source that has
-    /// nothing costs a millisecond.
+    /// The engine from which the chosen one should fetch what it lacks of the prompt: one that has
+    /// been seen with more of it a moment ago. Other prompts are left to the store.
     fn fetch_source(
         &self,
+        blocks: &[Fingerprint],
         survey: &Survey,
         choice: &Choice,
         now: Timestamp,
     ) -> Option<TargetIndex> {
+        let deepest = *blocks.last()?;
+        if choice.cached_blocks as usize >= blocks.len() {
+            return None;
+        }
         let chosen = self.targets.get(choice.target);
-        let depth = |target: TargetIndex| {
-            let believed = survey.believed_blocks(target);
-            (believed, survey.home_blocks(target))
-        };
         let is_source = |target: &TargetIndex| {
             let state = self.targets.get(*target);
+            let seen = self.prefixes.last_use(deepest, *target, state.generation);
             *target != choice.target
+                && seen.is_some_and(|at| now.saturating_sub(at) < SOURCE_AGE)
                 && state.settings.is_some()
                 && now >= state.doubtful_until
                 && state.busy_until <= now
                 && state.share > 0.0
                 && state.reported.weights_hash == chosen.reported.weights_hash
         };
-        let candidates = survey.candidates.iter().copied();
-        let source = candidates
-            .filter(is_source)
-            .max_by_key(|target| depth(*target))?;
-        let (believed, home) = depth(source);
-        let is_deeper = believed > choice.cached_blocks
-            || (choice.cached_blocks == 0 && home > choice.home_blocks);
-        is_deeper.then_some(source)
+        survey.candidates.iter().copied().find(is_source)
     }
 
     /// Collects the candidates of a request: its replica sets, believed holders and random targets.
@@ -221,6 +220,11 @@
             .expected_blocks(cached_blocks, known_blocks, home_blocks);
         let total = request.prompt_bytes as f64 / f64::from(model.block_bytes);
         let missing = (total - f64::from(cached_blocks) - unseen_blocks).max(0.0);
+        let fetched = self.fetched_blocks(request, cached_blocks, unseen_blocks);
+        let fetch_s = match fetched > 0.0 {
+            true => FETCH_START_S + fetched * FETCH_BLOCK_S,
+            false => 0.0,
+        };
         let mut choice = Choice {
             target,
             cached_blocks,
@@ -229,13 +233,33 @@
             import_blocks: 0,
             fetch_from: None,
             wait_s,
-            prefill_s: missing * model.block_prefill_s,
+            prefill_s: (missing - fetched).max(0.0) * model.block_prefill_s + fetch_s,
+            fetch_s,
             has_room,
         };
         self.consider_transfer(model, request, &mut choice);
         choice
     }
 
+    /// Shared blocks that the engine is expected to fetch instead of reading them: those that were
+    /// seen before and that it lacks.
+    fn fetched_blocks(
+        &self,
+        request: &RouteRequest<'_>,
+        cached_blocks: u32,
+        unseen_blocks: f64,
+    ) -> f64 {
+        if !self.engines_fetch {
+            return 0.0;
+        }
+        let missing = &request.blocks[(cached_blocks as usize).min(request.blocks.len())..];
+        let known = missing
+            .iter()
+            .take_while(|block| self.prefixes.is_known(**block))
+            .count();
+        (known as f64 - unseen_blocks).max(0.0)
+    }
+
     /// Fills missing blocks from the KV cache store if that is cheaper than computing them. Only
     /// blocks of prefixes that were seen before can be in the store.
     fn consider_transfer(
@@ -244,23 +268,19 @@
         request: &RouteRequest<'_>,
         choice: &mut Choice,
     ) {
-        let (start_s, block_s) = match (self.has_kv_store, self.engines_fetch) {
-            (_, true) => (FETCH_START_S, FETCH_BLOCK_S),
-            (true, false) => (TRANSFER_START_S, TRANSFER_BLOCK_S),
-            (false, false) => return,
-        };
+        if !self.has_kv_store {
+            return;
+        }
         let missing = &request.blocks[(choice.cached_blocks as usize).min(request.blocks.len())..];
         let known = missing
             .iter()
             .take_while(|block| self.prefixes.is_known(**block))
             .count();
-        let transfer_s = start_s + known as f64 * block_s;
+        let transfer_s = TRANSFER_START_S + known as f64 * TRANSFER_BLOCK_S;
         let compute_s = known as f64 * model.block_prefill_s;
         if transfer_s < compute_s {
-            if !self.engines_fetch {
-                choice.import_blocks = choice.cached_blocks + known as u32;
-            }
-            choice.prefill_s = (choice.prefill_s + transfer_s - compute_s).max(0.0);
+            choice.import_blocks = choice.cached_blocks + known as u32;
+            choice.prefill_s += transfer_s - compute_s;
         }
     }
 
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -20,6 +20,10 @@
 /// other requests at the target and evicts their blocks.
 const PREFILL_WEIGHT: f64 = 1.3;
 
+/// Further weight of a fetch. All engines share the links of the store, which a site's long prompts
+/// would fill if each request fetched its shared parts.
+const FETCH_WEIGHT: f64 = 2.0;
+
 /// A request as the router sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct RouteRequest<'a> {
@@ -59,6 +63,8 @@
     pub wait_s: f64,
     /// Expected time of the prefill or the transfer, in seconds.
     pub prefill_s: f64,
+    /// Part of `prefill_s` in which the target fetches blocks.
+    pub fetch_s: f64,
     /// Whether the target has room now.
     pub has_room: bool,
 }
@@ -71,7 +77,7 @@
 
     /// Cost by which choices are compared, in seconds.
     pub fn cost_s(&self) -> f64 {
-        self.wait_s + PREFILL_WEIGHT * self.prefill_s
+        self.wait_s + PREFILL_WEIGHT * self.prefill_s + FETCH_WEIGHT * self.fetch_s
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -307,7 +307,7 @@
             weights,
             cache_salt: format!("{version}/{wall}"),
             priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
-            fetch_from: store.or_else(|| self.fetch_source(weights)),
+            fetch_from: self.fetch_source(weights).or(store),
             save_to: store,
         })
     }
