--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod peer;
 mod plain;
 mod platform_format;
+mod platform_names;
 mod platform_path;
 mod queue;
 mod quota;
