Remove fields that nothing reads and share one accept loop

Cause: the configuration of the platform was decoded into bounds that nothing used, and three listeners had the same loop. Change: util::http::serve_listener serves readiness, metrics and readings for peers; the unused fields are gone.

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -12,7 +12,7 @@
 pub use freshness::{Freshness, Proof};
 pub use policy::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
-    RequestLimits, ServiceShare,
+    ServiceShare,
 };
 pub use records::{TargetAddress, TargetRecord};
 pub use state::{FleetState, Naming, model_key};
--- a/src/jujubelink/core/fleet/policy.rs
+++ b/src/jujubelink/core/fleet/policy.rs
@@ -71,10 +71,6 @@
 /// What a model engine offers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineTraits {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that the memory holds, of running requests and cached prompts.
-    pub memory_tokens: Tokens,
     /// Models that the engines serve.
     pub models: Vec<ModelId>,
 }
@@ -82,8 +78,6 @@
 /// A service of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PolicyService {
-    /// Connections that one target accepts from all callers together.
-    pub max_connections: u32,
     /// Set if the targets are model engines.
     pub engine: Option<EngineTraits>,
     /// Set if the service is a store of KV cache.
@@ -116,17 +110,6 @@
     pub is_walled: bool,
 }
 
-/// Bounds on what a client may send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RequestLimits {
-    /// Largest headers, in bytes.
-    pub header_bytes: usize,
-    /// Largest body, in bytes.
-    pub body_bytes: usize,
-    /// Time after which an idle connection may be closed.
-    pub idle: Duration,
-}
-
 /// A configuration, indexed for requests. Immutable.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetPolicy {
@@ -140,8 +123,8 @@
     pub workspaces: BTreeMap<WorkspaceId, PolicyWorkspace>,
     /// Workspaces by the SHA-256 of their keys.
     pub keys: HashMap<KeyHash, WorkspaceId>,
-    /// Bounds on clients.
-    pub limits: RequestLimits,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
 }
 
 impl FleetPolicy {
--- a/src/jujubelink/core/relay/answer.rs
+++ b/src/jujubelink/core/relay/answer.rs
@@ -19,8 +19,6 @@
     pub load: Option<(u32, u32, u32)>,
     /// Weights that made the answer.
     pub weights: Option<u64>,
-    /// Whether the target closes its connections, as one that leaves does.
-    pub is_closing: bool,
 }
 
 /// What an answer means for its request.
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -107,7 +107,7 @@
         let route = Rc::clone(&admission.route);
         let patience = self.head.patience.unwrap_or(route.timeout);
         self.deadline = self.arrived + patience.min(route.timeout);
-        let body_limit = admission.policy.limits.body_bytes;
+        let body_limit = admission.policy.max_body_bytes;
         let service = admission.service.clone();
         self.admission = Some(admission);
         self.relay.with_budget(&service, |budget| {
--- a/src/jujubelink/ops/proxy/relay/ready.rs
+++ b/src/jujubelink/ops/proxy/relay/ready.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use http::{Request, Response, StatusCode};
@@ -12,12 +11,9 @@
 use crate::ops::kernel::{Context, Lifecycle, Plugin, PluginEntry, PluginScope};
 use crate::ops::share::Peers;
 use crate::platform::READY_PATH;
-use crate::util::http::{Body, Handler, ServerOptions, empty, serve_connection};
+use crate::util::http::{Body, Handler, empty, serve_listener};
 use crate::util::net::Listener;
 
-/// Pause after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 inventory::submit! {
     PluginEntry::new(|| Box::new(ReadyPlugin)).with_scope(PluginScope::FleetStore)
 }
@@ -39,33 +35,15 @@
             fleet,
             peers: context.service(),
         };
-        compio::runtime::spawn(accept(handler, listener)).detach();
+        let log = context.log().clone();
+        let served = serve_listener(listener, handler, move |error| {
+            slog::warn!(log, "cannot accept a readiness check"; "error" => %error);
+        });
+        compio::runtime::spawn(served).detach();
         Ok(())
     }
 }
 
-async fn accept(handler: ReadyHandler, listener: Listener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let handler = handler.clone();
-                compio::runtime::spawn(async move {
-                    let never = std::future::pending();
-                    // A questioner that breaks its connection asks again.
-                    let options = ServerOptions::default();
-                    let _ = serve_connection(stream, handler, options, never).await;
-                })
-                .detach();
-            }
-            Err(error) => {
-                slog::warn!(handler.context.log(), "cannot accept a readiness check";
-                    "error" => %error);
-                handler.context.timers().sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 #[derive(Clone)]
 struct ReadyHandler {
     context: Context,
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -10,16 +10,15 @@
 
 use super::message::ShareMessage;
 use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
-use crate::ops::kernel::Context;
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
-use crate::util::http::{Body, Handler, ServerOptions, empty, full, serve_connection};
+use crate::util::http::{Body, Handler, empty, full, serve_listener};
 use crate::util::net::{Datagram, Listener};
 
 /// Receive buffer, above the largest datagram.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Pause after a failed receive or accept.
+/// Pause after a failed receive.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time between listings of the instances. A new instance makes itself heard to all that it finds
@@ -113,27 +112,12 @@
 }
 
 /// Serves the configuration and the list of targets to peers that cannot reach the store.
-pub(super) async fn serve_readings(context: Context, peers: Rc<Peers>, listener: Listener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let handler = ReadingsHandler(Rc::clone(&peers));
-                let shutdown = context.shutdown().clone();
-                compio::runtime::spawn(async move {
-                    let drain = async move { shutdown.closing().await };
-                    let options = ServerOptions::default();
-                    // A peer that breaks its connection asks again.
-                    let _ = serve_connection(stream, handler, options, drain).await;
-                })
-                .detach();
-            }
-            Err(error) => {
-                slog::warn!(context.log(), "cannot accept a connection of an instance";
-                    "error" => %error);
-                context.timers().sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
+pub(super) async fn serve_readings(peers: Rc<Peers>, listener: Listener) {
+    let log = peers.context.log().clone();
+    serve_listener(listener, ReadingsHandler(peers), |error| {
+        slog::warn!(log, "cannot accept a connection of an instance"; "error" => %error);
+    })
+    .await;
 }
 
 #[derive(Clone)]
--- a/src/jujubelink/ops/share/plugin.rs
+++ b/src/jujubelink/ops/share/plugin.rs
@@ -52,7 +52,7 @@
         spawn(exchange::send(Rc::clone(&peers), socket));
         spawn(exchange::keep_listed(Rc::clone(&peers), own));
         spawn(exchange::follow_limits(Rc::clone(&peers)));
-        spawn(exchange::serve_readings(context.clone(), peers, listener));
+        spawn(exchange::serve_readings(peers, listener));
         Ok(())
     }
 }
--- a/src/jujubelink/ops/telemetry/served.rs
+++ b/src/jujubelink/ops/telemetry/served.rs
@@ -5,7 +5,6 @@
 use std::future::Future;
 use std::io;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use cadence::MetricSink;
@@ -14,7 +13,7 @@
 use hyper::body::Incoming;
 
 use crate::ops::kernel::{Context, Plugin, PluginEntry};
-use crate::util::http::{Body, Handler, ServerOptions, full, serve_connection};
+use crate::util::http::{Body, Handler, full, serve_listener};
 use crate::util::net::Listener;
 
 /// Names that are kept; further ones are not counted.
@@ -29,9 +28,6 @@
 /// Quantiles that are told of each histogram.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
-/// Pause after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 #[derive(Debug)]
 enum Held {
     Counter(u64),
@@ -135,33 +131,15 @@
         };
         let listener = Listener::bind(address)
             .with_context(|| format!("listen for questions about metrics on {address}"))?;
-        compio::runtime::spawn(accept(context.clone(), served, listener)).detach();
+        let log = context.log().clone();
+        let answers = serve_listener(listener, MetricsHandler(served), move |error| {
+            slog::warn!(log, "cannot accept a question about metrics"; "error" => %error);
+        });
+        compio::runtime::spawn(answers).detach();
         Ok(())
     }
 }
 
-async fn accept(context: Context, served: ServedMetrics, listener: Listener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let handler = MetricsHandler(served.clone());
-                compio::runtime::spawn(async move {
-                    let never = std::future::pending();
-                    // A questioner that breaks its connection asks again.
-                    let options = ServerOptions::default();
-                    let _ = serve_connection(stream, handler, options, never).await;
-                })
-                .detach();
-            }
-            Err(error) => {
-                slog::warn!(context.log(), "cannot accept a question about metrics";
-                    "error" => %error);
-                context.timers().sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 #[derive(Clone)]
 struct MetricsHandler(ServedMetrics);
 
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -9,14 +9,12 @@
 
 use crate::core::fleet::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
-    RequestLimits, ServiceShare,
+    ServiceShare,
 };
 use crate::util::hash::sha256_hex;
 
 /// Bounds that hold if the configuration names none.
-const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
-const DEFAULT_IDLE_MS: f64 = 15_000.0;
 const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
 const DEFAULT_OBJECTIVE_MS: f64 = 1_000.0;
 const DEFAULT_EVENT_GAP_MS: f64 = 1_000.0;
@@ -64,17 +62,12 @@
 #[derive(Deserialize)]
 struct Service {
     name: String,
-    max_connections: Option<u32>,
     engine: Option<Engine>,
     kv_store_addr: Option<SocketAddr>,
 }
 
 #[derive(Deserialize)]
 struct Engine {
-    #[serde(default)]
-    slots: u32,
-    #[serde(default)]
-    kv_capacity: f64,
     #[serde(default)]
     models: Vec<EngineModel>,
 }
@@ -104,9 +97,7 @@
 
 #[derive(Default, Deserialize)]
 struct Limits {
-    max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
-    idle_timeout_ms: Option<f64>,
 }
 
 /// Decodes a configuration.
@@ -125,7 +116,6 @@
     }
     let services = document.services.into_iter().map(|service| {
         let held = PolicyService {
-            max_connections: service.max_connections.unwrap_or(u32::MAX),
             engine: service.engine.map(decode_engine),
             kv_store: service.kv_store_addr,
         };
@@ -140,18 +130,13 @@
         }
         workspaces.insert(name, decode_workspace(&tenant));
     }
-    let limits = document.limits;
     Ok(FleetPolicy {
         version: document.version,
         routes,
         services: services.collect(),
         workspaces,
         keys,
-        limits: RequestLimits {
-            header_bytes: limits.max_header_bytes.unwrap_or(DEFAULT_HEADER_BYTES),
-            body_bytes: limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
-            idle: duration_ms(limits.idle_timeout_ms, DEFAULT_IDLE_MS),
-        },
+        max_body_bytes: document.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
     })
 }
 
@@ -198,8 +183,6 @@
 fn decode_engine(engine: Engine) -> EngineTraits {
     let models = engine.models.into_iter().map(|model| model.name.into());
     EngineTraits {
-        slots: engine.slots,
-        memory_tokens: engine.kv_capacity as u64,
         models: models.collect(),
     }
 }
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -144,7 +144,6 @@
         let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
         Some((numbers.next()??, numbers.next()??, numbers.next()??))
     });
-    let connection = text(headers, "connection").unwrap_or_default();
     AnswerHead {
         status,
         request_id: text(headers, ATTEMPT_ID).map(str::to_owned),
@@ -153,7 +152,6 @@
         target: text(headers, TARGET_ID).map(str::to_owned),
         load,
         weights: text(headers, WEIGHTS).and_then(|value| value.trim().parse().ok()),
-        is_closing: connection.eq_ignore_ascii_case("close"),
     }
 }
 
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -9,4 +9,4 @@
 pub use body::{Body, BodyError, collect_limited, discard, empty, full, hold};
 pub use client::{Client, ClientError, ConnectionMark, RequestOptions, SendFailure};
 pub use executor::LocalExecutor;
-pub use server::{Handler, ServerOptions, serve_connection};
+pub use server::{Handler, ServerOptions, serve_connection, serve_listener};
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -16,10 +16,14 @@
 use hyper_util::server::conn::auto::Builder;
 
 use super::{Body, LocalExecutor};
+use crate::util::net::Listener;
 
 /// Time for the first request of a connection that is open when the stop begins.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
 
+/// Pause after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Time between looks for the first request.
 const FIRST_REQUEST_POLL: Duration = Duration::from_millis(20);
 
@@ -60,6 +64,33 @@
     }
 }
 
+/// Serves all connections of a listener, each until it ends. `report` hears of failed accepts, which
+/// are usually a lack of descriptors.
+pub async fn serve_listener<H: Handler>(
+    listener: Listener,
+    handler: H,
+    report: impl Fn(&std::io::Error),
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = handler.clone();
+                compio::runtime::spawn(async move {
+                    let options = ServerOptions::default();
+                    // A caller that breaks its connection asks again.
+                    let _ =
+                        serve_connection(stream, handler, options, std::future::pending()).await;
+                })
+                .detach();
+            }
+            Err(error) => {
+                report(&error);
+                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Serves one connection until it ends. When `drain` completes, requests under way are answered
 /// and the connection is closed.
 pub async fn serve_connection<I, H>(
