--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -75,13 +75,16 @@
 
     /// Units admitted in the busiest window.
     fn busiest(&self, window_ms: u64) -> u64 {
-        let starts = self.admitted.iter().map(|(at, _)| *at);
-        let sum = |start: u64| {
-            let inside = self.admitted.iter();
-            let inside = inside.filter(|(at, _)| (start..start + window_ms).contains(at));
-            inside.map(|(_, units)| units).sum::<u64>()
-        };
-        starts.map(sum).max().unwrap_or(0)
+        let (mut first, mut inside, mut busiest) = (0, 0, 0);
+        for (at, units) in &self.admitted {
+            inside += units;
+            while self.admitted[first].0 + window_ms <= *at {
+                inside -= self.admitted[first].1;
+                first += 1;
+            }
+            busiest = busiest.max(inside);
+        }
+        busiest
     }
 }
 
