Remove what the rollout and the relay do not use

Cause: read once more, the rollout had a method without callers and a count of running requests that was always 0, and a refusal took a whole head to name its id; a test had the same wait twice. Change: these are gone; engines are ordered by weights and name, as they were in effect. Behaviour and assertions are unchanged.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -1,6 +1,6 @@
 //! Choice of the engine that gets the next order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
@@ -14,8 +14,6 @@
     pub incarnation: Incarnation,
     /// Weights that it is believed to have.
     pub version: u64,
-    /// Requests of this instance at the engine, by which idle engines go first.
-    pub running: u32,
 }
 
 /// Limits of a rollout.
@@ -127,8 +125,8 @@
             .filter(|engine| !self.pending.contains_key(&engine.id))
             .filter(|engine| !self.paused.contains_key(&engine.id))
             .collect();
-        // Idle engines finish their runs first, and the oldest weights are worth least.
-        waiting.sort_by_key(|engine| (engine.running, engine.version, engine.id.clone()));
+        // The oldest weights are worth least.
+        waiting.sort_by_key(|engine| (engine.version, engine.id.clone()));
         let free = self.terms.max_loading.saturating_sub(self.pending.len());
         for engine in waiting.into_iter().take(free) {
             self.pending.insert(
@@ -178,9 +176,4 @@
             self.pending.remove(target);
         }
     }
-
-    /// Orders under way at engines that are no longer there are forgotten.
-    pub fn retain(&mut self, targets: &BTreeSet<TargetId>) {
-        self.pending.retain(|id, _| targets.contains(id));
-    }
 }
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -92,10 +92,6 @@
         self.proxy.context.timers().boot_now()
     }
 
-    pub(super) fn into_head(self) -> RelayHead {
-        self.head.clone()
-    }
-
     pub(super) fn admission(&self) -> Result<&Admission, Refusal> {
         let admission = self.admission.as_ref();
         admission.ok_or_else(|| Refusal::not_run(RefusalCode::Internal, "not admitted"))
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -23,9 +23,8 @@
 use super::handler::Proxy;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use crate::core::fleet::model_key;
-use crate::core::ids::TargetId;
+use crate::core::ids::{RequestId, TargetId};
 use crate::core::quota::{ResendBudget, ResendPolicy};
-use crate::core::relay::RelayHead;
 use crate::core::routing::LoadReport;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
@@ -119,23 +118,23 @@
                 Ok(response) => Ok(response.into_response(exchange)),
                 Err(refusal) => {
                     exchange.log_refusal(&refusal);
-                    Err((refusal, Some(exchange.into_head())))
+                    Err((refusal, exchange.head.id.clone()))
                 }
             }
         }
         Err(fault) => {
             slog::info!(proxy.context.log(), "request malformed"; "fault" => &fault);
             let refusal = Refusal::not_run(RefusalCode::InvalidRequest, fault);
-            Err((refusal, None))
+            Err((refusal, "".into()))
         }
     };
     let mut response = match result {
         Ok(response) => response,
-        Err((refusal, head)) => {
+        Err((refusal, id)) => {
             if let Some(unread) = body {
                 discard(unread).await;
             }
-            refusal_response(&refusal, head.as_ref())
+            refusal_response(&refusal, &id)
         }
     };
     if !proxy.is_running() && version <= Version::HTTP_11 {
@@ -147,8 +146,7 @@
 
 /// A refusal in the product's error format. A status that promises that the request has not run is
 /// sent only if that is so.
-fn refusal_response(refusal: &Refusal, head: Option<&RelayHead>) -> Response<Body> {
-    let id = head.map_or("", |head| &*head.id);
+fn refusal_response(refusal: &Refusal, id: &RequestId) -> Response<Body> {
     let mut response = refusal.to_response(id);
     let status = match (refusal.outcome, refusal.code) {
         (Outcome::NotRun, RefusalCode::Quarantined) => http::StatusCode::SERVICE_UNAVAILABLE,
--- a/src/jujubelink/ops/rollout/run.rs
+++ b/src/jujubelink/ops/rollout/run.rs
@@ -160,7 +160,6 @@
                             id: record.id.clone(),
                             incarnation: record.incarnation,
                             version: state.weights_of(record, model)?,
-                            running: 0,
                         })
                     })
                     .collect();
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -318,14 +318,7 @@
         .await;
         // A target leaves meanwhile; the peer passes the list on as well.
         site.announce("s1", "draining", 1);
-        eventually("requests go elsewhere", || async {
-            let before = site.services[0].runs();
-            for _ in 0..6 {
-                second.call("r", "GET", "/read/x").await;
-            }
-            (site.services[0].runs() == before).then_some(())
-        })
-        .await;
+        requests_leave(&site.services[0], &second).await;
         // The proof is renewed through the peer for longer than a reading lasts.
         compio::time::sleep(Duration::from_millis(5_500)).await;
         assert_eq!(second.call("r", "GET", "/read/x").await.status, 200);
@@ -333,6 +326,18 @@
     });
 }
 
+/// Waits until six requests in a row go to other targets.
+async fn requests_leave(target: &FleetTarget, node: &Node) {
+    eventually("requests go elsewhere", || async {
+        let before = target.runs();
+        for _ in 0..6 {
+            node.call("r", "GET", "/read/x").await;
+        }
+        (target.runs() == before).then_some(())
+    })
+    .await;
+}
+
 fn plan(faults: &FaultPlan, next: &[Option<TargetFault>]) {
     faults.borrow_mut().extend(next.iter().copied());
 }
@@ -421,14 +426,7 @@
     run(async {
         let (site, node) = Site::started("").await;
         site.announce("s1", "draining", 1);
-        eventually("requests go elsewhere", || async {
-            let before = site.services[0].runs();
-            for _ in 0..6 {
-                node.call("r", "GET", "/read/x").await;
-            }
-            (site.services[0].runs() == before).then_some(())
-        })
-        .await;
+        requests_leave(&site.services[0], &node).await;
         // The history is forgotten meanwhile; the list tells what the watch missed.
         site.store.compact();
         site.announce("s1", "ready", 2);
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -205,7 +205,6 @@
         id: id.into(),
         incarnation: 1,
         version,
-        running: 0,
     }
 }
 
