Share a limit only among instances with the same contacts

Cause: an instance took all that its contacts left unused. Where two instances do not hear each other and a third hears both, each of the two took what the third left.

Change: messages bear a digest of the sender's contacts. What is left unused is shared only by instances that hear each other and have the same contacts; each other peer has its fair share set aside. Reports of such a peer count once both share again, against what the group it was in had set aside, so that nothing is taken off twice.

New tests play changing cuts, and the share that an instance has during and after a cut.

--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -25,17 +25,19 @@
 struct Peer {
     incarnation: Incarnation,
     total: u64,
-    /// Whether both hear each other.
-    is_in_contact: bool,
-    /// Units taken off for the peer while it was not in contact, which its next report may explain.
+    /// Since when the instances share the limit; `None` while they do not.
+    shares_since: Option<Timestamp>,
+    /// Units taken off for the peer while the limit was not shared with it. Reports may explain them
+    /// until [`SETTLE_TIME`] after sharing began again.
     assumed: f64,
 }
 
 /// Bucket of one workspace as one instance sees it.
 ///
-/// Invariant: over any time, the units that this instance lets pass, those that peers in contact
-/// report, and the fair share of each peer out of contact sum up to no more than the rate and one
-/// burst, plus what is under way between instances.
+/// Invariant: over any time, the units that this instance lets pass, those that peers report which it
+/// shares with, and the fair share of each other peer sum up to no more than the rate and one burst,
+/// plus what is under way between instances. Sharing is mutual and transitive, so that each group of
+/// instances keeps to the sum of its fair shares.
 #[derive(Debug, Clone)]
 pub struct SharedBucket {
     rate_per_s: f64,
@@ -81,8 +83,8 @@
         self.level
     }
 
-    /// Takes the peers of the fleet, and whether each is in mutual contact. A peer that is new starts
-    /// out of contact.
+    /// Takes the peers of the fleet, and whether the limit is shared with each. A peer that is new
+    /// starts without.
     pub fn set_peers<'a>(
         &mut self,
         peers: impl Iterator<Item = (&'a InstanceId, bool)>,
@@ -90,15 +92,16 @@
     ) {
         self.advance(now);
         let mut kept = BTreeMap::new();
-        for (id, is_in_contact) in peers {
+        for (id, is_sharing) in peers {
             let mut peer = self.peers.remove(id).unwrap_or_default();
-            peer.is_in_contact = is_in_contact;
+            peer.shares_since = is_sharing.then(|| peer.shares_since.unwrap_or(now));
             kept.insert(id.clone(), peer);
         }
         self.peers = kept;
     }
 
-    /// Takes a peer's report.
+    /// Takes a peer's report. While the limit is not shared with the peer, its fair share stands for
+    /// what it uses, and the report counts once they share again.
     pub fn on_report(&mut self, id: &InstanceId, used: PeerUse, now: Timestamp) {
         self.advance(now);
         let Some(peer) = self.peers.get_mut(id) else {
@@ -111,11 +114,30 @@
             peer.incarnation = used.incarnation;
             peer.total = if is_first { used.total } else { 0 };
         }
+        if peer.shares_since.is_none() {
+            return;
+        }
         let news = used.total.saturating_sub(peer.total) as f64;
         peer.total = peer.total.max(used.total);
         let explained = news.min(peer.assumed);
-        peer.assumed = 0.0;
-        self.level -= news - explained;
+        peer.assumed -= explained;
+        self.level -= news - explained - self.take_assumed(news - explained);
+    }
+
+    /// Takes up to `units` of what was assumed of peers that share again. A group of peers shares its
+    /// fair shares, so that one of them may have used those of the others.
+    fn take_assumed(&mut self, units: f64) -> f64 {
+        let mut missing = units;
+        let sharing = self
+            .peers
+            .values_mut()
+            .filter(|peer| peer.shares_since.is_some());
+        for peer in sharing {
+            let taken = missing.min(peer.assumed);
+            peer.assumed -= taken;
+            missing -= taken;
+        }
+        units - missing
     }
 
     /// Charges a request of `units`. One that is larger than the burst waits for a full bucket.
@@ -154,9 +176,15 @@
             return;
         }
         let mut reserved = 0.0;
-        for peer in self.peers.values_mut().filter(|peer| !peer.is_in_contact) {
-            peer.assumed += share;
-            reserved += share;
+        for peer in self.peers.values_mut() {
+            match peer.shares_since {
+                None => {
+                    peer.assumed += share;
+                    reserved += share;
+                }
+                Some(since) if now.saturating_sub(since) > SETTLE_TIME => peer.assumed = 0.0,
+                Some(_) => {}
+            }
         }
         self.level = (self.level + accrued - reserved).min(self.burst);
     }
@@ -166,5 +194,9 @@
 /// several times a second.
 const MAX_SILENCE_S: f64 = 1.0;
 
+/// Time after which the reports of all peers that were out of reach together have arrived. Instances
+/// talk several times a second.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Longest wait that a client is told, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 30.0;
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -109,6 +109,9 @@
     /// Time since the start of the sender.
     #[prost(uint64, tag = "14")]
     pub(super) uptime_ms: u64,
+    /// Digest of the instances that the sender is in contact with, itself included.
+    #[prost(fixed64, tag = "15")]
+    pub(super) contact_digest: u64,
     /// Whether the sender stops.
     #[prost(bool, tag = "12")]
     pub(super) is_leaving: bool,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -13,7 +13,7 @@
 use super::message::{Heard, Loading, ModelWeights, ShareMessage, Suspect, WorkspaceUse};
 use crate::core::fleet::{Naming, Proof};
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
-use crate::core::quota::PeerUse;
+use crate::core::quota::{PeerUse, contact_digest};
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::services::{
@@ -33,6 +33,10 @@
 /// Periods without an echo after which a peer is out of contact. Datagrams are lost at times.
 const CONTACT_PERIODS: u32 = 4;
 
+/// Periods without agreement on who is in contact after which a limit is not shared any more. Each
+/// instance notices a lost or new peer in another period.
+const AGREEMENT_PERIODS: u32 = 6;
+
 /// Silence after which an instance is taken for removed for good, longer than any freeze or partition
 /// that machines come back from.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -81,6 +85,8 @@
     echoed_at: Timestamp,
     config_version: ConfigVersion,
     proof: Option<Proof>,
+    /// When a message last showed that the peer is in contact with the same instances as this one.
+    agreed_at: Option<Timestamp>,
     is_leaving: bool,
     /// When the peer's process started.
     started_at: Timestamp,
@@ -148,6 +154,24 @@
         is_recent(peer.heard_at) && is_recent(peer.echoed_at) && !peer.is_leaving
     }
 
+    /// Whether what one of the two leaves unused of a limit is the other's to use.
+    fn is_sharing(&self, peer: &Peer, now: Timestamp) -> bool {
+        let is_agreed = peer
+            .agreed_at
+            .is_some_and(|at| now.saturating_sub(at) < self.period() * AGREEMENT_PERIODS);
+        is_agreed && self.is_in_contact(peer, now)
+    }
+
+    /// Digest of the instances in contact, this one included.
+    fn contact_digest(&self, now: Timestamp) -> u64 {
+        let table = self.table.borrow();
+        let in_contact = table
+            .iter()
+            .filter(|(_, peer)| self.is_in_contact(peer, now))
+            .map(|(name, _)| name);
+        contact_digest(in_contact.chain([&self.name]))
+    }
+
     /// Whether the instances of the fleet are known; until then limits cannot be shared.
     pub fn is_listed(&self) -> bool {
         self.is_listed.get()
@@ -303,7 +327,7 @@
         let table = self.table.borrow();
         let contacts: Vec<(InstanceId, bool)> = table
             .iter()
-            .map(|(name, peer)| (name.clone(), self.is_in_contact(peer, now)))
+            .map(|(name, peer)| (name.clone(), self.is_sharing(peer, now)))
             .collect();
         drop(table);
         self.buckets.set_peers(&contacts, now);
@@ -353,6 +377,7 @@
             suspects: repeated(&self.suspects, now),
             loading: self.loading.borrow().clone(),
             uptime_ms: ms(now.saturating_sub(self.started_at)),
+            contact_digest: self.contact_digest(now),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
         }
     }
@@ -411,6 +436,10 @@
             }
         }
         drop(table);
+        let is_agreed = message.contact_digest == self.contact_digest(now);
+        if is_agreed && let Some(peer) = self.table.borrow_mut().get_mut(&name) {
+            peer.agreed_at = Some(now);
+        }
         self.refresh_contacts();
         for used in &message.uses {
             let report = PeerUse {
@@ -533,6 +562,7 @@
             echoed_at: Timestamp::ZERO,
             config_version: 0,
             proof: None,
+            agreed_at: None,
             is_leaving: false,
             started_at: Timestamp::ZERO,
         }
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jujubelink::core::ids::InstanceId;
-use jujubelink::core::quota::{PeerUse, ResendBudget, ResendPolicy, SharedBucket};
+use jujubelink::core::quota::{PeerUse, ResendBudget, ResendPolicy, SharedBucket, contact_digest};
 use proptest::prelude::*;
 
 use crate::support::fixed_seed;
@@ -44,13 +44,29 @@
         !self.cut.contains(&(listener, speaker))
     }
 
-    /// Contact is mutual: a message names whom its sender hears.
+    /// Instances that `own` hears and that hear it, itself included.
+    fn contacts(&self, own: usize) -> Vec<InstanceId> {
+        (0..self.buckets.len())
+            .filter(|peer| self.hears(own, *peer) && self.hears(*peer, own))
+            .map(name)
+            .collect()
+    }
+
+    /// A message names whom its sender hears and bears the digest of its contacts.
     fn tell(&mut self, now_ms: u64) {
         let totals: Vec<u64> = self.buckets.iter().map(SharedBucket::total).collect();
+        let contacts: Vec<_> = (0..totals.len()).map(|own| self.contacts(own)).collect();
+        let digests: Vec<u64> = contacts
+            .iter()
+            .map(|set| contact_digest(set.iter()))
+            .collect();
         for own in 0..self.buckets.len() {
             let peers: Vec<(InstanceId, bool)> = (0..totals.len())
                 .filter(|peer| *peer != own)
-                .map(|peer| (name(peer), self.hears(own, peer) && self.hears(peer, own)))
+                .map(|peer| {
+                    let is_in_contact = contacts[own].contains(&name(peer));
+                    (name(peer), is_in_contact && digests[own] == digests[peer])
+                })
                 .collect();
             let heard: Vec<usize> = (0..totals.len())
                 .filter(|peer| *peer != own && self.hears(own, *peer))
@@ -135,6 +151,63 @@
     assert!(busiest <= limit, "{busiest} of {limit}");
 }
 
+/// Guards against the same while cuts begin, change and heal.
+#[test]
+fn changing_cuts_keep_to_the_limit() {
+    let cuts = [
+        vec![],
+        vec![(4, 2), (1, 0), (2, 4)],
+        vec![(0, 3), (3, 0), (1, 3)],
+        vec![],
+    ];
+    let mut fleet = Fleet::new(5, Vec::new());
+    for now_ms in 0..40_000u64 {
+        if now_ms % 200 == 0 {
+            fleet
+                .cut
+                .clone_from(&cuts[now_ms as usize / 3_000 % cuts.len()]);
+            fleet.tell(now_ms);
+        }
+        if now_ms % 5 == 0 {
+            for own in 0..5 {
+                fleet.ask(own, 10, now_ms);
+            }
+        }
+    }
+    let limit = RATE * 8.0 + BURST + 10.0 * RATE * 0.2 + 50.0;
+    let busiest = fleet.busiest(8_000) as f64;
+    assert!(busiest <= limit, "{busiest} of {limit}");
+}
+
+/// Guards against an instance that refuses for seconds after a cut heals, since it counts both the
+/// fair shares that it set aside and what a peer used of them.
+#[test]
+fn an_instance_serves_its_share_during_a_cut_and_all_after_it() {
+    let mut fleet = Fleet::new(5, vec![(0, 4), (4, 0)]);
+    let mut admitted = [0u64; 2];
+    for now_ms in 0..12_000u64 {
+        if now_ms == 10_000 {
+            fleet.cut.clear();
+        }
+        if now_ms % 200 == 0 {
+            fleet.tell(now_ms);
+        }
+        if now_ms % 10 == 0 {
+            // One of the three that hear everybody uses all that they share.
+            fleet.ask(1, 10, now_ms);
+        }
+        if now_ms % 50 == 0 {
+            let before = fleet.buckets[0].total();
+            fleet.ask(0, 10, now_ms);
+            admitted[usize::from(now_ms >= 10_000)] += fleet.buckets[0].total() - before;
+        }
+    }
+    // Its fair share is 200 a second, which is what it asks for.
+    assert!(admitted[0] >= 1_900, "{} of 2,000 units", admitted[0]);
+    // After the cut it competes with an instance that asks for all of the limit.
+    assert!(admitted[1] >= 60, "{} units in 2 s", admitted[1]);
+}
+
 /// Guards against refusals within the limit: one instance may use all of it while the others use
 /// nothing and say so.
 #[test]
