Do not let an instance witness its own session

Cause: the seeds of all instances may name the same addresses, also the instance's own. Until it knows members, an instance took each seed that answered for a witness, so itself too. Traced from a new log line beside three busy loops: 'vouch refused' names the incarnation that was asked, which was the holder's own.

Change: the own address is left out of the seeds. A witness logs refused vouches and requests to deny.

--- a/src/jujubelink/ops/sessions/peers.rs
+++ b/src/jujubelink/ops/sessions/peers.rs
@@ -123,7 +123,18 @@
 
     /// Whether the settings name seeds, none of which has answered yet.
     pub fn is_waiting_for_seeds(&self) -> bool {
-        !self.context.settings().instance.seeds.is_empty() && self.all().is_empty()
+        self.seed_names().next().is_some() && self.all().is_empty()
+    }
+
+    /// Addresses of the seeds but for this instance's own, which all instances may have in their
+    /// settings. An instance is no witness of its own session.
+    fn seed_names(&self) -> impl Iterator<Item = InstanceId> {
+        let own = &self.context.settings().instance;
+        own.seeds
+            .iter()
+            .map(|seed| seed.to_string())
+            .filter(|seed| *seed != own.peer_address.to_string())
+            .map(InstanceId::from)
     }
 
     /// Calls the seeds while the membership plug-in knows no members.
@@ -131,10 +142,7 @@
         loop {
             let members = self.context.service::<dyn MemberService>().members();
             if members.is_empty() {
-                let seeds = &self.context.settings().instance.seeds;
-                let probes = seeds
-                    .iter()
-                    .map(|seed| self.probe(calls, seed.to_string().into()));
+                let probes = self.seed_names().map(|seed| self.probe(calls, seed));
                 futures_util::future::join_all(probes).await;
             }
             self.context.timers().sleep(PROBE_EVERY).await;
--- a/src/jujubelink/ops/sessions/service.rs
+++ b/src/jujubelink/ops/sessions/service.rs
@@ -94,8 +94,10 @@
     /// Answers a request to vouch.
     pub fn on_vouch(&self, session: &SessionId, asked: Incarnation) -> bool {
         let is_vouched = self.witness.borrow().on_vouch(session, asked);
-        if is_vouched {
-            self.note_vouch(session);
+        match is_vouched {
+            true => self.note_vouch(session),
+            false => slog::info!(self.context.log(), "vouch refused";
+                "session" => %session, "asked" => asked, "own" => self.context.incarnation()),
         }
         is_vouched
     }
@@ -118,7 +120,11 @@
         let now = self.now();
         let last = self.recent_vouches.borrow().get(session).copied();
         let is_alive = last.is_some_and(|at| now < at + LeaseTimes::default().vouch_validity);
-        !is_alive && self.witness.borrow_mut().on_deny(session, asked)
+        let is_denied = !is_alive && self.witness.borrow_mut().on_deny(session, asked);
+        slog::info!(self.context.log(), "asked to deny a session"; "session" => %session,
+            "last_vouch_ago_ms" => last.map(|at| now.saturating_sub(at).as_millis() as u64),
+            "asked" => asked, "own" => self.context.incarnation(), "is_denied" => is_denied);
+        is_denied
     }
 
     pub(super) fn now(&self) -> Timestamp {
