Save a prompt only while the cache store lacks a shared part

Cause: each request was saved to the store of KV cache. Its last part, 2,890 tokens in the mean, is no other request's: 180,000 tokens a second pushed the shared parts out of a store of 1.5 million within seconds, and they were read again.

Change: instances read the events of the stores. A request is saved only if one of its shared parts is not held. A store that does not answer is not used: a fetch from a dead one costs an engine some hundred milliseconds. With several stores, the last shared part decides which one is used. Parts sent there count as held for 10 s, parts that the store announced for 30 s.

--- /dev/null
+++ b/crates/jujubelink-standins/src/fleet/cache.rs
@@ -0,0 +1,68 @@
+//! A store of KV cache as routers see it: its events.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use jujubelink::platform::names::CACHE_EVENTS_PATH;
+use jujubelink::util::http::{Body, empty, full};
+use serde_json::{Value, json};
+
+use crate::StandIn;
+
+/// The stand-in. It answers at once, also if there are no new events.
+pub struct CacheStore {
+    run: Cell<u64>,
+    events: RefCell<Vec<Value>>,
+    asked: Cell<u64>,
+}
+
+impl CacheStore {
+    /// An empty store.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            run: Cell::new(1),
+            events: RefCell::default(),
+            asked: Cell::new(0),
+        })
+    }
+
+    /// Questions so far.
+    pub fn asked(&self) -> u64 {
+        self.asked.get()
+    }
+
+    /// Stores a part, or drops it with `sign` `-`.
+    pub fn event(&self, sign: &str, salt: &str, part: &str, tokens: u64, model: &str) {
+        let mut events = self.events.borrow_mut();
+        let number = events.len() + 1;
+        events.push(json!([number, sign, salt, part, tokens, model]));
+    }
+
+    /// Restarts empty.
+    pub fn restart(&self) {
+        self.run.set(self.run.get() + 1);
+        self.events.borrow_mut().clear();
+    }
+}
+
+impl StandIn for CacheStore {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        if request.uri().path() != CACHE_EVENTS_PATH {
+            let mut response = Response::new(empty());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+        self.asked.set(self.asked.get() + 1);
+        let query = request.uri().query().unwrap_or_default();
+        let since = query
+            .strip_prefix("since=")
+            .and_then(|text| text.parse().ok());
+        let events = self.events.borrow();
+        let news: Vec<&Value> = events.iter().skip(since.unwrap_or(0)).collect();
+        let body = json!({ "boot_epoch": self.run.get(), "next": events.len(), "lost": false,
+            "events": news });
+        Response::new(full(body.to_string()))
+    }
+}
--- /dev/null
+++ b/src/jujubelink/core/kvcache/mod.rs
@@ -0,0 +1,146 @@
+//! What stores of KV cache hold, and when to use which.
+//!
+//! Engines send what they have read of a prompt to the store, and fetch from it what they lack. A
+//! prompt ends with a part of its own that no other request has. If every request is saved, these
+//! parts push the shared ones out of the store within seconds and fill its link; so a request is
+//! saved only while the store lacks one of its shared parts. This answers sites whose shared parts
+//! fit into the store while all prompts of ten seconds do not.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::core::ids::{Timestamp, Tokens};
+use crate::util::hash::{combine, stable_hash};
+
+/// Time for which a part counts as held after it was sent to the store. The engine may have failed,
+/// and the event of a part that the store held already never comes.
+const SENT_TIME: Duration = Duration::from_secs(10);
+
+/// Time for which a part counts as held after the store said so. Three in a hundred events of a removal
+/// never arrive.
+const STORED_TIME: Duration = Duration::from_secs(30);
+
+/// Tokens that a stored part may have less than the part itself: stores keep whole blocks.
+const BLOCK_TOKENS: Tokens = 16;
+
+/// Parts known at a time; expired ones make room, and further ones are not noted.
+const MAX_PARTS: usize = 32_768;
+
+/// A change of what a store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartChange {
+    /// Part.
+    pub part: StoredPart,
+    /// Tokens held now; 0 once the part is gone.
+    pub tokens: Tokens,
+}
+
+/// Changes since the last question.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoreNews {
+    /// Run of the store; it begins empty.
+    pub run: u64,
+    /// Position from which the next question goes on.
+    pub next: u64,
+    /// Changes in order.
+    pub changes: Vec<PartChange>,
+}
+
+/// A part of a prompt, as stores tell them apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct StoredPart(u64);
+
+impl StoredPart {
+    /// The part with a hash of its name, of a model, kept apart by a salt.
+    pub fn new(salt: &str, model: &str, part: u64) -> Self {
+        let scope = combine(
+            stable_hash(0, salt.as_bytes()),
+            stable_hash(0, model.as_bytes()),
+        );
+        Self(combine(scope, part))
+    }
+}
+
+/// The store for a prompt with these shared parts, out of those that answer. The last shared part
+/// decides, so that all parts of a prompt are in one store and each store holds other prompts.
+pub fn choose_store(
+    answering: impl Iterator<Item = SocketAddr>,
+    parts: &[(StoredPart, Tokens)],
+) -> Option<SocketAddr> {
+    let seed = parts.last().map_or(0, |(part, _)| part.0);
+    answering.max_by_key(|address| stable_hash(seed, address.to_string().as_bytes()))
+}
+
+/// What one store is believed to hold. Beliefs may be wrong either way: then a part is read once
+/// more, or saved once more.
+#[derive(Debug, Default)]
+pub struct StoreContents {
+    run: u64,
+    next: u64,
+    held: HashMap<StoredPart, Held>,
+    is_away: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    tokens: Tokens,
+    until: Timestamp,
+}
+
+impl StoreContents {
+    /// Position for the next question.
+    pub fn position(&self) -> u64 {
+        self.next
+    }
+
+    /// Whether the store answers. An engine that fetches from a dead store waits some hundred
+    /// milliseconds for nothing.
+    pub fn is_available(&self) -> bool {
+        !self.is_away
+    }
+
+    /// Takes an answer of the store. Returns whether it was away before.
+    pub fn on_news(&mut self, news: StoreNews, now: Timestamp) -> bool {
+        if news.run != self.run {
+            self.held.clear();
+        }
+        self.run = news.run;
+        self.next = news.next;
+        for change in news.changes {
+            match change.tokens {
+                0 => _ = self.held.remove(&change.part),
+                tokens => self.note(change.part, tokens, now + STORED_TIME, now),
+            }
+        }
+        std::mem::take(&mut self.is_away)
+    }
+
+    /// Notes that the store did not answer. Returns whether it did before.
+    pub fn on_failure(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_away, true)
+    }
+
+    /// Whether a request with these shared parts should be saved: the store lacks one of them. The
+    /// parts count as held from now on, so that the requests that follow are not saved as well.
+    pub fn take_save(&mut self, parts: &[(StoredPart, Tokens)], now: Timestamp) -> bool {
+        let mut is_needed = false;
+        for (part, tokens) in parts {
+            let held = self.held.get(part).filter(|held| now < held.until);
+            if held.is_none_or(|held| held.tokens + BLOCK_TOKENS < *tokens) {
+                is_needed = true;
+                self.note(*part, *tokens, now + SENT_TIME, now);
+            }
+        }
+        is_needed
+    }
+
+    fn note(&mut self, part: StoredPart, tokens: Tokens, until: Timestamp, now: Timestamp) {
+        if self.held.len() >= MAX_PARTS {
+            self.held.retain(|_, held| now < held.until);
+        }
+        if self.held.len() < MAX_PARTS || self.held.contains_key(&part) {
+            self.held.insert(part, Held { tokens, until });
+        }
+    }
+}
--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod fleet;
 pub mod ids;
+pub mod kvcache;
 pub mod lease;
 pub mod limit;
 pub mod membership;
--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -28,17 +28,21 @@
 }
 
 impl PromptHead {
+    /// Parts that other requests may have as well. A prompt of one part may be shared whole.
+    pub fn shared_parts(&self) -> &[(u64, Tokens)] {
+        match self.parts.len() {
+            0 | 1 => &self.parts,
+            parts => &self.parts[..parts - 1],
+        }
+    }
+
     /// Fingerprints of the shared parts under `scope`. Each part is as many blocks as its tokens
     /// make, at least one, so that targets are compared by the tokens that they have cached.
     pub fn fingerprints(&self, scope: &str) -> PromptFingerprints {
         let seed = stable_hash(0, scope.as_bytes());
         let mut chained = seed;
         let mut blocks = Vec::new();
-        let shared = match self.parts.len() {
-            0 | 1 => &self.parts[..],
-            parts => &self.parts[..parts - 1],
-        };
-        for (name, tokens) in shared {
+        for (name, tokens) in self.shared_parts() {
             chained = combine(chained, *name);
             let count = (tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS;
             for block in 0..count.max(1) {
--- /dev/null
+++ b/src/jujubelink/ops/kvcache/mod.rs
@@ -0,0 +1,6 @@
+//! Follows the stores of KV cache and says how requests use them.
+
+mod plugin;
+mod watch;
+
+pub use watch::{CacheStores, StoreUse};
--- /dev/null
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -0,0 +1,155 @@
+//! Reads the events of the stores.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::core::kvcache::{StoreContents, StoredPart, choose_store};
+use crate::core::relay::PromptHead;
+use crate::ops::fleet::Fleet;
+use crate::ops::kernel::Context;
+use crate::ops::services::{ConfigService, MemberService};
+use crate::platform::{CacheAnswer, read_cache_events};
+use crate::util::http::Client;
+
+/// Longest time for which a store holds a question back, its maximum.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Time for an answer: the wait, and what a store under load takes besides.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_800);
+
+/// Pause between questions for each instance of the fleet: all together ask a store about 15 times a
+/// second. One answers 12 questions at a time.
+const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(65);
+
+/// Pause after a failed question.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a request uses a store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreUse {
+    /// Store from which an engine may fetch what it lacks.
+    pub fetch_from: Option<SocketAddr>,
+    /// Store to which it sends what it has read.
+    pub save_to: Option<SocketAddr>,
+}
+
+/// The stores of KV cache of the configuration in force, with what they hold.
+pub struct CacheStores {
+    context: Context,
+    fleet: Rc<Fleet>,
+    client: Client,
+    stores: RefCell<BTreeMap<SocketAddr, StoreContents>>,
+}
+
+impl CacheStores {
+    /// No stores yet.
+    pub(super) fn new(context: &Context, fleet: Rc<Fleet>) -> Self {
+        Self {
+            context: context.clone(),
+            fleet,
+            client: Client::new(),
+            stores: RefCell::default(),
+        }
+    }
+
+    /// How a request with this prompt uses the stores. It counts as sent.
+    pub fn use_for(&self, prompt: &PromptHead, salt: &str) -> StoreUse {
+        let parts: Vec<(StoredPart, u64)> = prompt
+            .shared_parts()
+            .iter()
+            .map(|(part, tokens)| (StoredPart::new(salt, &prompt.model, *part), *tokens))
+            .collect();
+        let mut stores = self.stores.borrow_mut();
+        let answering = stores
+            .iter()
+            .filter(|(_, contents)| contents.is_available())
+            .map(|(address, _)| *address);
+        let Some(address) = choose_store(answering, &parts) else {
+            return StoreUse::default();
+        };
+        let now = self.context.timers().boot_now();
+        let contents = stores.get_mut(&address);
+        let is_saved = contents.is_some_and(|contents| contents.take_save(&parts, now));
+        StoreUse {
+            fetch_from: Some(address),
+            save_to: is_saved.then_some(address),
+        }
+    }
+
+    /// Follows each store of the configuration in force.
+    pub(super) async fn follow(self: Rc<Self>) {
+        let config = self.context.service::<dyn ConfigService>();
+        loop {
+            let changed = config.changed();
+            self.take_stores(&self.named());
+            changed.await;
+        }
+    }
+
+    /// Begins to follow new stores, and forgets those that are no longer named.
+    fn take_stores(self: &Rc<Self>, named: &BTreeSet<SocketAddr>) {
+        let mut stores = self.stores.borrow_mut();
+        stores.retain(|address, _| named.contains(address));
+        for address in named {
+            stores.entry(*address).or_insert_with(|| {
+                compio::runtime::spawn(Rc::clone(self).follow_one(*address)).detach();
+                StoreContents::default()
+            });
+        }
+    }
+
+    /// Addresses of the stores of the configuration in force.
+    fn named(&self) -> BTreeSet<SocketAddr> {
+        let policy = self.fleet.policy();
+        let services = policy.iter().flat_map(|policy| policy.services.values());
+        services.filter_map(|service| service.kv_store).collect()
+    }
+
+    /// Asks a store until it is no longer in the configuration.
+    async fn follow_one(self: Rc<Self>, address: SocketAddr) {
+        let position = |stores: &BTreeMap<SocketAddr, StoreContents>| {
+            stores.get(&address).map(StoreContents::position)
+        };
+        loop {
+            let next = position(&self.stores.borrow());
+            let Some(next) = next else {
+                return;
+            };
+            let answer = read_cache_events(&self.client, address, next, WAIT, ANSWER_TIMEOUT).await;
+            let pause = self.take_answer(address, answer);
+            self.context.timers().sleep(pause).await;
+        }
+    }
+
+    /// Takes the answer of a store. Returns the pause until the next question.
+    fn take_answer(&self, address: SocketAddr, answer: CacheAnswer) -> Duration {
+        let mut stores = self.stores.borrow_mut();
+        let Some(contents) = stores.get_mut(&address) else {
+            return Duration::ZERO;
+        };
+        let members = self.context.service::<dyn MemberService>().members();
+        let pause = PAUSE_PER_INSTANCE * (members.len() as u32 + 1);
+        match answer {
+            CacheAnswer::News(news) => {
+                let now = self.context.timers().boot_now();
+                if contents.on_news(news, now) {
+                    slog::info!(self.context.log(), "cache store regained";
+                        "address" => address.to_string());
+                }
+                pause
+            }
+            CacheAnswer::Busy => pause,
+            CacheAnswer::Failed => {
+                if contents.on_failure() {
+                    slog::warn!(self.context.log(), "cache store lost";
+                        "address" => address.to_string());
+                }
+                self.client.close_address(address);
+                RETRY_PAUSE
+            }
+        }
+    }
+}
--- a/src/jujubelink/ops/mod.rs
+++ b/src/jujubelink/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod config_history;
 pub mod fleet;
 pub mod kernel;
+pub mod kvcache;
 pub mod limits;
 pub mod members;
 pub mod orders;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -294,17 +294,19 @@
         let admission = self.admission()?;
         let wall = self.wall(admission);
         let version = weights.unwrap_or(0);
-        let mut services = admission.policy.services.values();
-        let store = services.find_map(|service| service.kv_store);
+        let cache_salt = format!("{version}/{wall}");
+        let prompt = self.head.prompt.as_ref();
+        let store = prompt.map(|prompt| self.relay.cache_stores.use_for(prompt, &cache_salt));
+        let store = store.unwrap_or_default();
         let workspace = admission.workspace.as_ref();
         let held = workspace.and_then(|name| admission.policy.workspaces.get(name));
         let rank = held.and_then(|held| held.priority);
         Ok(TargetUse {
             weights,
-            cache_salt: format!("{version}/{wall}"),
+            cache_salt,
             priority: rank.unwrap_or(admission.route.priority).min(LAST_PRIORITY),
-            fetch_from: self.fetch_source(weights).or(store),
-            save_to: store,
+            fetch_from: self.fetch_source(weights).or(store.fetch_from),
+            save_to: store.save_to,
         })
     }
 
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -28,6 +28,7 @@
 use crate::core::routing::LoadReport;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
+use crate::ops::kvcache::CacheStores;
 use crate::ops::services::{ConfigService, SchedulerService};
 use crate::ops::share::Peers;
 use crate::platform::decode_request;
@@ -40,6 +41,7 @@
 pub(super) struct Relay {
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
+    cache_stores: Rc<CacheStores>,
     /// Budgets of resends by service.
     budgets: RefCell<HashMap<Arc<str>, ResendBudget>>,
     /// Targets that are being asked which weights they have.
@@ -53,6 +55,7 @@
         Some(Rc::new(Self {
             fleet: context.service(),
             peers: context.service(),
+            cache_stores: context.service(),
             budgets: RefCell::default(),
             asked: RefCell::default(),
         }))
--- a/src/jujubelink/platform/engine.rs
+++ b/src/jujubelink/platform/engine.rs
@@ -119,6 +119,16 @@
     client: &Client,
     address: SocketAddr,
     request: Request<Body>,
+) -> Option<(StatusCode, bytes::Bytes)> {
+    call_within(client, address, request, ANSWER_TIMEOUT).await
+}
+
+/// Sends a request and reads the whole answer; `None` without one in time.
+pub(super) async fn call_within(
+    client: &Client,
+    address: SocketAddr,
+    request: Request<Body>,
+    limit: Duration,
 ) -> Option<(StatusCode, bytes::Bytes)> {
     let exchange = async {
         let response = client
@@ -131,5 +141,5 @@
             .ok()??;
         Some((status, body))
     };
-    compio::time::timeout(ANSWER_TIMEOUT, exchange).await.ok()?
+    compio::time::timeout(limit, exchange).await.ok()?
 }
--- a/src/jujubelink/platform/mod.rs
+++ b/src/jujubelink/platform/mod.rs
@@ -5,6 +5,7 @@
 //! a machine of the platform is an instance, a zone a failure domain, a tenant a workspace and a
 //! server a target.
 
+mod cache_events;
 mod configuration;
 mod engine;
 pub mod names;
@@ -12,6 +13,7 @@
 mod store;
 mod target_entry;
 
+pub use cache_events::{CacheAnswer, decode_cache_events, read_cache_events};
 pub use configuration::decode_configuration;
 pub use engine::{EngineReport, WeightsOrder, read_report, send_weights_order};
 pub use names::READY_PATH;
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -75,6 +75,11 @@
 /// Name of the lease for orders.
 pub const ORDER_LEASE: &str = "orders";
 
+/// Path of the changes of what a store of KV cache holds.
+pub const CACHE_EVENTS_PATH: &str = "/api/kv-events";
+/// How long such a question may be held back, in milliseconds.
+pub const WAIT_MS: &str = "wait-ms";
+
 /// Path of a target's state.
 pub const REPORT_PATH: &str = "/api/report";
 /// Path of orders to a target.
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -90,7 +90,7 @@
             continue;
         };
         if let (Ok(tokens), true) = (tokens.parse(), parts.len() < MAX_PARTS) {
-            parts.push((stable_hash(0, name.as_bytes()), tokens));
+            parts.push((part_hash(name), tokens));
         }
     }
     Ok(Some(PromptHead {
@@ -101,6 +101,11 @@
     }))
 }
 
+/// Hash by which a part of a prompt is known from its name.
+pub(super) fn part_hash(name: &str) -> u64 {
+    stable_hash(0, name.as_bytes())
+}
+
 /// Headers for a target: the client's without those of its connection, its key and those that only
 /// this program sets, and what the send adds.
 pub fn encode_request(client: &HeaderMap, send: &SendHead) -> HeaderMap {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod history;
 mod http2;
+mod kvcache;
 mod membership;
 mod openai_client;
 mod orders;
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -5,9 +5,11 @@
 
 use http::HeaderMap;
 use jujubelink::core::fleet::{QuotaUnit, RequestKind};
+use jujubelink::core::kvcache::{PartChange, StoredPart};
 use jujubelink::core::relay::{SendHead, TargetUse};
 use jujubelink::platform::{
-    decode_answer, decode_configuration, decode_request, decode_target, encode_request,
+    decode_answer, decode_cache_events, decode_configuration, decode_request, decode_target,
+    encode_request,
 };
 use jujubelink::util::hash::sha256_hex;
 use serde_json::json;
@@ -164,6 +166,24 @@
     assert!(decode_request(&head).is_err());
 }
 
+/// Guards against events of a store that are misread: both example events are of the page.
+#[test]
+fn events_of_a_cache_store_are_read() {
+    let body = br#"{"boot_epoch":77120,"next":120,"lost":false,"events":[
+        [119,"+","s1","5c1e07a2",800,"daka510000"],[120,"-","s1","91bd3f06",128,"daka510000"]]}"#;
+    let news = decode_cache_events(body).unwrap();
+    assert_eq!((news.run, news.next), (77120, 120));
+    let head = decode_request(&client_head()).unwrap();
+    let parts = head.prompt.unwrap().parts;
+    let change = |part: usize, tokens| PartChange {
+        part: StoredPart::new("s1", "daka510000", parts[part].0),
+        tokens,
+    };
+    // What is left of a part after a removal is not counted.
+    assert_eq!(news.changes, [change(0, 800), change(1, 0)]);
+    assert!(decode_cache_events(b"{\"next\":1}").is_none());
+}
+
 /// Guards against a client that sets what only the system may set, and against a key that reaches a
 /// target.
 #[test]
--- a/tests/testsuite/platform_names.rs
+++ b/tests/testsuite/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names that only the adapter may know: its headers in any case, and the paths of its calls.
-const NAMES: [&str; 8] = [
+const NAMES: [&str; 9] = [
     "jujubelink-attempt",
     "jujubelink-tenant",
     "jujubelink-expect",
@@ -12,6 +12,7 @@
     "/api/ready",
     "/api/order",
     "/api/report",
+    "/api/kv-",
 ];
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use jujubelink_standins::StandInHandle;
 use jujubelink_standins::fleet::{
-    FaultPlan, FleetTarget, ObjectStore, StoreDoor, StoreMode, TargetFault,
+    CacheStore, FaultPlan, FleetTarget, ObjectStore, StoreDoor, StoreMode, TargetFault,
 };
 use serde_json::{Value, json};
 
@@ -85,12 +85,16 @@
     }
 
     fn configure(&self, version: u64, keys: &[&str]) {
+        self.configure_with(version, keys, &[]);
+    }
+
+    fn configure_with(&self, version: u64, keys: &[&str], services: &[Value]) {
         let route = |name: &str, path: &str, kind: &str, service: &str, resumable: bool| {
             json!({ "name": name, "host": "shop.example", "path_prefix": path, "kind": kind,
                 "timeout_ms": 4000, "target_latency_ms": 3000, "priority": 1, "service": service,
                 "max_attempts": 2, "public": false, "resumable": resumable, "gap_aim_ms": 250 })
         };
-        let config = json!({ "version": version,
+        let mut config = json!({ "version": version,
             "routes": [
                 route("read", "/read/", "idempotent", "app", false),
                 route("pay", "/pay/", "non_idempotent", "app", false),
@@ -104,6 +108,8 @@
             ],
             "tenants": [{ "name": "club", "api_keys": keys, "unit": "tokens",
                 "plain_tokens": 10, "rate_per_s": 10000000, "burst": 10000000 }] });
+        let listed = config["services"].as_array_mut().unwrap();
+        listed.extend_from_slice(services);
         self.store.put("config", "main", config);
     }
 
@@ -420,6 +426,50 @@
     });
 }
 
+/// Guards against prompts that are saved although the store of KV cache has their shared parts, and
+/// against engines that are sent to a store which is away.
+#[test]
+fn prompts_use_the_cache_store_as_it_stands() {
+    run(async {
+        let (site, node) = Site::started("").await;
+        let cache = CacheStore::new();
+        let handle = StandInHandle::start(Rc::clone(&cache)).unwrap();
+        let address = handle.address().to_string();
+        let service = json!({ "name": "kv", "kv_store_addr": address, "zone": "a" });
+        site.configure_with(6, &[KEY], &[service]);
+        let next = std::cell::Cell::new(0);
+        // Whether a request was told to fetch from the store and to save to it.
+        let uses = || async {
+            next.set(next.get() + 1);
+            let id = format!("r{}", next.get());
+            node.ask(&id, "/ask/x").await;
+            let mut seen = site.engines.iter().flat_map(|held| held.seen());
+            let is_sent = |held: &HeaderMap| header(held, "jujubelink-attempt-id") == id;
+            let (headers, _) = seen.find(|(held, _)| is_sent(held))?;
+            let text = |name| headers.get(name).map(|_| header(&headers, name) == address);
+            Some((text("jujubelink-kv-fetch"), text("jujubelink-kv-save")))
+        };
+        cache.event("+", "1/", "a1", 800, "m");
+        eventually("the shared part is not saved", || async {
+            (uses().await? == (Some(true), None)).then_some(())
+        })
+        .await;
+        cache.event("-", "1/", "a1", 400, "m");
+        let asked = cache.asked();
+        eventually("the store was asked", || async {
+            (cache.asked() > asked + 1).then_some(())
+        })
+        .await;
+        assert_eq!(uses().await, Some((Some(true), Some(true))));
+        assert_eq!(uses().await, Some((Some(true), None)));
+        drop(handle);
+        eventually("the store is not used", || async {
+            (uses().await? == (None, None)).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Guards against requests to a target that has announced its leaving, before it is gone.
 #[test]
 fn leaving_targets_get_no_requests() {
