Let instances beyond the tenth follow the news of others

Change: the first ten instances in order watch the store. The others ask one of them, are answered as soon as something changes, and ask the store themselves when the answer fails or is older than 1.5 s. Engines that begin to load are told at once in a fleet of any size.

Figures: in the new test ten of 14 instances call the store and four make less than two calls in 3 s; they hear of leaving targets and keys also after half of the ten were turned away.

--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -219,6 +219,7 @@
 pub struct StoreDoor {
     store: Rc<ObjectStore>,
     mode: Cell<StoreMode>,
+    calls: Cell<u64>,
 }
 
 impl StoreDoor {
@@ -227,9 +228,15 @@
         Rc::new(Self {
             store: Rc::clone(store),
             mode: Cell::default(),
+            calls: Cell::new(0),
         })
     }
 
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
     /// Changes the behaviour.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.set(mode);
@@ -238,6 +245,7 @@
 
 impl StandIn for StoreDoor {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        self.calls.set(self.calls.get() + 1);
         match self.mode.get() {
             StoreMode::Refusing => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "busy" }));
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -1,6 +1,7 @@
 //! The view shared by the parts of the process.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,10 +36,14 @@
     pub age: Option<Duration>,
 }
 
-/// List of targets between instances.
-#[derive(Serialize, Deserialize)]
-struct PassedTargets {
+/// Targets as one instance passes them on to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct PassedTargets {
+    /// Revision of the store up to which they are known.
     revision: u64,
+    /// Names of all targets.
+    names: Vec<TargetId>,
+    /// Entries that are newer than the revision which was asked for, with their own revisions.
     entries: Vec<(u64, TargetRecord)>,
 }
 
@@ -53,6 +58,8 @@
     snapshot_generation: Cell<u64>,
     /// Revision of the store up to which the targets are known.
     target_revision: Cell<u64>,
+    /// When the store last said that the targets are these, by whichever way.
+    targets_proved_at: Cell<Timestamp>,
     changed: Notifier,
 }
 
@@ -68,6 +75,7 @@
             snapshot: RefCell::default(),
             snapshot_generation: Cell::new(0),
             target_revision: Cell::new(0),
+            targets_proved_at: Cell::new(Timestamp::ZERO),
             changed: Notifier::new(),
         }
     }
@@ -296,13 +304,38 @@
         self.refresh();
     }
 
+    /// Revision of the store up to which the targets are known.
+    pub fn target_revision(&self) -> u64 {
+        self.target_revision.get()
+    }
+
+    /// When the store last said that the targets are these.
+    pub fn targets_proved_at(&self) -> Timestamp {
+        self.targets_proved_at.get()
+    }
+
+    /// Notes that the store said so.
+    pub fn on_targets_proved(&self, at: Timestamp) {
+        let newest = self.targets_proved_at.get().max(at);
+        self.targets_proved_at.set(newest);
+    }
+
+    /// The targets for an instance that knows them up to a revision.
+    pub fn targets_after(&self, revision: u64) -> PassedTargets {
+        let mut entries = self.state.borrow().entries();
+        let names = entries.iter().map(|(_, record)| record.id.clone());
+        let names = names.collect();
+        entries.retain(|(of_entry, _)| *of_entry > revision);
+        PassedTargets {
+            revision: self.target_revision.get(),
+            names,
+            entries,
+        }
+    }
+
     /// The list of targets, to pass on to peers that cannot reach the store.
     pub fn raw_targets(&self) -> Bytes {
-        let list = PassedTargets {
-            revision: self.target_revision.get(),
-            entries: self.state.borrow().entries(),
-        };
-        match serde_json::to_vec(&list) {
+        match serde_json::to_vec(&self.targets_after(0)) {
             Ok(raw) => raw.into(),
             Err(error) => {
                 slog::error!(self.context.log(), "cannot encode the list of targets";
@@ -322,12 +355,51 @@
                 return;
             }
         };
+        if self.take_passed(list) == Some(true) {
+            slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
+                "revision" => self.target_revision.get());
+        }
+    }
+
+    /// Takes the news of a peer about the targets, which the store said at `proved_at`. Returns
+    /// whether there were any; `None` if they cannot be used.
+    pub fn on_news_of_targets(
+        &self,
+        list: PassedTargets,
+        proved_at: Timestamp,
+        peer: &str,
+    ) -> Option<bool> {
+        let revision = list.revision;
+        let taken = self.take_passed(list);
+        match taken {
+            // A peer that is behind proves nothing for now.
+            Some(_) if revision < self.target_revision.get() => {}
+            Some(_) => self.on_targets_proved(proved_at),
+            None => slog::info!(self.context.log(), "a peer's targets are incomplete";
+                "peer" => peer, "revision" => revision, "own" => self.target_revision.get()),
+        }
+        taken
+    }
+
+    /// Takes targets that are newer than the own ones. `None` if they leave out an entry that this
+    /// instance does not have.
+    fn take_passed(&self, list: PassedTargets) -> Option<bool> {
         if list.revision <= self.target_revision.get() {
-            return;
+            return Some(false);
+        }
+        let names: BTreeSet<TargetId> = list.names.into_iter().collect();
+        let passed: BTreeSet<TargetId> = list
+            .entries
+            .iter()
+            .map(|(_, record)| record.id.clone())
+            .collect();
+        let mut entries = self.state.borrow().entries();
+        entries.retain(|(_, record)| names.contains(&record.id) && !passed.contains(&record.id));
+        entries.extend(list.entries);
+        if entries.len() < names.len() {
+            return None;
         }
-        slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
-            "revision" => list.revision);
-        let changes = list.entries.into_iter();
+        let changes = entries.into_iter();
         let changes = TargetChanges {
             changes: changes
                 .map(|(revision, record)| TargetChange::Written { revision, record })
@@ -335,6 +407,7 @@
             revision: list.revision,
         };
         self.on_targets(changes, true);
+        Some(true)
     }
 
     /// Notes that a target announced its leaving in an answer.
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -12,6 +12,9 @@
 /// answer; changes of targets bind two seconds after the machine is back in touch, which takes three.
 const WATCH_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// The same while other instances get their news from this one.
+const FOLLOWED_WATCH_LIMIT: Duration = Duration::from_secs(1);
+
 /// Pause after a change of the targets before the next watch, so that changes which come together
 /// cost one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
@@ -33,6 +36,9 @@
 /// Instances behind the second that ask at steps of their own; the others ask together.
 const READ_STEPS: u32 = 3;
 
+/// Part of the bound on new configurations after which a follower reads them itself.
+const FOLLOWER_READ_PART: f64 = 0.8;
+
 /// Period at which the age of the news is looked at.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -45,10 +51,29 @@
     let mut revision = None;
     let mut last_answer = timers.boot_now();
     loop {
+        let peers = context.service::<Peers>();
+        if let (Some(_), Some(source)) = (revision, peers.news_source()) {
+            match peers.follow_news(&source).await {
+                Some(has_changes) => {
+                    revision = Some(fleet.target_revision());
+                    last_answer = fleet.targets_proved_at();
+                    if has_changes {
+                        timers.sleep(WATCH_PAUSE).await;
+                    }
+                }
+                // The store is asked itself once, and another peer after that.
+                None => revision = None,
+            }
+            continue;
+        }
+        let watch_limit = match peers.has_followers() {
+            true => FOLLOWED_WATCH_LIMIT,
+            false => WATCH_LIMIT,
+        };
         let asked_at = timers.boot_now();
         let result = match revision {
             None => fleet.store().list_targets().await,
-            Some(after) => fleet.store().watch_targets(after, WATCH_LIMIT).await,
+            Some(after) => fleet.store().watch_targets(after, watch_limit).await,
         };
         let is_list = revision.is_none();
         match result {
@@ -58,6 +83,7 @@
                     slog::info!(context.log(), "store regained"; "call" => "targets");
                 }
                 last_answer = timers.boot_now();
+                fleet.on_targets_proved(last_answer);
                 let is_newer = revision.is_none_or(|known| changes.revision >= known);
                 if is_newer {
                     revision = Some(changes.revision);
@@ -80,7 +106,6 @@
                     "unanswered_ms" => ms(timers.boot_now().saturating_sub(last_answer)));
                 // A watch may have missed anything by now.
                 revision = None;
-                let peers = context.service::<Peers>();
                 if let Some((name, raw)) = peers.fetch_targets().await {
                     fleet.on_passed_targets(&raw, &name);
                 }
@@ -101,6 +126,7 @@
         let now = timers.boot_now();
         let limit = match peers.rank() {
             0 => FIRST_READ_AGE,
+            _ if peers.news_source().is_some() => follower_read_age(&fleet),
             rank => SECOND_READ_AGE + READ_STEP * (rank - 1).min(READ_STEPS),
         };
         let is_behind = peers.newest_config() > fleet.state().config_version();
@@ -139,6 +165,12 @@
     }
 }
 
+/// Age of the news at which an instance that gets them from another one asks itself. A new version
+/// wakes it before; this bounds the time if the other one does not know of it either.
+fn follower_read_age(fleet: &Fleet) -> Duration {
+    Duration::from_millis(fleet.settings().config_ms).mul_f64(FOLLOWER_READ_PART)
+}
+
 async fn read_policy(context: &Context, fleet: &Fleet, peers: &Peers) -> StoreResult<()> {
     let asked_at = context.timers().boot_now();
     let error = match fleet.store().read_policy().await {
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -1,6 +1,5 @@
 //! Sending and receiving.
 
-use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use prost::Message;
 
 use super::message::ShareMessage;
+use super::news::NEWS_PATH;
 use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
@@ -58,7 +58,7 @@
             }
         }
         peers.refresh_contacts();
-        peers.context.timers().sleep(peers.period()).await;
+        peers.next_message_due().await;
     }
 }
 
@@ -124,16 +124,20 @@
 struct ReadingsHandler(Rc<Peers>);
 
 impl Handler for ReadingsHandler {
-    fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
+    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let raw = match request.uri().path() {
             POLICY_PATH => self.0.fleet.raw_policy(),
             TARGETS_PATH => Some(self.0.fleet.raw_targets()),
+            NEWS_PATH => {
+                let query = request.uri().query().unwrap_or_default();
+                self.0.wait_for_news(query).await
+            }
             _ => None,
         };
         let mut response = Response::new(raw.map_or_else(empty, full));
         if http_body::Body::is_end_stream(response.body()) {
             *response.status_mut() = StatusCode::NOT_FOUND;
         }
-        std::future::ready(response)
+        response
     }
 }
--- a/src/jujubelink/ops/share/mod.rs
+++ b/src/jujubelink/ops/share/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod limits;
 mod message;
+mod news;
 mod peers;
 mod plugin;
 
--- /dev/null
+++ b/src/jujubelink/ops/share/news.rs
@@ -0,0 +1,179 @@
+//! News of the store that an instance passes on to others.
+//!
+//! In a large fleet only the first instances in order watch the store; the others ask one of them and
+//! are answered as soon as something changes. So the calls to the store do not grow with the fleet.
+
+use std::cmp::Reverse;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use serde::{Deserialize, Serialize};
+
+use super::Peers;
+use super::peers::SAME_START;
+use crate::core::fleet::{Naming, Proof};
+use crate::core::ids::{ConfigVersion, InstanceId, ModelId, Timestamp};
+use crate::ops::fleet::PassedTargets;
+use crate::ops::services::ConfigService;
+use crate::util::hash::stable_hash;
+
+/// Path of the news at a peer.
+pub(super) const NEWS_PATH: &str = "/news";
+
+/// Instances that watch the store themselves. Their loss costs the others one call each.
+const WATCHERS: usize = 10;
+
+/// Longest time for which a question is held back.
+const HOLD: Duration = Duration::from_millis(900);
+
+/// Time for an answer beyond that.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+/// Age of the targets up to which passed news are used. Watchers hear from the store every second; a
+/// target that leaves must be known everywhere two seconds later.
+const MAX_TARGETS_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time for which a peer that did not answer is not asked.
+const AVOID_TIME: Duration = Duration::from_secs(10);
+
+/// What is passed on.
+#[derive(Debug, Serialize, Deserialize)]
+struct News {
+    /// Time for which the question was held back.
+    held_ms: u64,
+    /// Time since the store said that the targets are these.
+    targets_age_ms: u64,
+    targets: PassedTargets,
+    config_version: ConfigVersion,
+    /// Age of the proof that this version is the newest.
+    config_age_ms: Option<u64>,
+    /// Named weights, with the time since they were named, if known.
+    weights: Vec<(String, u64, Option<u64>)>,
+    weights_age_ms: Option<u64>,
+}
+
+impl Peers {
+    /// The instance whose news this one uses instead of its own calls to the store.
+    pub fn news_source(&self) -> Option<InstanceId> {
+        if (self.rank() as usize) < WATCHERS {
+            return None;
+        }
+        let now = self.now();
+        let table = self.table.borrow();
+        let mut heard: Vec<_> = table
+            .iter()
+            .filter(|(_, peer)| self.is_in_contact(peer, now))
+            .collect();
+        // The same order as in `rank`, up to starts that are close together.
+        let step = SAME_START.as_millis();
+        heard.sort_by_key(|(name, peer)| (Reverse(peer.started_at.as_millis() / step), *name));
+        heard.truncate(WATCHERS);
+        heard.retain(|(_, peer)| peer.avoided_until <= now);
+        let own = stable_hash(0, self.name().as_bytes());
+        let chosen = heard
+            .iter()
+            .max_by_key(|(name, _)| stable_hash(own, name.as_bytes()))?;
+        Some(chosen.0.clone())
+    }
+
+    /// Whether other instances ask this one for news.
+    pub fn has_followers(&self) -> bool {
+        self.fleet_size() > WATCHERS
+    }
+
+    /// News for a peer that knows the targets up to a revision and a version of the configuration:
+    /// at once if there are any, else at the next change or when the question was held long enough.
+    pub(super) async fn wait_for_news(self: Rc<Self>, query: &str) -> Option<Bytes> {
+        let (after, version) = query.split_once(',')?;
+        let (after, version): (u64, u64) = (after.parse().ok()?, version.parse().ok()?);
+        let asked_at = self.now();
+        let config = self.context.service::<dyn ConfigService>();
+        let has_news =
+            self.fleet.target_revision() > after || self.fleet.state().config_version() > version;
+        if !has_news {
+            let wait = Box::pin(self.context.timers().sleep(HOLD));
+            match select(config.changed(), wait).await {
+                Either::Left(_) | Either::Right(_) => {}
+            }
+        }
+        let now = self.now();
+        let age = |at: Timestamp| now.saturating_sub(at).as_millis() as u64;
+        let state = self.fleet.state();
+        let news = News {
+            held_ms: age(asked_at),
+            targets_age_ms: age(self.fleet.targets_proved_at()),
+            targets: self.fleet.targets_after(after),
+            config_version: state.config_version(),
+            config_age_ms: state.proof().map(|proof| age(proof.asked_at)),
+            weights: state
+                .namings()
+                .map(|(model, version, at)| (model.to_string(), version, at.map(age)))
+                .collect(),
+            weights_age_ms: self.weights_proved_at().map(age),
+        };
+        Some(serde_json::to_vec(&news).ok()?.into())
+    }
+
+    /// Asks a peer for news and takes them. Returns whether the targets changed; `None` if the peer
+    /// has no recent ones.
+    pub async fn follow_news(&self, source: &InstanceId) -> Option<bool> {
+        let address = self.table.borrow().get(source)?.address;
+        let known = self.fleet.target_revision();
+        let path = format!(
+            "{NEWS_PATH}?{known},{}",
+            self.fleet.state().config_version()
+        );
+        let asked_at = self.now();
+        let raw = self.fetch_from(address, &path, HOLD + ANSWER_SLACK).await;
+        let taken = raw.and_then(|raw| self.take_news(&raw, source, asked_at));
+        if taken.is_none() {
+            slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
+                "waited_ms" => (self.now().saturating_sub(asked_at)).as_millis() as u64);
+            let until = self.now() + AVOID_TIME;
+            if let Some(peer) = self.table.borrow_mut().get_mut(source) {
+                peer.avoided_until = until;
+            }
+        }
+        taken
+    }
+
+    fn take_news(&self, raw: &[u8], source: &str, asked_at: Timestamp) -> Option<bool> {
+        let news: News = serde_json::from_slice(raw).ok()?;
+        // The answer was made after it had been held, so that what it calls `age` old is no older
+        // than this, however long the answer itself took.
+        let made_at = asked_at + Duration::from_millis(news.held_ms);
+        let time_of = |age_ms: u64| made_at.saturating_sub(Duration::from_millis(age_ms));
+        let proved_at = time_of(news.targets_age_ms);
+        if self.now().saturating_sub(proved_at) > MAX_TARGETS_AGE {
+            return None;
+        }
+        if let Some(age_ms) = news.config_age_ms {
+            self.fleet.on_proof(Proof {
+                version: news.config_version,
+                asked_at: time_of(age_ms),
+            });
+        }
+        if let Some(peer) = self.table.borrow_mut().get_mut(source) {
+            peer.config_version = peer.config_version.max(news.config_version);
+        }
+        let named: Vec<(ModelId, u64, Naming)> = news
+            .weights
+            .iter()
+            .map(|(model, version, ago_ms)| {
+                let naming = Naming {
+                    at: time_of(ago_ms.unwrap_or_default()),
+                    is_assumed: ago_ms.is_none(),
+                };
+                (model.as_str().into(), *version, naming)
+            })
+            .collect();
+        self.fleet.on_named_weights(&named, source);
+        if let Some(age_ms) = news.weights_age_ms {
+            self.note_weights_proof(time_of(age_ms));
+        }
+        self.fleet
+            .on_news_of_targets(news.targets, proved_at, source)
+    }
+}
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::select;
 use http::{Request, StatusCode};
 
 use super::limits::Buckets;
@@ -15,7 +16,7 @@
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
 use crate::core::quota::{PeerUse, contact_digest};
 use crate::ops::fleet::Fleet;
-use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::kernel::{Context, Lifecycle, Notifier};
 use crate::ops::services::{
     GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState, SchedulerService,
 };
@@ -52,10 +53,11 @@
 const FIRST_PART: f64 = 0.4;
 
 /// Starts that lie closer together count as the same: all instances of a fleet start within 0.3 s.
-const SAME_START: Duration = Duration::from_millis(1_000);
+pub(super) const SAME_START: Duration = Duration::from_millis(1_000);
 
-/// Periods for which an engine counts as loading after a message said so.
-const LOADING_PERIODS: u32 = 2;
+/// Time for which an engine counts as loading after a message said so: two of the messages that an
+/// instance sends while it has engines load.
+const LOADING_TIME: Duration = Duration::from_millis(400);
 
 /// Peers that are kept; further ones are not heard.
 const MAX_PEERS: usize = 1_024;
@@ -83,13 +85,15 @@
     heard_at: Timestamp,
     /// Own time that the peer last echoed: it has heard a message of that time.
     echoed_at: Timestamp,
-    config_version: ConfigVersion,
+    pub(super) config_version: ConfigVersion,
     proof: Option<Proof>,
     /// When a message last showed that the peer is in contact with the same instances as this one.
     agreed_at: Option<Timestamp>,
     is_leaving: bool,
     /// When the peer's process started.
-    started_at: Timestamp,
+    pub(super) started_at: Timestamp,
+    /// Until when the peer is not asked for news.
+    pub(super) avoided_until: Timestamp,
 }
 
 /// The other instances as this one hears them, with the shared limits.
@@ -98,13 +102,14 @@
     pub(super) fleet: Rc<Fleet>,
     name: InstanceId,
     started_at: Timestamp,
-    table: RefCell<BTreeMap<InstanceId, Peer>>,
+    pub(super) table: RefCell<BTreeMap<InstanceId, Peer>>,
     is_listed: Cell<bool>,
     pub(super) buckets: Buckets,
     weights_proved_at: Cell<Option<Timestamp>>,
     observed: RefCell<VecDeque<(Timestamp, ModelWeights)>>,
     suspects: RefCell<VecDeque<(Timestamp, Suspect)>>,
     loading: RefCell<Vec<Loading>>,
+    is_urgent: Notifier,
     handlers: RefCell<Vec<GossipHandler>>,
     client: Client,
 }
@@ -124,6 +129,7 @@
             observed: RefCell::default(),
             suspects: RefCell::default(),
             loading: RefCell::default(),
+            is_urgent: Notifier::new(),
             handlers: RefCell::default(),
             client: Client::new(),
         }
@@ -144,11 +150,23 @@
         MIN_PERIOD.max(Duration::from_secs(1) * peers / MAX_MESSAGES_PER_S)
     }
 
+    /// Completes when the next message is due. Engines that begin to load refuse requests at once, so
+    /// that the others hear of it within [`MIN_PERIOD`] in a fleet of any size.
+    pub(super) async fn next_message_due(&self) {
+        let timers = self.context.timers();
+        let urgent = self.is_urgent.changed();
+        timers.sleep(MIN_PERIOD).await;
+        let rest = self.period().saturating_sub(MIN_PERIOD);
+        if self.loading.borrow().is_empty() && !rest.is_zero() {
+            select(Box::pin(urgent), Box::pin(timers.sleep(rest))).await;
+        }
+    }
+
     fn contact_limit(&self) -> Duration {
         self.period() * CONTACT_PERIODS
     }
 
-    fn is_in_contact(&self, peer: &Peer, now: Timestamp) -> bool {
+    pub(super) fn is_in_contact(&self, peer: &Peer, now: Timestamp) -> bool {
         let limit = self.contact_limit();
         let is_recent = |at: Timestamp| at >= self.started_at && now.saturating_sub(at) < limit;
         is_recent(peer.heard_at) && is_recent(peer.echoed_at) && !peer.is_leaving
@@ -270,6 +288,9 @@
         });
         self.loading.replace(loading.collect());
         self.note_loading(&self.loading.borrow());
+        if !self.loading.borrow().is_empty() {
+            self.is_urgent.notify();
+        }
     }
 
     /// Keeps requests from engines that load, until the next message at most.
@@ -283,7 +304,7 @@
                 .target(&target)
                 .is_some_and(|record| record.incarnation == held.incarnation);
             if is_same_run {
-                scheduler.note_busy(&target, self.period() * LOADING_PERIODS);
+                scheduler.note_busy(&target, LOADING_TIME);
             }
         }
     }
@@ -523,19 +544,31 @@
         let draw: u64 = rand::random();
         candidates.sort_by_key(|(name, _)| stable_hash(draw, name.as_bytes()));
         for (name, address) in candidates.into_iter().take(MAX_ASKED) {
-            let fetch = self.fetch_from(address, path);
-            let limit = self.context.timers().timeout(FETCH_TIMEOUT, fetch);
-            if let Some(Some(raw)) = limit.await {
+            if let Some(raw) = self.fetch_from(address, path, FETCH_TIMEOUT).await {
                 return Some((name.to_string(), raw));
             }
-            self.client.close_address(address);
             slog::warn!(self.context.log(), "a peer did not pass on what it was asked for";
                 "peer" => &*name, "path" => path);
         }
         None
     }
 
-    async fn fetch_from(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
+    /// Asks the peer at an address. Without an answer in time its connections are closed.
+    pub(super) async fn fetch_from(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Option<Bytes> {
+        let fetch = self.fetch_once(address, path);
+        let fetched = self.context.timers().timeout(limit, fetch).await.flatten();
+        if fetched.is_none() {
+            self.client.close_address(address);
+        }
+        fetched
+    }
+
+    async fn fetch_once(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
         let request = Request::builder()
             .uri(path)
             .header("host", address.to_string())
@@ -565,6 +598,7 @@
             agreed_at: None,
             is_leaving: false,
             started_at: Timestamp::ZERO,
+            avoided_until: Timestamp::ZERO,
         }
     }
 }
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -332,6 +332,64 @@
     });
 }
 
+/// Guards against calls to the store that grow with the fleet, and against instances that do not hear
+/// of a change because they follow others which have lost the store.
+#[test]
+fn most_instances_of_a_large_fleet_follow_others() {
+    run(async {
+        let site = Site::new();
+        let mut nodes = Vec::new();
+        for number in 10..24 {
+            nodes.push(site.start(&format!("n{number}"), "").await);
+        }
+        for node in &nodes {
+            node.wait_ready().await;
+        }
+        // Ten instances watch the store, each with a call a second or more.
+        let followers = eventually("four instances follow others", || async {
+            let calls = || nodes.iter().map(|node| node.door.calls());
+            let before: Vec<u64> = calls().collect();
+            compio::time::sleep(Duration::from_secs(3)).await;
+            let made = calls().zip(before).map(|(after, before)| after - before);
+            let quiet: Vec<usize> = (0..nodes.len())
+                .zip(made)
+                .filter(|(_, made)| *made < 2)
+                .map(|(index, _)| index)
+                .collect();
+            (quiet.len() == 4).then_some(quiet)
+        })
+        .await;
+        site.announce("s1", "draining", 1);
+        for follower in &followers {
+            requests_leave(&site.services[0], &nodes[*follower]).await;
+        }
+        // Half of those that they may follow are turned away.
+        let watchers = (0..nodes.len()).filter(|index| !followers.contains(index));
+        for watcher in watchers.take(5) {
+            nodes[watcher].door.set_mode(StoreMode::Refusing);
+        }
+        site.announce("s1", "ready", 2);
+        site.announce("s2", "draining", 1);
+        site.configure(6, &["another key"]);
+        for follower in &followers {
+            eventually("the key is withdrawn", || async {
+                let status = nodes[*follower].call("r", "GET", "/read/x").await.status;
+                (status == 401).then_some(())
+            })
+            .await;
+        }
+        site.configure(7, &[KEY]);
+        for follower in &followers {
+            eventually("the key is granted", || async {
+                let status = nodes[*follower].call("r", "GET", "/read/x").await.status;
+                (status == 200).then_some(())
+            })
+            .await;
+            requests_leave(&site.services[1], &nodes[*follower]).await;
+        }
+    });
+}
+
 /// Waits until six requests in a row go to other targets.
 async fn requests_leave(target: &FleetTarget, node: &Node) {
     eventually("requests go elsewhere", || async {
