Pass on between instances what the cache stores hold

Change: the ten instances that read the store ask the stores of KV cache twice a second; the others ask one of the ten. The ten tell each other five times a second how recent their readings are, so that their followers need not read the configuration themselves.

--- a/src/jujubelink/core/kvcache/mod.rs
+++ b/src/jujubelink/core/kvcache/mod.rs
@@ -6,10 +6,12 @@
 //! saved only while the store lacks one of its shared parts. This answers sites whose shared parts
 //! fit into the store while all prompts of ten seconds do not.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::ids::{Timestamp, Tokens};
 use crate::util::hash::{combine, stable_hash};
 
@@ -24,12 +26,17 @@
 /// Tokens that a stored part may have less than the part itself: stores keep whole blocks.
 const BLOCK_TOKENS: Tokens = 16;
 
+/// Changes kept for instances that hear of the store from this one; older ones are dropped.
+const MAX_PASSED: usize = 4_096;
+
 /// Parts known at a time; expired ones make room, and further ones are not noted.
 const MAX_PARTS: usize = 32_768;
 
 /// A change of what a store holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartChange {
+    /// Position of the change in the store's history.
+    pub number: u64,
     /// Part.
     pub part: StoredPart,
     /// Tokens held now; 0 once the part is gone.
@@ -37,7 +44,7 @@
 }
 
 /// Changes since the last question.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreNews {
     /// Run of the store; it begins empty.
     pub run: u64,
@@ -48,7 +55,7 @@
 }
 
 /// A part of a prompt, as stores tell them apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StoredPart(u64);
 
 impl StoredPart {
@@ -79,6 +86,7 @@
     run: u64,
     next: u64,
     held: HashMap<StoredPart, Held>,
+    recent: VecDeque<PartChange>,
     is_away: bool,
 }
 
@@ -100,14 +108,33 @@
         !self.is_away
     }
 
+    /// What an instance that knows the history up to `position` is told; `None` while the store does
+    /// not answer.
+    pub fn news_after(&self, position: u64) -> Option<StoreNews> {
+        if self.is_away || self.run == 0 {
+            return None;
+        }
+        let changes = self.recent.iter().filter(|change| change.number > position);
+        Some(StoreNews {
+            run: self.run,
+            next: self.next,
+            changes: changes.copied().collect(),
+        })
+    }
+
     /// Takes an answer of the store. Returns whether it was away before.
     pub fn on_news(&mut self, news: StoreNews, now: Timestamp) -> bool {
         if news.run != self.run {
             self.held.clear();
+            self.recent.clear();
         }
         self.run = news.run;
         self.next = news.next;
         for change in news.changes {
+            if self.recent.len() >= MAX_PASSED {
+                self.recent.pop_front();
+            }
+            self.recent.push_back(change);
             match change.tokens {
                 0 => _ = self.held.remove(&change.part),
                 tokens => self.note(change.part, tokens, now + STORED_TIME, now),
--- a/src/jujubelink/ops/kvcache/watch.rs
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -6,11 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::core::kvcache::{StoreContents, StoredPart, choose_store};
+use crate::core::kvcache::{StoreContents, StoreNews, StoredPart, choose_store};
 use crate::core::relay::PromptHead;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
-use crate::ops::services::{ConfigService, MemberService};
+use crate::ops::services::ConfigService;
+use crate::ops::share::Peers;
 use crate::platform::{CacheAnswer, read_cache_events};
 use crate::util::http::Client;
 
@@ -20,9 +21,9 @@
 /// Time for an answer: the wait, and what a store under load takes besides.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Pause between questions for each instance of the fleet: all together ask a store about 15 times a
-/// second. One answers 12 questions at a time.
-const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(65);
+/// Pause between questions. The ten instances that ask a store itself stay below the 12 questions that
+/// one answers at a time.
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause after a failed question.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -79,6 +80,11 @@
         }
     }
 
+    /// What another instance is told that knows the history of a store up to a position.
+    pub fn news_after(&self, address: SocketAddr, position: u64) -> Option<StoreNews> {
+        self.stores.borrow().get(&address)?.news_after(position)
+    }
+
     /// Follows each store of the configuration in force.
     pub(super) async fn follow(self: Rc<Self>) {
         let config = self.context.service::<dyn ConfigService>();
@@ -118,7 +124,11 @@
             let Some(next) = next else {
                 return;
             };
-            let answer = read_cache_events(&self.client, address, next, WAIT, ANSWER_TIMEOUT).await;
+            let peers = self.context.service::<Peers>();
+            let answer = match peers.news_source() {
+                Some(source) => peers.ask_for_cache_news(&source, address, next).await,
+                None => read_cache_events(&self.client, address, next, WAIT, ANSWER_TIMEOUT).await,
+            };
             let pause = self.take_answer(address, answer);
             self.context.timers().sleep(pause).await;
         }
@@ -130,8 +140,6 @@
         let Some(contents) = stores.get_mut(&address) else {
             return Duration::ZERO;
         };
-        let members = self.context.service::<dyn MemberService>().members();
-        let pause = PAUSE_PER_INSTANCE * (members.len() as u32 + 1);
         match answer {
             CacheAnswer::News(news) => {
                 let now = self.context.timers().boot_now();
@@ -139,9 +147,9 @@
                     slog::info!(self.context.log(), "cache store regained";
                         "address" => address.to_string());
                 }
-                pause
+                PAUSE
             }
-            CacheAnswer::Busy => pause,
+            CacheAnswer::Busy => PAUSE,
             CacheAnswer::Failed => {
                 if contents.on_failure() {
                     slog::warn!(self.context.log(), "cache store lost";
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -8,13 +8,17 @@
 use prost::Message;
 
 use super::message::ShareMessage;
-use super::news::NEWS_PATH;
+use super::news::{CACHE_NEWS_PATH, NEWS_PATH};
 use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
 use crate::util::http::{Body, Handler, empty, full, serve_listener};
 use crate::util::net::{Datagram, Listener};
 
+/// Time between messages to the instances that read the store, and to all while the sender has engines
+/// load, which refuse requests at once. Limits may be overdrawn by what is used in between.
+pub(super) const MIN_PERIOD: Duration = Duration::from_millis(200);
+
 /// Receive buffer, above the largest datagram.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -49,16 +53,29 @@
 }
 
 pub(super) async fn send(peers: Rc<Peers>, socket: Rc<Datagram>) {
+    let mut all_due = Duration::ZERO;
     loop {
-        let bytes = peers.message().encode_to_vec();
-        for address in peers.addresses() {
+        let now = peers.now();
+        let is_all_due = now >= all_due || peers.is_loading();
+        let addresses = match is_all_due {
+            true => peers.addresses(),
+            false => peers.watcher_addresses(),
+        };
+        if is_all_due {
+            all_due = now + peers.period();
+        }
+        let bytes = match addresses.is_empty() {
+            true => Vec::new(),
+            false => peers.message().encode_to_vec(),
+        };
+        for address in addresses {
             if let Err(error) = socket.send_to(&bytes, address) {
                 slog::debug!(peers.context.log(), "cannot send to an instance";
                     "address" => address.to_string(), "error" => %error);
             }
         }
         peers.refresh_contacts();
-        peers.next_message_due().await;
+        peers.context.timers().sleep(MIN_PERIOD).await;
     }
 }
 
@@ -132,6 +149,10 @@
                 let query = request.uri().query().unwrap_or_default();
                 self.0.wait_for_news(query).await
             }
+            CACHE_NEWS_PATH => {
+                let query = request.uri().query().unwrap_or_default();
+                self.0.cache_news(query)
+            }
             _ => None,
         };
         let mut response = Response::new(raw.map_or_else(empty, full));
--- a/src/jujubelink/ops/share/news.rs
+++ b/src/jujubelink/ops/share/news.rs
@@ -4,6 +4,8 @@
 //! are answered as soon as something changes. So the calls to the store do not grow with the fleet.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,16 +14,21 @@
 use serde::{Deserialize, Serialize};
 
 use super::Peers;
-use super::peers::SAME_START;
+use super::peers::{Peer, SAME_START};
 use crate::core::fleet::{Naming, Proof};
 use crate::core::ids::{ConfigVersion, InstanceId, ModelId, Timestamp};
 use crate::ops::fleet::PassedTargets;
+use crate::ops::kvcache::CacheStores;
 use crate::ops::services::ConfigService;
+use crate::platform::CacheAnswer;
 use crate::util::hash::stable_hash;
 
 /// Path of the news at a peer.
 pub(super) const NEWS_PATH: &str = "/news";
 
+/// Path of what a store of KV cache holds, as a peer knows it.
+pub(super) const CACHE_NEWS_PATH: &str = "/cache-news";
+
 /// Instances that watch the store themselves. Their loss costs the others one call each.
 const WATCHERS: usize = 10;
 
@@ -62,20 +69,39 @@
         }
         let now = self.now();
         let table = self.table.borrow();
+        let watchers = self.watchers(&table, now).into_iter();
+        let own = stable_hash(0, self.name().as_bytes());
+        let chosen = watchers
+            .filter(|(_, peer)| peer.avoided_until <= now)
+            .max_by_key(|(name, _)| stable_hash(own, name.as_bytes()))?;
+        Some(chosen.0.clone())
+    }
+
+    /// The first instances in the order of [`Self::rank`], up to starts that are close together.
+    fn watchers<'a>(
+        &self,
+        table: &'a BTreeMap<InstanceId, Peer>,
+        now: Timestamp,
+    ) -> Vec<(&'a InstanceId, &'a Peer)> {
         let mut heard: Vec<_> = table
             .iter()
             .filter(|(_, peer)| self.is_in_contact(peer, now))
             .collect();
-        // The same order as in `rank`, up to starts that are close together.
         let step = SAME_START.as_millis();
         heard.sort_by_key(|(name, peer)| (Reverse(peer.started_at.as_millis() / step), *name));
         heard.truncate(WATCHERS);
-        heard.retain(|(_, peer)| peer.avoided_until <= now);
-        let own = stable_hash(0, self.name().as_bytes());
-        let chosen = heard
-            .iter()
-            .max_by_key(|(name, _)| stable_hash(own, name.as_bytes()))?;
-        Some(chosen.0.clone())
+        heard
+    }
+
+    /// Addresses of the instances that watch the store, if this one does: they tell each other how
+    /// recent their readings are more often than the others.
+    pub(super) fn watcher_addresses(&self) -> Vec<SocketAddr> {
+        if (self.rank() as usize) >= WATCHERS {
+            return Vec::new();
+        }
+        let table = self.table.borrow();
+        let watchers = self.watchers(&table, self.now()).into_iter();
+        watchers.map(|(_, peer)| peer.address).collect()
     }
 
     /// Whether other instances ask this one for news.
@@ -119,7 +145,7 @@
     /// Asks a peer for news and takes them. Returns whether the targets changed; `None` if the peer
     /// has no recent ones.
     pub async fn follow_news(&self, source: &InstanceId) -> Option<bool> {
-        let address = self.table.borrow().get(source)?.address;
+        let address = self.address_of(source)?;
         let known = self.fleet.target_revision();
         let path = format!(
             "{NEWS_PATH}?{known},{}",
@@ -139,6 +165,35 @@
         taken
     }
 
+    /// What a store of KV cache holds, for a peer that knows its history up to a position.
+    pub(super) fn cache_news(&self, query: &str) -> Option<Bytes> {
+        let (address, position) = query.split_once(',')?;
+        let stores = self.context.service::<CacheStores>();
+        let news = stores.news_after(address.parse().ok()?, position.parse().ok()?)?;
+        Some(serde_json::to_vec(&news).ok()?.into())
+    }
+
+    /// Asks a peer what a store of KV cache holds. A peer that has lost the store gives no answer, and
+    /// this instance does without the store as well.
+    pub async fn ask_for_cache_news(
+        &self,
+        source: &InstanceId,
+        store: SocketAddr,
+        position: u64,
+    ) -> CacheAnswer {
+        let Some(address) = self.address_of(source) else {
+            return CacheAnswer::Busy;
+        };
+        let path = format!("{CACHE_NEWS_PATH}?{store},{position}");
+        let raw = self.fetch_from(address, &path, ANSWER_SLACK).await;
+        let news = raw.and_then(|raw| serde_json::from_slice(&raw).ok());
+        news.map_or(CacheAnswer::Failed, CacheAnswer::News)
+    }
+
+    fn address_of(&self, name: &InstanceId) -> Option<SocketAddr> {
+        Some(self.table.borrow().get(name)?.address)
+    }
+
     fn take_news(&self, raw: &[u8], source: &str, asked_at: Timestamp) -> Option<bool> {
         let news: News = serde_json::from_slice(raw).ok()?;
         // The answer was made after it had been held, so that what it calls `age` old is no older
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -7,16 +7,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::select;
 use http::{Request, StatusCode};
 
+use super::exchange::MIN_PERIOD;
 use super::limits::Buckets;
 use super::message::{Heard, Loading, ModelWeights, ShareMessage, Suspect, WorkspaceUse};
 use crate::core::fleet::{Naming, Proof};
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
 use crate::core::quota::{PeerUse, contact_digest};
 use crate::ops::fleet::Fleet;
-use crate::ops::kernel::{Context, Lifecycle, Notifier};
+use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::services::{
     GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState, SchedulerService,
 };
@@ -24,9 +24,6 @@
 use crate::util::hash::stable_hash;
 use crate::util::http::{Client, RequestOptions, collect_limited, empty};
 
-/// Shortest time between two messages to a peer. Limits may be overdrawn by what is used in between.
-const MIN_PERIOD: Duration = Duration::from_millis(200);
-
 /// Messages per second that an instance sends at most; with more peers than this allows for, each is
 /// told less often.
 const MAX_MESSAGES_PER_S: u32 = 40;
@@ -109,7 +106,6 @@
     observed: RefCell<VecDeque<(Timestamp, ModelWeights)>>,
     suspects: RefCell<VecDeque<(Timestamp, Suspect)>>,
     loading: RefCell<Vec<Loading>>,
-    is_urgent: Notifier,
     handlers: RefCell<Vec<GossipHandler>>,
     client: Client,
 }
@@ -129,7 +125,6 @@
             observed: RefCell::default(),
             suspects: RefCell::default(),
             loading: RefCell::default(),
-            is_urgent: Notifier::new(),
             handlers: RefCell::default(),
             client: Client::new(),
         }
@@ -150,16 +145,9 @@
         MIN_PERIOD.max(Duration::from_secs(1) * peers / MAX_MESSAGES_PER_S)
     }
 
-    /// Completes when the next message is due. Engines that begin to load refuse requests at once, so
-    /// that the others hear of it within [`MIN_PERIOD`] in a fleet of any size.
-    pub(super) async fn next_message_due(&self) {
-        let timers = self.context.timers();
-        let urgent = self.is_urgent.changed();
-        timers.sleep(MIN_PERIOD).await;
-        let rest = self.period().saturating_sub(MIN_PERIOD);
-        if self.loading.borrow().is_empty() && !rest.is_zero() {
-            select(Box::pin(urgent), Box::pin(timers.sleep(rest))).await;
-        }
+    /// Whether engines carry out an order of this instance.
+    pub(super) fn is_loading(&self) -> bool {
+        !self.loading.borrow().is_empty()
     }
 
     fn contact_limit(&self) -> Duration {
@@ -288,9 +276,6 @@
         });
         self.loading.replace(loading.collect());
         self.note_loading(&self.loading.borrow());
-        if !self.loading.borrow().is_empty() {
-            self.is_urgent.notify();
-        }
     }
 
     /// Keeps requests from engines that load, until the next message at most.
--- a/src/jujubelink/platform/cache_events.rs
+++ b/src/jujubelink/platform/cache_events.rs
@@ -73,8 +73,9 @@
 
 /// A removal may leave the first tokens of a part; they count as nothing, since the rest is read
 /// again.
-fn change((_, sign, salt, part, tokens, model): Event) -> PartChange {
+fn change((number, sign, salt, part, tokens, model): Event) -> PartChange {
     PartChange {
+        number,
         part: StoredPart::new(&salt, &model, part_hash(&part)),
         tokens: if sign == "+" { tokens } else { 0 },
     }
--- a/tests/testsuite/kvcache.rs
+++ b/tests/testsuite/kvcache.rs
@@ -16,6 +16,7 @@
 
 fn news(run: u64, next: u64, changes: &[(u64, u64)]) -> StoreNews {
     let change = |(name, tokens): &(u64, u64)| PartChange {
+        number: next,
         part: part(*name),
         tokens: *tokens,
     };
@@ -58,6 +59,25 @@
     assert!(contents.take_save(&[(part(1), 800)], ms(40_000)));
 }
 
+/// Guards against instances that hear of the store from another one and miss changes, or take a store
+/// that is away for one that answers.
+#[test]
+fn what_the_store_holds_is_passed_on() {
+    let (mut first, mut second) = (StoreContents::default(), StoreContents::default());
+    assert!(first.news_after(0).is_none());
+    first.on_news(news(1, 1, &[(1, 800)]), ms(0));
+    first.on_news(news(1, 2, &[(2, 400)]), ms(100));
+    second.on_news(first.news_after(0).unwrap(), ms(200));
+    assert!(!second.take_save(&[(part(1), 800), (part(2), 400)], ms(300)));
+    first.on_news(news(1, 3, &[(1, 0)]), ms(400));
+    let passed = first.news_after(second.position()).unwrap();
+    assert_eq!(passed.changes.len(), 1);
+    second.on_news(passed, ms(500));
+    assert!(second.take_save(&[(part(1), 800)], ms(600)));
+    first.on_failure();
+    assert!(first.news_after(0).is_none());
+}
+
 /// Guards against requests that wait for a store which is away.
 #[test]
 fn a_store_that_does_not_answer_is_away_until_it_does() {
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -175,12 +175,13 @@
     assert_eq!((news.run, news.next), (77120, 120));
     let head = decode_request(&client_head()).unwrap();
     let parts = head.prompt.unwrap().parts;
-    let change = |part: usize, tokens| PartChange {
+    let change = |number, part: usize, tokens| PartChange {
+        number,
         part: StoredPart::new("s1", "daka510000", parts[part].0),
         tokens,
     };
     // What is left of a part after a removal is not counted.
-    assert_eq!(news.changes, [change(0, 800), change(1, 0)]);
+    assert_eq!(news.changes, [change(119, 0, 800), change(120, 1, 0)]);
     assert!(decode_cache_events(b"{\"next\":1}").is_none());
 }
 
