Write logs to standard output without waiting for the reader

They went to standard error, and a full pipe would have held up the one thread of the process.

Change: a line is written only if the output takes it at once; else it is dropped and counted, and a later line says how many are missing.

Figures: in the new test an instance whose log nobody reads answers 400 requests and tells of more than 100 dropped lines afterwards.

--- a/src/jujubelink/ops/telemetry/log.rs
+++ b/src/jujubelink/ops/telemetry/log.rs
@@ -1,12 +1,14 @@
 //! JSON-line logs.
 
 use std::collections::HashMap;
-use std::io::{self, Write};
+use std::io::Write;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use slog::{Drain, Level, Logger, OwnedKVList, Record, b, o};
 
+use super::output::LogOutput;
+
 /// Warnings and errors of one place in the code that are written in a window; further ones are
 /// counted and reported with the next window's first message.
 pub const MAX_MESSAGES_PER_WINDOW: u32 = 10;
@@ -17,12 +19,11 @@
 /// Places in the code whose messages are counted; messages of further places are not limited.
 const MAX_PLACES: usize = 1024;
 
-/// A logger that writes one JSON object a line to standard error.
+/// A logger that writes one JSON object a line to standard output, and never waits for its reader.
 ///
 /// The drain is synchronous: slog's asynchronous drain starts a thread.
 pub fn new_logger(level: Level) -> Logger {
-    // One write a line: lines of several processes on one terminal or pipe stay whole.
-    new_logger_to(io::LineWriter::new(io::stderr()), level)
+    new_logger_to(LogOutput::default(), level)
 }
 
 /// A logger that writes to `output`.
--- a/src/jujubelink/ops/telemetry/mod.rs
+++ b/src/jujubelink/ops/telemetry/mod.rs
@@ -3,6 +3,7 @@
 mod limited;
 mod log;
 mod metrics;
+mod output;
 mod served;
 mod trace;
 
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -1,6 +1,7 @@
 //! The whole path on the users' platform: real instances before stand-ins of the store and of targets
 //! that speak its protocol.
 
+use std::io::BufRead;
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -118,17 +119,22 @@
     }
 
     async fn start_behind(&self, name: &str, settings: &str, mode: StoreMode) -> Node {
+        let log = "[log]\nlevel = \"warning\"\n";
+        self.start_logging(name, &format!("{settings}\n{log}"), mode, Stdio::inherit())
+            .await
+    }
+
+    async fn start_logging(&self, name: &str, settings: &str, mode: StoreMode, log: Stdio) -> Node {
         let door = StoreDoor::new(&self.store);
         door.set_mode(mode);
         let handle = StandInHandle::start(Rc::clone(&door)).unwrap();
         let ready = free_address();
         let fleet = format!(
             "[fleet]\nmachine = \"{name}\"\nready_address = \"{ready}\"\n\
-             is_revocation_strict = true\n{settings}\n[log]\nlevel = \"warning\"\n"
+             is_revocation_strict = true\n{settings}\n"
         );
         let addresses = [free_address(), free_address(), free_address()];
-        let instance =
-            Instance::start_with(addresses, handle.address(), &[], &fleet, Stdio::inherit());
+        let instance = Instance::start_with(addresses, handle.address(), &[], &fleet, log);
         Node {
             instance: instance.await,
             door,
@@ -528,6 +534,43 @@
     });
 }
 
+/// Guards against an instance that waits for the reader of its log, and against lines that go missing
+/// without a trace.
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    run(async {
+        let site = Site::new();
+        let mut node = site
+            .start_logging("n1", "", StoreMode::Up, Stdio::piped())
+            .await;
+        node.wait_ready().await;
+        let log = node.instance.take_log();
+        // Each answer is a line of some 400 bytes; a pipe takes 64 KiB.
+        for number in 0..400 {
+            let answer = node.call(&format!("r{number}"), "GET", "/read/x").await;
+            assert_eq!(answer.status, 200);
+        }
+        let (sender, lines) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for line in std::io::BufReader::new(log).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        let notice = eventually("a line says how many are missing", || async {
+            node.call("last", "GET", "/read/x").await;
+            lines.try_iter().find_map(|line| {
+                let line: Value = serde_json::from_str(&line).expect("whole lines");
+                (line["msg"] == "log lines dropped").then(|| line["count"].as_u64())
+            })
+        })
+        .await;
+        let dropped = notice.expect("a number");
+        assert!(dropped > 100, "{dropped} lines dropped");
+    });
+}
+
 /// Guards against requests to a target that has announced its leaving, before it is gone.
 #[test]
 fn leaving_targets_get_no_requests() {
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -86,7 +86,7 @@
             .arg("serve")
             .arg("--settings")
             .arg(&settings)
-            .stderr(log)
+            .stdout(log)
             .spawn()
             .expect("a started instance");
         let instance = Self {
@@ -128,6 +128,13 @@
     }
 }
 
+impl Instance {
+    /// Reading end of the log, of an instance that was started with a pipe.
+    pub(crate) fn take_log(&mut self) -> std::process::ChildStdout {
+        self.child.stdout.take().expect("a piped log")
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
