Count weights of unknown age from the last certain time

An instance heard of the newest weights from another one that did not know when they were named either, and took that moment for the naming, so that old weights could be used for another 12.8 s.

Change: such weights count as named when this instance last knew the named ones, or else as at the start of a process. Messages go to the peers of a large fleet in turn.

Figures: the new test fails before the change.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -47,6 +47,20 @@
 }
 
 impl Naming {
+    /// What another instance tells. If it does not know the time either, the weights were named after
+    /// this one last knew that there were none (`known_until`), and else before it started: then
+    /// `assumed` is the time that counts.
+    pub fn heard(
+        at: Option<Timestamp>,
+        known_until: Option<Timestamp>,
+        assumed: Timestamp,
+    ) -> Self {
+        Self {
+            at: at.or(known_until).unwrap_or(assumed),
+            is_assumed: at.is_none(),
+        }
+    }
+
     /// Known times go before assumed ones, and the earliest known one is right: others heard later.
     fn merge(&mut self, other: Self) {
         let is_better = match (self.is_assumed, other.is_assumed) {
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -58,6 +58,7 @@
     snapshot_generation: Cell<u64>,
     /// Revision of the store up to which the targets are known.
     target_revision: Cell<u64>,
+    started_at: Timestamp,
     /// When the store last said that the targets are these, by whichever way.
     targets_proved_at: Cell<Timestamp>,
     changed: Notifier,
@@ -75,6 +76,7 @@
             snapshot: RefCell::default(),
             snapshot_generation: Cell::new(0),
             target_revision: Cell::new(0),
+            started_at: context.timers().boot_now(),
             targets_proved_at: Cell::new(Timestamp::ZERO),
             changed: Notifier::new(),
         }
@@ -230,14 +232,10 @@
     pub fn on_stored_weights(&self, named: &[(ModelId, u64)], is_first: bool) {
         let now = self.context.timers().boot_now();
         let naming = match is_first {
-            true => {
-                let bound = Duration::from_millis(self.settings().weights_ms);
-                let allowed = bound.mul_f64(OLD_WEIGHTS_PART);
-                Naming {
-                    at: (now + FIRST_OLD_WEIGHTS).saturating_sub(allowed),
-                    is_assumed: true,
-                }
-            }
+            true => Naming {
+                at: self.assumed_naming_from(now),
+                is_assumed: true,
+            },
             false => Naming {
                 at: now,
                 is_assumed: false,
@@ -258,6 +256,17 @@
         replaced_at.is_none_or(|at| now.saturating_sub(at) < bound.mul_f64(OLD_WEIGHTS_PART))
     }
 
+    /// Time of naming that counts for weights which were named before this process started.
+    pub fn assumed_naming(&self) -> Timestamp {
+        self.assumed_naming_from(self.started_at)
+    }
+
+    /// Old weights may be used for [`FIRST_OLD_WEIGHTS`] from `first` on.
+    fn assumed_naming_from(&self, first: Timestamp) -> Timestamp {
+        let bound = Duration::from_millis(self.settings().weights_ms);
+        (first + FIRST_OLD_WEIGHTS).saturating_sub(bound.mul_f64(OLD_WEIGHTS_PART))
+    }
+
     /// Takes named weights with the time of their naming.
     pub fn on_named_weights(&self, named: &[(ModelId, u64, Naming)], source: &str) {
         for (model, version, naming) in named {
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -53,17 +53,10 @@
 }
 
 pub(super) async fn send(peers: Rc<Peers>, socket: Rc<Datagram>) {
-    let mut all_due = Duration::ZERO;
+    let mut round = 0;
     loop {
-        let now = peers.now();
-        let is_all_due = now >= all_due || peers.is_loading();
-        let addresses = match is_all_due {
-            true => peers.addresses(),
-            false => peers.watcher_addresses(),
-        };
-        if is_all_due {
-            all_due = now + peers.period();
-        }
+        let addresses = peers.addresses_due(round);
+        round += 1;
         let bytes = match addresses.is_empty() {
             true => Vec::new(),
             false => peers.message().encode_to_vec(),
--- a/src/jujubelink/ops/share/news.rs
+++ b/src/jujubelink/ops/share/news.rs
@@ -217,10 +217,9 @@
             .weights
             .iter()
             .map(|(model, version, ago_ms)| {
-                let naming = Naming {
-                    at: time_of(ago_ms.unwrap_or_default()),
-                    is_assumed: ago_ms.is_none(),
-                };
+                let known_until = self.weights_proved_at();
+                let assumed = self.fleet.assumed_naming();
+                let naming = Naming::heard(ago_ms.map(time_of), known_until, assumed);
                 (model.as_str().into(), *version, naming)
             })
             .collect();
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -1,7 +1,7 @@
 //! The other instances.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -339,12 +339,20 @@
         self.buckets.set_peers(&contacts, now);
     }
 
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.table
-            .borrow()
-            .values()
-            .map(|peer| peer.address)
-            .collect()
+    /// Addresses that get a message in a round of [`MIN_PERIOD`]. Those of a large fleet get theirs in
+    /// turn: datagrams of all at once would overflow the machine's link, and the same ones be lost each
+    /// time.
+    pub(super) fn addresses_due(&self, round: u32) -> Vec<SocketAddr> {
+        let rounds = (self.period().as_millis() / MIN_PERIOD.as_millis()).max(1) as u32;
+        let table = self.table.borrow();
+        let is_due = |index: u32| self.is_loading() || index % rounds == round % rounds;
+        let in_turn = (0..)
+            .zip(table.values())
+            .filter(|(index, _)| is_due(*index));
+        let mut due: BTreeSet<SocketAddr> = in_turn.map(|(_, peer)| peer.address).collect();
+        drop(table);
+        due.extend(self.watcher_addresses());
+        due.into_iter().collect()
     }
 
     /// The message to all peers.
@@ -395,6 +403,7 @@
             return;
         }
         let now = self.now();
+        let weights_known_until = self.weights_proved_at();
         let own_hash = stable_hash(0, self.name.as_bytes());
         let echoed = message
             .heard
@@ -455,7 +464,7 @@
             self.buckets.on_report(&used.workspace, &name, report, now);
         }
         self.note_loading(&message.loading);
-        self.take_weights(&message, &name);
+        self.take_weights(&message, &name, weights_known_until);
         for suspect in &message.suspects {
             let item = GossipItem::Quarantine {
                 fingerprint: suspect.fingerprint,
@@ -468,17 +477,17 @@
         }
     }
 
-    fn take_weights(&self, message: &ShareMessage, name: &str) {
+    /// Takes the weights that a message tells of. Before it, this instance knew the named ones as of
+    /// `known_until`.
+    fn take_weights(&self, message: &ShareMessage, name: &str, known_until: Option<Timestamp>) {
         let now = self.now();
         let named: Vec<(ModelId, u64, Naming)> = message
             .named
             .iter()
             .map(|named| {
                 let ago = named.named_ago_ms.map(Duration::from_millis);
-                let naming = Naming {
-                    at: now.saturating_sub(ago.unwrap_or_default()),
-                    is_assumed: ago.is_none(),
-                };
+                let at = ago.map(|ago| now.saturating_sub(ago));
+                let naming = Naming::heard(at, known_until, self.fleet.assumed_naming());
                 (named.model.as_str().into(), named.version, naming)
             })
             .collect();
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -202,3 +202,25 @@
     state.on_target(4, record("t", 2, false));
     assert_eq!(state.serving("llm"), [id]);
 }
+
+/// Guards against old weights that are used for long after a start of all instances: none of them
+/// knows when the newest ones were named, and each takes the moment at which it heard of them from
+/// another. Found by a day on a grown deployment, where instances hear of weights from others first.
+#[test]
+fn weights_named_at_an_unknown_time_count_from_the_last_certain_one() {
+    let (assumed, proof, known) = (ms(1_000), ms(5_000), ms(7_000));
+    // A process that has just started knows of no time at which they were not named.
+    let heard = Naming::heard(None, None, assumed);
+    assert_eq!((heard.at, heard.is_assumed), (assumed, true));
+    // One that runs for longer knew until its last proof that there were none.
+    let heard = Naming::heard(None, Some(proof), assumed);
+    assert_eq!((heard.at, heard.is_assumed), (proof, true));
+    let heard = Naming::heard(Some(known), Some(proof), assumed);
+    assert_eq!((heard.at, heard.is_assumed), (known, false));
+    // What is heard later does not make them newer.
+    let model: ModelId = "llm/m".into();
+    let mut state = FleetState::default();
+    state.on_named_weights(&model, 2, Naming::heard(None, None, assumed));
+    state.on_named_weights(&model, 2, Naming::heard(None, Some(proof), assumed));
+    assert_eq!(state.replaced_at(&model, 1), Some(assumed));
+}
