Bound fetches by the link of the cache store

When clients come back, engines fetch 6,300 tokens for each prompt from the store: 221 MB, of which its link carries 68 a second, and transfers queue for up to two seconds. Reading would be faster. The rule that parts count as held for 30 s made it worse, since more of them were in the store.

Change: each instance has its part of the link for what targets are believed to lack. Parts count as held for 10 s again.

--- a/src/jujubelink/core/fleet/policy.rs
+++ b/src/jujubelink/core/fleet/policy.rs
@@ -73,6 +73,8 @@
 pub struct EngineTraits {
     /// Models that the engines serve.
     pub models: Vec<ModelId>,
+    /// Size of the KV cache of one token, in bytes; 0 if unknown.
+    pub kv_token_bytes: f64,
 }
 
 /// A service of the configuration.
@@ -82,6 +84,8 @@
     pub engine: Option<EngineTraits>,
     /// Set if the service is a store of KV cache.
     pub kv_store: Option<SocketAddr>,
+    /// Rate of the store's link, in bytes per second; infinite if unknown.
+    pub kv_link_bytes_per_s: f64,
 }
 
 /// What a workspace's limit counts.
--- a/src/jujubelink/core/kvcache/mod.rs
+++ b/src/jujubelink/core/kvcache/mod.rs
@@ -6,6 +6,10 @@
 //! saved only while the store lacks one of its shared parts. This answers sites whose shared parts
 //! fit into the store while all prompts of ten seconds do not.
 
+mod link;
+
+pub use link::LinkBudget;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,13 +19,10 @@
 use crate::core::ids::{Timestamp, Tokens};
 use crate::util::hash::{combine, stable_hash};
 
-/// Time for which a part counts as held after it was sent to the store. The engine may have failed,
-/// and the event of a part that the store held already never comes.
-const SENT_TIME: Duration = Duration::from_secs(10);
-
-/// Time for which a part counts as held after the store said so. Three in a hundred events of a removal
-/// never arrive.
-const STORED_TIME: Duration = Duration::from_secs(30);
+/// Time for which a part counts as held after it was stored or sent there. The engine may have failed,
+/// and some events never arrive. With 30 s more prompts were fetched than the store's link carried on
+/// days of high load.
+const BELIEF_TIME: Duration = Duration::from_secs(10);
 
 /// Tokens that a stored part may have less than the part itself: stores keep whole blocks.
 const BLOCK_TOKENS: Tokens = 16;
@@ -137,7 +138,7 @@
             self.recent.push_back(change);
             match change.tokens {
                 0 => _ = self.held.remove(&change.part),
-                tokens => self.note(change.part, tokens, now + STORED_TIME, now),
+                tokens => self.note(change.part, tokens, now),
             }
         }
         std::mem::take(&mut self.is_away)
@@ -156,17 +157,18 @@
             let held = self.held.get(part).filter(|held| now < held.until);
             if held.is_none_or(|held| held.tokens + BLOCK_TOKENS < *tokens) {
                 is_needed = true;
-                self.note(*part, *tokens, now + SENT_TIME, now);
+                self.note(*part, *tokens, now);
             }
         }
         is_needed
     }
 
-    fn note(&mut self, part: StoredPart, tokens: Tokens, until: Timestamp, now: Timestamp) {
+    fn note(&mut self, part: StoredPart, tokens: Tokens, now: Timestamp) {
         if self.held.len() >= MAX_PARTS {
             self.held.retain(|_, held| now < held.until);
         }
         if self.held.len() < MAX_PARTS || self.held.contains_key(&part) {
+            let until = now + BELIEF_TIME;
             self.held.insert(part, Held { tokens, until });
         }
     }
--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -8,7 +8,7 @@
 use crate::util::hash::{combine, stable_hash};
 
 /// Tokens of one block of the prefix table.
-const BLOCK_TOKENS: u64 = 1_000;
+pub const BLOCK_TOKENS: u64 = 1_000;
 
 /// Blocks of one prompt; the rest of a longer prompt shares the last one.
 const MAX_BLOCKS: usize = 256;
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -8,4 +8,4 @@
 mod head;
 
 pub use answer::{AnswerHead, AnswerVerdict, Failure, judge_answer, may_send_again};
-pub use head::{PromptHead, RelayHead, SendHead, TargetUse};
+pub use head::{BLOCK_TOKENS, PromptHead, RelayHead, SendHead, TargetUse};
--- a/src/jujubelink/ops/kvcache/watch.rs
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::core::kvcache::{StoreContents, StoreNews, StoredPart, choose_store};
+use crate::core::ids::{Timestamp, Tokens};
+use crate::core::kvcache::{LinkBudget, StoreContents, StoreNews, StoredPart, choose_store};
 use crate::core::relay::PromptHead;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
@@ -43,6 +44,7 @@
     fleet: Rc<Fleet>,
     client: Client,
     stores: RefCell<BTreeMap<SocketAddr, StoreContents>>,
+    links: RefCell<BTreeMap<SocketAddr, LinkBudget>>,
 }
 
 impl CacheStores {
@@ -53,11 +55,13 @@
             fleet,
             client: Client::new(),
             stores: RefCell::default(),
+            links: RefCell::default(),
         }
     }
 
-    /// How a request with this prompt uses the stores. It counts as sent.
-    pub fn use_for(&self, prompt: &PromptHead, salt: &str) -> StoreUse {
+    /// How a request with this prompt uses the stores. Its target is believed to have cached
+    /// `cached_tokens`. The request counts as sent.
+    pub fn use_for(&self, prompt: &PromptHead, salt: &str, cached_tokens: Tokens) -> StoreUse {
         let parts: Vec<(StoredPart, u64)> = prompt
             .shared_parts()
             .iter()
@@ -74,12 +78,38 @@
         let now = self.context.timers().boot_now();
         let contents = stores.get_mut(&address);
         let is_saved = contents.is_some_and(|contents| contents.take_save(&parts, now));
+        drop(stores);
+        let shared: Tokens = parts.iter().map(|(_, tokens)| tokens).sum();
+        let missing = shared.saturating_sub(cached_tokens);
+        let is_fetched = self.may_fetch(address, missing, now);
         StoreUse {
-            fetch_from: Some(address),
+            fetch_from: is_fetched.then_some(address),
             save_to: is_saved.then_some(address),
         }
     }
 
+    /// Whether the store's link has room for what a target lacks.
+    fn may_fetch(&self, address: SocketAddr, missing: Tokens, now: Timestamp) -> bool {
+        let Some(policy) = self.fleet.policy() else {
+            return false;
+        };
+        let services = || policy.services.values();
+        let store = services().find(|service| service.kv_store == Some(address));
+        let link_bytes_per_s = store.map_or(f64::INFINITY, |store| store.kv_link_bytes_per_s);
+        let token_bytes = services()
+            .filter_map(|service| service.engine.as_ref())
+            .map(|engine| engine.kv_token_bytes)
+            .fold(0.0, f64::max);
+        if !link_bytes_per_s.is_finite() {
+            return true;
+        }
+        let instances = self.context.service::<Peers>().fleet_size();
+        let bytes = missing as f64 * token_bytes;
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(address).or_default();
+        link.take(bytes, link_bytes_per_s, instances, now)
+    }
+
     /// What another instance is told that knows the history of a store up to a position.
     pub fn news_after(&self, address: SocketAddr, position: u64) -> Option<StoreNews> {
         self.stores.borrow().get(&address)?.news_after(position)
@@ -99,6 +129,9 @@
     fn take_stores(self: &Rc<Self>, named: &BTreeSet<SocketAddr>) {
         let mut stores = self.stores.borrow_mut();
         stores.retain(|address, _| named.contains(address));
+        self.links
+            .borrow_mut()
+            .retain(|address, _| named.contains(address));
         for address in named {
             stores.entry(*address).or_insert_with(|| {
                 compio::runtime::spawn(Rc::clone(self).follow_one(*address)).detach();
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -14,7 +14,7 @@
 use crate::core::fleet::{TargetAddress, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
-use crate::core::relay::{Failure, RelayHead, TargetUse, may_send_again};
+use crate::core::relay::{BLOCK_TOKENS, Failure, RelayHead, TargetUse, may_send_again};
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -296,7 +296,10 @@
         let version = weights.unwrap_or(0);
         let cache_salt = format!("{version}/{wall}");
         let prompt = self.head.prompt.as_ref();
-        let store = prompt.map(|prompt| self.relay.cache_stores.use_for(prompt, &cache_salt));
+        let placed = self.placement.as_ref();
+        let cached = placed.map_or(0, |placed| u64::from(placed.expected_cached_blocks));
+        let stores = &self.relay.cache_stores;
+        let store = prompt.map(|prompt| stores.use_for(prompt, &cache_salt, cached * BLOCK_TOKENS));
         let store = store.unwrap_or_default();
         let workspace = admission.workspace.as_ref();
         let held = workspace.and_then(|name| admission.policy.workspaces.get(name));
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -64,10 +64,14 @@
     name: String,
     engine: Option<Engine>,
     kv_store_addr: Option<SocketAddr>,
+    /// Megabits per second.
+    link_mbps: Option<f64>,
 }
 
 #[derive(Deserialize)]
 struct Engine {
+    #[serde(default)]
+    kv_token_bytes: f64,
     #[serde(default)]
     models: Vec<EngineModel>,
 }
@@ -100,6 +104,8 @@
     max_body_bytes: Option<usize>,
 }
 
+const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
+
 /// Decodes a configuration.
 pub fn decode_configuration(spec: &serde_json::Value) -> Result<FleetPolicy, String> {
     let document = Document::deserialize(spec).map_err(|error| error.to_string())?;
@@ -118,6 +124,9 @@
         let held = PolicyService {
             engine: service.engine.map(decode_engine),
             kv_store: service.kv_store_addr,
+            kv_link_bytes_per_s: service
+                .link_mbps
+                .map_or(f64::INFINITY, |mbps| mbps * BYTES_PER_MEGABIT),
         };
         (service.name.into(), held)
     });
@@ -184,6 +193,7 @@
     let models = engine.models.into_iter().map(|model| model.name.into());
     EngineTraits {
         models: models.collect(),
+        kv_token_bytes: engine.kv_token_bytes,
     }
 }
 
--- a/tests/testsuite/kvcache.rs
+++ b/tests/testsuite/kvcache.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jujubelink::core::kvcache::{PartChange, StoreContents, StoreNews, StoredPart, choose_store};
+use jujubelink::core::kvcache::{
+    LinkBudget, PartChange, StoreContents, StoreNews, StoredPart, choose_store,
+};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -119,6 +121,31 @@
     assert_eq!(choose_store([].into_iter(), &[]), None);
 }
 
+/// Guards against a link on which transfers queue for longer than two seconds, after which stores do
+/// not start them: what all instances let engines fetch in two seconds of the worst load, after a
+/// pause, is not more than the link carries in four.
+#[test]
+fn fetches_stay_within_the_link() {
+    let link_bytes_per_s = 15e9;
+    let fetch_bytes = 221e6;
+    let mut links: Vec<LinkBudget> = (0..7).map(|_| LinkBudget::default()).collect();
+    let mut fetched = 0.0;
+    for now_ms in 10_000..12_000 {
+        for link in &mut links {
+            // Each instance wants more than the whole link.
+            if now_ms % 10 == 0 && link.take(fetch_bytes, link_bytes_per_s, 7, ms(now_ms)) {
+                fetched += fetch_bytes;
+            }
+        }
+    }
+    assert!(fetched <= 4.0 * link_bytes_per_s, "{fetched} bytes in 2 s");
+    assert!(fetched >= 2.0 * link_bytes_per_s, "{fetched} bytes in 2 s");
+    // A fetch larger than the burst is possible after a while.
+    let mut link = LinkBudget::default();
+    assert!(link.take(1e9, 1e9, 7, ms(5_000)));
+    assert!(!link.take(1.0, 1e9, 7, ms(5_100)));
+}
+
 /// A store that drops what was used least recently.
 struct LruStore {
     capacity: u64,
