Use one piece of code for calls, passed news and status waits

Cause: read once more, the change held the same thing in several places. Four callers sent a short request, read the whole answer and bounded its time each by themselves; three modules had the same conversion to milliseconds; three answers to peers were encoded apart, two of them without a log line on failure; a store's contents and its link were kept in two maps under one key; the run of a target was compared in two loops; six waits of the tests were the same but for node and status.

Change: Client::call serves the users' store, the own platform's client, calls to engines and calls to peers. util::duration::ms, Peers::encode, FleetState::is_run, one map of followed stores, and Node::wait_status in the tests. Bounds, texts, assertions and behaviour are as before; an unencodable answer to a peer is logged in all three cases now.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -264,6 +264,12 @@
         true
     }
 
+    /// Whether a target is known in this run.
+    pub fn is_run(&self, id: &str, incarnation: Incarnation) -> bool {
+        self.target(id)
+            .is_some_and(|record| record.incarnation == incarnation)
+    }
+
     /// A target by name.
     pub fn target(&self, id: &str) -> Option<&Rc<TargetRecord>> {
         self.targets.get(id).map(|(_, record)| record)
--- a/src/jujubelink/core/kvcache/mod.rs
+++ b/src/jujubelink/core/kvcache/mod.rs
@@ -8,8 +8,6 @@
 
 mod link;
 
-pub use link::LinkBudget;
-
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +17,8 @@
 use crate::core::ids::{Timestamp, Tokens};
 use crate::util::hash::{combine, stable_hash};
 
+pub use link::LinkBudget;
+
 /// Time for which a part counts as held after it was stored or sent there. The engine may have failed,
 /// and some events never arrive. With 30 s more prompts were fetched than the store's link carried on
 /// days of high load.
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -256,6 +256,11 @@
         replaced_at.is_none_or(|at| now.saturating_sub(at) < bound.mul_f64(OLD_WEIGHTS_PART))
     }
 
+    /// When the view, and with it the process, began.
+    pub fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Time of naming that counts for weights which were named before this process started.
     pub fn assumed_naming(&self) -> Timestamp {
         self.assumed_naming_from(self.started_at)
@@ -342,18 +347,6 @@
         }
     }
 
-    /// The list of targets, to pass on to peers that cannot reach the store.
-    pub fn raw_targets(&self) -> Bytes {
-        match serde_json::to_vec(&self.targets_after(0)) {
-            Ok(raw) => raw.into(),
-            Err(error) => {
-                slog::error!(self.context.log(), "cannot encode the list of targets";
-                    "error" => %error);
-                Bytes::new()
-            }
-        }
-    }
-
     /// Takes a list of targets that a peer passed on. One that is older than the own one is dropped.
     pub fn on_passed_targets(&self, raw: &[u8], peer: &str) {
         let list: PassedTargets = match serde_json::from_slice(raw) {
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -7,6 +7,7 @@
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
 use crate::ops::store::{StoreError, StoreResult, StoredPolicy};
+use crate::util::duration::ms;
 
 /// Longest wait of a watch. A watch that hangs in silence is noticed after this and the time for an
 /// answer; changes of targets bind two seconds after the machine is back in touch, which takes three.
@@ -209,7 +210,3 @@
         }
     }
 }
-
-fn ms(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/src/jujubelink/ops/kvcache/watch.rs
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -43,8 +43,14 @@
     context: Context,
     fleet: Rc<Fleet>,
     client: Client,
-    stores: RefCell<BTreeMap<SocketAddr, StoreContents>>,
-    links: RefCell<BTreeMap<SocketAddr, LinkBudget>>,
+    stores: RefCell<BTreeMap<SocketAddr, Store>>,
+}
+
+/// A store that is followed.
+#[derive(Default)]
+struct Store {
+    contents: StoreContents,
+    link: LinkBudget,
 }
 
 impl CacheStores {
@@ -55,7 +61,6 @@
             fleet,
             client: Client::new(),
             stores: RefCell::default(),
-            links: RefCell::default(),
         }
     }
 
@@ -70,18 +75,18 @@
         let mut stores = self.stores.borrow_mut();
         let answering = stores
             .iter()
-            .filter(|(_, contents)| contents.is_available())
+            .filter(|(_, store)| store.contents.is_available())
             .map(|(address, _)| *address);
-        let Some(address) = choose_store(answering, &parts) else {
+        let chosen = choose_store(answering, &parts)
+            .and_then(|address| Some((address, stores.get_mut(&address)?)));
+        let Some((address, store)) = chosen else {
             return StoreUse::default();
         };
         let now = self.context.timers().boot_now();
-        let contents = stores.get_mut(&address);
-        let is_saved = contents.is_some_and(|contents| contents.take_save(&parts, now));
-        drop(stores);
+        let is_saved = store.contents.take_save(&parts, now);
         let shared: Tokens = parts.iter().map(|(_, tokens)| tokens).sum();
         let missing = shared.saturating_sub(cached_tokens);
-        let is_fetched = self.may_fetch(address, missing, now);
+        let is_fetched = self.may_fetch(address, &mut store.link, missing, now);
         StoreUse {
             fetch_from: is_fetched.then_some(address),
             save_to: is_saved.then_some(address),
@@ -89,30 +94,39 @@
     }
 
     /// Whether the store's link has room for what a target lacks.
-    fn may_fetch(&self, address: SocketAddr, missing: Tokens, now: Timestamp) -> bool {
+    fn may_fetch(
+        &self,
+        address: SocketAddr,
+        link: &mut LinkBudget,
+        missing: Tokens,
+        now: Timestamp,
+    ) -> bool {
         let Some(policy) = self.fleet.policy() else {
             return false;
         };
-        let services = || policy.services.values();
-        let store = services().find(|service| service.kv_store == Some(address));
+        let mut services = policy.services.values();
+        let store = services.find(|service| service.kv_store == Some(address));
         let link_bytes_per_s = store.map_or(f64::INFINITY, |store| store.kv_link_bytes_per_s);
-        let token_bytes = services()
-            .filter_map(|service| service.engine.as_ref())
-            .map(|engine| engine.kv_token_bytes)
-            .fold(0.0, f64::max);
         if !link_bytes_per_s.is_finite() {
             return true;
         }
+        let engines = policy.services.values();
+        let token_bytes = engines
+            .filter_map(|service| service.engine.as_ref())
+            .map(|engine| engine.kv_token_bytes)
+            .fold(0.0, f64::max);
         let instances = self.context.service::<Peers>().fleet_size();
         let bytes = missing as f64 * token_bytes;
-        let mut links = self.links.borrow_mut();
-        let link = links.entry(address).or_default();
         link.take(bytes, link_bytes_per_s, instances, now)
     }
 
     /// What another instance is told that knows the history of a store up to a position.
     pub fn news_after(&self, address: SocketAddr, position: u64) -> Option<StoreNews> {
-        self.stores.borrow().get(&address)?.news_after(position)
+        self.stores
+            .borrow()
+            .get(&address)?
+            .contents
+            .news_after(position)
     }
 
     /// Follows each store of the configuration in force.
@@ -129,13 +143,10 @@
     fn take_stores(self: &Rc<Self>, named: &BTreeSet<SocketAddr>) {
         let mut stores = self.stores.borrow_mut();
         stores.retain(|address, _| named.contains(address));
-        self.links
-            .borrow_mut()
-            .retain(|address, _| named.contains(address));
         for address in named {
             stores.entry(*address).or_insert_with(|| {
                 compio::runtime::spawn(Rc::clone(self).follow_one(*address)).detach();
-                StoreContents::default()
+                Store::default()
             });
         }
     }
@@ -149,14 +160,7 @@
 
     /// Asks a store until it is no longer in the configuration.
     async fn follow_one(self: Rc<Self>, address: SocketAddr) {
-        let position = |stores: &BTreeMap<SocketAddr, StoreContents>| {
-            stores.get(&address).map(StoreContents::position)
-        };
-        loop {
-            let next = position(&self.stores.borrow());
-            let Some(next) = next else {
-                return;
-            };
+        while let Some(next) = self.position(address) {
             let peers = self.context.service::<Peers>();
             let answer = match peers.news_source() {
                 Some(source) => peers.ask_for_cache_news(&source, address, next).await,
@@ -167,10 +171,16 @@
         }
     }
 
+    /// Position for the next question to a store; `None` once it is no longer followed.
+    fn position(&self, address: SocketAddr) -> Option<u64> {
+        let stores = self.stores.borrow();
+        stores.get(&address).map(|store| store.contents.position())
+    }
+
     /// Takes the answer of a store. Returns the pause until the next question.
     fn take_answer(&self, address: SocketAddr, answer: CacheAnswer) -> Duration {
         let mut stores = self.stores.borrow_mut();
-        let Some(contents) = stores.get_mut(&address) else {
+        let Some(Store { contents, .. }) = stores.get_mut(&address) else {
             return Duration::ZERO;
         };
         match answer {
--- a/src/jujubelink/ops/platform/client.rs
+++ b/src/jujubelink/ops/platform/client.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::ids::ObjectVersion;
-use crate::util::http::{Client, ClientError, RequestOptions, collect_limited, empty, full};
+use crate::util::http::{CallError, Client, ClientError, empty, full};
 
 /// Time for an answer of the platform.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -243,27 +243,19 @@
         let host = self.address.to_string();
         let host = host.parse().expect("an address is a valid header value");
         request.headers_mut().insert(http::header::HOST, host);
-        let exchange = async {
-            let response = self
-                .http
-                .send(self.address, request, RequestOptions::default())
-                .await
-                .map_err(|source| PlatformError::Connection { source })?;
-            let status = response.status();
-            let body = collect_limited(response.into_body(), MAX_ANSWER_BYTES)
-                .await
-                .map_err(|error| bad_answer(error.to_string()))?
-                .ok_or_else(|| bad_answer("answer is too large".to_owned()))?;
-            Ok((status, body))
-        };
-        match compio::time::timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => {
+        let call = self
+            .http
+            .call(self.address, request, limit, MAX_ANSWER_BYTES);
+        call.await.map_err(|error| match error {
+            CallError::Failed(source) => PlatformError::Connection { source },
+            CallError::Body(error) => bad_answer(error.to_string()),
+            CallError::TooLarge => bad_answer("answer is too large".to_owned()),
+            CallError::TimedOut => {
                 // Pooled connections may have gone silent; the next request makes a new one.
                 self.http.close_address(self.address);
-                Err(PlatformError::Timeout)
+                PlatformError::Timeout
             }
-        }
+        })
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -21,6 +21,7 @@
     AttemptOutcome, Charge, ChargeError, LimitService, ModelRequest, Placement, PlacementError,
     SchedulerService,
 };
+use crate::util::duration::ms;
 use crate::util::http::collect_limited;
 
 /// Part of the latency objective for which a request waits in the queue. A later send would miss the
@@ -530,7 +531,3 @@
     Refusal::not_run(RefusalCode::NoTarget, "no target is in service")
         .with_retry_after(NO_TARGET_RETRY_AFTER)
 }
-
-fn ms(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/src/jujubelink/ops/share/news.rs
+++ b/src/jujubelink/ops/share/news.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::{Either, select};
+use futures_util::future::select;
 use serde::{Deserialize, Serialize};
 
 use super::Peers;
@@ -21,6 +21,7 @@
 use crate::ops::kvcache::CacheStores;
 use crate::ops::services::ConfigService;
 use crate::platform::CacheAnswer;
+use crate::util::duration::ms;
 use crate::util::hash::stable_hash;
 
 /// Path of the news at a peer.
@@ -120,14 +121,12 @@
             self.fleet.target_revision() > after || self.fleet.state().config_version() > version;
         if !has_news {
             let wait = Box::pin(self.context.timers().sleep(HOLD));
-            match select(config.changed(), wait).await {
-                Either::Left(_) | Either::Right(_) => {}
-            }
+            select(config.changed(), wait).await;
         }
         let now = self.now();
-        let age = |at: Timestamp| now.saturating_sub(at).as_millis() as u64;
+        let age = |at: Timestamp| ms(now.saturating_sub(at));
         let state = self.fleet.state();
-        let news = News {
+        self.encode(&News {
             held_ms: age(asked_at),
             targets_age_ms: age(self.fleet.targets_proved_at()),
             targets: self.fleet.targets_after(after),
@@ -138,8 +137,7 @@
                 .map(|(model, version, at)| (model.to_string(), version, at.map(age)))
                 .collect(),
             weights_age_ms: self.weights_proved_at().map(age),
-        };
-        Some(serde_json::to_vec(&news).ok()?.into())
+        })
     }
 
     /// Asks a peer for news and takes them. Returns whether the targets changed; `None` if the peer
@@ -156,7 +154,7 @@
         let taken = raw.and_then(|raw| self.take_news(&raw, source, asked_at));
         if taken.is_none() {
             slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
-                "waited_ms" => (self.now().saturating_sub(asked_at)).as_millis() as u64);
+                "waited_ms" => ms(self.now().saturating_sub(asked_at)));
             let until = self.now() + AVOID_TIME;
             if let Some(peer) = self.table.borrow_mut().get_mut(source) {
                 peer.avoided_until = until;
@@ -170,7 +168,7 @@
         let (address, position) = query.split_once(',')?;
         let stores = self.context.service::<CacheStores>();
         let news = stores.news_after(address.parse().ok()?, position.parse().ok()?)?;
-        Some(serde_json::to_vec(&news).ok()?.into())
+        self.encode(&news)
     }
 
     /// Asks a peer what a store of KV cache holds. A peer that has lost the store gives no answer, and
@@ -213,12 +211,11 @@
         if let Some(peer) = self.table.borrow_mut().get_mut(source) {
             peer.config_version = peer.config_version.max(news.config_version);
         }
+        let (known_until, assumed) = (self.weights_proved_at(), self.fleet.assumed_naming());
         let named: Vec<(ModelId, u64, Naming)> = news
             .weights
             .iter()
             .map(|(model, version, ago_ms)| {
-                let known_until = self.weights_proved_at();
-                let assumed = self.fleet.assumed_naming();
                 let naming = Naming::heard(ago_ms.map(time_of), known_until, assumed);
                 (model.as_str().into(), *version, naming)
             })
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
+use serde::Serialize;
 
 use super::exchange::MIN_PERIOD;
 use super::limits::Buckets;
@@ -21,8 +22,9 @@
     GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState, SchedulerService,
 };
 use crate::ops::store::InstanceRecord;
+use crate::util::duration::ms;
 use crate::util::hash::stable_hash;
-use crate::util::http::{Client, RequestOptions, collect_limited, empty};
+use crate::util::http::{Client, empty};
 
 /// Messages per second that an instance sends at most; with more peers than this allows for, each is
 /// told less often.
@@ -115,7 +117,7 @@
     pub(super) fn new(context: &Context, fleet: Rc<Fleet>) -> Self {
         Self {
             name: fleet.settings().machine.as_str().into(),
-            started_at: context.timers().boot_now(),
+            started_at: fleet.started_at(),
             context: context.clone(),
             fleet,
             table: RefCell::default(),
@@ -283,12 +285,7 @@
         let scheduler = self.context.service::<dyn SchedulerService>();
         for held in loading {
             let target: TargetId = held.target.as_str().into();
-            let is_same_run = self
-                .fleet
-                .state()
-                .target(&target)
-                .is_some_and(|record| record.incarnation == held.incarnation);
-            if is_same_run {
+            if self.fleet.state().is_run(&target, held.incarnation) {
                 scheduler.note_busy(&target, LOADING_TIME);
             }
         }
@@ -494,12 +491,8 @@
         self.fleet.on_named_weights(&named, name);
         for seen in &message.observed {
             let target: TargetId = seen.target.as_str().into();
-            let is_same_run = self
-                .fleet
-                .state()
-                .target(&target)
-                .is_some_and(|record| record.incarnation == seen.incarnation);
-            if is_same_run {
+            let is_run = self.fleet.state().is_run(&target, seen.incarnation);
+            if is_run {
                 let model = seen.model.as_str().into();
                 self.fleet
                     .on_observed_weights(&target, &model, seen.version);
@@ -554,28 +547,31 @@
         path: &str,
         limit: Duration,
     ) -> Option<Bytes> {
-        let fetch = self.fetch_once(address, path);
-        let fetched = self.context.timers().timeout(limit, fetch).await.flatten();
-        if fetched.is_none() {
-            self.client.close_address(address);
-        }
-        fetched
-    }
-
-    async fn fetch_once(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
         let request = Request::builder()
             .uri(path)
             .header("host", address.to_string())
             .body(empty())
             .ok()?;
-        let options = RequestOptions::default();
-        let response = self.client.send(address, request, options).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
+        let call = self.client.call(address, request, limit, MAX_FETCHED_BYTES);
+        match call.await {
+            Ok((StatusCode::OK, raw)) => Some(raw),
+            _ => {
+                self.client.close_address(address);
+                None
+            }
+        }
+    }
+
+    /// The JSON text of what is passed on to a peer.
+    pub(super) fn encode(&self, passed: &impl Serialize) -> Option<Bytes> {
+        match serde_json::to_vec(passed) {
+            Ok(raw) => Some(raw.into()),
+            Err(error) => {
+                slog::error!(self.context.log(), "cannot encode what is passed on to a peer";
+                    "error" => %error);
+                None
+            }
         }
-        collect_limited(response.into_body(), MAX_FETCHED_BYTES)
-            .await
-            .ok()?
     }
 }
 
@@ -611,10 +607,6 @@
     list.iter().map(|(_, item)| item.clone()).collect()
 }
 
-fn ms(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
-
 impl MemberService for Peers {
     fn self_id(&self) -> InstanceId {
         self.name.clone()
--- a/src/jujubelink/platform/cache_events.rs
+++ b/src/jujubelink/platform/cache_events.rs
@@ -6,12 +6,14 @@
 use http::{Request, StatusCode};
 use serde::Deserialize;
 
-use super::engine::call_within;
 use super::names::{CACHE_EVENTS_PATH, WAIT_MS};
 use super::request::part_hash;
 use crate::core::kvcache::{PartChange, StoreNews, StoredPart};
 use crate::util::http::{Client, empty};
 
+/// Largest answer.
+const MAX_NEWS_BYTES: usize = 256 * 1024;
+
 /// An event: number, `+` or `-`, salt, part, tokens held now, model.
 type Event = (u64, String, String, String, u64, String);
 
@@ -51,11 +53,12 @@
     let Ok(request) = request else {
         return CacheAnswer::Failed;
     };
-    match call_within(client, address, request, timeout).await {
-        Some((StatusCode::OK, body)) => {
+    let answer = client.call(address, request, timeout, MAX_NEWS_BYTES);
+    match answer.await {
+        Ok((StatusCode::OK, body)) => {
             decode_cache_events(&body).map_or(CacheAnswer::Failed, CacheAnswer::News)
         }
-        Some((StatusCode::TOO_MANY_REQUESTS, _)) => CacheAnswer::Busy,
+        Ok((StatusCode::TOO_MANY_REQUESTS, _)) => CacheAnswer::Busy,
         _ => CacheAnswer::Failed,
     }
 }
--- a/src/jujubelink/platform/engine.rs
+++ b/src/jujubelink/platform/engine.rs
@@ -10,7 +10,7 @@
 use super::names::{EXPECT_TARGET, ORDER_PATH, REPORT_PATH};
 use crate::core::ids::{Epoch, Incarnation, ModelId, TargetId};
 use crate::core::rollout::OrderResult;
-use crate::util::http::{Body, Client, RequestOptions, collect_limited, empty, full};
+use crate::util::http::{Body, Client, empty, full};
 
 /// Time for the answer to an order or a question. Engines answer both at once.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -120,26 +120,6 @@
     address: SocketAddr,
     request: Request<Body>,
 ) -> Option<(StatusCode, bytes::Bytes)> {
-    call_within(client, address, request, ANSWER_TIMEOUT).await
-}
-
-/// Sends a request and reads the whole answer; `None` without one in time.
-pub(super) async fn call_within(
-    client: &Client,
-    address: SocketAddr,
-    request: Request<Body>,
-    limit: Duration,
-) -> Option<(StatusCode, bytes::Bytes)> {
-    let exchange = async {
-        let response = client
-            .send(address, request, RequestOptions::default())
-            .await
-            .ok()?;
-        let status = response.status();
-        let body = collect_limited(response.into_body(), MAX_REPORT_BYTES)
-            .await
-            .ok()??;
-        Some((status, body))
-    };
-    compio::time::timeout(limit, exchange).await.ok()?
+    let answer = client.call(address, request, ANSWER_TIMEOUT, MAX_REPORT_BYTES);
+    answer.await.ok()
 }
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -21,7 +21,7 @@
     FleetStore, InstanceRecord, StoreCall, StoreError, StoreResult, StoredPolicy, TargetChange,
     TargetChanges,
 };
-use crate::util::http::{Body, Client, RequestOptions, collect_limited, empty, full};
+use crate::util::http::{Body, CallError, Client, empty, full};
 
 /// Time for an answer. The store answers in 4 ms, and in a quarter of a second on slow days.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -112,30 +112,19 @@
             None => builder.body(empty()),
         }
         .map_err(|error| bad_answer(error.to_string()))?;
-        let exchange = async {
-            let response = self
-                .http
-                .send(self.address, request, RequestOptions::default())
-                .await
-                .map_err(|error| no_answer(error.to_string()))?;
-            let status = response.status();
-            let body = collect_limited(response.into_body(), MAX_ANSWER_BYTES)
-                .await
-                .map_err(|error| no_answer(error.to_string()))?
-                .ok_or_else(|| bad_answer("it is too large".to_owned()))?;
-            Ok((status, body))
-        };
-        match compio::time::timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => {
+        let call = self
+            .http
+            .call(self.address, request, limit, MAX_ANSWER_BYTES);
+        call.await.map_err(|error| match error {
+            CallError::Failed(error) => no_answer(error.to_string()),
+            CallError::Body(error) => no_answer(error.to_string()),
+            CallError::TooLarge => bad_answer("it is too large".to_owned()),
+            CallError::TimedOut => {
                 // The connection may have gone silent; the next call makes a new one.
                 self.http.close_address(self.address);
-                Err(no_answer(format!(
-                    "nothing within {} ms",
-                    limit.as_millis()
-                )))
+                no_answer(format!("nothing within {} ms", limit.as_millis()))
             }
-        }
+        })
     }
 
     async fn get(&self, path: &str, limit: Duration) -> StoreResult<Option<Bytes>> {
@@ -269,8 +258,7 @@
             objects
                 .into_iter()
                 .map(|object| {
-                    let named = NamedWeights::deserialize(&object.spec)
-                        .map_err(|error| bad_answer(error.to_string()))?;
+                    let named: NamedWeights = spec_of(&object)?;
                     Ok((named.model.into(), named.version))
                 })
                 .collect()
@@ -286,9 +274,7 @@
                 return Ok(None);
             };
             let object: Object = parse(&body)?;
-            let record = LeaseRecord::deserialize(&object.spec)
-                .map_err(|error| bad_answer(error.to_string()))?;
-            Ok(Some((object.metadata.revision, record)))
+            Ok(Some((object.metadata.revision, spec_of(&object)?)))
         }
         .boxed_local()
     }
@@ -319,8 +305,7 @@
             objects
                 .into_iter()
                 .map(|object| {
-                    let stored = StoredInstance::deserialize(&object.spec)
-                        .map_err(|error| bad_answer(error.to_string()))?;
+                    let stored: StoredInstance = spec_of(&object)?;
                     Ok(InstanceRecord {
                         name: object.metadata.name,
                         address: stored.address,
@@ -366,6 +351,11 @@
     }
 }
 
+/// What an object says, in its own type.
+fn spec_of<T: DeserializeOwned>(object: &Object) -> StoreResult<T> {
+    T::deserialize(&object.spec).map_err(|error| bad_answer(error.to_string()))
+}
+
 fn bad_answer(reason: String) -> StoreError {
     StoreError::BadAnswer { reason }
 }
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -180,6 +180,15 @@
         send_plain(self.instance.client_address, request, "body").await
     }
 
+    /// Waits until a plain request gets this status.
+    async fn wait_status(&self, what: &str, expected: u16) {
+        eventually(what, || async {
+            let status = self.call("r", "GET", "/read/x").await.status;
+            (status == expected).then_some(())
+        })
+        .await;
+    }
+
     async fn ask(&self, id: &str, path: &str) -> Answer {
         let request = http::Request::post(path)
             .header("host", "shop.example")
@@ -291,17 +300,10 @@
         })
         .await;
         node.door.set_mode(StoreMode::Up);
-        eventually("the key is known to be withdrawn", || async {
-            let status = node.call("r", "GET", "/read/x").await.status;
-            (status == 401).then_some(())
-        })
-        .await;
+        node.wait_status("the key is known to be withdrawn", 401)
+            .await;
         site.configure(7, &[KEY]);
-        eventually("the key works again", || async {
-            let status = node.call("r", "GET", "/read/x").await.status;
-            (status == 200).then_some(())
-        })
-        .await;
+        node.wait_status("the key works again", 200).await;
     });
 }
 
@@ -317,17 +319,13 @@
         second.wait_ready().await;
         second.door.set_mode(StoreMode::Refusing);
         site.configure(6, &["another key"]);
-        eventually("the key is withdrawn behind the refusing store", || async {
-            let status = second.call("r", "GET", "/read/x").await.status;
-            (status == 401).then_some(())
-        })
-        .await;
+        second
+            .wait_status("the key is withdrawn behind the refusing store", 401)
+            .await;
         site.configure(7, &[KEY]);
-        eventually("the key is granted behind the refusing store", || async {
-            let status = second.call("r", "GET", "/read/x").await.status;
-            (status == 200).then_some(())
-        })
-        .await;
+        second
+            .wait_status("the key is granted behind the refusing store", 200)
+            .await;
         // A target leaves meanwhile; the peer passes the list on as well.
         site.announce("s1", "draining", 1);
         requests_leave(&site.services[0], &second).await;
@@ -378,19 +376,15 @@
         site.announce("s2", "draining", 1);
         site.configure(6, &["another key"]);
         for follower in &followers {
-            eventually("the key is withdrawn", || async {
-                let status = nodes[*follower].call("r", "GET", "/read/x").await.status;
-                (status == 401).then_some(())
-            })
-            .await;
+            nodes[*follower]
+                .wait_status("the key is withdrawn", 401)
+                .await;
         }
         site.configure(7, &[KEY]);
         for follower in &followers {
-            eventually("the key is granted", || async {
-                let status = nodes[*follower].call("r", "GET", "/read/x").await.status;
-                (status == 200).then_some(())
-            })
-            .await;
+            nodes[*follower]
+                .wait_status("the key is granted", 200)
+                .await;
             requests_leave(&site.services[1], &nodes[*follower]).await;
         }
     });
