Log the weights of a request and the progress of a rollout

The logs could not tell whether a rollout is slow because of single loads, of its limit or of engines that do not answer, nor on which weights a request ran and what the instance took their age to be.

'request answered' now has the weights that the request was sent for and the time since newer ones were announced; 'weights named' the assumed or actual age of the announcement; 'weights loaded' and 'order not given' are new lines, with the counters rollout.loads and rollout.orders_not_given; 'instance started' has the time since boot.

--- a/src/jujubelink/core/rollout/mod.rs
+++ b/src/jujubelink/core/rollout/mod.rs
@@ -10,4 +10,6 @@
 mod plan;
 
 pub use lease::{LeaseAction, LeaseRecord, LeaseRole, OrderLease, OrderLeaseTiming};
-pub use plan::{Engine, OrderResult, Rollout, RolloutAction, RolloutParams};
+pub use plan::{
+    CompletedLoad, Engine, OrderResult, Rollout, RolloutAction, RolloutParams, RolloutProgress,
+};
--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -51,6 +51,28 @@
     },
 }
 
+/// An engine that has the weights it was ordered to load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletedLoad {
+    /// Engine.
+    pub target: TargetId,
+    /// Version that the order named.
+    pub version: u64,
+    /// Time from the order until the weights were observed.
+    pub duration: Duration,
+}
+
+/// Number of engines in each stage of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutProgress {
+    /// Engines with outdated weights, including those that are loading.
+    pub outdated: usize,
+    /// Engines with an outstanding order.
+    pub loading: usize,
+    /// Largest number of engines that may have an outstanding order.
+    pub max_loading: usize,
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
@@ -81,6 +103,7 @@
     params: RolloutParams,
     pending: BTreeMap<TargetId, Pending>,
     backoffs: BTreeMap<TargetId, Timestamp>,
+    completed: Vec<CompletedLoad>,
 }
 
 impl Rollout {
@@ -91,6 +114,7 @@
             params,
             pending: BTreeMap::new(),
             backoffs: BTreeMap::new(),
+            completed: Vec::new(),
         }
     }
 
@@ -100,11 +124,43 @@
         pending.map(|(id, pending)| (id.clone(), pending.incarnation))
     }
 
+    /// Returns the progress towards `newest`.
+    pub fn progress(&self, newest: u64, engines: &[Engine]) -> RolloutProgress {
+        let outdated = engines.iter().filter(|engine| engine.version < newest);
+        RolloutProgress {
+            outdated: outdated.count(),
+            loading: self.pending.len(),
+            max_loading: self.params.max_loading,
+        }
+    }
+
+    /// Removes and returns the loads that have been observed to be complete.
+    pub fn take_completed(&mut self) -> Vec<CompletedLoad> {
+        std::mem::take(&mut self.completed)
+    }
+
+    /// Moves the orders whose engine has the ordered weights to the completed loads.
+    fn complete_loads(&mut self, engines: &BTreeMap<&TargetId, &Engine>, now: Timestamp) {
+        for (id, pending) in &self.pending {
+            let is_complete = engines.get(id).is_some_and(|engine| {
+                engine.incarnation == pending.incarnation && engine.version >= pending.version
+            });
+            if is_complete {
+                self.completed.push(CompletedLoad {
+                    target: id.clone(),
+                    version: pending.version,
+                    duration: now.saturating_sub(pending.ordered_at),
+                });
+            }
+        }
+    }
+
     /// Returns the actions that bring `engines` to `newest`. The result of each action must be
     /// reported back.
     pub fn next(&mut self, newest: u64, engines: &[Engine], now: Timestamp) -> Vec<RolloutAction> {
         let engines_by_id: BTreeMap<&TargetId, &Engine> =
             engines.iter().map(|engine| (&engine.id, engine)).collect();
+        self.complete_loads(&engines_by_id, now);
         let params = self.params;
         self.pending.retain(|id, pending| {
             engines_by_id.get(id).is_some_and(|engine| {
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -17,6 +17,7 @@
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
 use crate::ops::store::{SharedStore, StoredPolicy, TargetChange, TargetChanges};
+use crate::util::duration::ms;
 
 /// Part of the revocation bound that is reserved for sending the request to the target.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(250);
@@ -260,9 +261,20 @@
     /// announced or only recently.
     pub fn may_use_weights(&self, model: &str, version: u64) -> bool {
         let bound = Duration::from_millis(self.settings().weights_ms);
-        let now = self.context.timers().boot_now();
-        let superseded_at = self.state.borrow().superseded_at(model, version);
-        superseded_at.is_none_or(|at| now.saturating_sub(at) < bound.mul_f64(OLD_WEIGHTS_RATIO))
+        self.superseded_age(model, version)
+            .is_none_or(|age| age < bound.mul_f64(OLD_WEIGHTS_RATIO))
+    }
+
+    /// Time since newer weights than `version` were announced, actual or assumed. `None` if there
+    /// are none.
+    pub fn superseded_age(&self, model: &str, version: u64) -> Option<Duration> {
+        let superseded_at = self.state.borrow().superseded_at(model, version)?;
+        Some(
+            self.context
+                .timers()
+                .boot_now()
+                .saturating_sub(superseded_at),
+        )
     }
 
     /// When this view was created, at the start of the process.
@@ -284,6 +296,7 @@
 
     /// Applies announced weights with their announcement times.
     pub fn on_weights_announced(&self, announced: &[(ModelId, u64, Announcement)], source: &str) {
+        let now = self.context.timers().boot_now();
         for (model, version, announcement) in announced {
             if self
                 .state
@@ -291,7 +304,9 @@
                 .on_weights_announced(model, *version, *announcement)
             {
                 slog::info!(self.context.log(), "weights named"; "model" => &**model,
-                    "version" => *version, "source" => source);
+                    "version" => *version, "source" => source,
+                    "age_ms" => ms(now.saturating_sub(announcement.at)),
+                    "is_age_assumed" => announcement.is_assumed);
             }
         }
         self.publish_snapshot();
--- a/src/jujubelink/ops/kernel/mod.rs
+++ b/src/jujubelink/ops/kernel/mod.rs
@@ -19,6 +19,8 @@
 
 use anyhow::{Context as _, Result};
 
+use crate::util::duration::ms;
+
 /// Runs a future to completion on a new event loop on this thread.
 pub fn run<F: Future>(future: F) -> Result<F::Output> {
     let runtime = compio::runtime::Runtime::new().context("create the event loop")?;
@@ -38,7 +40,8 @@
             .start(&context)
             .with_context(|| format!("start plug-in {}", plugin.name()))?;
     }
-    slog::info!(context.log(), "instance started"; "plugins" => plugins.len());
+    slog::info!(context.log(), "instance started"; "plugins" => plugins.len(),
+        "since_boot_ms" => ms(context.timers().boot_now()));
     context.shutdown().requested().await;
     drain(&context, &plugins).await;
     slog::info!(context.log(), "instance stopped");
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -66,6 +66,8 @@
     pub(super) may_have_run: bool,
     /// Number of the last stream event that the client has received.
     pub(super) last_event: Option<u64>,
+    /// Weights version that the last send required.
+    pub(super) weights: Option<u64>,
     queue_time: Duration,
 }
 
@@ -89,6 +91,7 @@
             sends: 0,
             runs: 0,
             may_have_run: false,
+            weights: None,
             queue_time: Duration::ZERO,
         }
     }
@@ -478,6 +481,7 @@
             "route" => admission.map(|admission| admission.route.name.to_string()),
             "workspace" => admission.and_then(|admission| admission.workspace.as_ref()).map(ToString::to_string),
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "weights" => self.weights, "superseded_ms" => self.superseded_age().map(ms),
             "sends" => self.sends, "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(now.saturating_sub(self.arrived)),
             "config" => admission.map(|admission| admission.policy.version),
@@ -486,6 +490,14 @@
         self.proxy.context.metrics().time("relay.answered", elapsed);
     }
 
+    /// Time since newer weights than those of the last send were announced.
+    fn superseded_age(&self) -> Option<Duration> {
+        let prompt = self.head.prompt.as_ref()?;
+        self.relay
+            .fleet
+            .superseded_age(&prompt.model, self.weights?)
+    }
+
     /// Logs a request that was refused or failed in the router.
     pub(super) fn log_refusal(&self, refusal: &Refusal) {
         let admission = self.admission.as_ref();
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -109,6 +109,7 @@
         }
         let remaining = self.check_send().map_err(SendFailure::before_send)?;
         let weights = self.weights_at(&record);
+        self.weights = weights;
         if let (Some(prompt), Some(version)) = (&self.head.prompt, weights)
             && !self.relay.fleet.may_use_weights(&prompt.model, version)
         {
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -7,14 +7,15 @@
 
 use crate::core::ids::{ModelId, TargetId, Timestamp};
 use crate::core::rollout::{
-    Engine, LeaseAction, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult, Rollout,
-    RolloutAction, RolloutParams,
+    CompletedLoad, Engine, LeaseAction, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult,
+    Rollout, RolloutAction, RolloutParams, RolloutProgress,
 };
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
 use crate::ops::store::StoreError;
 use crate::platform::{EngineReport, WeightsOrder, read_report, send_weights_order};
+use crate::util::duration::ms;
 use crate::util::http::Client;
 
 /// Term of the lease. It is short so that another instance can take over quickly. A renewal takes
@@ -267,7 +268,10 @@
                 .entry(key.clone())
                 .or_insert_with(|| Rollout::new(model.clone(), ROLLOUT_PARAMS));
             let actions = rollout.next(newest, &engines, now);
+            let progress = rollout.progress(newest, &engines);
+            let completed = rollout.take_completed();
             drop(rollouts);
+            self.log_completed_loads(&completed, progress);
             for action in actions {
                 let (coordinator, key) = (Rc::clone(self), key.clone());
                 let task = async move {
@@ -296,16 +300,22 @@
         version: u64,
     ) {
         let Some(record) = self.fleet.state().target(&target).cloned() else {
+            self.fail_order(key, &target, version, "the engine was removed");
             return;
         };
         let engine = (target.clone(), record.incarnation);
         let Some(accepted_orders) = self.accepted_orders(&engine).await else {
-            self.record_order_result(key, &target, OrderResult::Failed);
+            self.fail_order(
+                key,
+                &target,
+                version,
+                "the engine does not report its state",
+            );
             return;
         };
         // Checked immediately before sending. The order must also arrive before the term ends.
         let Some(epoch) = self.lease.borrow().epoch(self.now() + ORDER_MARGIN) else {
-            self.record_order_result(key, &target, OrderResult::Failed);
+            self.fail_order(key, &target, version, "the lease ends too soon");
             return;
         };
         let order = WeightsOrder {
@@ -348,6 +358,24 @@
         Some(report.accepted_orders)
     }
 
+    /// Records an order that was not sent.
+    fn fail_order(&self, key: &(String, ModelId), target: &TargetId, version: u64, reason: &str) {
+        slog::info!(self.context.log(), "order not given"; "target" => &**target,
+            "model" => &*key.1, "version" => version, "reason" => reason);
+        self.context.metrics().count("rollout.orders_not_given", 1);
+        self.record_order_result(key, target, OrderResult::Failed);
+    }
+
+    fn log_completed_loads(&self, completed: &[CompletedLoad], progress: RolloutProgress) {
+        for load in completed {
+            slog::info!(self.context.log(), "weights loaded"; "target" => &*load.target,
+                "version" => load.version, "took_ms" => ms(load.duration),
+                "outdated" => progress.outdated, "loading" => progress.loading,
+                "max_loading" => progress.max_loading);
+            self.context.metrics().time("rollout.loads", load.duration);
+        }
+    }
+
     fn record_order_result(&self, key: &(String, ModelId), target: &TargetId, result: OrderResult) {
         let now = self.now();
         if let Some(rollout) = self.rollouts.borrow_mut().get_mut(key) {
