Load weights on a share of the engines, not on five at a time

Cause: at most five engines had an order at a time, whatever their number. The figure came from a site with 18 engines. An engine with an order first finishes its requests, so that an order took 3.5 s under load, and 90 engines 35 to 48 s; the bound is 15 s.

The number now follows from the number of engines, from the time that loads are observed to take and from the bound, up to 30% of the engines. A rollout thus takes as long on 1,300 engines as on 18.

rollout::a_rollout_keeps_the_bound_for_any_number_of_engines fails with the limit of five: 57.6 s for 90 engines. a_rollout_leaves_most_engines_in_service fails with it too: 3 of 3 engines load at the same time.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -17,10 +17,15 @@
 }
 
 /// Limits and delays of a rollout.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutParams {
-    /// Largest number of engines that load at the same time.
-    pub max_loading: usize,
+    /// Time within which all engines are to get a new version. The number of engines that load at
+    /// the same time follows from it, from the number of engines, and from the duration of loads.
+    pub target_duration: Duration,
+    /// Largest fraction of the engines that load at the same time. They take no requests meanwhile.
+    pub max_loading_ratio: f64,
+    /// Assumed duration of a load until one has been observed.
+    pub initial_load_duration: Duration,
     /// Time after an order at which the engine is first polled for its state.
     pub first_check_delay: Duration,
     /// Time between further polls.
@@ -32,6 +37,44 @@
     pub failure_backoff: Duration,
 }
 
+impl RolloutParams {
+    /// Creates the parameters for a platform on which requests must run on newly announced weights
+    /// within `weights_bound`.
+    pub fn for_bound(weights_bound: Duration) -> Self {
+        Self {
+            target_duration: weights_bound.mul_f64(TARGET_DURATION_RATIO),
+            max_loading_ratio: MAX_LOADING_RATIO,
+            initial_load_duration: INITIAL_LOAD_DURATION,
+            first_check_delay: FIRST_CHECK_DELAY,
+            check_period: CHECK_PERIOD,
+            resend_after: RESEND_AFTER,
+            failure_backoff: FAILURE_BACKOFF,
+        }
+    }
+}
+
+/// Fraction of the bound on adopting new weights within which a rollout is to be complete. The rest
+/// covers a change of the lease holder and orders that are lost.
+const TARGET_DURATION_RATIO: f64 = 0.6;
+
+/// Fraction of the engines that may load at the same time. With 7 of 18 engines, the others could
+/// not serve even a light load.
+const MAX_LOADING_RATIO: f64 = 0.3;
+
+/// A load takes 1.3 s and starts after the running requests have finished.
+const INITIAL_LOAD_DURATION: Duration = Duration::from_millis(2_000);
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(1_350);
+
+const CHECK_PERIOD: Duration = Duration::from_millis(200);
+
+/// Engines may execute an order up to 12 s late, or lose it.
+const RESEND_AFTER: Duration = Duration::from_secs(6);
+
+const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Weight of the newest load in the moving average of their duration.
+const LOAD_DURATION_WEIGHT: f64 = 0.2;
+
 /// Next action of a rollout.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RolloutAction {
@@ -103,6 +146,8 @@
     params: RolloutParams,
     pending: BTreeMap<TargetId, Pending>,
     backoffs: BTreeMap<TargetId, Timestamp>,
+    /// Moving average of the time from an order until the weights were observed.
+    load_duration: Duration,
     completed: Vec<CompletedLoad>,
 }
 
@@ -114,6 +159,7 @@
             params,
             pending: BTreeMap::new(),
             backoffs: BTreeMap::new(),
+            load_duration: params.initial_load_duration,
             completed: Vec::new(),
         }
     }
@@ -130,10 +176,20 @@
         RolloutProgress {
             outdated: outdated.count(),
             loading: self.pending.len(),
-            max_loading: self.params.max_loading,
+            max_loading: self.max_loading(engines.len()),
         }
     }
 
+    /// Returns the number of engines that may load at the same time: as many as bring all engines to
+    /// a new version within the target duration, but at most a fraction of them, and at least one.
+    fn max_loading(&self, engine_count: usize) -> usize {
+        let engine_count = engine_count as f64;
+        let rounds = self.params.target_duration.as_secs_f64() / self.load_duration.as_secs_f64();
+        let needed = engine_count / rounds;
+        let allowed = engine_count * self.params.max_loading_ratio;
+        needed.min(allowed).ceil().max(1.0) as usize
+    }
+
     /// Removes and returns the loads that have been observed to be complete.
     pub fn take_completed(&mut self) -> Vec<CompletedLoad> {
         std::mem::take(&mut self.completed)
@@ -146,10 +202,13 @@
                 engine.incarnation == pending.incarnation && engine.version >= pending.version
             });
             if is_complete {
+                let duration = now.saturating_sub(pending.ordered_at);
+                self.load_duration = self.load_duration.mul_f64(1.0 - LOAD_DURATION_WEIGHT)
+                    + duration.mul_f64(LOAD_DURATION_WEIGHT);
                 self.completed.push(CompletedLoad {
                     target: id.clone(),
                     version: pending.version,
-                    duration: now.saturating_sub(pending.ordered_at),
+                    duration,
                 });
             }
         }
@@ -185,7 +244,8 @@
             .collect();
         // Engines with the oldest weights are updated first, because old weights are worth least.
         waiting.sort_by_key(|engine| (engine.version, engine.id.clone()));
-        let free = self.params.max_loading.saturating_sub(self.pending.len());
+        let max_loading = self.max_loading(engines.len());
+        let free = max_loading.saturating_sub(self.pending.len());
         for engine in waiting.into_iter().take(free) {
             self.pending.insert(
                 engine.id.clone(),
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -36,11 +36,6 @@
 /// before the term ends.
 const ORDER_MARGIN: Duration = Duration::from_millis(100);
 
-/// Maximum number of engines with an order in progress. Up to three engines load at full speed,
-/// while the others finish their running requests. With 3, a rollout over 18 engines took 15 s;
-/// with 7, the remaining engines could not serve even a light load.
-const MAX_CONCURRENT_LOADS: usize = 5;
-
 /// Interval between checks for outdated engines.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,16 +50,6 @@
 /// when there is new work.
 const LIVE_HOLDER_DELAY: Duration = Duration::from_millis(1_000);
 
-const ROLLOUT_PARAMS: RolloutParams = RolloutParams {
-    max_loading: MAX_CONCURRENT_LOADS,
-    // A load takes 1.3 s and starts after the running requests have finished.
-    first_check_delay: Duration::from_millis(1_350),
-    check_period: Duration::from_millis(200),
-    // Engines may execute an order up to 12 s late, or lose it.
-    resend_after: Duration::from_secs(6),
-    failure_backoff: Duration::from_millis(500),
-};
-
 /// Coordinates rollouts while this instance holds the lease.
 pub(super) struct Coordinator {
     context: Context,
@@ -261,12 +246,14 @@
     /// Starts the next orders and checks of all rollouts.
     fn issue_orders(self: &Rc<Self>) {
         let now = self.now();
+        let weights_bound = Duration::from_millis(self.fleet.settings().weights_ms);
+        let params = RolloutParams::for_bound(weights_bound);
         for (key, newest, engines) in self.engines() {
             let mut rollouts = self.rollouts.borrow_mut();
             let model = key.1.clone();
             let rollout = rollouts
                 .entry(key.clone())
-                .or_insert_with(|| Rollout::new(model.clone(), ROLLOUT_PARAMS));
+                .or_insert_with(|| Rollout::new(model.clone(), params));
             let actions = rollout.next(newest, &engines, now);
             let progress = rollout.progress(newest, &engines);
             let completed = rollout.take_completed();
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -198,8 +198,11 @@
     assert_eq!(lease.epoch(ms(2_500)), None);
 }
 
+/// Two of three engines load at the same time.
 const ROLLOUT: RolloutParams = RolloutParams {
-    max_loading: 2,
+    target_duration: Duration::from_millis(3_000),
+    max_loading_ratio: 2.0 / 3.0,
+    initial_load_duration: Duration::from_millis(2_000),
     first_check_delay: Duration::from_millis(1_300),
     check_period: Duration::from_millis(200),
     resend_after: Duration::from_secs(6),
@@ -264,3 +267,71 @@
     assert!(rollout.next(2, &engines, ms(2_000)).is_empty());
     assert_eq!(orders_in(&rollout.next(2, &engines, ms(2_300))).len(), 1);
 }
+
+/// Bound on adopting new weights in the simulated rollouts.
+const WEIGHTS_BOUND: Duration = Duration::from_secs(15);
+
+/// Simulates a rollout over `engine_count` engines. Each needs `load_ms` from an order until it has
+/// the weights. Returns the time at which all have them, and the largest number that loaded at the same
+/// time.
+fn simulate_rollout(engine_count: usize, load_ms: u64) -> (Duration, usize) {
+    let params = RolloutParams::for_bound(WEIGHTS_BOUND);
+    let mut rollout = Rollout::new("m".into(), params);
+    let mut engines: Vec<Engine> = (0..engine_count)
+        .map(|index| engine(&format!("e{index:05}"), 1))
+        .collect();
+    let mut loaded_at = vec![None; engine_count];
+    let mut most_loading = 0;
+    for now_ms in (0..600_000).step_by(100) {
+        let now = ms(now_ms);
+        for (engine, loaded_at) in engines.iter_mut().zip(&loaded_at) {
+            if loaded_at.is_some_and(|at| at <= now_ms) {
+                engine.version = 2;
+            }
+        }
+        if engines.iter().all(|engine| engine.version == 2) {
+            return (now, most_loading);
+        }
+        for action in rollout.next(2, &engines, now) {
+            match action {
+                RolloutAction::Order { target, .. } => {
+                    let index: usize = target[1..].parse().unwrap();
+                    rollout.on_order(&target, OrderResult::Accepted, now);
+                    loaded_at[index] = Some(now_ms + load_ms);
+                }
+                RolloutAction::Check { target } => rollout.on_checked(&target, Some(true), now),
+            }
+        }
+        let loading = loaded_at.iter().flatten().filter(|at| **at > now_ms);
+        most_loading = most_loading.max(loading.count());
+    }
+    panic!("{engine_count} engines: the rollout does not end");
+}
+
+const ENGINE_COUNTS: [usize; 7] = [1, 3, 12, 18, 90, 380, 1_300];
+
+/// Guards against a rollout whose duration grows with the number of engines, past the bound on adopting
+/// new weights.
+#[test]
+fn a_rollout_keeps_the_bound_for_any_number_of_engines() {
+    for engine_count in ENGINE_COUNTS {
+        let (duration, _) = simulate_rollout(engine_count, 3_200);
+        assert!(
+            duration < WEIGHTS_BOUND,
+            "{engine_count} engines: {duration:?}"
+        );
+    }
+}
+
+/// Guards against a rollout that takes most engines out of service at the same time.
+#[test]
+fn a_rollout_leaves_most_engines_in_service() {
+    for engine_count in ENGINE_COUNTS {
+        let (_, most_loading) = simulate_rollout(engine_count, 3_200);
+        let allowed = engine_count.div_ceil(3);
+        assert!(
+            most_loading <= allowed,
+            "{most_loading} of {engine_count} engines load at the same time"
+        );
+    }
+}
