Order engines that do not answer after the others

An engine that is down stays in the list for three seconds and more. An order to it held a place of the rollout for 0.8 s, and half a second later it came first again, before engines that could load. A list that cannot be read while engines are down would keep them for longer.

Engines whose last order failed now come after all others, and the wait before the next order to them doubles up to 4 s.

rollout::engines_that_do_not_answer_are_ordered_last fails without the order by failures: the second order goes to the engine that did not answer.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -33,8 +33,11 @@
     /// Time after which an order without a visible effect is given again. Orders may be executed
     /// seconds late.
     pub resend_after: Duration,
-    /// Time before an engine that refused an order or did not respond gets another.
+    /// Time before an engine that refused an order or did not respond gets another. It doubles with
+    /// each consecutive failure up to `max_failure_backoff`.
     pub failure_backoff: Duration,
+    /// Upper limit of `failure_backoff`.
+    pub max_failure_backoff: Duration,
 }
 
 impl RolloutParams {
@@ -49,6 +52,7 @@
             check_period: CHECK_PERIOD,
             resend_after: RESEND_AFTER,
             failure_backoff: FAILURE_BACKOFF,
+            max_failure_backoff: MAX_FAILURE_BACKOFF,
         }
     }
 }
@@ -72,6 +76,9 @@
 
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 
+/// An engine that is down for seconds stays in the list until its entry expires.
+const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
+
 /// Weight of the newest load in the moving average of their duration.
 const LOAD_DURATION_WEIGHT: f64 = 0.2;
 
@@ -139,13 +146,22 @@
     is_check_pending: bool,
 }
 
+/// Consecutive orders that an engine refused or did not answer.
+#[derive(Debug, Clone, Copy)]
+struct Failures {
+    count: u32,
+    /// Time before which the engine gets no order.
+    backoff_until: Timestamp,
+}
+
 /// Outstanding orders for one model.
 #[derive(Debug)]
 pub struct Rollout {
     model: ModelId,
     params: RolloutParams,
     pending: BTreeMap<TargetId, Pending>,
-    backoffs: BTreeMap<TargetId, Timestamp>,
+    /// Failed orders by engine, since its last successful one.
+    failures: BTreeMap<TargetId, Failures>,
     /// Moving average of the time from an order until the weights were observed.
     load_duration: Duration,
     completed: Vec<CompletedLoad>,
@@ -158,7 +174,7 @@
             model,
             params,
             pending: BTreeMap::new(),
-            backoffs: BTreeMap::new(),
+            failures: BTreeMap::new(),
             load_duration: params.initial_load_duration,
             completed: Vec::new(),
         }
@@ -228,7 +244,7 @@
                     && now < pending.ordered_at + params.resend_after
             })
         });
-        self.backoffs.retain(|_, until| now < *until);
+        self.failures.retain(|id, _| engines_by_id.contains_key(id));
         let mut actions = Vec::new();
         for (id, pending) in &mut self.pending {
             if !pending.is_check_pending && now >= pending.next_check {
@@ -240,10 +256,17 @@
             .iter()
             .filter(|engine| engine.version < newest)
             .filter(|engine| !self.pending.contains_key(&engine.id))
-            .filter(|engine| !self.backoffs.contains_key(&engine.id))
+            .filter(|engine| {
+                let failures = self.failures.get(&engine.id);
+                failures.is_none_or(|failures| now >= failures.backoff_until)
+            })
             .collect();
-        // Engines with the oldest weights are updated first, because old weights are worth least.
-        waiting.sort_by_key(|engine| (engine.version, engine.id.clone()));
+        // Engines that do not answer must not hold the places of others. Among the others, those with
+        // the oldest weights are updated first, because old weights are worth least.
+        waiting.sort_by_key(|engine| {
+            let has_failed = self.failures.contains_key(&engine.id);
+            (has_failed, engine.version, engine.id.clone())
+        });
         let max_loading = self.max_loading(engines.len());
         let free = max_loading.saturating_sub(self.pending.len());
         for engine in waiting.into_iter().take(free) {
@@ -269,12 +292,23 @@
     /// Records the result of an order.
     pub fn on_order(&mut self, target: &TargetId, result: OrderResult, now: Timestamp) {
         match result {
-            OrderResult::Accepted => {}
-            OrderResult::Holds => drop(self.pending.remove(target)),
+            OrderResult::Accepted => drop(self.failures.remove(target)),
+            OrderResult::Holds => {
+                self.failures.remove(target);
+                self.pending.remove(target);
+            }
             OrderResult::Busy | OrderResult::Failed => {
                 self.pending.remove(target);
-                let until = now + self.params.failure_backoff;
-                self.backoffs.insert(target.clone(), until);
+                let count = self
+                    .failures
+                    .get(target)
+                    .map_or(0, |failures| failures.count);
+                let backoff = self.params.failure_backoff * 2u32.saturating_pow(count);
+                let failures = Failures {
+                    count: count.saturating_add(1),
+                    backoff_until: now + backoff.min(self.params.max_failure_backoff),
+                };
+                self.failures.insert(target.clone(), failures);
             }
         }
     }
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -207,6 +207,7 @@
     check_period: Duration::from_millis(200),
     resend_after: Duration::from_secs(6),
     failure_backoff: Duration::from_millis(500),
+    max_failure_backoff: Duration::from_millis(4_000),
 };
 
 fn engine(id: &str, version: u64) -> Engine {
@@ -272,30 +273,42 @@
 const WEIGHTS_BOUND: Duration = Duration::from_secs(15);
 
 /// Simulates a rollout over `engine_count` engines. Each needs `load_ms` from an order until it has
-/// the weights. Returns the time at which all have them, and the largest number that loaded at the same
-/// time.
-fn simulate_rollout(engine_count: usize, load_ms: u64) -> (Duration, usize) {
+/// the weights; every fourth one answers nothing if `with_dark` is set, which takes 800 ms to notice.
+/// Returns the time at which all engines that answer have the weights, and the largest number of them
+/// that loaded at the same time.
+fn simulate_rollout(engine_count: usize, load_ms: u64, with_dark: bool) -> (Duration, usize) {
     let params = RolloutParams::for_bound(WEIGHTS_BOUND);
     let mut rollout = Rollout::new("m".into(), params);
     let mut engines: Vec<Engine> = (0..engine_count)
         .map(|index| engine(&format!("e{index:05}"), 1))
         .collect();
+    let is_dark = |index: usize| with_dark && index.is_multiple_of(4);
     let mut loaded_at = vec![None; engine_count];
+    let mut failed_at: Vec<Option<u64>> = vec![None; engine_count];
     let mut most_loading = 0;
     for now_ms in (0..600_000).step_by(100) {
         let now = ms(now_ms);
-        for (engine, loaded_at) in engines.iter_mut().zip(&loaded_at) {
-            if loaded_at.is_some_and(|at| at <= now_ms) {
-                engine.version = 2;
+        for index in 0..engine_count {
+            if loaded_at[index].is_some_and(|at| at <= now_ms) {
+                engines[index].version = 2;
+            }
+            if failed_at[index].is_some_and(|at| at <= now_ms) {
+                failed_at[index] = None;
+                rollout.on_order(&engines[index].id, OrderResult::Failed, now);
             }
         }
-        if engines.iter().all(|engine| engine.version == 2) {
+        let is_complete = |(index, engine): (usize, &Engine)| engine.version == 2 || is_dark(index);
+        if engines.iter().enumerate().all(is_complete) {
             return (now, most_loading);
         }
         for action in rollout.next(2, &engines, now) {
+            let (RolloutAction::Order { target, .. } | RolloutAction::Check { target }) = &action;
+            let index: usize = target[1..].parse().unwrap();
             match action {
+                RolloutAction::Order { .. } if is_dark(index) => {
+                    failed_at[index] = Some(now_ms + 800);
+                }
                 RolloutAction::Order { target, .. } => {
-                    let index: usize = target[1..].parse().unwrap();
                     rollout.on_order(&target, OrderResult::Accepted, now);
                     loaded_at[index] = Some(now_ms + load_ms);
                 }
@@ -315,11 +328,13 @@
 #[test]
 fn a_rollout_keeps_the_bound_for_any_number_of_engines() {
     for engine_count in ENGINE_COUNTS {
-        let (duration, _) = simulate_rollout(engine_count, 3_200);
-        assert!(
-            duration < WEIGHTS_BOUND,
-            "{engine_count} engines: {duration:?}"
-        );
+        for with_dark in [false, true] {
+            let (duration, _) = simulate_rollout(engine_count, 3_200, with_dark);
+            assert!(
+                duration < WEIGHTS_BOUND,
+                "{engine_count} engines, dark {with_dark}: {duration:?}"
+            );
+        }
     }
 }
 
@@ -327,7 +342,7 @@
 #[test]
 fn a_rollout_leaves_most_engines_in_service() {
     for engine_count in ENGINE_COUNTS {
-        let (_, most_loading) = simulate_rollout(engine_count, 3_200);
+        let (_, most_loading) = simulate_rollout(engine_count, 3_200, false);
         let allowed = engine_count.div_ceil(3);
         assert!(
             most_loading <= allowed,
@@ -335,3 +350,26 @@
         );
     }
 }
+
+/// Guards against engines that do not answer and hold the places of those that could load.
+#[test]
+fn engines_that_do_not_answer_are_ordered_last() {
+    let mut rollout = Rollout::new("m".into(), ROLLOUT);
+    let engines = [engine("a", 1), engine("b", 1), engine("c", 1)];
+    let (a, b): (TargetId, TargetId) = ("a".into(), "b".into());
+    rollout.next(2, &engines, ms(0));
+    rollout.on_order(&a, OrderResult::Failed, ms(800));
+    rollout.on_order(&b, OrderResult::Accepted, ms(10));
+    let next = rollout.next(2, &engines, ms(1_300));
+    assert_eq!(orders_in(&next), [("c".into(), 2)]);
+    rollout.on_order(&"c".into(), OrderResult::Accepted, ms(1_310));
+    let engines = [engine("a", 1), engine("b", 2), engine("c", 1)];
+    assert_eq!(
+        orders_in(&rollout.next(2, &engines, ms(2_000))),
+        [("a".into(), 2)]
+    );
+    rollout.on_order(&a, OrderResult::Failed, ms(2_800));
+    assert!(orders_in(&rollout.next(2, &engines, ms(3_700))).is_empty());
+    assert!(orders_in(&rollout.next(2, &engines, ms(3_750))).is_empty());
+    assert_eq!(orders_in(&rollout.next(2, &engines, ms(3_800))).len(), 1);
+}
