Measure the duration of each load once

The number of engines that load at the same time follows from the measured duration of loads, which was wrong in two ways. A moving average with a weight of 0.2 followed the last batch alone: the limit went 19, 27, 21, 26, 20, 25 within 8 s.

An idle report now only marks the order; whether it was completed or lost is decided where the engine's weights are known. Orders older than the time of a resend are not measured, the last loads are completed also when no engine is outdated, and the weight is 0.05.

rollout::the_duration_of_each_load_is_measured_once guards against both.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -79,8 +79,9 @@
 /// An engine that is down for seconds stays in the list until its entry expires.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 
-/// Weight of the newest load in the moving average of their duration.
-const LOAD_DURATION_WEIGHT: f64 = 0.2;
+/// Weight of the newest load in the moving average of their duration. Loads that start together end
+/// together; with 0.2, the last batch alone decided the number of engines in the next one.
+const LOAD_DURATION_WEIGHT: f64 = 0.05;
 
 /// Next action of a rollout.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -144,6 +145,9 @@
     ordered_at: Timestamp,
     next_check: Timestamp,
     is_check_pending: bool,
+    /// Whether the engine reported that it executes no order. The report may also mean that it has the
+    /// weights already.
+    is_idle: bool,
 }
 
 /// Consecutive orders that an engine refused or did not answer.
@@ -235,13 +239,15 @@
     pub fn next(&mut self, newest: u64, engines: &[Engine], now: Timestamp) -> Vec<RolloutAction> {
         let engines_by_id: BTreeMap<&TargetId, &Engine> =
             engines.iter().map(|engine| (&engine.id, engine)).collect();
-        self.complete_loads(&engines_by_id, now);
         let params = self.params;
+        self.pending
+            .retain(|_, pending| now < pending.ordered_at + params.resend_after);
+        self.complete_loads(&engines_by_id, now);
         self.pending.retain(|id, pending| {
             engines_by_id.get(id).is_some_and(|engine| {
                 engine.incarnation == pending.incarnation
                     && engine.version < pending.version
-                    && now < pending.ordered_at + params.resend_after
+                    && !pending.is_idle
             })
         });
         self.failures.retain(|id, _| engines_by_id.contains_key(id));
@@ -278,6 +284,7 @@
                     ordered_at: now,
                     next_check: now + self.params.first_check_delay,
                     is_check_pending: false,
+                    is_idle: false,
                 },
             );
             actions.push(RolloutAction::Order {
@@ -321,12 +328,9 @@
         };
         pending.is_check_pending = false;
         pending.next_check = now + self.params.check_period;
-        let is_lost =
+        // The reported state is a few hundred milliseconds old. An order that has neither started nor
+        // finished by now was lost.
+        pending.is_idle =
             is_busy == Some(false) && now >= pending.ordered_at + self.params.first_check_delay;
-        if is_lost {
-            // The reported state is a few hundred milliseconds old. An order that has neither
-            // started nor finished by now was lost.
-            self.pending.remove(target);
-        }
     }
 }
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -111,6 +111,8 @@
             };
             self.maintain_lease(since).await;
             if since.is_none() {
+                // Completes the last loads; without outdated engines there are no orders.
+                self.issue_orders();
                 self.peers.set_loading_engines(std::iter::empty());
             } else if self.lease.borrow().epoch(self.now()).is_some() {
                 self.issue_orders();
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -373,3 +373,21 @@
     assert!(orders_in(&rollout.next(2, &engines, ms(3_750))).is_empty());
     assert_eq!(orders_in(&rollout.next(2, &engines, ms(3_800))).len(), 1);
 }
+
+/// Guards against loads that are missing in the measured duration because a poll found the engine idle,
+/// and against places that are measured long after the load, when there is work again.
+#[test]
+fn the_duration_of_each_load_is_measured_once() {
+    let mut rollout = Rollout::new("m".into(), ROLLOUT);
+    let engines = [engine("a", 1), engine("b", 1), engine("c", 2)];
+    assert_eq!(rollout.next(2, &engines, ms(0)).len(), 2);
+    rollout.on_checked(&"a".into(), Some(false), ms(1_400));
+    let engines = [engine("a", 2), engine("b", 1), engine("c", 2)];
+    rollout.next(2, &engines, ms(1_500));
+    let completed = rollout.take_completed();
+    assert_eq!(completed.len(), 1);
+    assert_eq!(completed[0].duration, ms(1_500));
+    let engines = [engine("a", 2), engine("b", 2), engine("c", 2)];
+    rollout.next(2, &engines, ms(60_000));
+    assert!(rollout.take_completed().is_empty());
+}
