Do not date an announcement of weights by a repeated read

Callers got answers from weights that had been replaced 30 s before, in the seconds after all instances had lost power.

Cause: an instance that starts does not know when the newest weights were announced. It assumes a time that lets it use older ones for 3 s. Its next read of the store, 0.7 s later, found the same version and recorded the time of that read as the time of the announcement. An actual time takes precedence over an assumed one, and was sent to all peers as such, so that the whole fleet used old weights for 12.75 s more. As long as one instance keeps running, its earlier time wins; only a restart of all instances shows the fault.

A read now dates only versions that were not known before, and only if their absence had been confirmed, by this instance or another one. The first read of an instance that gets its updates from others no longer counts as a first one.

fleet::a_repeated_read_does_not_date_an_announcement fails without the check for known versions: 101 s in place of 90 s.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -48,6 +48,24 @@
 }
 
 impl Announcement {
+    /// Returns the announcement of a version that the store was read to hold at `read_at`.
+    ///
+    /// The read dates the announcement if the version was confirmed to be absent before
+    /// (`absent_until`), by this instance or another one. Otherwise it was announced before this
+    /// instance started, and `assumed` is used.
+    pub fn read(read_at: Timestamp, absent_until: Option<Timestamp>, assumed: Timestamp) -> Self {
+        match absent_until {
+            Some(_) => Self {
+                at: read_at,
+                is_assumed: false,
+            },
+            None => Self {
+                at: assumed,
+                is_assumed: true,
+            },
+        }
+    }
+
     /// Returns the announcement for a report of another instance. If that instance has no time
     /// (`at`) either, the version was announced after this instance last confirmed its absence
     /// (`absent_until`). Without such a confirmation it was announced before this instance started,
@@ -344,6 +362,22 @@
         version > newest
     }
 
+    /// Records that the store holds a weights version. `announcement` applies only if the version is
+    /// not known yet: a known version was announced before this read, which says nothing about when.
+    /// Returns whether it is the newest version.
+    pub fn on_weights_read(
+        &mut self,
+        model: &ModelId,
+        version: u64,
+        announcement: Announcement,
+    ) -> bool {
+        let versions = self.announced.get(model);
+        if versions.is_some_and(|versions| versions.contains_key(&version)) {
+            return false;
+        }
+        self.on_weights_announced(model, version, announcement)
+    }
+
     /// Returns the newest announced weights version of a model.
     pub fn announced_weights(&self, model: &str) -> Option<u64> {
         self.announced.get(model)?.keys().next_back().copied()
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -236,25 +236,21 @@
         self.publish_snapshot();
     }
 
-    /// Applies the weights announced in the store. For those found at the start of the process the
-    /// time of the announcement is unknown.
-    pub fn on_stored_weights(&self, announced: &[(ModelId, u64)], is_first: bool) {
+    /// Applies the weights announced in the store. `absent_until` is when the announced weights were
+    /// last confirmed before, by this instance or another one.
+    pub fn on_stored_weights(&self, announced: &[(ModelId, u64)], absent_until: Option<Timestamp>) {
         let now = self.context.timers().boot_now();
-        let announcement = match is_first {
-            true => Announcement {
-                at: self.assumed_announced_at_from(now),
-                is_assumed: true,
-            },
-            false => Announcement {
-                at: now,
-                is_assumed: false,
-            },
-        };
-        let announced: Vec<_> = announced
-            .iter()
-            .map(|(model, version)| (model.clone(), *version, announcement))
-            .collect();
-        self.on_weights_announced(&announced, "store");
+        let announcement = Announcement::read(now, absent_until, self.assumed_announced_at());
+        for (model, version) in announced {
+            let is_newest = self
+                .state
+                .borrow_mut()
+                .on_weights_read(model, *version, announcement);
+            if is_newest {
+                self.log_weights_named(model, *version, announcement, "store");
+            }
+        }
+        self.publish_snapshot();
     }
 
     /// Whether a target with the given weights may still be used, because newer ones were not
@@ -283,35 +279,41 @@
     }
 
     /// Assumed announcement time of weights that were announced before this process started.
+    /// Old weights may then be used for [`STARTUP_OLD_WEIGHTS_GRACE`].
     pub fn assumed_announced_at(&self) -> Timestamp {
-        self.assumed_announced_at_from(self.started_at)
-    }
-
-    /// Returns an assumed announcement time such that old weights may be used for
-    /// [`STARTUP_OLD_WEIGHTS_GRACE`] after `start`.
-    fn assumed_announced_at_from(&self, start: Timestamp) -> Timestamp {
         let bound = Duration::from_millis(self.settings().weights_ms);
-        (start + STARTUP_OLD_WEIGHTS_GRACE).saturating_sub(bound.mul_f64(OLD_WEIGHTS_RATIO))
+        (self.started_at + STARTUP_OLD_WEIGHTS_GRACE)
+            .saturating_sub(bound.mul_f64(OLD_WEIGHTS_RATIO))
     }
 
     /// Applies announced weights with their announcement times.
     pub fn on_weights_announced(&self, announced: &[(ModelId, u64, Announcement)], source: &str) {
-        let now = self.context.timers().boot_now();
         for (model, version, announcement) in announced {
-            if self
-                .state
-                .borrow_mut()
-                .on_weights_announced(model, *version, *announcement)
-            {
-                slog::info!(self.context.log(), "weights named"; "model" => &**model,
-                    "version" => *version, "source" => source,
-                    "age_ms" => ms(now.saturating_sub(announcement.at)),
-                    "is_age_assumed" => announcement.is_assumed);
+            let is_newest =
+                self.state
+                    .borrow_mut()
+                    .on_weights_announced(model, *version, *announcement);
+            if is_newest {
+                self.log_weights_named(model, *version, *announcement, source);
             }
         }
         self.publish_snapshot();
     }
 
+    fn log_weights_named(
+        &self,
+        model: &str,
+        version: u64,
+        announcement: Announcement,
+        source: &str,
+    ) {
+        let now = self.context.timers().boot_now();
+        slog::info!(self.context.log(), "weights named"; "model" => model,
+            "version" => version, "source" => source,
+            "age_ms" => ms(now.saturating_sub(announcement.at)),
+            "is_age_assumed" => announcement.is_assumed);
+    }
+
     /// Records weights observed on a target, from its response, its load report or a peer.
     pub fn on_observed_weights(&self, target: &TargetId, model: &ModelId, version: u64) {
         self.state
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -122,7 +122,6 @@
 /// Reads the configuration and the announced weights whenever no peer has relayed a recent read.
 pub(super) async fn refresh_config_and_weights(context: Context, fleet: Rc<Fleet>) {
     let timers = *context.timers();
-    let mut weights_read_at = None;
     let mut failed_at = None;
     loop {
         let peers = context.service::<Peers>();
@@ -143,16 +142,14 @@
         }
         let weights_age = peers
             .weights_confirmed_at()
-            .max(weights_read_at)
             .map(|at| now.saturating_sub(at));
         if weights_age.is_none_or(|age| age >= max_age) && !is_backing_off && failed_at.is_none() {
             let requested_at = timers.boot_now();
             match fleet.store().list_announced_weights().await {
                 Ok(announced) => {
-                    let is_first = weights_read_at.is_none();
-                    weights_read_at = Some(requested_at);
+                    let absent_until = peers.weights_confirmed_at();
                     peers.record_weights_confirmed(requested_at);
-                    fleet.on_stored_weights(&announced, is_first);
+                    fleet.on_stored_weights(&announced, absent_until);
                 }
                 Err(error) => {
                     failed_at = Some(timers.boot_now());
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -158,6 +158,24 @@
     assert_eq!(state.announced_weights("m"), Some(3));
 }
 
+/// Guards against old weights that are used again after a restart: a second read of the same version
+/// must not replace the assumed time of its announcement by the time of that read.
+#[test]
+fn a_repeated_read_does_not_date_an_announcement() {
+    let mut state = FleetState::new();
+    let model: ModelId = "m".into();
+    let assumed = Announcement {
+        at: secs(90),
+        is_assumed: true,
+    };
+    assert!(state.on_weights_read(&model, 2, assumed));
+    assert!(!state.on_weights_read(&model, 2, announced_at(secs(101))));
+    assert_eq!(state.superseded_at("m", 1), Some(secs(90)));
+    assert_eq!(state.announcements().next(), Some((&model, 2, None)));
+    assert!(state.on_weights_read(&model, 3, announced_at(secs(102))));
+    assert_eq!(state.superseded_at("m", 2), Some(secs(102)));
+}
+
 /// Guards against outdated weights that are used for too long after a restart: the process did not
 /// see the announcement and can only assume its time. Times reported by peers replace assumed ones.
 #[test]
@@ -236,3 +254,17 @@
     );
     assert_eq!(state.superseded_at(&model, 1), Some(assumed));
 }
+
+/// Guards against engines that are withdrawn too early: weights that appear after another instance has
+/// confirmed their absence were announced just now, also if this instance reads the store for the first
+/// time.
+#[test]
+fn a_read_dates_weights_that_were_confirmed_absent_before() {
+    let (read_at, assumed) = (ms(9_000), ms(1_000));
+    assert_eq!(
+        Announcement::read(read_at, Some(ms(8_000)), assumed),
+        announced_at(read_at)
+    );
+    let unknown = Announcement::read(read_at, None, assumed);
+    assert_eq!((unknown.at, unknown.is_assumed), (assumed, true));
+}
