Count the age of a relayed announcement back from its arrival

Cause: a response to a request for updates was counted back from the request, which is right for a proof of freshness, as it never looks fresher than it is. For an announcement the earliest time of all reports wins, so that each relay moved it back by the duration of the request, without end.

The age is now counted back from the arrival. Such a time is never earlier than the announcement, and the earliest one is the most exact.

fleet::relayed_announcements_do_not_move_back relays an announcement 1,000 times; its new parameter for the arrival takes the place of a time that the caller computed.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -66,15 +66,22 @@
         }
     }
 
-    /// Returns the announcement for a report of another instance. If that instance has no time
-    /// (`at`) either, the version was announced after this instance last confirmed its absence
+    /// Returns the announcement for a report of another instance that arrived at `received_at`.
+    ///
+    /// `age` is the time since the announcement as the other instance reported it. If it has none
+    /// either, the version was announced after this instance last confirmed its absence
     /// (`absent_until`). Without such a confirmation it was announced before this instance started,
     /// and `assumed` is used.
+    ///
+    /// The age is counted back from the arrival, which is later than its measurement. The earliest
+    /// time wins in [`Self::merge`], so an error to the other side would grow with each relay.
     pub fn received(
-        at: Option<Timestamp>,
+        age: Option<Duration>,
+        received_at: Timestamp,
         absent_until: Option<Timestamp>,
         assumed: Timestamp,
     ) -> Self {
+        let at = age.map(|age| received_at.saturating_sub(age));
         Self {
             at: at.or(absent_until).unwrap_or(assumed),
             is_assumed: at.is_none(),
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -501,10 +501,9 @@
             .named
             .iter()
             .map(|named| {
-                let ago = named.named_ago_ms.map(Duration::from_millis);
-                let at = ago.map(|ago| now.saturating_sub(ago));
                 let announcement = Announcement::received(
-                    at,
+                    named.named_ago_ms.map(Duration::from_millis),
+                    now,
                     previously_confirmed_at,
                     self.fleet.assumed_announced_at(),
                 );
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -209,7 +209,8 @@
         let measured_at = requested_at + Duration::from_millis(update.held_ms);
         let time_of = |age_ms: u64| measured_at.saturating_sub(Duration::from_millis(age_ms));
         let confirmed_at = time_of(update.targets_age_ms);
-        if self.now().saturating_sub(confirmed_at) > MAX_TARGETS_AGE {
+        let now = self.now();
+        if now.saturating_sub(confirmed_at) > MAX_TARGETS_AGE {
             return None;
         }
         if let Some(age_ms) = update.config_age_ms {
@@ -230,7 +231,8 @@
             .iter()
             .map(|(model, version, ago_ms)| {
                 let announcement = Announcement::received(
-                    ago_ms.map(time_of),
+                    ago_ms.map(Duration::from_millis),
+                    now,
                     previously_confirmed_at,
                     assumed_at,
                 );
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -234,23 +234,28 @@
 /// from each other first.
 #[test]
 fn an_unknown_announcement_time_is_the_last_time_without_the_weights() {
-    let (assumed, absent_until, reported) = (ms(1_000), ms(5_000), ms(7_000));
+    let (assumed, absent_until, received_at) = (ms(1_000), ms(5_000), ms(9_000));
     // A process that has just started has not seen a time before the announcement.
-    let received = Announcement::received(None, None, assumed);
+    let received = Announcement::received(None, received_at, None, assumed);
     assert_eq!((received.at, received.is_assumed), (assumed, true));
     // A process that has run for longer has confirmed until when the weights were not announced.
-    let received = Announcement::received(None, Some(absent_until), assumed);
+    let received = Announcement::received(None, received_at, Some(absent_until), assumed);
     assert_eq!((received.at, received.is_assumed), (absent_until, true));
-    let received = Announcement::received(Some(reported), Some(absent_until), assumed);
-    assert_eq!((received.at, received.is_assumed), (reported, false));
+    let received =
+        Announcement::received(Some(ms(2_000)), received_at, Some(absent_until), assumed);
+    assert_eq!((received.at, received.is_assumed), (ms(7_000), false));
     // A later report does not move the announcement to a later time.
     let model: ModelId = "llm/m".into();
     let mut state = FleetState::default();
-    state.on_weights_announced(&model, 2, Announcement::received(None, None, assumed));
     state.on_weights_announced(
         &model,
         2,
-        Announcement::received(None, Some(absent_until), assumed),
+        Announcement::received(None, received_at, None, assumed),
+    );
+    state.on_weights_announced(
+        &model,
+        2,
+        Announcement::received(None, received_at, Some(absent_until), assumed),
     );
     assert_eq!(state.superseded_at(&model, 1), Some(assumed));
 }
@@ -268,3 +273,24 @@
     let unknown = Announcement::read(read_at, None, assumed);
     assert_eq!((unknown.at, unknown.is_assumed), (assumed, true));
 }
+
+/// Guards against an announcement whose time moves back with each relay between instances, so that old
+/// weights are withdrawn too early.
+#[test]
+fn relayed_announcements_do_not_move_back() {
+    const TRANSIT: Duration = Duration::from_millis(20);
+    let model: ModelId = "m".into();
+    let mut states = [FleetState::new(), FleetState::new()];
+    states[0].on_weights_announced(&model, 2, announced_at(secs(10)));
+    let mut now = secs(11);
+    for relay in 0..1_000 {
+        let sender = relay % 2;
+        let (_, version, at) = states[sender].announcements().next().unwrap();
+        let age = at.map(|at| now - at);
+        now += TRANSIT;
+        let announcement = Announcement::received(age, now, None, ms(0));
+        states[1 - sender].on_weights_announced(&model, version, announcement);
+    }
+    assert_eq!(states[0].superseded_at("m", 1), Some(secs(10)));
+    assert!(states[1].superseded_at("m", 1) <= Some(secs(10) + TRANSIT));
+}
