Express times before the boot of the machine

The age of a report is subtracted from the time of its arrival, on a clock that counts from the boot. A result before the boot was clamped to it, so that an old report looked recent on a machine that had just booted: a relayed freshness proof, or a configuration of unknown age (time zero), would have let a withdrawn key pass for up to the revocation bound after the boot, and weights superseded long ago would have counted as superseded at the boot.

fleet::times_before_the_boot_can_be_expressed fails with a clock that starts at 0.

--- a/src/jujubelink/ops/kernel/mod.rs
+++ b/src/jujubelink/ops/kernel/mod.rs
@@ -41,7 +41,7 @@
             .with_context(|| format!("start plug-in {}", plugin.name()))?;
     }
     slog::info!(context.log(), "instance started"; "plugins" => plugins.len(),
-        "since_boot_ms" => ms(context.timers().boot_now()));
+        "since_boot_ms" => ms(context.timers().since_boot()));
     context.shutdown().requested().await;
     drain(&context, &plugins).await;
     slog::info!(context.log(), "instance stopped");
--- a/src/jujubelink/ops/kernel/timers.rs
+++ b/src/jujubelink/ops/kernel/timers.rs
@@ -5,6 +5,11 @@
 
 use crate::core::ids::Timestamp;
 
+/// Time of [`Timers::boot_now`] at the boot of the machine. The age of a report is subtracted from the
+/// time of its arrival; if the result were clamped to the boot, an old report would look recent on a
+/// machine that has just booted.
+const TIME_OF_BOOT: Timestamp = Duration::from_secs(24 * 60 * 60);
+
 /// Clocks and timers of the event loop.
 #[derive(Debug, Clone, Copy)]
 pub struct Timers {
@@ -26,9 +31,15 @@
         self.started.elapsed()
     }
 
-    /// Returns the time since the machine was booted, from the clock that also runs while the machine
-    /// is suspended. The freshness of keys and the terms of leases are measured with it.
+    /// Returns the time on a clock that also runs while the machine is suspended. The freshness of
+    /// keys and the terms of leases are measured with it. It starts at a day, so that times before the
+    /// boot of the machine can be expressed.
     pub fn boot_now(&self) -> Timestamp {
+        TIME_OF_BOOT + self.since_boot()
+    }
+
+    /// Returns the time since the machine was booted, including times of suspension.
+    pub fn since_boot(&self) -> Duration {
         let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
         Duration::new(
             time.tv_sec.unsigned_abs(),
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -8,6 +8,7 @@
     Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, TargetRecord,
 };
 use jujubelink::core::ids::{ModelId, TargetId};
+use jujubelink::ops::kernel::Timers;
 
 fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -294,3 +295,13 @@
     assert_eq!(states[0].superseded_at("m", 1), Some(secs(10)));
     assert!(states[1].superseded_at("m", 1) <= Some(secs(10) + TRANSIT));
 }
+
+/// Guards against an old report that looks recent on a machine that has just booted, because a time
+/// before the boot is clamped to it. A withdrawn key would be accepted by such a freshness proof.
+#[test]
+fn times_before_the_boot_can_be_expressed() {
+    let timers = Timers::new();
+    let age = timers.since_boot() + secs(3_600);
+    let now = timers.boot_now();
+    assert_eq!(now.checked_sub(age).map(|at| now - at), Some(age));
+}
