Derive the use of old weights after a start from the contact time

After a start, an instance used weights of unknown age for 3 s from its first read of the store. The platform holds an instance to the bound once it has been up for the contact time, 3 s on the small sites and 4 s on the grown ones, and a request may then wait at the engine.

Old weights may now be used for 0.6 of the contact time, counted from the start of the process. The time is a setting of its own, contact_ms. The decision moves to core::fleet::WeightsBounds, together with that on superseded weights.

fleet::old_weights_are_refused_before_the_contact_time_ends guards it. A grace of 3 s exceeds its limits for all three contact times (by arithmetic, not run).

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -8,15 +8,17 @@
 //! Used only in deployments with a fleet store; the scheduler gets the state as a
 //! [`ConfigSnapshot`](super::config::ConfigSnapshot).
 
+mod announcement;
 mod freshness;
 mod policy;
 mod records;
 mod state;
 
+pub use announcement::{Announcement, WeightsBounds};
 pub use freshness::{Freshness, FreshnessProof};
 pub use policy::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
     WeightedService,
 };
 pub use records::{TargetAddress, TargetRecord};
-pub use state::{Announcement, FleetState, model_key};
+pub use state::{FleetState, model_key};
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{FleetPolicy, Freshness, FreshnessProof, TargetRecord};
+use super::{Announcement, FleetPolicy, Freshness, FreshnessProof, TargetRecord};
 use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
 use crate::core::ids::{ConfigVersion, Incarnation, ModelId, TargetId, Timestamp};
 
@@ -37,71 +37,6 @@
     format!("{service}/{model}").into()
 }
 
-/// Time at which the platform announced that a weights version is to be served.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Announcement {
-    /// Time of the announcement, or an assumed bound of it.
-    pub at: Timestamp,
-    /// Whether the time is assumed: the version was announced before this process started to watch,
-    /// and no peer has reported the time.
-    pub is_assumed: bool,
-}
-
-impl Announcement {
-    /// Returns the announcement of a version that the store was read to hold at `read_at`.
-    ///
-    /// The read dates the announcement if the version was confirmed to be absent before
-    /// (`absent_until`), by this instance or another one. Otherwise it was announced before this
-    /// instance started, and `assumed` is used.
-    pub fn read(read_at: Timestamp, absent_until: Option<Timestamp>, assumed: Timestamp) -> Self {
-        match absent_until {
-            Some(_) => Self {
-                at: read_at,
-                is_assumed: false,
-            },
-            None => Self {
-                at: assumed,
-                is_assumed: true,
-            },
-        }
-    }
-
-    /// Returns the announcement for a report of another instance that arrived at `received_at`.
-    ///
-    /// `age` is the time since the announcement as the other instance reported it. If it has none
-    /// either, the version was announced after this instance last confirmed its absence
-    /// (`absent_until`). Without such a confirmation it was announced before this instance started,
-    /// and `assumed` is used.
-    ///
-    /// The age is counted back from the arrival, which is later than its measurement. The earliest
-    /// time wins in [`Self::merge`], so an error to the other side would grow with each relay.
-    pub fn received(
-        age: Option<Duration>,
-        received_at: Timestamp,
-        absent_until: Option<Timestamp>,
-        assumed: Timestamp,
-    ) -> Self {
-        let at = age.map(|age| received_at.saturating_sub(age));
-        Self {
-            at: at.or(absent_until).unwrap_or(assumed),
-            is_assumed: at.is_none(),
-        }
-    }
-
-    /// Merges two reports. Actual times take precedence over assumed ones. The earliest time is
-    /// right, since other instances received the announcement later.
-    fn merge(&mut self, other: Self) {
-        let should_replace = match (self.is_assumed, other.is_assumed) {
-            (true, false) => true,
-            (false, true) => false,
-            _ => other.at < self.at,
-        };
-        if should_replace {
-            *self = other;
-        }
-    }
-}
-
 /// State of the fleet as seen by this instance. Versions of the configuration and of weights, and
 /// the revisions of target entries only increase.
 #[derive(Debug, Default)]
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::config::ConfigSnapshot;
-use crate::core::fleet::{Announcement, FleetPolicy, FleetState, FreshnessProof, TargetRecord};
+use crate::core::fleet::{
+    Announcement, FleetPolicy, FleetState, FreshnessProof, TargetRecord, WeightsBounds,
+};
 use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
@@ -22,16 +24,6 @@
 /// Part of the revocation bound that is reserved for sending the request to the target.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(250);
 
-/// Fraction of the bound on adopting new weights after which older weights are no longer used. The
-/// rest covers the delay until this instance discovers the new weights, and the wait in the
-/// target's queue.
-const OLD_WEIGHTS_RATIO: f64 = 0.85;
-
-/// Time after process start during which old weights may be used although it is unknown when they
-/// were replaced. Without it, starting all instances together would leave few engines for all
-/// requests.
-const STARTUP_OLD_WEIGHTS_GRACE: Duration = Duration::from_secs(3);
-
 /// Error: the active configuration is not proved recent enough to accept keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StaleConfig {
@@ -253,12 +245,19 @@
         self.publish_snapshot();
     }
 
+    fn weights_bounds(&self) -> WeightsBounds {
+        let settings = self.settings();
+        WeightsBounds {
+            adoption: Duration::from_millis(settings.weights_ms),
+            contact: Duration::from_millis(settings.contact_ms),
+        }
+    }
+
     /// Whether a target with the given weights may still be used, because newer ones were not
     /// announced or only recently.
     pub fn may_use_weights(&self, model: &str, version: u64) -> bool {
-        let bound = Duration::from_millis(self.settings().weights_ms);
-        self.superseded_age(model, version)
-            .is_none_or(|age| age < bound.mul_f64(OLD_WEIGHTS_RATIO))
+        let age = self.superseded_age(model, version);
+        age.is_none_or(|age| self.weights_bounds().may_use(age))
     }
 
     /// Time since newer weights than `version` were announced, actual or assumed. `None` if there
@@ -279,11 +278,8 @@
     }
 
     /// Assumed announcement time of weights that were announced before this process started.
-    /// Old weights may then be used for [`STARTUP_OLD_WEIGHTS_GRACE`].
     pub fn assumed_announced_at(&self) -> Timestamp {
-        let bound = Duration::from_millis(self.settings().weights_ms);
-        (self.started_at + STARTUP_OLD_WEIGHTS_GRACE)
-            .saturating_sub(bound.mul_f64(OLD_WEIGHTS_RATIO))
+        self.weights_bounds().assumed_announced_at(self.started_at)
     }
 
     /// Applies announced weights with their announcement times.
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -52,6 +52,10 @@
     /// Time within which a withdrawn key must stop working, in milliseconds.
     #[serde(default = "default_revocation_ms")]
     pub revocation_ms: u64,
+    /// Time after its start, or after the end of a disruption, from which an instance has to keep all
+    /// bounds, in milliseconds.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
     /// Time within which a new configuration must become active, in milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
@@ -86,6 +90,10 @@
     5_000
 }
 
+fn default_contact_ms() -> u64 {
+    3_000
+}
+
 fn default_config_ms() -> u64 {
     2_000
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jujubelink::core::fleet::{
-    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, TargetRecord,
+    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, TargetRecord, WeightsBounds,
 };
 use jujubelink::core::ids::{ModelId, TargetId};
 use jujubelink::ops::kernel::Timers;
@@ -296,6 +296,23 @@
     assert!(states[1].superseded_at("m", 1) <= Some(secs(10) + TRANSIT));
 }
 
+/// Guards against old weights that are used by an instance that has been up for the contact time, and
+/// against engines that are refused immediately when all instances start together.
+#[test]
+fn old_weights_are_refused_before_the_contact_time_ends() {
+    for (contact_ms, adoption_ms) in [(3_000, 12_000), (4_000, 15_000), (1_000, 60_000)] {
+        let bounds = WeightsBounds {
+            adoption: ms(adoption_ms),
+            contact: ms(contact_ms),
+        };
+        let started_at = secs(100);
+        let announced_at = bounds.assumed_announced_at(started_at);
+        let may_use = |uptime| bounds.may_use(started_at + uptime - announced_at);
+        assert!(may_use(ms(contact_ms / 2)));
+        assert!(!may_use(ms(contact_ms * 3 / 4)));
+    }
+}
+
 /// Guards against an old report that looks recent on a machine that has just booted, because a time
 /// before the boot is clamped to it. A withdrawn key would be accepted by such a freshness proof.
 #[test]
