Repeat observations for as long as a large fleet needs to send them

Of 84 instances, half never heard of a request that crashes targets, or of the last engines of a rollout, from the instance that noticed it: both are included in messages for a second, while a message goes to each peer every two seconds. At 380 instances a tenth would hear of them.

The time is now at least two send intervals. The intervals that depend on the number of peers move to core::fleet::MessageSchedule, unchanged.

fleet::observations_reach_all_instances_of_a_fleet_of_any_size guards it; one second is less than two intervals of 2.075 s for 83 peers (by arithmetic).

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod policy;
 mod records;
+mod schedule;
 mod state;
 
 pub use announcement::{Announcement, WeightsBounds};
@@ -21,4 +22,5 @@
     WeightedService,
 };
 pub use records::{TargetAddress, TargetRecord};
+pub use schedule::{MIN_SEND_INTERVAL, MessageSchedule};
 pub use state::{FleetState, model_key};
--- /dev/null
+++ b/src/jujubelink/core/fleet/schedule.rs
@@ -0,0 +1,56 @@
+//! Intervals of the messages between instances, which depend on the number of instances.
+
+use std::time::Duration;
+
+/// Minimum time between two messages to the same peer. In a large fleet, the send interval is longer;
+/// this minimum then applies only between the instances that watch the store, and to all peers while
+/// engines load weights on this instance's order, because such engines refuse requests immediately.
+/// Within one interval the instances together may exceed a rate limit.
+pub const MIN_SEND_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Maximum rate at which an instance sends messages. In a large fleet the interval between messages
+/// to each peer grows accordingly.
+const MAX_MESSAGES_PER_S: u32 = 40;
+
+/// Number of send intervals without an echo after which contact with a peer counts as lost. Single
+/// lost datagrams are normal.
+const CONTACT_TIMEOUT_INTERVALS: u32 = 4;
+
+/// Number of send intervals without an equal contact digest after which a limit is no longer shared
+/// with a peer. Instances notice a lost or new peer at different times.
+const AGREEMENT_TIMEOUT_INTERVALS: u32 = 6;
+
+/// Minimum time for which an observation or a suspect is included in messages.
+const MIN_REBROADCAST_DURATION: Duration = Duration::from_secs(1);
+
+/// Number of messages to each peer that include an observation or a suspect. One may be lost.
+const REBROADCAST_INTERVALS: u32 = 2;
+
+/// Intervals of the messages to a number of peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MessageSchedule {
+    /// Time between messages to each peer. It grows with the number of peers.
+    pub send_interval: Duration,
+    /// Time without an echo after which contact with a peer counts as lost.
+    pub contact_timeout: Duration,
+    /// Time without an equal contact digest after which a limit is no longer shared with a peer.
+    pub agreement_timeout: Duration,
+    /// Time for which an observation or a suspect is included in messages.
+    pub rebroadcast_duration: Duration,
+}
+
+impl MessageSchedule {
+    /// Creates the schedule for the number of other instances.
+    pub fn new(peers: usize) -> Self {
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let send_interval = MIN_SEND_INTERVAL
+            .max(Duration::from_secs(1).saturating_mul(peers) / MAX_MESSAGES_PER_S);
+        Self {
+            send_interval,
+            contact_timeout: send_interval * CONTACT_TIMEOUT_INTERVALS,
+            agreement_timeout: send_interval * AGREEMENT_TIMEOUT_INTERVALS,
+            rebroadcast_duration: MIN_REBROADCAST_DURATION
+                .max(send_interval * REBROADCAST_INTERVALS),
+        }
+    }
+}
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -11,17 +11,12 @@
 use super::message::PeerMessage;
 use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
 use super::updates::{CACHE_UPDATES_PATH, UPDATES_PATH};
+use crate::core::fleet::MIN_SEND_INTERVAL;
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
 use crate::util::http::{Body, Handler, empty, full, serve_listener};
 use crate::util::net::{Datagram, Listener};
 
-/// Minimum time between two messages to the same peer. In a large fleet, [`Peers::send_interval`]
-/// is longer; this minimum then applies only between the instances that watch the store, and to all
-/// peers while engines load weights on this instance's order, because such engines refuse requests
-/// immediately. Within one interval the instances together may exceed a rate limit.
-pub(super) const MIN_SEND_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Larger than any UDP datagram.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -10,12 +10,11 @@
 use http::{Request, StatusCode};
 use serde::Serialize;
 
-use super::exchange::MIN_SEND_INTERVAL;
 use super::limits::Buckets;
 use super::message::{
     LastReceived, LoadingEngine, ModelWeights, PeerMessage, Suspect, WorkspaceUsage,
 };
-use crate::core::fleet::{Announcement, FreshnessProof};
+use crate::core::fleet::{Announcement, FreshnessProof, MIN_SEND_INTERVAL, MessageSchedule};
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
 use crate::core::quota::{PeerUsage, contact_digest};
 use crate::ops::fleet::Fleet;
@@ -28,25 +27,10 @@
 use crate::util::hash::stable_hash;
 use crate::util::http::{Client, empty};
 
-/// Maximum rate at which an instance sends messages. In a large fleet the interval between messages
-/// to each peer grows accordingly.
-const MAX_MESSAGES_PER_S: u32 = 40;
-
-/// Number of send intervals without an echo after which contact with a peer counts as lost. Single
-/// lost datagrams are normal.
-const CONTACT_TIMEOUT_INTERVALS: u32 = 4;
-
-/// Number of send intervals without an equal contact digest after which a limit is no longer shared
-/// with a peer. Instances notice a lost or new peer at different times.
-const AGREEMENT_TIMEOUT_INTERVALS: u32 = 6;
-
 /// Time without messages after which an instance counts as permanently removed. It is longer than
 /// any freeze or partition from which machines recover.
 const PEER_RETENTION: Duration = Duration::from_secs(30);
 
-/// Time for which an observation or a suspect is included in messages.
-const REBROADCAST_DURATION: Duration = Duration::from_secs(1);
-
 /// Maximum number of observations, and of suspects, in a message; the oldest is dropped first.
 const MAX_REBROADCAST_ITEMS: usize = 32;
 
@@ -147,10 +131,14 @@
         &self.name
     }
 
-    /// Time between messages to each peer. It grows with the number of peers.
-    pub(super) fn send_interval(&self) -> Duration {
-        let peers = self.table.borrow().len() as u32;
-        MIN_SEND_INTERVAL.max(Duration::from_secs(1) * peers / MAX_MESSAGES_PER_S)
+    /// Intervals of the messages to the current number of peers.
+    fn schedule(&self) -> MessageSchedule {
+        MessageSchedule::new(self.table.borrow().len())
+    }
+
+    /// Time until which an observation or a suspect of now is included in messages.
+    fn rebroadcast_until(&self) -> Timestamp {
+        self.now() + self.schedule().rebroadcast_duration
     }
 
     /// Whether engines are executing a weight-loading order of this instance.
@@ -158,21 +146,17 @@
         !self.loading.borrow().is_empty()
     }
 
-    fn contact_timeout(&self) -> Duration {
-        self.send_interval() * CONTACT_TIMEOUT_INTERVALS
-    }
-
     pub(super) fn is_in_contact(&self, peer: &Peer, now: Timestamp) -> bool {
-        let timeout = self.contact_timeout();
+        let timeout = self.schedule().contact_timeout;
         let is_recent = |at: Timestamp| at >= self.started_at && now.saturating_sub(at) < timeout;
         is_recent(peer.last_received_at) && is_recent(peer.echoed_at) && !peer.is_leaving
     }
 
     /// Whether this instance and the peer may use each other's unused part of a limit.
     fn shares_limits(&self, peer: &Peer, now: Timestamp) -> bool {
-        let has_agreed = peer.contacts_agreed_at.is_some_and(|at| {
-            now.saturating_sub(at) < self.send_interval() * AGREEMENT_TIMEOUT_INTERVALS
-        });
+        let has_agreed = peer
+            .contacts_agreed_at
+            .is_some_and(|at| now.saturating_sub(at) < self.schedule().agreement_timeout);
         has_agreed && self.is_in_contact(peer, now)
     }
 
@@ -274,7 +258,7 @@
             version,
             named_ago_ms: None,
         };
-        queue_rebroadcast(&self.observed, self.now(), observed);
+        queue_rebroadcast(&self.observed, self.rebroadcast_until(), observed);
     }
 
     /// Sets the engines that are executing an order and therefore refuse requests. Each message
@@ -352,8 +336,8 @@
     /// is spread over several rounds. Sending all datagrams at once would overflow the machine's
     /// link and lose the datagrams to the same peers each time.
     pub(super) fn addresses_due(&self, round: u32) -> Vec<SocketAddr> {
-        let rounds =
-            (self.send_interval().as_millis() / MIN_SEND_INTERVAL.as_millis()).max(1) as u32;
+        let rounds = (self.schedule().send_interval.as_millis() / MIN_SEND_INTERVAL.as_millis())
+            .max(1) as u32;
         let table = self.table.borrow();
         let is_due = |index: u32| self.has_loading_engines() || index % rounds == round % rounds;
         let in_turn = (0..)
@@ -622,12 +606,12 @@
     }
 }
 
-fn queue_rebroadcast<T>(list: &RefCell<VecDeque<(Timestamp, T)>>, now: Timestamp, item: T) {
+fn queue_rebroadcast<T>(list: &RefCell<VecDeque<(Timestamp, T)>>, until: Timestamp, item: T) {
     let mut list = list.borrow_mut();
     if list.len() >= MAX_REBROADCAST_ITEMS {
         list.pop_front();
     }
-    list.push_back((now + REBROADCAST_DURATION, item));
+    list.push_back((until, item));
 }
 
 fn pending_rebroadcasts<T: Clone>(
@@ -696,7 +680,7 @@
                 crashes,
                 remaining_ms: ms(remaining),
             };
-            queue_rebroadcast(&self.suspects, self.now(), suspect);
+            queue_rebroadcast(&self.suspects, self.rebroadcast_until(), suspect);
         }
     }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use jujubelink::core::fleet::{
-    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, TargetRecord, WeightsBounds,
+    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, MessageSchedule,
+    TargetRecord, WeightsBounds,
 };
 use jujubelink::core::ids::{ModelId, TargetId};
 use jujubelink::ops::kernel::Timers;
@@ -322,3 +323,18 @@
     let now = timers.boot_now();
     assert_eq!(now.checked_sub(age).map(|at| now - at), Some(age));
 }
+
+/// Guards against suspects and observed weights that reach only some of the instances, because they
+/// are included in messages for less time than a large fleet needs to send one to each.
+#[test]
+fn observations_reach_all_instances_of_a_fleet_of_any_size() {
+    for peers in [1, 6, 29, 83, 379] {
+        let schedule = MessageSchedule::new(peers);
+        let duration = schedule.rebroadcast_duration;
+        assert!(
+            duration >= schedule.send_interval * 2,
+            "{peers} peers: {duration:?} of {:?}",
+            schedule.send_interval
+        );
+    }
+}
