Let a connection whose peer never stops sending wait for its turn

Callers saw: while one target sent bytes that are no answer without end, requests to other targets of the same instance waited, and the flooded requests missed their deadline. Cause: Stream reads without a wait as long as each read fills the buffer. hyper loops over such reads while it parses interim responses, or a chunk size with leading zeros or trailing spaces. It consumes these without a limit, so the task returned to the event loop only when the peer happened to be late. Change: after 64 KiB (MAX_BYTES_PER_WAIT) a read waits for readiness first, so timers and other tasks run. Reads that leave the buffer partly empty already waited, so short responses cost no further call.

Bounds that end the other floods: 32 KiB of head (MAX_READ_BUFFER_BYTES) and hyper's limits of 100 headers, 16 KiB of chunk extensions and 16 KiB of trailers; 256 KiB of an incomplete event (MAX_EVENT_BYTES); 256 KiB of a response to a report, an order or a poll for cache events and 8 MiB from the platform's store (MAX_RESPONSE_BYTES of each), with their timeouts. Bytes after a complete response close the connection when hyper reads them. Chunks, bodies without a length, events, comments, interim responses and chunk sizes end at the request's deadline or when its client leaves; each keeps only its read and write buffers.

--- a/src/jujubelink/util/net/mod.rs
+++ b/src/jujubelink/util/net/mod.rs
@@ -11,5 +11,5 @@
 
 pub use datagram::Datagram;
 pub use listener::Listener;
-pub use stream::{KeepaliveSettings, Stream};
+pub use stream::{KeepaliveSettings, MAX_BYTES_PER_WAIT, Stream};
 pub use traffic::{Traffic, traffic};
--- a/src/jujubelink/util/net/stream.rs
+++ b/src/jujubelink/util/net/stream.rs
@@ -12,6 +12,11 @@
 use hyper::rt::ReadBufCursor;
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
+/// Maximum number of bytes that are read before the task waits for readiness again. A peer
+/// that sends faster than its bytes are processed would otherwise keep the task running without end,
+/// and neither other tasks nor timers would run.
+pub const MAX_BYTES_PER_WAIT: usize = 64 * 1024;
+
 /// TCP settings by which the kernel closes a connection whose peer no longer responds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KeepaliveSettings {
@@ -40,9 +45,11 @@
 #[derive(Debug)]
 pub struct Stream {
     fd: PollFd<TcpStream>,
-    /// Whether the last read emptied the receive buffer. If so, the next read first waits for
-    /// readiness, which saves a system call that would fail.
-    is_drained: Cell<bool>,
+    /// Whether the next read first waits for readiness: the last one emptied the receive buffer, so
+    /// that another would fail, or [`MAX_BYTES_PER_WAIT`] is reached.
+    waits_for_readiness: Cell<bool>,
+    /// Number of bytes that were read since the last wait for readiness.
+    bytes_since_wait: Cell<usize>,
 }
 
 impl Stream {
@@ -52,7 +59,8 @@
         socket.set_nodelay(true)?;
         Ok(Self {
             fd: PollFd::new(socket)?,
-            is_drained: Cell::new(true),
+            waits_for_readiness: Cell::new(true),
+            bytes_since_wait: Cell::new(0),
         })
     }
 
@@ -107,18 +115,22 @@
         mut read_socket: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            if self.is_drained.get() {
+            if self.waits_for_readiness.get() {
                 ready!(self.fd.poll_read_ready(cx))?;
-                self.is_drained.set(false);
+                self.waits_for_readiness.set(false);
+                self.bytes_since_wait.set(0);
             }
             match read_socket(&self.fd) {
                 Ok(read) => {
                     // At the end of the stream (0 bytes) the socket stays readable.
-                    self.is_drained.set(read > 0 && read < capacity);
+                    let bytes_since_wait = self.bytes_since_wait.get() + read;
+                    self.bytes_since_wait.set(bytes_since_wait);
+                    let must_wait = read < capacity || bytes_since_wait >= MAX_BYTES_PER_WAIT;
+                    self.waits_for_readiness.set(read > 0 && must_wait);
                     return count_received(Poll::Ready(Ok(read)));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.is_drained.set(true);
+                    self.waits_for_readiness.set(true);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Poll::Ready(Err(error)),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod cli;
 mod drain;
+mod endless_bytes;
 mod fleet;
 mod history;
 mod http2;
