Reset no connection when the client listener closes

Seen: a planned stop could reset a connection that a client had opened successfully; its request ended with MaybeSent and "connection reset by peer". Cause: Listener::stop set a backlog of 0, accepted what was waiting and then shut the listener down. With a backlog of 0 Linux still completes a handshake while the queue is empty, so a connection that completed between the last accept and the shutdown was reset. The window is a few system calls long, longer if the process is preempted in it. The proxy also did not wait for its listener: without open connections it could have ended with connections in the backlog; no run has shown this. Change: a socket filter drops SYN packets, connections of handshakes that have begun are accepted for another 500 ms, and only then the listener closes. The wait covers a round trip between kernels, not the speed of a process. The drain waits for the listener to be closed. Not covered: a SYN-ACK or ACK that is lost and repeated after more than 500 ms.

--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -1,9 +1,11 @@
 //! The client listener and its graceful shutdown.
 
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
+use compio::runtime::JoinHandle;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
@@ -22,6 +24,11 @@
 /// Interval between checks for idle pooled connections.
 const POOL_CHECK_PERIOD: Duration = Duration::from_secs(5);
 
+/// Time between ignoring handshakes and closing the listener, in which the handshakes that have begun
+/// complete. The kernels of both sides complete them, so a busy process does not delay them. Shorter
+/// than the 1 s after which clients repeat a handshake, so that the repetition is refused.
+const HANDSHAKE_COMPLETION_TIME: Duration = Duration::from_millis(500);
+
 /// Interval between checks whether the running requests have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -33,7 +40,9 @@
 
 #[derive(Default)]
 struct ProxyPlugin {
-    proxy: std::cell::OnceCell<Rc<Proxy>>,
+    proxy: OnceCell<Rc<Proxy>>,
+    /// Accepts connections and ends once the listener is closed.
+    accepting: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Plugin for ProxyPlugin {
@@ -46,7 +55,8 @@
         let listener =
             Listener::bind(address).with_context(|| format!("listen for clients on {address}"))?;
         let proxy = self.proxy.get_or_init(|| Proxy::new(context));
-        compio::runtime::spawn(accept(Rc::clone(proxy), listener)).detach();
+        let accepting = compio::runtime::spawn(accept(Rc::clone(proxy), listener));
+        self.accepting.replace(Some(accepting));
         compio::runtime::spawn(close_idle_connections(Rc::clone(proxy))).detach();
         if let Some(relay) = &proxy.relay {
             let relay = Rc::clone(relay);
@@ -65,6 +75,10 @@
             return async {}.boxed_local();
         };
         let stop = context.settings().stop.clone();
+        let accepting = match phase {
+            DrainPhase::FinishRequests => self.accepting.take(),
+            _ => None,
+        };
         async move {
             match phase {
                 DrainPhase::Announce => {
@@ -73,6 +87,11 @@
                 }
                 DrainPhase::FinishRequests => {
                     proxy.context.shutdown().close_connections();
+                    // Without this, an instance without connections would end before it has accepted
+                    // those in the backlog.
+                    if let Some(accepting) = accepting {
+                        let _ = accepting.await;
+                    }
                     let limit = Duration::from_millis(stop.drain_limit_ms);
                     wait_for_requests(&proxy, limit).await;
                 }
@@ -114,15 +133,30 @@
 
 async fn accept(proxy: Rc<Proxy>, listener: Listener) {
     let shutdown = proxy.context.shutdown().clone();
+    accept_until(&proxy, &listener, shutdown.closing()).await;
+    if let Err(error) = listener.ignore_handshakes() {
+        slog::warn!(proxy.context.log(), "cannot ignore handshakes of clients"; "error" => %error);
+    }
+    let completion = proxy.context.timers().sleep(HANDSHAKE_COMPLETION_TIME);
+    accept_until(&proxy, &listener, completion).await;
+    match listener.stop() {
+        Ok(waiting) => waiting.into_iter().for_each(|stream| serve(&proxy, stream)),
+        Err(error) => {
+            slog::warn!(proxy.context.log(), "cannot close the client listener"; "error" => %error);
+        }
+    }
+}
+
+/// Accepts and serves connections until `end` completes.
+async fn accept_until(proxy: &Rc<Proxy>, listener: &Listener, end: impl Future<Output = ()>) {
+    let mut end = std::pin::pin!(end.fuse());
     loop {
-        let mut closing = std::pin::pin!(shutdown.closing().fuse());
-        // Connections in the backlog are served before the listener is closed.
         let accepted = futures_util::select_biased! {
+            () = end => return,
             accepted = listener.accept().fuse() => accepted,
-            () = closing => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&proxy, stream),
+            Ok((stream, _)) => serve(proxy, stream),
             Err(error) => {
                 slog::warn!(proxy.context.log(), "cannot accept a client connection";
                     "error" => %error);
@@ -130,12 +164,6 @@
             }
         }
     }
-    match listener.stop() {
-        Ok(waiting) => waiting.into_iter().for_each(|stream| serve(&proxy, stream)),
-        Err(error) => {
-            slog::warn!(proxy.context.log(), "cannot close the client listener"; "error" => %error);
-        }
-    }
 }
 
 fn serve(proxy: &Rc<Proxy>, stream: Stream) {
--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -1,10 +1,15 @@
 //! Planned stops of an instance under load.
 
 use std::cell::Cell;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
+use futures_util::{AsyncReadExt, AsyncWriteExt};
 use http::Request;
 use jujubelink::util::http::{Client, RequestOptions, collect_limited, full};
+use jujubelink::util::net::Listener;
 use jujubelink_standins::engine::generated_text;
 
 use crate::support::{
@@ -62,7 +67,7 @@
 }
 
 /// Calls a plain route over kept-alive connections until the listener is closed.
-async fn call_until_refused(address: std::net::SocketAddr, served_count: Rc<Cell<u32>>) {
+async fn call_until_refused(address: SocketAddr, served_count: Rc<Cell<u32>>) {
     let client = Client::new();
     loop {
         let request = Request::post("/shop/orders")
@@ -89,6 +94,35 @@
                 return;
             }
         }
-        compio::time::sleep(std::time::Duration::from_millis(2)).await;
+        compio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+/// Guards against a reset of connections whose handshake completes between the last accept and the end
+/// of the listener: their clients may have sent a request by then. Once handshakes are ignored, no
+/// further one may complete, and connections from before must still be accepted.
+#[test]
+fn a_stopping_listener_resets_no_connection() {
+    run(async {
+        let listener = Listener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut earlier = TcpStream::connect(address).unwrap();
+        earlier.write_all(b"x").unwrap();
+        listener.ignore_handshakes().unwrap();
+        let (mut accepted, _) = listener.accept().await.unwrap();
+        // The backlog is empty, as it is after the last accept of a stop.
+        for _ in 0..3 {
+            let later = TcpStream::connect_timeout(&address, Duration::from_millis(100));
+            assert_eq!(later.unwrap_err().kind(), ErrorKind::TimedOut);
+        }
+        assert!(listener.stop().unwrap().is_empty());
+        let refused = TcpStream::connect(address).unwrap_err();
+        assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+        let mut received = [0];
+        accepted.read_exact(&mut received).await.unwrap();
+        assert_eq!(&received, b"x");
+        accepted.write_all(b"y").await.unwrap();
+        earlier.read_exact(&mut received).unwrap();
+        assert_eq!(&received, b"y");
+    });
+}
