End a planned stop only after all connections have ended

Seen: a client whose request head arrived in two parts, 2.5 s apart, got no response if a planned stop began in between. Cause: the drain ended as soon as no request had run for 1 s (FINAL_FLUSH_TIME), whatever the open connections still had to receive or send. A head in transit does not count as a running request, and neither does the end of a response that is not written to the socket yet. Change: the drain waits for all connections, within drain_limit_ms. Idle connections are closed, heads and TLS handshakes have their own limits. A client that does not read its response can now hold the process until drain_limit_ms, as it already could while the response was being produced. The end of a response to a slow reader has no test.

--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -29,13 +29,9 @@
 /// than the 1 s after which clients repeat a handshake, so that the repetition is refused.
 const HANDSHAKE_COMPLETION_TIME: Duration = Duration::from_millis(500);
 
-/// Interval between checks whether the running requests have ended.
+/// Interval between checks whether the connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Time to wait for connections that have no running request: their last response may not have been
-/// written to the socket yet.
-const FINAL_FLUSH_TIME: Duration = Duration::from_secs(1);
-
 inventory::submit! { PluginEntry::new(|| Box::new(ProxyPlugin::default())) }
 
 #[derive(Default)]
@@ -93,7 +89,7 @@
                         let _ = accepting.await;
                     }
                     let limit = Duration::from_millis(stop.drain_limit_ms);
-                    wait_for_requests(&proxy, limit).await;
+                    wait_for_connections(&proxy, limit).await;
                 }
                 DrainPhase::HandOver | DrainPhase::Close => {}
             }
@@ -102,19 +98,13 @@
     }
 }
 
-async fn wait_for_requests(proxy: &Proxy, limit: Duration) {
+/// Waits until all connections are closed. A connection that has no running request may still have to
+/// send the end of its last response, or may have received a part of a request.
+async fn wait_for_connections(proxy: &Proxy, limit: Duration) {
     let timers = proxy.context.timers();
     let deadline = timers.now() + limit;
-    let mut idle_since = timers.now();
     while proxy.load.connections() > 0 {
-        let now = timers.now();
-        if proxy.load.requests() > 0 {
-            idle_since = now;
-        }
-        if now - idle_since >= FINAL_FLUSH_TIME {
-            return;
-        }
-        if now >= deadline {
+        if timers.now() >= deadline {
             slog::error!(proxy.context.log(), "drain time limit reached before all connections were closed";
                 "running_requests" => proxy.load.requests());
             return;
--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -9,11 +9,12 @@
 use futures_util::{AsyncReadExt, AsyncWriteExt};
 use http::Request;
 use jujubelink::util::http::{Client, RequestOptions, collect_limited, full};
-use jujubelink::util::net::Listener;
+use jujubelink::util::net::{Listener, Stream};
 use jujubelink_standins::engine::generated_text;
 
 use crate::support::{
-    Fleet, KEY, canonical_chat_prompt, chat_body, chat_request, eventually, run, send, stream_text,
+    Fleet, Instance, KEY, canonical_chat_prompt, chat_body, chat_request, eventually, run, send,
+    stream_text,
 };
 
 /// Guards against a planned stop that interrupts requests. Streams that run when it begins, and requests
@@ -126,3 +127,55 @@
         assert_eq!(&received, b"y");
     });
 }
+
+/// Waits until the notice to the load balancer has ended, from which on idle connections are closed.
+async fn until_connections_close(instance: &Instance) {
+    eventually("new connections are not accepted", || async {
+        let limit = Duration::from_millis(20);
+        TcpStream::connect_timeout(&instance.client_address, limit).err()
+    })
+    .await;
+}
+
+fn plain_request() -> String {
+    format!(
+        "POST /shop/orders HTTP/1.1\r\nhost: shop\r\nx-api-key: {KEY}\r\ncontent-length: 1\r\n\r\nx"
+    )
+}
+
+/// Reads until the instance closes the connection.
+async fn read_to_close(connection: TcpStream) -> String {
+    let mut received = Vec::new();
+    Stream::new(connection)
+        .unwrap()
+        .read_to_end(&mut received)
+        .await
+        .unwrap();
+    String::from_utf8(received).unwrap()
+}
+
+/// Guards against an instance that ends while a client still sends a request: the rest of its head may
+/// come at any time within the limit for heads.
+#[test]
+fn a_stop_serves_a_request_whose_head_arrives_slowly() {
+    run(async {
+        let fleet = Fleet::new(1);
+        let mut instance = fleet.start_instance().await;
+        let mut connection = TcpStream::connect(instance.client_address).unwrap();
+        let request = plain_request();
+        let (first, rest) = request.split_at(request.len() / 2);
+        connection.write_all(first.as_bytes()).unwrap();
+        instance.terminate();
+        until_connections_close(&instance).await;
+        compio::time::sleep(Duration::from_millis(2_500)).await;
+        connection.write_all(rest.as_bytes()).unwrap();
+        let response = read_to_close(connection).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        let status = eventually("the instance stops", || {
+            let status = instance.exit_status();
+            async move { status }
+        })
+        .await;
+        assert!(status.success());
+    });
+}
