--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -143,6 +143,10 @@
     )
 }
 
+fn write_request(mut connection: &TcpStream) {
+    connection.write_all(plain_request().as_bytes()).unwrap();
+}
+
 /// Reads until the instance closes the connection.
 async fn read_to_close(connection: TcpStream) -> String {
     let mut received = Vec::new();
@@ -154,6 +158,67 @@
     String::from_utf8(received).unwrap()
 }
 
+/// Guards against closing a kept connection while its client sends the next request: the client has not
+/// been told to open a new connection.
+#[test]
+fn a_stop_serves_a_request_on_a_kept_connection() {
+    run(async {
+        let fleet = Fleet::new(1);
+        let instance = fleet.start_instance().await;
+        let connection = TcpStream::connect(instance.client_address).unwrap();
+        write_request(&connection);
+        let stream = Stream::new(connection.try_clone().unwrap()).unwrap();
+        read_response(stream).await;
+        instance.terminate();
+        until_connections_close(&instance).await;
+        write_request(&connection);
+        let response = read_to_close(connection).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert!(response.contains("connection: close"), "{response}");
+    });
+}
+
+/// Guards against closing a new connection whose first request has arrived but was not read yet: a stall
+/// of the instance must not use up the time that the client has for it.
+#[test]
+fn a_stop_serves_a_first_request_that_waits() {
+    run(async {
+        let fleet = Fleet::new(1);
+        let instance = fleet.start_instance().await;
+        let connection = TcpStream::connect(instance.client_address).unwrap();
+        // Answered on a later connection, so that the first one has been accepted.
+        send(instance.client_address, Request::get("/readyz"), None).await;
+        instance.terminate();
+        until_connections_close(&instance).await;
+        instance.pause();
+        write_request(&connection);
+        compio::time::sleep(Duration::from_millis(1_000)).await;
+        instance.resume();
+        let response = read_to_close(connection).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    });
+}
+
+/// Reads a response of a plain route, whose length is stated.
+async fn read_response(mut stream: Stream) -> String {
+    let mut received = String::new();
+    loop {
+        let mut chunk = [0; 1024];
+        let count = stream.read(&mut chunk).await.unwrap();
+        assert_ne!(count, 0, "closed after: {received}");
+        received.push_str(std::str::from_utf8(&chunk[..count]).unwrap());
+        if let Some((head, body)) = received.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: "))
+                .unwrap();
+            if body.len() >= length.parse::<usize>().unwrap() {
+                return received;
+            }
+        }
+    }
+}
+
 /// Guards against an instance that ends while a client still sends a request: the rest of its head may
 /// come at any time within the limit for heads.
 #[test]
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -111,8 +111,23 @@
 
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Stops the execution of the process (SIGSTOP). Its sockets stay open, and the kernel still
+    /// completes handshakes and receives data.
+    pub(crate) fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Continues the execution of a paused process (SIGCONT).
+    pub(crate) fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
         let status = Command::new("kill")
-            .args(["-TERM", &self.pid().to_string()])
+            .args([name, &self.pid().to_string()])
             .status();
         assert!(status.expect("run kill").success());
     }
