Give no orders without the lease after a start

No order was sent, since the lease is checked right before.

Ending orders is now a function of its own, which gives none.

rollout::observing_engines_gives_no_orders guards it.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -234,9 +234,8 @@
         }
     }
 
-    /// Returns the actions that bring `engines` to `newest`. The result of each action must be
-    /// reported back.
-    pub fn next(&mut self, newest: u64, engines: &[Engine], now: Timestamp) -> Vec<RolloutAction> {
+    /// Ends the orders that are complete or lost, as `engines` show, without giving new ones.
+    pub fn observe(&mut self, engines: &[Engine], now: Timestamp) {
         let engines_by_id: BTreeMap<&TargetId, &Engine> =
             engines.iter().map(|engine| (&engine.id, engine)).collect();
         let params = self.params;
@@ -251,6 +250,12 @@
             })
         });
         self.failures.retain(|id, _| engines_by_id.contains_key(id));
+    }
+
+    /// Returns the actions that bring `engines` to `newest`. The result of each action must be
+    /// reported back.
+    pub fn next(&mut self, newest: u64, engines: &[Engine], now: Timestamp) -> Vec<RolloutAction> {
+        self.observe(engines, now);
         let mut actions = Vec::new();
         for (id, pending) in &mut self.pending {
             if !pending.is_check_pending && now >= pending.next_check {
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -111,8 +111,7 @@
             };
             self.maintain_lease(since).await;
             if since.is_none() {
-                // Completes the last loads; without outdated engines there are no orders.
-                self.issue_orders();
+                self.end_orders();
                 self.peers.set_loading_engines(std::iter::empty());
             } else if self.lease.borrow().epoch(self.now()).is_some() {
                 self.issue_orders();
@@ -245,6 +244,22 @@
         self.lease.borrow_mut().on_failed(is_conflict, now);
     }
 
+    /// Ends the orders that are complete or lost, when there is no further work.
+    fn end_orders(&self) {
+        let now = self.now();
+        for (key, newest, engines) in self.engines() {
+            let mut rollouts = self.rollouts.borrow_mut();
+            let Some(rollout) = rollouts.get_mut(&key) else {
+                continue;
+            };
+            rollout.observe(&engines, now);
+            let progress = rollout.progress(newest, &engines);
+            let completed = rollout.take_completed();
+            drop(rollouts);
+            self.log_completed_loads(&completed, progress);
+        }
+    }
+
     /// Starts the next orders and checks of all rollouts.
     fn issue_orders(self: &Rc<Self>) {
         let now = self.now();
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -391,3 +391,16 @@
     rollout.next(2, &engines, ms(60_000));
     assert!(rollout.take_completed().is_empty());
 }
+
+/// Guards against polls of engines by instances that do not hold the lease: ending orders must not give
+/// new ones.
+#[test]
+fn observing_engines_gives_no_orders() {
+    let mut rollout = Rollout::new("m".into(), ROLLOUT);
+    rollout.observe(&[engine("a", 1)], ms(0));
+    assert_eq!(rollout.loading().count(), 0);
+    assert_eq!(
+        orders_in(&rollout.next(2, &[engine("a", 1)], ms(100))).len(),
+        1
+    );
+}
