Report loading engines without the state that grows with the fleet

While engines load, the holder of the lease sends a message to all instances five times a second. Each held the last message received from every peer, about 2.6 KB at 84 instances, 8.6 Mbit/s in all, on links of 10 Mbit/s. The sizes are computed, not measured.

Between the regular messages, which keep their interval, only the engines that load or have loaded are sent, with the sender's identity.

--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -1,6 +1,7 @@
 //! Tasks that send and receive messages, register this instance in the store, and serve requests of
 //! peers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,21 +56,33 @@
     loop {
         let addresses = peers.addresses_due(round);
         round += 1;
-        let bytes = match addresses.is_empty() {
-            true => Vec::new(),
-            false => peers.message().encode_to_vec(),
-        };
-        for address in addresses {
-            if let Err(error) = socket.send_to(&bytes, address) {
-                slog::debug!(peers.context.log(), "cannot send a message to a peer";
-                    "address" => address.to_string(), "error" => %error);
-            }
-        }
+        let report_addresses = peers.loading_report_addresses(&addresses);
+        send_to_all(&peers, &socket, addresses, Peers::message);
+        send_to_all(&peers, &socket, report_addresses, Peers::loading_report);
         peers.refresh_contacts();
         peers.context.timers().sleep(MIN_SEND_INTERVAL).await;
     }
 }
 
+fn send_to_all(
+    peers: &Peers,
+    socket: &Datagram,
+    addresses: impl IntoIterator<Item = SocketAddr>,
+    message: impl Fn(&Peers) -> PeerMessage,
+) {
+    let mut addresses = addresses.into_iter().peekable();
+    if addresses.peek().is_none() {
+        return;
+    }
+    let bytes = message(peers).encode_to_vec();
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address) {
+            slog::debug!(peers.context.log(), "cannot send a message to a peer";
+                "address" => address.to_string(), "error" => %error);
+        }
+    }
+}
+
 /// Writes the record of this instance to the store, then reads the list of instances periodically
 /// and removes expired records.
 pub(super) async fn maintain_registration(peers: Rc<Peers>, local_record: InstanceRecord) {
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -335,18 +335,44 @@
     /// Returns the addresses that get a message in a round of [`MIN_SEND_INTERVAL`]. A large fleet
     /// is spread over several rounds. Sending all datagrams at once would overflow the machine's
     /// link and lose the datagrams to the same peers each time.
-    pub(super) fn addresses_due(&self, round: u32) -> Vec<SocketAddr> {
+    pub(super) fn addresses_due(&self, round: u32) -> BTreeSet<SocketAddr> {
         let rounds = (self.schedule().send_interval.as_millis() / MIN_SEND_INTERVAL.as_millis())
             .max(1) as u32;
         let table = self.table.borrow();
-        let is_due = |index: u32| self.has_loading_engines() || index % rounds == round % rounds;
         let in_turn = (0..)
             .zip(table.values())
-            .filter(|(index, _)| is_due(*index));
+            .filter(|(index, _)| index % rounds == round % rounds);
         let mut due: BTreeSet<SocketAddr> = in_turn.map(|(_, peer)| peer.address).collect();
         drop(table);
         due.extend(self.watcher_addresses());
-        due.into_iter().collect()
+        due
+    }
+
+    /// Returns the addresses of the peers that get a loading report in this round: all that are not
+    /// `due`, while engines load on this instance's order.
+    pub(super) fn loading_report_addresses(&self, due: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        if !self.has_loading_engines() {
+            return Vec::new();
+        }
+        let table = self.table.borrow();
+        let addresses = table.values().map(|peer| peer.address);
+        addresses.filter(|address| !due.contains(address)).collect()
+    }
+
+    /// Creates a message that reports the engines that load or have loaded, without the state that
+    /// grows with the fleet: sent to all peers in each round, that would fill the link of a small
+    /// machine.
+    pub(super) fn loading_report(&self) -> PeerMessage {
+        PeerMessage {
+            heard: Vec::new(),
+            uses: Vec::new(),
+            config_age_ms: None,
+            named: Vec::new(),
+            named_age_ms: None,
+            suspects: Vec::new(),
+            contact_digest: 0,
+            ..self.message()
+        }
     }
 
     /// Creates the message that is sent to all peers.
