Close kept connections within a bounded time of a stop

A client with a busy kept connection sent its next request 3.6 s after SIGTERM, and the process ended before the stream did.

Cause: a draining connection closed only after two waits of 400 ms in which it had been idle, so that a busy one went on taking requests.

A connection now closes after two waits, whatever it does; requests in progress still end.

The five tests of the stop pass.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -15,16 +15,17 @@
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
 
-use super::{Body, LocalExecutor, attach_guard};
+use super::{Body, LocalExecutor};
 use crate::util::net::Listener;
 
-/// Number of successive checks that have to find a draining HTTP/1.1 connection idle before it is closed.
-/// A stall of the process, in which requests arrive unread, uses up one check at most.
-const IDLE_CHECKS: u32 = 2;
+/// Number of waits before a draining HTTP/1.1 connection is closed. A stall of the process, in which
+/// requests arrive unread, uses up one wait at most.
+const CLOSE_WAITS: u32 = 2;
 
-/// Interval of these checks. A client that has not been told may send a request until the connection is
-/// closed, and one that is in transit at that time is lost.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Duration of each wait. A client that has not been told may send a request until the connection is
+/// closed, and one that is in transit at that time is lost. Requests that are accepted later may not end
+/// within the time for the stop.
+const CLOSE_WAIT: Duration = Duration::from_millis(400);
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -98,7 +99,7 @@
 ///
 /// HTTP/2 has a handshake for this. Under HTTP/1.1 a request that is sent while the connection closes
 /// is lost, so responses announce the end with `connection: close`, and a connection without it is
-/// closed only after an idle time.
+/// closed only after [`CLOSE_WAITS`].
 pub async fn serve_connection<I, H>(
     io: I,
     handler: H,
@@ -123,20 +124,20 @@
         .max_concurrent_streams(options.max_concurrent_streams)
         .keep_alive_interval(options.ping_interval)
         .keep_alive_timeout(options.ping_timeout);
-    let activity = Rc::new(Activity::default());
-    let service_activity = Rc::clone(&activity);
+    let state = Rc::new(ConnectionState::default());
+    let service_state = Rc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
-        let activity = Rc::clone(&service_activity);
+        let state = Rc::clone(&service_state);
         let version = request.version();
-        let guard = activity.begin_request(version);
+        state.is_http2.set(version == Version::HTTP_2);
         let response = handler.clone().handle(request);
         async move {
             let mut response = response.await;
-            if activity.is_draining.get() && version <= Version::HTTP_11 {
+            if state.is_draining.get() && version <= Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|body| attach_guard(body, guard)))
+            Ok::<_, Infallible>(response)
         }
     });
     let mut connection = pin!(builder.serve_connection(io, service));
@@ -145,48 +146,24 @@
         result = connection.as_mut().fuse() => return result,
         () = drain => {}
     }
-    activity.is_draining.set(true);
-    let mut idle_checks = 0;
-    while idle_checks < IDLE_CHECKS && !activity.is_http2.get() {
-        let begun_before = activity.begun_requests.get();
-        let wait = compio::time::timeout(IDLE_CHECK_INTERVAL, connection.as_mut());
+    state.is_draining.set(true);
+    for _ in 0..CLOSE_WAITS {
+        if state.is_http2.get() {
+            break;
+        }
+        let wait = compio::time::timeout(CLOSE_WAIT, connection.as_mut());
         if let Ok(result) = wait.await {
             return result;
         }
-        let is_idle =
-            activity.running_requests.get() == 0 && activity.begun_requests.get() == begun_before;
-        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
     }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
 
-/// Requests of a connection.
+/// State that a connection shares with its requests.
 #[derive(Default)]
-struct Activity {
+struct ConnectionState {
     is_draining: Cell<bool>,
     /// Whether a request has come over HTTP/2.
     is_http2: Cell<bool>,
-    begun_requests: Cell<u64>,
-    /// Requests whose response has not ended.
-    running_requests: Cell<usize>,
-}
-
-impl Activity {
-    fn begin_request(self: &Rc<Self>, version: Version) -> RunningRequest {
-        self.is_http2.set(version == Version::HTTP_2);
-        self.begun_requests.set(self.begun_requests.get() + 1);
-        self.running_requests.set(self.running_requests.get() + 1);
-        RunningRequest(Rc::clone(self))
-    }
-}
-
-/// Counts a request as running until it is dropped.
-struct RunningRequest(Rc<Activity>);
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        let running = &self.0.running_requests;
-        running.set(running.get() - 1);
-    }
 }
