Order engines that failed once while versions keep coming

An engine that refused one order, or did not answer it, kept its weights for as long as new versions were announced.

Cause: put engines with a failed order after all others. Each version makes all engines outdated, so that the others never run out while versions come faster than a rollout of 9 s. Engines fail orders for reasons that are not theirs: the lease that ends too soon, or a connection that was dropped.

Engines are ordered by the version of their weights first, and only among those with the same weights do failed ones come last. A dark engine that is outdated gets a turn after each of its growing waits. The existing tests on engines that do not answer and on the bound pass unchanged.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -272,11 +272,12 @@
                 failures.is_none_or(|failures| now >= failures.backoff_until)
             })
             .collect();
-        // Engines that do not answer must not hold the places of others. Among the others, those with
-        // the oldest weights are updated first, because old weights are worth least.
+        // Those with the oldest weights are updated first, because old weights are worth least. Among
+        // engines with the same weights, those that do not answer must not hold the places of others.
+        // If they came after all others, they would never have a turn while versions keep coming.
         waiting.sort_by_key(|engine| {
             let has_failed = self.failures.contains_key(&engine.id);
-            (has_failed, engine.version, engine.id.clone())
+            (engine.version, has_failed, engine.id.clone())
         });
         let max_loading = self.max_loading(engines.len());
         let free = max_loading.saturating_sub(self.pending.len());
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -351,6 +351,65 @@
     }
 }
 
+/// Guards against engines that are never ordered again after one failure while versions keep coming.
+#[test]
+fn an_engine_that_failed_once_is_not_left_behind_by_new_versions() {
+    const ENGINE_COUNT: usize = 90;
+    const LOAD_MS: u64 = 3_200;
+    const ANSWER_TIMEOUT_MS: u64 = 800;
+    for version_interval_ms in [2_000, 3_000, 4_000] {
+        let mut rollout = Rollout::new("m".into(), RolloutParams::for_bound(WEIGHTS_BOUND));
+        let mut engines: Vec<Engine> = (0..ENGINE_COUNT)
+            .map(|index| engine(&format!("e{index:05}"), 1))
+            .collect();
+        // The first order of every eighth engine is lost.
+        let mut is_next_lost: Vec<bool> = (0..ENGINE_COUNT).map(|index| index % 8 == 0).collect();
+        let mut loads: Vec<Option<(u64, u64)>> = vec![None; ENGINE_COUNT];
+        let mut failed_at: Vec<Option<u64>> = vec![None; ENGINE_COUNT];
+        for now_ms in (0..60_000).step_by(100) {
+            let now = ms(now_ms);
+            let newest = 2 + now_ms / version_interval_ms;
+            for index in 0..ENGINE_COUNT {
+                if let Some((_, version)) = loads[index].take_if(|(at, _)| *at <= now_ms) {
+                    engines[index].version = version;
+                }
+                if failed_at[index].take_if(|at| *at <= now_ms).is_some() {
+                    rollout.on_order(&engines[index].id, OrderResult::Failed, now);
+                }
+            }
+            for action in rollout.next(newest, &engines, now) {
+                let (RolloutAction::Order { target, .. } | RolloutAction::Check { target }) =
+                    &action;
+                let index: usize = target[1..].parse().unwrap();
+                match action {
+                    RolloutAction::Order { .. } if is_next_lost[index] => {
+                        is_next_lost[index] = false;
+                        failed_at[index] = Some(now_ms + ANSWER_TIMEOUT_MS);
+                    }
+                    RolloutAction::Order {
+                        target, version, ..
+                    } => {
+                        rollout.on_order(&target, OrderResult::Accepted, now);
+                        loads[index] = Some((now_ms + LOAD_MS, version));
+                    }
+                    RolloutAction::Check { target } => rollout.on_checked(&target, Some(true), now),
+                }
+            }
+            // Version `n` is superseded when version `n + 1` is announced.
+            for engine in &engines {
+                let superseded_at_ms = (engine.version - 1) * version_interval_ms;
+                let age = ms(now_ms.saturating_sub(superseded_at_ms));
+                assert!(
+                    age < WEIGHTS_BOUND.mul_f64(1.5),
+                    "{} has version {} for {age:?} after a newer one, with one each {version_interval_ms} ms",
+                    engine.id,
+                    engine.version
+                );
+            }
+        }
+    }
+}
+
 /// Guards against engines that do not answer and hold the places of those that could load.
 #[test]
 fn engines_that_do_not_answer_are_ordered_last() {
