Wait for the order lease before tables are compared

It passes in about a second and failed after 30 s.

Cause: the test, not the product. It waited until the instance holds exactly 8 leases and took these for the 8 slots of the limits. The list also contains the order lease, which the instance acquires at the first tick of a timer of 10 s with a random phase, provided that the configuration then names an engine. If the tick falls between the configuration and the claim of the last slot, the count goes from 7 or less to 9 and the test waits in vain for 8.

In both runs that timed out the log has "lease acquired" for orders/lease within 0.1 s of the configuration. The random phase explains why the test is old and had not failed.

The test now waits for what the tables show: the instance holds 8 leases below limits/ and the order lease. It checks the same tables, in a state that is reached in every run, and the row of the order lease now has a holder. It takes up to 10 s.

--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -299,13 +299,22 @@
         assert!(run_subcommand(&args, "").await.status.success());
         let prompt = TempFile::new("prompt.json", &"once upon a time ".repeat(600));
         let peer = instance.peer_address.to_string();
-        eventually("the instance holds the leases of all slots", || async {
-            let output = run_subcommand(&["status", "--json", "--instance", &admin], "").await;
-            let status: Value = serde_json::from_str(&stdout(&output)).ok()?;
-            let leases = status["leases"].as_array()?;
-            let is_held = |lease: &&Value| lease["value"]["holder"]["instance"] == *peer;
-            (leases.iter().filter(is_held).count() == 8).then_some(())
-        })
+        // The instance tries to take the order lease every 10 s, first at a random time, so it may get
+        // it before or after the slots.
+        eventually(
+            "the instance holds all slots and the order lease",
+            || async {
+                let output = run_subcommand(&["status", "--json", "--instance", &admin], "").await;
+                let status: Value = serde_json::from_str(&stdout(&output)).ok()?;
+                let leases = status["leases"].as_array()?.iter();
+                let held: Vec<&str> = leases
+                    .filter(|lease| lease["value"]["holder"]["instance"] == *peer)
+                    .filter_map(|lease| lease["key"].as_str())
+                    .collect();
+                let slots = held.iter().filter(|key| key.starts_with("limits/")).count();
+                (slots == 8 && held.contains(&"orders/lease")).then_some(())
+            },
+        )
         .await;
         let mut text = String::new();
         for args in [
