Build the list of engines once per round of the rollout

The coordinator built the list of engines for the check whether there is work, and a second time to end or give orders: on each instance, ten times a second, mostly without any rollout. Both used the same three steps after it (observe, progress, log) in code of their own.

The list is now built once per round and built again only after a call to the store, during which reports of engines may have arrived. The progress is computed only if a load has completed, and the tasks of orders and checks are started in a function of their own.

--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -7,8 +7,8 @@
 
 use crate::core::ids::{ModelId, TargetId, Timestamp};
 use crate::core::rollout::{
-    CompletedLoad, Engine, LeaseAction, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult,
-    Rollout, RolloutAction, RolloutParams, RolloutProgress,
+    Engine, LeaseAction, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult, Rollout,
+    RolloutAction, RolloutParams,
 };
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
@@ -50,6 +50,26 @@
 /// when there is new work.
 const LIVE_HOLDER_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Service and model that a rollout is for.
+type RolloutKey = (String, ModelId);
+
+/// A model with announced weights and the engines that run it.
+struct ModelEngines {
+    key: RolloutKey,
+    /// Newest announced weights version.
+    newest: u64,
+    /// Engines with the weights versions that they presumably have.
+    engines: Vec<Engine>,
+}
+
+impl ModelEngines {
+    fn has_outdated(&self) -> bool {
+        self.engines
+            .iter()
+            .any(|engine| engine.version < self.newest)
+    }
+}
+
 /// Coordinates rollouts while this instance holds the lease.
 pub(super) struct Coordinator {
     context: Context,
@@ -58,7 +78,7 @@
     client: Client,
     lease: RefCell<OrderLease>,
     /// Rollouts by service and model.
-    rollouts: RefCell<BTreeMap<(String, ModelId), Rollout>>,
+    rollouts: RefCell<BTreeMap<RolloutKey, Rollout>>,
     /// Number of orders that each engine has accepted, by target and incarnation.
     accepted_by_engine: RefCell<BTreeMap<(TargetId, u64), u64>>,
     /// Time since which there have been engines with outdated weights.
@@ -99,22 +119,18 @@
             if self.context.shutdown().lifecycle() != Lifecycle::Running {
                 return self.release().await;
             }
-            let has_work = self.has_work();
-            let now = self.now();
-            let since = {
-                let mut since = self.work_since.borrow_mut();
-                *since = match (has_work, *since) {
-                    (true, since) => since.or(Some(now)),
-                    (false, _) => None,
-                };
-                *since
+            let models = self.models();
+            let since = self.track_work(&models);
+            let models = match self.maintain_lease(since).await {
+                // Reports of engines may have arrived during the call.
+                true => self.models(),
+                false => models,
             };
-            self.maintain_lease(since).await;
             if since.is_none() {
-                self.end_orders();
+                self.end_orders(&models);
                 self.peers.set_loading_engines(std::iter::empty());
             } else if self.lease.borrow().epoch(self.now()).is_some() {
-                self.issue_orders();
+                self.issue_orders(&models);
                 let rollouts = self.rollouts.borrow();
                 let loading = rollouts.values().flat_map(Rollout::loading);
                 self.peers.set_loading_engines(loading);
@@ -133,9 +149,8 @@
             "error" => written.err().map(|error| error.to_string()));
     }
 
-    /// Returns, for each service and model, the newest announced weights version and the engines
-    /// with the weights versions that they presumably have.
-    fn engines(&self) -> Vec<((String, ModelId), u64, Vec<Engine>)> {
+    /// Returns the models with announced weights.
+    fn models(&self) -> Vec<ModelEngines> {
         let state = self.fleet.state();
         let Some(policy) = state.policy() else {
             return Vec::new();
@@ -161,18 +176,24 @@
                         })
                     })
                     .collect();
-                found.push(((service.to_string(), model.clone()), newest, engines));
+                found.push(ModelEngines {
+                    key: (service.to_string(), model.clone()),
+                    newest,
+                    engines,
+                });
             }
         }
         found
     }
 
-    /// Whether any engine has outdated weights.
-    fn has_work(&self) -> bool {
-        let is_outdated = |(_, newest, engines): &(_, u64, Vec<Engine>)| {
-            engines.iter().any(|engine| engine.version < *newest)
+    /// Records whether any engine has outdated weights. Returns since when that has been so.
+    fn track_work(&self, models: &[ModelEngines]) -> Option<Timestamp> {
+        let mut since = self.work_since.borrow_mut();
+        *since = match models.iter().any(ModelEngines::has_outdated) {
+            true => since.or(Some(self.now())),
+            false => None,
         };
-        self.engines().iter().any(is_outdated)
+        *since
     }
 
     /// Returns the role of this instance with respect to the lease.
@@ -193,13 +214,14 @@
         }
     }
 
-    /// Takes the next step for the lease: reads, acquires or renews it if necessary.
-    async fn maintain_lease(&self, work_since: Option<Timestamp>) {
+    /// Takes the next step for the lease: reads, acquires or renews it if necessary. Returns whether
+    /// that took a call to the store.
+    async fn maintain_lease(&self, work_since: Option<Timestamp>) -> bool {
         let now = self.now();
         let role = self.role(work_since);
         let action = self.lease.borrow().next(role, rand::random(), now);
         match action {
-            LeaseAction::Wait => {}
+            LeaseAction::Wait => return false,
             LeaseAction::Read => self.read_lease().await,
             LeaseAction::Write { if_version, record } => {
                 let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
@@ -218,6 +240,7 @@
                 }
             }
         }
+        true
     }
 
     async fn read_lease(&self) {
@@ -245,64 +268,54 @@
     }
 
     /// Ends the orders that are complete or lost, when there is no further work.
-    fn end_orders(&self) {
+    fn end_orders(&self, models: &[ModelEngines]) {
         let now = self.now();
-        for (key, newest, engines) in self.engines() {
+        for model in models {
             let mut rollouts = self.rollouts.borrow_mut();
-            let Some(rollout) = rollouts.get_mut(&key) else {
+            let Some(rollout) = rollouts.get_mut(&model.key) else {
                 continue;
             };
-            rollout.observe(&engines, now);
-            let progress = rollout.progress(newest, &engines);
-            let completed = rollout.take_completed();
-            drop(rollouts);
-            self.log_completed_loads(&completed, progress);
+            rollout.observe(&model.engines, now);
+            self.log_completed_loads(rollout, model);
         }
     }
 
     /// Starts the next orders and checks of all rollouts.
-    fn issue_orders(self: &Rc<Self>) {
+    fn issue_orders(self: &Rc<Self>, models: &[ModelEngines]) {
         let now = self.now();
         let weights_bound = Duration::from_millis(self.fleet.settings().weights_ms);
         let params = RolloutParams::for_bound(weights_bound);
-        for (key, newest, engines) in self.engines() {
+        for model in models {
             let mut rollouts = self.rollouts.borrow_mut();
-            let model = key.1.clone();
             let rollout = rollouts
-                .entry(key.clone())
-                .or_insert_with(|| Rollout::new(model.clone(), params));
-            let actions = rollout.next(newest, &engines, now);
-            let progress = rollout.progress(newest, &engines);
-            let completed = rollout.take_completed();
+                .entry(model.key.clone())
+                .or_insert_with(|| Rollout::new(model.key.1.clone(), params));
+            let actions = rollout.next(model.newest, &model.engines, now);
+            self.log_completed_loads(rollout, model);
             drop(rollouts);
-            self.log_completed_loads(&completed, progress);
             for action in actions {
-                let (coordinator, key) = (Rc::clone(self), key.clone());
-                let task = async move {
-                    match action {
-                        RolloutAction::Order {
-                            target,
-                            model,
-                            version,
-                        } => coordinator.send_order(&key, target, model, version).await,
-                        RolloutAction::Check { target } => {
-                            coordinator.check_engine(&key, target).await
-                        }
-                    }
-                };
-                compio::runtime::spawn(task).detach();
+                self.start_action(&model.key, action);
             }
         }
     }
 
+    fn start_action(self: &Rc<Self>, key: &RolloutKey, action: RolloutAction) {
+        let (coordinator, key) = (Rc::clone(self), key.clone());
+        let task = async move {
+            match action {
+                RolloutAction::Order {
+                    target,
+                    model,
+                    version,
+                } => coordinator.send_order(&key, target, model, version).await,
+                RolloutAction::Check { target } => coordinator.check_engine(&key, target).await,
+            }
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
     /// Sends an order to load a weights version, if the lease is held for long enough.
-    async fn send_order(
-        &self,
-        key: &(String, ModelId),
-        target: TargetId,
-        model: ModelId,
-        version: u64,
-    ) {
+    async fn send_order(&self, key: &RolloutKey, target: TargetId, model: ModelId, version: u64) {
         let Some(record) = self.fleet.state().target(&target).cloned() else {
             self.fail_order(key, &target, version, "the engine was removed");
             return;
@@ -363,14 +376,20 @@
     }
 
     /// Records an order that was not sent.
-    fn fail_order(&self, key: &(String, ModelId), target: &TargetId, version: u64, reason: &str) {
+    fn fail_order(&self, key: &RolloutKey, target: &TargetId, version: u64, reason: &str) {
         slog::info!(self.context.log(), "order not given"; "target" => &**target,
             "model" => &*key.1, "version" => version, "reason" => reason);
         self.context.metrics().count("rollout.orders_not_given", 1);
         self.record_order_result(key, target, OrderResult::Failed);
     }
 
-    fn log_completed_loads(&self, completed: &[CompletedLoad], progress: RolloutProgress) {
+    /// Logs the loads that have been observed to be complete since the last call.
+    fn log_completed_loads(&self, rollout: &mut Rollout, model: &ModelEngines) {
+        let completed = rollout.take_completed();
+        if completed.is_empty() {
+            return;
+        }
+        let progress = rollout.progress(model.newest, &model.engines);
         for load in completed {
             slog::info!(self.context.log(), "weights loaded"; "target" => &*load.target,
                 "version" => load.version, "took_ms" => ms(load.duration),
@@ -380,7 +399,7 @@
         }
     }
 
-    fn record_order_result(&self, key: &(String, ModelId), target: &TargetId, result: OrderResult) {
+    fn record_order_result(&self, key: &RolloutKey, target: &TargetId, result: OrderResult) {
         let now = self.now();
         if let Some(rollout) = self.rollouts.borrow_mut().get_mut(key) {
             rollout.on_order(target, result, now);
@@ -388,7 +407,7 @@
     }
 
     /// Checks whether an engine is still busy with its order.
-    async fn check_engine(&self, key: &(String, ModelId), target: TargetId) {
+    async fn check_engine(&self, key: &RolloutKey, target: TargetId) {
         let is_busy = self.poll_engine(&target).await.map(|report| report.is_busy);
         let now = self.now();
         if let Some(rollout) = self.rollouts.borrow_mut().get_mut(key) {
