Give orders while a renewal of the lease is unanswered

A rollout stood still while the store did not answer the renewal of the lease, although the term of the holder had not ended. The loop of the coordinator awaited each call for the lease, for up to 1.2 s, and the renewal starts after 0.5 s of a term of 1.5 s: if the store falls silent, the rest of the term gave no orders.

The loop now holds the call and goes on with its rounds. It starts the next call only after the one in flight has ended, one per round at most, and gives orders as soon as a call has ended. A stop waits for the call before it writes the release, which names the version of the renewal. The check of the term immediately before each order is unchanged, and the term still counts from before the request was sent.

The stand-in of the store can hold writes back. Without the change, platform_path::orders_are_given_while_a_renewal_is_unanswered times out waiting for the order of the second engine; with it, the order arrives while the first renewal is held and no second call has been sent. Without the wait at the stop, a_stop_during_a_renewal_releases_the_lease fails: a second write arrives while the renewal is unanswered (2 instead of 1).

--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -18,7 +18,7 @@
 /// Maximum size of an object.
 const MAX_OBJECT_BYTES: usize = 1 << 20;
 
-/// Interval at which a watch checks for new changes.
+/// Interval at which a watch checks for new changes, and a held write for a change of the mode.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// How an endpoint of the store responds.
@@ -31,6 +31,8 @@
     Refusing,
     /// Accepts calls but neither executes nor answers them.
     Silent,
+    /// Answers reads. Executes and answers writes only after the mode has changed.
+    HoldingWrites,
 }
 
 struct Object {
@@ -230,6 +232,7 @@
     store: Rc<ObjectStore>,
     mode: Cell<StoreMode>,
     calls: Cell<u64>,
+    held_writes: Cell<u64>,
 }
 
 impl StoreEndpoint {
@@ -239,6 +242,7 @@
             store: Rc::clone(store),
             mode: Cell::default(),
             calls: Cell::new(0),
+            held_writes: Cell::new(0),
         })
     }
 
@@ -247,6 +251,11 @@
         self.calls.get()
     }
 
+    /// Returns the number of writes that arrived in [`StoreMode::HoldingWrites`].
+    pub fn held_writes(&self) -> u64 {
+        self.held_writes.get()
+    }
+
     /// Sets how the endpoint responds.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.set(mode);
@@ -256,14 +265,20 @@
 impl StandIn for StoreEndpoint {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         self.calls.set(self.calls.get() + 1);
+        let is_write = request.method() != Method::GET;
         match self.mode.get() {
             StoreMode::Refusing => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "busy" }));
             }
             StoreMode::Silent => return pending().await,
-            StoreMode::Up => {}
+            StoreMode::HoldingWrites if is_write => {
+                self.held_writes.set(self.held_writes.get() + 1);
+                while self.mode.get() == StoreMode::HoldingWrites {
+                    compio::time::sleep(WATCH_POLL_INTERVAL).await;
+                }
+            }
+            StoreMode::HoldingWrites | StoreMode::Up => {}
         }
-        let is_write = request.method() != Method::GET;
         let response = self.store.call(request).await;
         let lost = self.store.lost_answers.get();
         if is_write && lost > 0 {
@@ -271,7 +286,7 @@
             return pending().await;
         }
         match self.mode.get() {
-            StoreMode::Up => response,
+            StoreMode::Up | StoreMode::HoldingWrites => response,
             // The mode changed during the call, such as a long watch: it is not answered either.
             _ => pending().await,
         }
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -5,10 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::core::ids::{ModelId, TargetId, Timestamp};
+use futures_util::FutureExt;
+use futures_util::future::{Either, Fuse, FusedFuture, LocalBoxFuture, select};
+
+use crate::core::ids::{ModelId, ObjectVersion, TargetId, Timestamp};
 use crate::core::rollout::{
-    Engine, LeaseAction, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult, Rollout,
-    RolloutAction, RolloutParams,
+    Engine, LeaseAction, LeaseRecord, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult,
+    Rollout, RolloutAction, RolloutParams,
 };
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
@@ -114,30 +117,48 @@
 
     /// Maintains the lease and sends orders until shutdown.
     pub(super) async fn run(self: Rc<Self>) {
+        // At most one call for the lease is in flight. Orders are given meanwhile: a store that
+        // responds late must not stop a holder whose term has not ended.
+        let mut lease_call: Fuse<LocalBoxFuture<'_, ()>> = Fuse::terminated();
         loop {
-            self.context.timers().sleep(CHECK_INTERVAL).await;
+            let tick = Box::pin(self.context.timers().sleep(CHECK_INTERVAL));
+            if let Either::Right(((), tick)) = select(tick, &mut lease_call).await {
+                self.update_orders();
+                tick.await;
+            }
             if self.context.shutdown().lifecycle() != Lifecycle::Running {
+                // The release names the version that an outstanding write creates.
+                if !lease_call.is_terminated() {
+                    lease_call.await;
+                }
                 return self.release().await;
             }
-            let models = self.models();
-            let since = self.track_work(&models);
-            let models = match self.maintain_lease(since).await {
-                // Reports of engines may have arrived during the call.
-                true => self.models(),
-                false => models,
-            };
-            if since.is_none() {
-                self.end_orders(&models);
-                self.peers.set_loading_engines(std::iter::empty());
-            } else if self.lease.borrow().epoch(self.now()).is_some() {
-                self.issue_orders(&models);
-                let rollouts = self.rollouts.borrow();
-                let loading = rollouts.values().flat_map(Rollout::loading);
-                self.peers.set_loading_engines(loading);
+            let since = self.update_orders();
+            if lease_call.is_terminated()
+                && let Some(call) = self.next_lease_call(since)
+            {
+                lease_call = call.fuse();
             }
         }
     }
 
+    /// Ends the orders that are complete or lost, and gives new ones while the lease is held. Returns
+    /// the time since which there have been engines with outdated weights.
+    fn update_orders(self: &Rc<Self>) -> Option<Timestamp> {
+        let models = self.models();
+        let since = self.track_work(&models);
+        if since.is_none() {
+            self.end_orders(&models);
+            self.peers.set_loading_engines(std::iter::empty());
+        } else if self.lease.borrow().epoch(self.now()).is_some() {
+            self.issue_orders(&models);
+            let rollouts = self.rollouts.borrow();
+            let loading = rollouts.values().flat_map(Rollout::loading);
+            self.peers.set_loading_engines(loading);
+        }
+        since
+    }
+
     /// Releases the lease so that another instance can take over before the end of the term.
     async fn release(&self) {
         self.peers.set_loading_engines(std::iter::empty());
@@ -214,33 +235,35 @@
         }
     }
 
-    /// Takes the next step for the lease: reads, acquires or renews it if necessary. Returns whether
-    /// that took a call to the store.
-    async fn maintain_lease(&self, work_since: Option<Timestamp>) -> bool {
+    /// Returns the call to the store that reads, acquires or renews the lease, if one is due.
+    fn next_lease_call(&self, work_since: Option<Timestamp>) -> Option<LocalBoxFuture<'_, ()>> {
         let now = self.now();
         let role = self.role(work_since);
         let action = self.lease.borrow().next(role, rand::random(), now);
         match action {
-            LeaseAction::Wait => return false,
-            LeaseAction::Read => self.read_lease().await,
+            LeaseAction::Wait => None,
+            LeaseAction::Read => Some(self.read_lease().boxed_local()),
             LeaseAction::Write { if_version, record } => {
-                let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
                 self.lease.borrow_mut().on_write_sent(record.nonce, now);
-                let written = self.fleet.store().write_lease(if_version, record.clone());
-                match written.await {
-                    Ok(version) => {
-                        if is_takeover {
-                            slog::info!(self.context.log(), "lease for orders taken";
-                                "epoch" => record.epoch, "version" => version);
-                        }
-                        let mut lease = self.lease.borrow_mut();
-                        lease.on_written(version, record, self.now());
-                    }
-                    Err(error) => self.record_lease_failure("write", &error),
+                Some(self.write_lease(if_version, record).boxed_local())
+            }
+        }
+    }
+
+    async fn write_lease(&self, if_version: ObjectVersion, record: LeaseRecord) {
+        let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
+        let written = self.fleet.store().write_lease(if_version, record.clone());
+        match written.await {
+            Ok(version) => {
+                if is_takeover {
+                    slog::info!(self.context.log(), "lease for orders taken";
+                        "epoch" => record.epoch, "version" => version);
                 }
+                let now = self.now();
+                self.lease.borrow_mut().on_written(version, record, now);
             }
+            Err(error) => self.record_lease_failure("write", &error),
         }
-        true
     }
 
     async fn read_lease(&self) {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
+use jujubelink::platform::names::{KIND_LEASES, ORDER_LEASE};
 use jujubelink_standins::StandInHandle;
 use jujubelink_standins::fleet::{
     CacheStore, FaultPlan, FleetTarget, ObjectStore, StoreEndpoint, StoreMode, TargetFault,
@@ -69,6 +70,10 @@
 
     /// Writes the store's entry of a target, as the target does to announce itself.
     fn put_target(&self, id: &str, state: &str, incarnation: u64) {
+        self.put_target_with_weights(id, state, incarnation, 1);
+    }
+
+    fn put_target_with_weights(&self, id: &str, state: &str, incarnation: u64, weights: u64) {
         let (_, handle) = self
             .handles
             .iter()
@@ -77,7 +82,7 @@
         let (service, models) = match id.starts_with('e') {
             true => (
                 "llm",
-                json!([{ "name": "m", "version": 1, "adapters": [] }]),
+                json!([{ "name": "m", "version": weights, "adapters": [] }]),
             ),
             false => ("app", json!([])),
         };
@@ -717,6 +722,77 @@
     });
 }
 
+/// Starts a rollout of version 4 to two engines, one at a time. Returns when the first engine has its
+/// order and the instance waits for the response to a renewal of its lease.
+async fn start_rollout_with_held_renewal(deployment: &Deployment, instance: &RunningInstance) {
+    deployment.announce_weights(4);
+    eventually("the first engine has an order", || async {
+        let orders = deployment.engines.iter().map(|engine| engine.orders());
+        (orders.flatten().count() == 1).then_some(())
+    })
+    .await;
+    instance.store_endpoint.set_mode(StoreMode::HoldingWrites);
+    eventually("a renewal is in flight", || async {
+        (instance.store_endpoint.held_writes() == 1).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a rollout that stands still while the store does not answer the renewal of a lease
+/// that has not ended.
+#[test]
+fn orders_are_given_while_a_renewal_is_unanswered() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        start_rollout_with_held_renewal(&deployment, &instance).await;
+        let is_loaded = |engine: &&Rc<FleetTarget>| engine.version() == 4;
+        let loaded = deployment
+            .engines
+            .iter()
+            .position(|engine| is_loaded(&engine));
+        let id = ["e1", "e2"][loaded.unwrap()];
+        deployment.put_target_with_weights(id, "ready", 1, 4);
+        eventually("the second engine has an order", || async {
+            deployment
+                .engines
+                .iter()
+                .all(|engine| is_loaded(&engine))
+                .then_some(())
+        })
+        .await;
+        let orders = deployment.engines.iter().flat_map(|engine| engine.orders());
+        let orders: Vec<Value> = orders.collect();
+        assert_eq!(orders.len(), 2, "{orders:?}");
+        assert_eq!(orders[0]["fence"], orders[1]["fence"]);
+        // A second call would have arrived while the first one is unanswered.
+        assert_eq!(instance.store_endpoint.held_writes(), 1);
+    });
+}
+
+/// Guards against a release of the lease that overtakes an unanswered renewal: the store rejects it, and
+/// the next holder has to wait for the end of the term.
+#[test]
+fn a_stop_during_a_renewal_releases_the_lease() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        start_rollout_with_held_renewal(&deployment, &instance).await;
+        instance.process.terminate();
+        eventually("the instance is not ready", || async {
+            (!instance.is_ready().await).then_some(())
+        })
+        .await;
+        // The instance notices the stop in its next round at the latest.
+        compio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(instance.store_endpoint.held_writes(), 1);
+        instance.store_endpoint.set_mode(StoreMode::Up);
+        eventually("the lease is released", || async {
+            let lease = deployment.store.spec(KIND_LEASES, ORDER_LEASE)?;
+            (lease["is_released"] == true).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Guards against a request that a planned stop interrupts, and against a process that SIGHUP ends
 /// instead of making it reload its settings.
 #[test]
