Use engines again after the holder of the lease lost it

An instance that lost the lease for orders during a rollout reported the engines that it had ordered to load as loading, in each message to all peers, for as long as any engine was outdated. No instance sent these engines requests, although they had the new weights after 1 to 4 s: callers waited for the others or were refused. Since rollouts load up to 30% of the engines at once, up to 27 of 90 engines stood idle.

Cause: the list of loading engines was updated only while the lease was held or when there was no work left.

Evidence: found by a review that had not seen the work, in the code.

The list now follows the outstanding orders in each round. Without the lease they end when the engine has the weights, or when they count as lost.

The stand-in for a target can take time to load weights.

--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::future::pending;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -56,6 +56,9 @@
 pub struct FleetTarget {
     id: String,
     version: Cell<u64>,
+    load_duration: Cell<Duration>,
+    /// End of the running load, and the version that it loads.
+    loading: Cell<Option<(Instant, u64)>>,
     faults: FaultPlan,
     seen: RefCell<Vec<(HeaderMap, Bytes)>>,
     runs: Cell<u64>,
@@ -68,6 +71,8 @@
         Rc::new(Self {
             id: id.to_owned(),
             version: Cell::new(1),
+            load_duration: Cell::default(),
+            loading: Cell::default(),
             faults: Rc::clone(faults),
             seen: RefCell::default(),
             runs: Cell::new(0),
@@ -90,8 +95,19 @@
         self.orders.borrow().clone()
     }
 
+    /// Sets the time that the target needs to load weights.
+    pub fn set_load_duration(&self, duration: Duration) {
+        self.load_duration.set(duration);
+    }
+
     /// Returns the loaded version of the weights.
     pub fn version(&self) -> u64 {
+        if let Some((end, version)) = self.loading.get()
+            && Instant::now() >= end
+        {
+            self.version.set(version);
+            self.loading.set(None);
+        }
         self.version.get()
     }
 
@@ -103,15 +119,17 @@
             _ => StatusCode::ACCEPTED,
         };
         if status == StatusCode::ACCEPTED {
-            self.version.set(order["version"].as_u64().unwrap_or(0));
+            let end = Instant::now() + self.load_duration.get();
+            let version = order["version"].as_u64().unwrap_or(0);
+            self.loading.set(Some((end, version)));
             self.orders.borrow_mut().push(order);
         }
         with_status(status, empty())
     }
 
     fn report(&self) -> Response<Body> {
-        let model = json!({ "name": "m", "version": self.version.get(), "adapters": [] });
-        let body = json!({ "phase": "both", "models": [model], "busy": false,
+        let model = json!({ "name": "m", "version": self.version(), "adapters": [] });
+        let body = json!({ "phase": "both", "models": [model], "busy": self.loading.get().is_some(),
             "sequence": self.orders.borrow().len(), "born": 1 });
         with_status(StatusCode::OK, full(body.to_string()))
     }
@@ -122,7 +140,7 @@
             let expected = headers.get(name).and_then(|value| value.to_str().ok());
             expected.is_some_and(|expected| expected != actual)
         };
-        differs(EXPECT_TARGET, &self.id) || differs(EXPECT_WEIGHTS, &self.version.get().to_string())
+        differs(EXPECT_TARGET, &self.id) || differs(EXPECT_WEIGHTS, &self.version().to_string())
     }
 
     fn head(&self, id: &str, status: StatusCode, body: Body) -> Response<Body> {
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -147,15 +147,15 @@
     fn update_orders(self: &Rc<Self>) -> Option<Timestamp> {
         let models = self.models();
         let since = self.track_work(&models);
-        if since.is_none() {
-            self.end_orders(&models);
-            self.peers.set_loading_engines(std::iter::empty());
-        } else if self.lease.borrow().epoch(self.now()).is_some() {
+        if since.is_some() && self.lease.borrow().epoch(self.now()).is_some() {
             self.issue_orders(&models);
-            let rollouts = self.rollouts.borrow();
-            let loading = rollouts.values().flat_map(Rollout::loading);
-            self.peers.set_loading_engines(loading);
+        } else {
+            self.end_orders(&models);
         }
+        // A former holder reports these too, until their orders are complete or lost.
+        let rollouts = self.rollouts.borrow();
+        let loading = rollouts.values().flat_map(Rollout::loading);
+        self.peers.set_loading_engines(loading);
         since
     }
 
@@ -290,7 +290,7 @@
         self.lease.borrow_mut().on_failed(is_conflict, now);
     }
 
-    /// Ends the orders that are complete or lost, when there is no further work.
+    /// Ends the orders that are complete or lost, while none may be given or there is no further work.
     fn end_orders(&self, models: &[ModelEngines]) {
         let now = self.now();
         for model in models {
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -769,6 +769,38 @@
     });
 }
 
+/// Guards against a holder that loses its lease during a rollout and keeps telling its peers that engines
+/// are loading, so that none sends them requests.
+#[test]
+fn engines_are_used_again_after_the_holder_lost_its_lease() {
+    run(async {
+        let (deployment, holder) = Deployment::start_ready("").await;
+        let peer = deployment.start("n2", "").await;
+        peer.wait_ready().await;
+        // The loads outlast the term of the lease, and no other instance can take it.
+        for engine in &deployment.engines {
+            engine.set_load_duration(Duration::from_secs(3));
+        }
+        peer.store_endpoint.set_mode(StoreMode::HoldingWrites);
+        start_rollout_with_held_renewal(&deployment, &holder).await;
+        let loaded = eventually("the first engine has the new weights", || async {
+            let mut engines = deployment.engines.iter();
+            engines.position(|engine| engine.version() == 4)
+        })
+        .await;
+        deployment.put_target_with_weights(["e1", "e2"][loaded], "ready", 1, 4);
+        // The change of the entry itself lets requests through, until the holder's next message.
+        compio::time::sleep(Duration::from_secs(1)).await;
+        eventually("the engine with the new weights gets requests", || async {
+            let before = deployment.engines[loaded].runs();
+            let response = peer.send_prompt("r", "/ask/x").await;
+            let is_used = deployment.engines[loaded].runs() > before;
+            (response.status == 200 && is_used).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Guards against a release of the lease that overtakes an unanswered renewal: the store rejects it, and
 /// the next holder has to wait for the end of the term.
 #[test]
