Order instances by the start times that they state

On a fleet whose instances start over several seconds, all instances watched the store, or none did and none was first. With none first, no instance is a candidate for the lease of orders and nobody removes the records of lost instances. The test platform_path::only_some_instances_of_a_large_fleet_watch_the_store timed out once for this: it waits for four of 14 instances that make no calls.

Cause: Peers::rank took start times within 1 s of each other as equal and then compared names. This holds for pairs and is no order: of instances that start 0.2 s apart in the order of their names, each has both the later starts and the smaller names before it. Peers::watchers rounded the times to seconds of the local boot clock, which begin at another moment on each machine, after adding the transit time of the last message. So the instances that watch and those that others take for them were not the same.

An instance now states its start time in its messages, by the time of day at its start, and all instances compare the same stated values: by second, latest first, then by name. This is a total order, and the same wherever two instances have the same peers in contact. A wrong time of day moves an instance in the order, but everywhere alike, and no rule depends on its place. Fleets that start within one second are ordered by name, as before. Instances of earlier versions state nothing and come last; they still get the uptime, by which they order the others.

The checks of the test are unchanged; the wait has become a function that also prints the calls by instance.

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 mod announcement;
 mod freshness;
+mod order;
 mod policy;
 mod records;
 mod schedule;
@@ -17,6 +18,7 @@
 
 pub use announcement::{Announcement, WeightsBounds};
 pub use freshness::{Freshness, FreshnessProof};
+pub use order::InstancePosition;
 pub use policy::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
     WeightedService,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -14,7 +14,9 @@
 use super::message::{
     LastReceived, LoadingEngine, ModelWeights, PeerMessage, Suspect, WorkspaceUsage,
 };
-use crate::core::fleet::{Announcement, FreshnessProof, MIN_SEND_INTERVAL, MessageSchedule};
+use crate::core::fleet::{
+    Announcement, FreshnessProof, InstancePosition, MIN_SEND_INTERVAL, MessageSchedule,
+};
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
 use crate::core::quota::{PeerUsage, contact_digest};
 use crate::ops::fleet::Fleet;
@@ -38,10 +40,6 @@
 /// rest covers usage between two messages.
 const INITIAL_LEVEL_RATIO: f64 = 0.4;
 
-/// Start times that are closer together than this count as equal. The instances of a fleet start
-/// within 0.3 s of each other.
-pub(super) const START_TIME_TOLERANCE: Duration = Duration::from_millis(1_000);
-
 /// Time for which an engine counts as loading after a message reported it: two send intervals of an
 /// instance that has engines loading.
 const LOADING_TTL: Duration = Duration::from_millis(400);
@@ -77,8 +75,8 @@
     /// When the contact digest of the peer last equalled the local one.
     contacts_agreed_at: Option<Timestamp>,
     is_leaving: bool,
-    /// Start of the peer's process.
-    pub(super) started_at: Timestamp,
+    /// Start time that the peer states, since the Unix epoch.
+    stated_start: Duration,
     /// Time until which the peer is not used as a source of updates.
     pub(super) backoff_until: Timestamp,
 }
@@ -89,6 +87,8 @@
     pub(super) fleet: Rc<Fleet>,
     name: InstanceId,
     started_at: Timestamp,
+    /// Start time that this instance states, since the Unix epoch.
+    stated_start: Duration,
     pub(super) table: RefCell<BTreeMap<InstanceId, Peer>>,
     has_instance_list: Cell<bool>,
     pub(super) buckets: Buckets,
@@ -108,6 +108,9 @@
         Self {
             name: fleet.settings().machine.as_str().into(),
             started_at: fleet.started_at(),
+            stated_start: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
             context: context.clone(),
             fleet,
             table: RefCell::default(),
@@ -189,21 +192,14 @@
         self.table.borrow().len() + 1
     }
 
-    /// Number of reachable instances that come before this one. Instances are ordered by start
-    /// time, latest first, then by name. Instances are often stopped one after the other, and
-    /// the one started last then runs longest.
+    /// Number of reachable instances that come before this one, by [`InstancePosition`].
     pub fn rank(&self) -> u32 {
         let now = self.now();
         let table = self.table.borrow();
-        let precedes_local = |name: &InstanceId, peer: &Peer| {
-            if peer.started_at > self.started_at + START_TIME_TOLERANCE {
-                return true;
-            }
-            peer.started_at + START_TIME_TOLERANCE >= self.started_at && *name < self.name
-        };
+        let local = InstancePosition::new(&self.name, self.stated_start);
         let preceding = table
             .iter()
-            .filter(|(name, peer)| self.is_in_contact(peer, now) && precedes_local(name, peer));
+            .filter(|(name, peer)| self.is_in_contact(peer, now) && peer.position(name) < local);
         preceding.count() as u32
     }
 
@@ -411,6 +407,7 @@
             suspects: pending_rebroadcasts(&self.suspects, now),
             loading: self.loading.borrow().clone(),
             uptime_ms: ms(now.saturating_sub(self.started_at)),
+            stated_start_ms: ms(self.stated_start),
             contact_digest: self.contact_digest(now),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
         }
@@ -450,7 +447,7 @@
         peer.last_received_at = now;
         peer.config_version = message.config_version;
         peer.is_leaving = message.is_leaving;
-        peer.started_at = now.saturating_sub(Duration::from_millis(message.uptime_ms));
+        peer.stated_start = Duration::from_millis(message.stated_start_ms);
         if let Some(echoed) = echoed {
             peer.echoed_at = peer.echoed_at.max(echoed);
             // The peer measured all ages when it created the message, after it had received the
@@ -626,10 +623,14 @@
             proof: None,
             contacts_agreed_at: None,
             is_leaving: false,
-            started_at: Timestamp::ZERO,
+            stated_start: Duration::ZERO,
             backoff_until: Timestamp::ZERO,
         }
     }
+
+    pub(super) fn position<'a>(&self, name: &'a InstanceId) -> InstancePosition<'a> {
+        InstancePosition::new(name, self.stated_start)
+    }
 }
 
 fn queue_rebroadcast<T>(list: &RefCell<VecDeque<(Timestamp, T)>>, until: Timestamp, item: T) {
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -4,7 +4,6 @@
 //! watch the store. The others send a long-poll request to one of them, which answers as soon as
 //! something changes. The number of calls to the store therefore does not grow with the fleet.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Peers;
-use super::peers::{Peer, START_TIME_TOLERANCE};
+use super::peers::Peer;
 use crate::core::fleet::{Announcement, FreshnessProof};
 use crate::core::ids::{ConfigVersion, InstanceId, ModelId, Timestamp};
 use crate::ops::fleet::TargetListUpdate;
@@ -81,8 +80,7 @@
         Some(chosen.0.clone())
     }
 
-    /// Returns the reachable peers that come first in the order of [`Self::rank`]. Start times are
-    /// rounded to [`START_TIME_TOLERANCE`], so the order can differ slightly from the rank.
+    /// Returns the reachable peers that come first in the order of [`Self::rank`].
     fn watchers<'a>(
         &self,
         table: &'a BTreeMap<InstanceId, Peer>,
@@ -92,8 +90,7 @@
             .iter()
             .filter(|(_, peer)| self.is_in_contact(peer, now))
             .collect();
-        let step = START_TIME_TOLERANCE.as_millis();
-        reachable.sort_by_key(|(name, peer)| (Reverse(peer.started_at.as_millis() / step), *name));
+        reachable.sort_by_key(|(name, peer)| peer.position(name));
         reachable.truncate(MAX_WATCHERS);
         reachable
     }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use jujubelink::core::fleet::{
-    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, MessageSchedule,
-    TargetRecord, WeightsBounds,
+    Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, InstancePosition,
+    MessageSchedule, TargetRecord, WeightsBounds,
 };
-use jujubelink::core::ids::{ModelId, TargetId};
+use jujubelink::core::ids::{InstanceId, ModelId, TargetId};
 use jujubelink::ops::kernel::Timers;
 
 fn secs(seconds: u64) -> Duration {
@@ -338,3 +338,61 @@
         );
     }
 }
+
+/// Guards against an order of instances that is not total: with a fleet that started over several
+/// seconds, no instance or several would then be first, and any number of them would watch the store.
+/// The clocks of the machines differ, and the names are not in the order of the starts.
+#[test]
+fn every_instance_has_a_rank_of_its_own() {
+    for (count, start_step_ms) in [
+        (14, 0),
+        (14, 150),
+        (14, 700),
+        (79, 4),
+        (380, 13),
+        (380, 400),
+    ] {
+        let names: Vec<InstanceId> = (0..count)
+            .map(|index| format!("m{:03}", index * 149 % count).into())
+            .collect();
+        let clock_error_ms = |index: u64| index * 37 % 90;
+        let positions: Vec<InstancePosition<'_>> = (0..count)
+            .zip(&names)
+            .map(|(index, name)| {
+                let stated_start =
+                    1_760_000_000_400 + index * start_step_ms + clock_error_ms(index);
+                InstancePosition::new(name, ms(stated_start))
+            })
+            .collect();
+        let rank = |local: &InstancePosition<'_>| {
+            let preceding = positions.iter().filter(|position| *position < local);
+            preceding.count() as u64
+        };
+        let mut ranks: Vec<u64> = positions.iter().map(rank).collect();
+        ranks.sort_unstable();
+        let expected: Vec<u64> = (0..count).collect();
+        assert_eq!(
+            ranks, expected,
+            "{count} instances, {start_step_ms} ms apart"
+        );
+    }
+}
+
+/// Guards against the loss of the instances that come first to a stop of the instances one after the
+/// other: those that started last come first, and an instance of an earlier version, which states no
+/// start time, comes last.
+#[test]
+fn instances_that_started_last_come_first() {
+    let names: [InstanceId; 4] = ["a", "b", "c", "d"].map(InstanceId::from);
+    let position = |index: usize, start_ms| InstancePosition::new(&names[index], ms(start_ms));
+    let expected = [
+        position(2, 9_000),
+        position(0, 5_900),
+        position(3, 5_100),
+        position(1, 0),
+    ];
+    let mut sorted = expected;
+    sorted.reverse();
+    sorted.sort_unstable();
+    assert_eq!(sorted, expected);
+}
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -402,24 +402,7 @@
         for instance in &instances {
             instance.wait_ready().await;
         }
-        // Ten instances watch the store and make at least one call a second each.
-        let followers = eventually("four instances get changes from peers", || async {
-            let calls = || {
-                instances
-                    .iter()
-                    .map(|instance| instance.store_endpoint.calls())
-            };
-            let before: Vec<u64> = calls().collect();
-            compio::time::sleep(Duration::from_secs(3)).await;
-            let calls_made = calls().zip(before).map(|(after, before)| after - before);
-            let idle: Vec<usize> = (0..instances.len())
-                .zip(calls_made)
-                .filter(|(_, calls_made)| *calls_made < 2)
-                .map(|(index, _)| index)
-                .collect();
-            (idle.len() == 4).then_some(idle)
-        })
-        .await;
+        let followers = wait_for_four_followers(&instances).await;
         deployment.put_target("s1", "draining", 1);
         for follower in &followers {
             wait_until_unused(&deployment.services[0], &instances[*follower]).await;
@@ -449,6 +432,52 @@
     });
 }
 
+/// Guards against instances that disagree on their order when a large fleet starts over several seconds:
+/// all of them then watch the store, or none does.
+#[test]
+fn instances_started_over_seconds_agree_on_who_watches_the_store() {
+    run(async {
+        let deployment = Deployment::new();
+        let mut instances = Vec::new();
+        for number in 10..24 {
+            instances.push(deployment.start(&format!("n{number}"), "").await);
+            compio::time::sleep(Duration::from_millis(200)).await;
+        }
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        let followers = wait_for_four_followers(&instances).await;
+        deployment.put_target("s1", "draining", 1);
+        for follower in &followers {
+            wait_until_unused(&deployment.services[0], &instances[*follower]).await;
+        }
+    });
+}
+
+/// Waits until all instances but four watch the store, which takes at least one call a second each.
+/// Returns the indices of the four.
+async fn wait_for_four_followers(instances: &[RunningInstance]) -> Vec<usize> {
+    eventually("four instances get changes from peers", || async {
+        let calls = || {
+            instances
+                .iter()
+                .map(|instance| instance.store_endpoint.calls())
+        };
+        let before: Vec<u64> = calls().collect();
+        compio::time::sleep(Duration::from_secs(3)).await;
+        let calls_made: Vec<u64> = calls()
+            .zip(before)
+            .map(|(after, before)| after - before)
+            .collect();
+        println!("calls to the store in 3 s, by instance: {calls_made:?}");
+        let idle: Vec<usize> = (0..instances.len())
+            .filter(|index| calls_made[*index] < 2)
+            .collect();
+        (idle.len() == 4).then_some(idle)
+    })
+    .await
+}
+
 /// Waits until none of six consecutive requests reaches the target.
 async fn wait_until_unused(target: &FleetTarget, instance: &RunningInstance) {
     eventually("requests go to other targets", || async {
