Test stops with busy connections and repeated signals

The bounded time after which a stop closes kept connections had no test.

One test keeps four kept connections busy with one stream after the other across a SIGTERM: each stream that the instance took has to be complete, the instance has to close the connections, and the process has to end by itself before its limit, which it would log.

A second test sends SIGTERM three times and SIGHUP twice during a stop while a stream runs and nine more clients keep their connections open until the process is gone.

A third test sends pipelined requests without a pause across a SIGTERM and counts that each request that the service ran was answered.

--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -3,18 +3,20 @@
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::{AsyncReadExt, AsyncWriteExt};
 use http::Request;
+use hyper::client::conn::http1;
 use jujubelink::util::http::{Client, RequestOptions, collect_limited, full};
 use jujubelink::util::net::{Listener, Stream};
 use jujubelink_standins::engine::generated_text;
 
 use crate::support::{
-    Fleet, Instance, KEY, canonical_chat_prompt, chat_body, chat_request, eventually, run, send,
-    stream_text,
+    Fleet, Instance, KEY, TestResponse, canonical_chat_prompt, chat_body, chat_request, eventually,
+    run, send, stream_text,
 };
 
 /// Guards against a planned stop that interrupts requests. Streams that run when it begins, and requests
@@ -244,3 +246,195 @@
         assert!(status.success());
     });
 }
+
+/// Settings of a stop with a limit that the streams of [`stream_until_closed`] observe only if none is
+/// taken after the second one. At the limit an error is logged.
+const LIMITED_STOP: &str =
+    "[stop]\nbalancer_notice_ms = 100\ndrain_limit_ms = 10000\n[log]\nlevel = \"error\"\n";
+
+/// Output tokens of the streams of [`stream_until_closed`]. The second stream runs when the stop begins,
+/// for longer than connections take requests. A third one would run for longer than the stop.
+const STREAM_TOKENS: [u64; 3] = [5, 1_000, 6_000];
+
+/// Numbers of responses whose head has arrived, and of those that are complete.
+#[derive(Default)]
+struct Streams {
+    begun: Cell<u64>,
+    complete: Cell<u64>,
+}
+
+/// Requests streams on one connection, each as soon as the last one is complete, until the instance
+/// closes the connection. Each response that begins has to be complete.
+async fn stream_until_closed(address: SocketAddr, client: usize, streams: Rc<Streams>) {
+    let stream = Stream::connect(address).await.unwrap();
+    let (mut sender, connection) = http1::handshake(stream).await.unwrap();
+    compio::runtime::spawn(connection).detach();
+    for number in 0.. {
+        if sender.ready().await.is_err() {
+            return;
+        }
+        let prompt = format!("verse {number} of {client}");
+        let tokens = STREAM_TOKENS[number.min(STREAM_TOKENS.len() - 1)];
+        let request = chat_request()
+            .header("host", "shop")
+            .body(full(chat_body(&prompt, tokens, true)))
+            .unwrap();
+        let Ok(response) = sender.send_request(request).await else {
+            return;
+        };
+        streams.begun.set(streams.begun.get() + 1);
+        let (head, body) = response.into_parts();
+        let body = collect_limited(body, 64 << 20).await;
+        let body = body.unwrap_or_else(|error| panic!("request {number} was cut: {error}"));
+        let response = TestResponse {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: String::from_utf8(body.unwrap().to_vec()).unwrap(),
+        };
+        let expected = generated_text(&canonical_chat_prompt(&prompt), tokens);
+        assert_eq!(stream_text(&response), expected);
+        streams.complete.set(streams.complete.get() + 1);
+    }
+}
+
+/// Waits until the process has ended by itself. Fails if its time for the stop was not enough.
+async fn check_stopped_in_time(instance: &mut Instance) {
+    let status = eventually("the instance stops", || {
+        let status = instance.exit_status();
+        async move { status }
+    })
+    .await;
+    assert!(status.success());
+    let mut log = String::new();
+    instance.take_log().read_to_string(&mut log).unwrap();
+    assert_eq!(log, "", "errors in the log");
+}
+
+/// Guards against a stop that takes requests on a busy connection for as long as its client sends them:
+/// the last ones are cut when the time for the stop ends.
+#[test]
+fn a_stop_cuts_no_request_on_a_busy_connection() {
+    run(async {
+        const CLIENTS: usize = 4;
+        let fleet = Fleet::new(2);
+        let mut instance = fleet
+            .start_instance_with(LIMITED_STOP, Stdio::piped())
+            .await;
+        let address = instance.client_address;
+        let streams = Rc::new(Streams::default());
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let streams = Rc::clone(&streams);
+                compio::runtime::spawn(stream_until_closed(address, client, streams))
+            })
+            .collect();
+        eventually("all clients receive their second stream", || async {
+            (streams.begun.get() == 2 * CLIENTS as u64).then_some(())
+        })
+        .await;
+        instance.terminate();
+        for client in clients {
+            client.await.unwrap();
+        }
+        assert_eq!(streams.complete.get(), fleet.started_requests());
+        check_stopped_in_time(&mut instance).await;
+    });
+}
+
+/// Guards against a stop that a client which sends without a pause holds up, and against a response that
+/// is lost because its connection is closed while further requests wait in it.
+#[test]
+fn a_stop_answers_what_it_took_of_pipelined_requests() {
+    run(async {
+        let fleet = Fleet::new(1);
+        let mut instance = fleet
+            .start_instance_with(LIMITED_STOP, Stdio::piped())
+            .await;
+        let socket = TcpStream::connect(instance.client_address).unwrap();
+        let mut receiver = Stream::new(socket.try_clone().unwrap()).unwrap();
+        let sender = compio::runtime::spawn(async move {
+            let mut sender = Stream::new(socket).unwrap();
+            let requests = plain_request().repeat(100);
+            while sender.write_all(requests.as_bytes()).await.is_ok() {}
+        });
+        let receiver = compio::runtime::spawn(async move {
+            let mut received = Vec::new();
+            let mut chunk = [0; 16 * 1024];
+            loop {
+                match receiver.read(&mut chunk).await {
+                    Ok(count @ 1..) => received.extend_from_slice(&chunk[..count]),
+                    Ok(0) => return received,
+                    Err(error) => {
+                        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+                        return received;
+                    }
+                }
+            }
+        });
+        eventually("requests are served", || async {
+            (fleet.service_runs() > 50).then_some(())
+        })
+        .await;
+        instance.terminate();
+        let received = String::from_utf8(receiver.await.unwrap()).unwrap();
+        sender.await.unwrap();
+        assert_eq!(count_responses(&received), fleet.service_runs());
+        check_stopped_in_time(&mut instance).await;
+    });
+}
+
+/// Returns the number of successful responses in a text that consists of these.
+fn count_responses(mut text: &str) -> u64 {
+    let mut count = 0;
+    while let Some((head, rest)) = text.split_once("\r\n\r\n") {
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.unwrap().parse().unwrap();
+        text = rest.get(length..).expect("a complete body");
+        count += 1;
+    }
+    assert_eq!(text, "");
+    count
+}
+
+/// Guards against signals that interrupt a stop, and against a stop that waits for clients to close
+/// connections: they keep theirs until the process is gone.
+#[test]
+fn signals_and_open_connections_do_not_disturb_a_stop() {
+    run(async {
+        let fleet = Fleet::new(2);
+        let mut instance = fleet
+            .start_instance_with(LIMITED_STOP, Stdio::piped())
+            .await;
+        let address = instance.client_address;
+        let never_used = TcpStream::connect(address).unwrap();
+        let mut kept = Vec::new();
+        for _ in 0..8 {
+            let connection = TcpStream::connect(address).unwrap();
+            write_request(&connection);
+            read_response(Stream::new(connection.try_clone().unwrap()).unwrap()).await;
+            kept.push(connection);
+        }
+        let streams = Rc::new(Streams::default());
+        let client = stream_until_closed(address, 0, Rc::clone(&streams));
+        let client = compio::runtime::spawn(client);
+        eventually("the client receives its second stream", || async {
+            (streams.begun.get() == 2).then_some(())
+        })
+        .await;
+        instance.terminate();
+        instance.reload();
+        instance.terminate();
+        until_connections_close(&instance).await;
+        instance.reload();
+        instance.terminate();
+        client.await.unwrap();
+        assert_eq!(streams.complete.get(), fleet.started_requests());
+        check_stopped_in_time(&mut instance).await;
+        for connection in kept.into_iter().chain([never_used]) {
+            assert_eq!(read_to_close(connection).await, "");
+        }
+    });
+}
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -2,6 +2,7 @@
 //! of the request path.
 
 use std::cell::{Cell, RefCell};
+use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use jujubelink_standins::service::PlainService;
 use serde_json::{Value, json};
 
-use super::{Instance, TestResponse, eventually, send};
+use super::{Instance, TestResponse, eventually, free_address, send};
 
 /// API key of the workspace `clerks`.
 pub(crate) const KEY: &str = "secret";
@@ -84,7 +85,15 @@
 
     /// Starts an instance and waits until it is ready.
     pub(crate) async fn start_instance(&self) -> Instance {
-        let instance = Instance::start(self.platform_handle.address(), &[]).await;
+        self.start_instance_with("", Stdio::inherit()).await
+    }
+
+    /// Starts an instance with further settings (TOML) and a destination for its log, and waits until
+    /// it is ready.
+    pub(crate) async fn start_instance_with(&self, settings: &str, log: Stdio) -> Instance {
+        let addresses = [free_address(), free_address(), free_address()];
+        let platform = self.platform_handle.address();
+        let instance = Instance::start_with(addresses, platform, &[], settings, log).await;
         eventually("the instance is ready", || async {
             let response = send(instance.client_address, Request::get("/readyz"), None).await;
             (response.status == 200).then_some(())
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -37,7 +37,8 @@
         Self::start_with(addresses, platform, seeds, "", Stdio::inherit()).await
     }
 
-    /// Starts an instance with further settings (TOML) and a destination for its log.
+    /// Starts an instance with further settings (TOML) and a destination for its log. A table `stop` in
+    /// the further settings replaces the default one.
     pub(crate) async fn start_with(
         [client_address, admin_address, peer_address]: [SocketAddr; 3],
         platform: SocketAddr,
@@ -62,8 +63,7 @@
 [platform]
 address = "{platform}"
 
-[stop]
-balancer_notice_ms = 100
+{stop}
 
 [admin.keys.tester]
 role = "admin"
@@ -72,6 +72,10 @@
 {further_settings}
 "#,
             admin_hash = sha256_hex(ADMIN_KEY.as_bytes()),
+            stop = match further_settings.contains("[stop]") {
+                true => "",
+                false => "[stop]\nbalancer_notice_ms = 100",
+            },
             seeds = seeds.join(", ")
         );
         let name = format!(
@@ -114,6 +118,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends SIGHUP, after which the instance reads its settings again.
+    pub(crate) fn reload(&self) {
+        self.signal("-HUP");
+    }
+
     /// Stops the execution of the process (SIGSTOP). Its sockets stay open, and the kernel still
     /// completes handshakes and receives data.
     pub(crate) fn pause(&self) {
