Do not date announcements by a read after a suspension

After all instances had been suspended for two seconds or more, weights that were superseded meanwhile could be used past the bound. The first read afterwards counted as the time of the announcement, although the weights may have been announced at any time since the read before. The bound counts while instances are suspended: it excuses only time in which the store or a link was disrupted. With a bound of 12 s, old weights are used for 10.2 s after the assumed announcement, so a suspension of more than 1.8 s broke the bound. As long as one instance keeps running, its time of the announcement is earlier and replaces the wrong one.

A read more than 1.6 s after the last confirmed read, without a failed read in between, now assumes that the weights were announced just after that confirmed read. Reads after an outage, in which reads fail, date an announcement as before: the bound counts only from the contact time after the end of the outage, which is later than the read.

Instances that run read at intervals of 0.7 s (rank 0) to 1.45 s (rank 1, if the results of rank 0 do not arrive).

Without the change, fleet::a_read_after_a_suspension_does_not_date_an_ announcement fails at the shortest suspension ("suspended for 2 s"). The call in a_read_dates_weights_that_were_confirmed_absent_before gets the new argument; its assertions are unchanged.

--- a/src/jujubelink/core/fleet/announcement.rs
+++ b/src/jujubelink/core/fleet/announcement.rs
@@ -14,6 +14,11 @@
 /// engines for all requests. The rest covers the wait in the target's queue.
 const STARTUP_OLD_WEIGHTS_RATIO: f64 = 0.6;
 
+/// Time since a version was last confirmed absent after which a read no longer dates its announcement,
+/// unless a read failed meanwhile. Instances that run read more often. The bound on old weights counts
+/// while they are suspended, but not while the store or a link is disrupted.
+const MAX_READ_GAP: Duration = Duration::from_millis(1_600);
+
 /// Bounds on the use of superseded weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WeightsBounds {
@@ -51,10 +56,25 @@
     /// Returns the announcement of a version that the store was read to hold at `read_at`.
     ///
     /// The read dates the announcement if the version was confirmed to be absent before
-    /// (`absent_until`), by this instance or another one. Otherwise it was announced before this
-    /// instance started, and `assumed` is used.
-    pub fn read(read_at: Timestamp, absent_until: Option<Timestamp>, assumed: Timestamp) -> Self {
+    /// (`absent_until`), by this instance or another one. If that was long ago although no read has
+    /// failed since (`failed_at`), the instances were suspended, and the version may have been
+    /// announced at any time meanwhile. If it was never confirmed to be absent, it was announced before
+    /// this instance started, and `assumed` is used.
+    pub fn read(
+        read_at: Timestamp,
+        absent_until: Option<Timestamp>,
+        failed_at: Option<Timestamp>,
+        assumed: Timestamp,
+    ) -> Self {
+        let has_gap = |absent_until: Timestamp| {
+            failed_at.is_none_or(|at| at < absent_until)
+                && read_at.saturating_sub(absent_until) > MAX_READ_GAP
+        };
         match absent_until {
+            Some(absent_until) if has_gap(absent_until) => Self {
+                at: absent_until,
+                is_assumed: true,
+            },
             Some(_) => Self {
                 at: read_at,
                 is_assumed: false,
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -229,10 +229,17 @@
     }
 
     /// Applies the weights announced in the store. `absent_until` is when the announced weights were
-    /// last confirmed before, by this instance or another one.
-    pub fn on_stored_weights(&self, announced: &[(ModelId, u64)], absent_until: Option<Timestamp>) {
+    /// last confirmed before, by this instance or another one. `failed_at` is when the last failed
+    /// read was requested.
+    pub fn on_stored_weights(
+        &self,
+        announced: &[(ModelId, u64)],
+        absent_until: Option<Timestamp>,
+        failed_at: Option<Timestamp>,
+    ) {
         let now = self.context.timers().boot_now();
-        let announcement = Announcement::read(now, absent_until, self.assumed_announced_at());
+        let assumed = self.assumed_announced_at();
+        let announcement = Announcement::read(now, absent_until, failed_at, assumed);
         for (model, version) in announced {
             let is_newest = self
                 .state
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -123,6 +123,7 @@
 pub(super) async fn refresh_config_and_weights(context: Context, fleet: Rc<Fleet>) {
     let timers = *context.timers();
     let mut failed_at = None;
+    let mut failed_request_at = None;
     loop {
         let peers = context.service::<Peers>();
         let now = timers.boot_now();
@@ -139,6 +140,7 @@
                 .await
                 .is_err()
                 .then(|| timers.boot_now());
+            failed_request_at = failed_at.map(|_| now).or(failed_request_at);
         }
         let weights_age = peers
             .weights_confirmed_at()
@@ -149,10 +151,11 @@
                 Ok(announced) => {
                     let absent_until = peers.weights_confirmed_at();
                     peers.record_weights_confirmed(requested_at);
-                    fleet.on_stored_weights(&announced, absent_until);
+                    fleet.on_stored_weights(&announced, absent_until, failed_request_at);
                 }
                 Err(error) => {
                     failed_at = Some(timers.boot_now());
+                    failed_request_at = Some(requested_at);
                     slog::warn!(context.log(), "cannot read the named weights";
                         "error" => %error);
                 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -269,13 +269,38 @@
 fn a_read_dates_weights_that_were_confirmed_absent_before() {
     let (read_at, assumed) = (ms(9_000), ms(1_000));
     assert_eq!(
-        Announcement::read(read_at, Some(ms(8_000)), assumed),
+        Announcement::read(read_at, Some(ms(8_000)), None, assumed),
         announced_at(read_at)
     );
-    let unknown = Announcement::read(read_at, None, assumed);
+    let unknown = Announcement::read(read_at, None, None, assumed);
     assert_eq!((unknown.at, unknown.is_assumed), (assumed, true));
 }
 
+/// Guards against old weights that are used for longer than the bound after all instances were
+/// suspended: none of them has seen when the new weights were announced, and the bound counts
+/// meanwhile. After an outage of the store, the bound counts from its end only, and old weights must
+/// remain usable.
+#[test]
+fn a_read_after_a_suspension_does_not_date_an_announcement() {
+    let bounds = WeightsBounds {
+        adoption: secs(12),
+        contact: secs(3),
+    };
+    let (absent_until, assumed) = (secs(100), secs(1));
+    for suspended in [2, 5, 12, 60] {
+        let read_at = absent_until + secs(suspended);
+        let read = |failed_at| Announcement::read(read_at, Some(absent_until), failed_at, assumed);
+        for failed_at in [None, Some(secs(99))] {
+            // The weights were announced just after the last read before the suspension.
+            let age = absent_until + bounds.adoption - read(failed_at).at;
+            assert!(!bounds.may_use(age), "suspended for {suspended} s");
+            assert!(read(failed_at).is_assumed);
+        }
+        let outage_end = read_at - ms(300);
+        assert_eq!(read(Some(outage_end)), announced_at(read_at));
+    }
+}
+
 /// Guards against an announcement whose time moves back with each relay between instances, so that old
 /// weights are withdrawn too early.
 #[test]
