Order instances by the revision of their records

The order by stated start times relied on the time of day, which may jump: an instance whose clock is ahead at its start would come first for as long as it runs, whatever happens after.

An instance now states the revision at which the store accepted its record. It is the same for all instances, increases with each registration, and is 0 for an instance that has not reached the store, which should not be the one from which others get updates. Of a fleet that starts together, the first ten are those whose records were accepted last, and no longer the first by name, which are mostly of one failure domain.

--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -88,11 +88,17 @@
 pub(super) async fn maintain_registration(peers: Rc<Peers>, local_record: InstanceRecord) {
     let timers = *peers.context.timers();
     let store = Rc::clone(peers.fleet.store());
-    while let Err(error) = store.write_instance(local_record.clone()).await {
-        slog::warn!(peers.context.log(), "cannot write the instance record to the store";
-            "error" => %error);
-        timers.sleep(STORE_RETRY_DELAY).await;
-    }
+    let revision = loop {
+        match store.write_instance(local_record.clone()).await {
+            Ok(revision) => break revision,
+            Err(error) => {
+                slog::warn!(peers.context.log(), "cannot write the instance record to the store";
+                    "error" => %error);
+                timers.sleep(STORE_RETRY_DELAY).await;
+            }
+        }
+    };
+    peers.record_registration(revision);
     loop {
         match store.list_instances().await {
             Ok(listed) => {
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -104,10 +104,9 @@
     /// Time since the sender started, by which instances of earlier versions order the others.
     #[prost(uint64, tag = "14")]
     pub(super) uptime_ms: u64,
-    /// Start time of the sender by its time of day, in milliseconds since the Unix epoch. Earlier
-    /// versions do not send it.
+    /// Revision at which the store accepted the record of the sender. Earlier versions do not send it.
     #[prost(uint64, tag = "16")]
-    pub(super) stated_start_ms: u64,
+    pub(super) registered_revision: u64,
     /// Digest of the set of instances that the sender is in contact with, including itself.
     #[prost(fixed64, tag = "15")]
     pub(super) contact_digest: u64,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -17,7 +17,9 @@
 use crate::core::fleet::{
     Announcement, FreshnessProof, InstancePosition, MIN_SEND_INTERVAL, MessageSchedule,
 };
-use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
+use crate::core::ids::{
+    ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
+};
 use crate::core::quota::{PeerUsage, contact_digest};
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
@@ -75,8 +77,8 @@
     /// When the contact digest of the peer last equalled the local one.
     contacts_agreed_at: Option<Timestamp>,
     is_leaving: bool,
-    /// Start time that the peer states, since the Unix epoch.
-    stated_start: Duration,
+    /// Revision of the peer's record that the peer states; 0 if it states none.
+    registered_revision: ObjectVersion,
     /// Time until which the peer is not used as a source of updates.
     pub(super) backoff_until: Timestamp,
 }
@@ -87,8 +89,8 @@
     pub(super) fleet: Rc<Fleet>,
     name: InstanceId,
     started_at: Timestamp,
-    /// Start time that this instance states, since the Unix epoch.
-    stated_start: Duration,
+    /// Revision at which the store accepted the record of this instance; 0 until then.
+    registered_revision: Cell<ObjectVersion>,
     pub(super) table: RefCell<BTreeMap<InstanceId, Peer>>,
     has_instance_list: Cell<bool>,
     pub(super) buckets: Buckets,
@@ -108,9 +110,7 @@
         Self {
             name: fleet.settings().machine.as_str().into(),
             started_at: fleet.started_at(),
-            stated_start: SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default(),
+            registered_revision: Cell::new(0),
             context: context.clone(),
             fleet,
             table: RefCell::default(),
@@ -187,6 +187,11 @@
         tolerated * INITIAL_LEVEL_RATIO / self.fleet_size() as f64
     }
 
+    /// Records that the store accepted the record of this instance.
+    pub(super) fn record_registration(&self, revision: ObjectVersion) {
+        self.registered_revision.set(revision);
+    }
+
     /// Number of instances in the fleet, including this one.
     pub fn fleet_size(&self) -> usize {
         self.table.borrow().len() + 1
@@ -196,7 +201,7 @@
     pub fn rank(&self) -> u32 {
         let now = self.now();
         let table = self.table.borrow();
-        let local = InstancePosition::new(&self.name, self.stated_start);
+        let local = InstancePosition::new(&self.name, self.registered_revision.get());
         let preceding = table
             .iter()
             .filter(|(name, peer)| self.is_in_contact(peer, now) && peer.position(name) < local);
@@ -407,7 +412,7 @@
             suspects: pending_rebroadcasts(&self.suspects, now),
             loading: self.loading.borrow().clone(),
             uptime_ms: ms(now.saturating_sub(self.started_at)),
-            stated_start_ms: ms(self.stated_start),
+            registered_revision: self.registered_revision.get(),
             contact_digest: self.contact_digest(now),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
         }
@@ -447,7 +452,7 @@
         peer.last_received_at = now;
         peer.config_version = message.config_version;
         peer.is_leaving = message.is_leaving;
-        peer.stated_start = Duration::from_millis(message.stated_start_ms);
+        peer.registered_revision = message.registered_revision;
         if let Some(echoed) = echoed {
             peer.echoed_at = peer.echoed_at.max(echoed);
             // The peer measured all ages when it created the message, after it had received the
@@ -623,13 +628,13 @@
             proof: None,
             contacts_agreed_at: None,
             is_leaving: false,
-            stated_start: Duration::ZERO,
+            registered_revision: 0,
             backoff_until: Timestamp::ZERO,
         }
     }
 
     pub(super) fn position<'a>(&self, name: &'a InstanceId) -> InstancePosition<'a> {
-        InstancePosition::new(name, self.stated_start)
+        InstancePosition::new(name, self.registered_revision)
     }
 }
 
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -133,8 +133,8 @@
     /// Lists the entries of all instances.
     fn list_instances(&self) -> StoreFuture<Vec<InstanceRecord>>;
 
-    /// Writes this instance's entry.
-    fn write_instance(&self, record: InstanceRecord) -> StoreFuture<()>;
+    /// Writes this instance's entry. Returns its new version.
+    fn write_instance(&self, record: InstanceRecord) -> StoreFuture<ObjectVersion>;
 
     /// Removes the entry of an instance that no longer exists.
     fn remove_instance(&self, name: &str) -> StoreFuture<()>;
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -331,7 +331,7 @@
         .boxed_local()
     }
 
-    fn write_instance(&self, record: InstanceRecord) -> StoreFuture<()> {
+    fn write_instance(&self, record: InstanceRecord) -> StoreFuture<ObjectVersion> {
         let client = self.clone();
         async move {
             let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}");
@@ -341,9 +341,9 @@
             match created {
                 Err(StoreError::Conflict) => {
                     let path = format!("{path}/{}", record.name);
-                    client.write(Method::PUT, &path, Some(body)).await.map(drop)
+                    client.write(Method::PUT, &path, Some(body)).await
                 }
-                other => other.map(drop),
+                other => other,
             }
         }
         .boxed_local()
