Log what instances know of a limit that is nearly exhausted

When a workspace got more than its limit over all instances, the logs did not tell which instance had admitted how much, or what it knew of its peers. While a workspace is charged and its bucket is less than half full, an instance now writes one line a second with the level, its own and the reported usage, the number of peers that share the limit, and the age of their reports.

--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -21,9 +21,34 @@
     pub total: u64,
 }
 
+/// What an instance knows of the usage of a limit, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BucketStatus {
+    /// Current level; negative if the fleet has used more than the reports had shown.
+    pub level: f64,
+    /// Level at which the bucket is full.
+    pub burst: f64,
+    /// Units charged in this incarnation of the instance.
+    pub total: u64,
+    /// Charges refused in this incarnation of the instance.
+    pub refusals: u64,
+    /// Units that peers reported while the limit was shared with them.
+    pub reported: f64,
+    /// Number of peers.
+    pub peers: usize,
+    /// Number of peers with which the limit is shared.
+    pub sharing_peers: usize,
+    /// Mean time since the last report of the peers with which the limit is shared.
+    pub mean_report_age: Duration,
+    /// Maximum time since the last report of these peers.
+    pub max_report_age: Duration,
+}
+
 /// State of the limit with regard to one peer.
 #[derive(Debug, Clone, Copy, Default)]
 struct Peer {
+    /// When the last report arrived, or the peer was added.
+    reported_at: Timestamp,
     /// Usage up to which the peer's reports have been applied.
     incarnation: Incarnation,
     total: u64,
@@ -49,6 +74,10 @@
     updated: Timestamp,
     /// Units charged in this incarnation of the instance.
     total: u64,
+    /// Charges refused in this incarnation of the instance.
+    refusals: u64,
+    /// Units that peers reported while the limit was shared with them.
+    reported: f64,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
@@ -62,6 +91,8 @@
             level: level.min(burst),
             updated: now,
             total: 0,
+            refusals: 0,
+            reported: 0.0,
             peers: BTreeMap::new(),
         }
     }
@@ -86,6 +117,29 @@
         self.level
     }
 
+    /// Returns what this instance knows of the usage of the limit.
+    pub fn status(&mut self, now: Timestamp) -> BucketStatus {
+        self.advance(now);
+        let sharing = self
+            .peers
+            .values()
+            .filter(|peer| peer.sharing_since.is_some());
+        let ages: Vec<Duration> = sharing
+            .map(|peer| now.saturating_sub(peer.reported_at))
+            .collect();
+        BucketStatus {
+            level: self.level,
+            burst: self.burst,
+            total: self.total,
+            refusals: self.refusals,
+            reported: self.reported,
+            peers: self.peers.len(),
+            sharing_peers: ages.len(),
+            mean_report_age: ages.iter().sum::<Duration>() / (ages.len().max(1) as u32),
+            max_report_age: ages.iter().max().copied().unwrap_or_default(),
+        }
+    }
+
     /// Sets the peers of the fleet, and for each whether the limit is shared with it. A new peer
     /// starts without assumed units.
     pub fn set_peers<'a>(
@@ -96,7 +150,10 @@
         self.advance(now);
         let mut kept = BTreeMap::new();
         for (id, is_sharing) in peers {
-            let mut peer = self.peers.remove(id).unwrap_or_default();
+            let mut peer = self.peers.remove(id).unwrap_or(Peer {
+                reported_at: now,
+                ..Peer::default()
+            });
             peer.sharing_since = is_sharing.then(|| peer.sharing_since.unwrap_or(now));
             kept.insert(id.clone(), peer);
         }
@@ -117,11 +174,13 @@
             peer.incarnation = used.incarnation;
             peer.total = if is_first { used.total } else { 0 };
         }
+        peer.reported_at = now;
         if peer.sharing_since.is_none() {
             return;
         }
         let new_units = used.total.saturating_sub(peer.total) as f64;
         peer.total = peer.total.max(used.total);
+        self.reported += new_units;
         let already_assumed = new_units.min(peer.assumed_units);
         peer.assumed_units -= already_assumed;
         self.level -=
@@ -150,6 +209,7 @@
         self.advance(now);
         let needed = (units as f64).min(self.burst.max(1.0));
         if self.level < needed {
+            self.refusals += 1;
             let missing = needed - self.level;
             let wait_s = missing / self.rate_per_s.max(f64::MIN_POSITIVE);
             let retry_after = Duration::from_secs_f64(wait_s.clamp(0.0, MAX_RETRY_AFTER_S));
--- a/src/jujubelink/core/quota/mod.rs
+++ b/src/jujubelink/core/quota/mod.rs
@@ -12,6 +12,6 @@
 mod contacts;
 mod resend;
 
-pub use bucket::{BucketRefusal, PeerUsage, SharedBucket};
+pub use bucket::{BucketRefusal, BucketStatus, PeerUsage, SharedBucket};
 pub use contacts::contact_digest;
 pub use resend::{ResendBudget, ResendPolicy};
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -60,6 +60,7 @@
         send_to_all(&peers, &socket, addresses, Peers::message);
         send_to_all(&peers, &socket, report_addresses, Peers::loading_report);
         peers.refresh_contacts();
+        peers.buckets.log_usage(peers.context.log(), peers.now());
         peers.context.timers().sleep(MIN_SEND_INTERVAL).await;
     }
 }
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -12,6 +13,13 @@
 use crate::core::ids::{InstanceId, Timestamp, Tokens, WorkspaceId};
 use crate::core::quota::{PeerUsage, SharedBucket};
 use crate::ops::services::{Charge, ChargeError, LimitService};
+use crate::util::duration::ms;
+
+/// Minimum time between two log lines on the usage of the limits.
+const USAGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Fraction of the burst below which the usage of a limit is logged.
+const LOGGED_LEVEL_RATIO: f64 = 0.5;
 
 /// Token buckets by workspace. A workspace without a rate limit has no bucket.
 #[derive(Default)]
@@ -20,9 +28,49 @@
     /// The other instances, and whether each one shares limits with this instance.
     contacts: RefCell<Vec<(InstanceId, bool)>>,
     next_charge: Cell<u64>,
+    logged: RefCell<LoggedUsage>,
+}
+
+/// What the last log lines on the usage of the limits covered.
+#[derive(Default)]
+struct LoggedUsage {
+    at: Timestamp,
+    /// Units charged and charges refused up to then.
+    charges: BTreeMap<WorkspaceId, (u64, u64)>,
 }
 
 impl Buckets {
+    /// Logs what this instance knows of the limits that are close to exhausted and were charged
+    /// since the last call: at most one line per workspace and [`USAGE_LOG_INTERVAL`].
+    pub(super) fn log_usage(&self, log: &slog::Logger, now: Timestamp) {
+        let mut logged = self.logged.borrow_mut();
+        if now.saturating_sub(logged.at) < USAGE_LOG_INTERVAL {
+            return;
+        }
+        logged.at = now;
+        let mut buckets = self.buckets.borrow_mut();
+        logged
+            .charges
+            .retain(|workspace, _| buckets.contains_key(workspace));
+        for (workspace, bucket) in buckets.iter_mut() {
+            let status = bucket.status(now);
+            let charges = (status.total, status.refusals);
+            let previous = logged.charges.insert(workspace.clone(), charges);
+            if status.level >= status.burst * LOGGED_LEVEL_RATIO
+                || previous.unwrap_or_default() == charges
+            {
+                continue;
+            }
+            slog::info!(log, "limit nearly exhausted"; "workspace" => &**workspace,
+                "level" => status.level.round(), "burst" => status.burst,
+                "admitted_total" => status.total, "refusals" => status.refusals,
+                "reported_total" => status.reported.round(),
+                "peers" => status.peers, "sharing_peers" => status.sharing_peers,
+                "mean_report_age_ms" => ms(status.mean_report_age),
+                "max_report_age_ms" => ms(status.max_report_age));
+        }
+    }
+
     pub(super) fn set_peers(&self, contacts: &[(InstanceId, bool)], now: Timestamp) {
         if *self.contacts.borrow() == contacts {
             return;
