Apply limits only after the list of instances has been read

Cause: the configuration usually arrives before the list of instances, because the instance record is written in between. The buckets were created then, with the initial level of a fleet of one, and accrued the whole rate until the list was there.

Evidence: all instances were killed at 13.0 s and were back half a second later. In the first log lines, at 14.5 s, each instance knows 84 peers and shares the limit with two at most, yet 47 of them log levels of 217,000 to 301,000 units after 12,000 to 88,000 admitted (levels above half the burst are not logged). Two fifths of the tolerance are 260,672 units for all instances together. 2.1 million units were admitted until then.

Now the limits are applied when the first list has been read; until then charges are refused as before.

The test starts one instance of a fleet of 84. With the check taken out it fails: 370 units of 118.

--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -123,15 +123,7 @@
     let config = peers.context.service::<dyn ConfigService>();
     loop {
         let changed = config.changed();
-        if let Some(policy) = peers.fleet.policy() {
-            let limits = policy
-                .workspaces
-                .iter()
-                .filter(|(_, workspace)| workspace.rate_per_s > 0.0)
-                .map(|(name, workspace)| (name, workspace.rate_per_s, workspace.burst));
-            let initial_level = |rate_per_s, burst| peers.initial_level(rate_per_s, burst);
-            peers.buckets.set_limits(limits, initial_level, peers.now());
-        }
+        peers.apply_limits();
         changed.await;
     }
 }
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -177,7 +177,7 @@
 
     /// Initial level of a new bucket: this instance's share of [`INITIAL_LEVEL_RATIO`] of the usage
     /// that is tolerated above the limit.
-    pub(super) fn initial_level(&self, rate_per_s: f64, burst: f64) -> f64 {
+    fn initial_level(&self, rate_per_s: f64, burst: f64) -> f64 {
         let settings = self.fleet.settings();
         let limit = rate_per_s * settings.quota_window_s + burst;
         let tolerated = limit * settings.quota_overage + settings.quota_slack;
@@ -317,9 +317,29 @@
         }
         drop(table);
         self.refresh_contacts();
+        self.apply_limits();
         expired
     }
 
+    /// Applies the rate limits of the configuration. Before the list of instances has been read,
+    /// there are no limits: a bucket created then would have the initial level, and accrue the rate,
+    /// of a fleet of one instance.
+    pub(super) fn apply_limits(&self) {
+        let Some(policy) = self.fleet.policy() else {
+            return;
+        };
+        if !self.has_instance_list() {
+            return;
+        }
+        let limits = policy
+            .workspaces
+            .iter()
+            .filter(|(_, workspace)| workspace.rate_per_s > 0.0)
+            .map(|(name, workspace)| (name, workspace.rate_per_s, workspace.burst));
+        let initial_level = |rate_per_s, burst| self.initial_level(rate_per_s, burst);
+        self.buckets.set_limits(limits, initial_level, self.now());
+    }
+
     /// Updates the set of peers that share limits with this instance.
     pub(super) fn refresh_contacts(&self) {
         let now = self.now();
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -661,6 +661,40 @@
     });
 }
 
+/// Guards against an instance that reads the configuration before the list of instances, and admits
+/// what a fleet of one instance could: when a large fleet starts again at once, a workspace would get
+/// many times its limit.
+#[test]
+fn an_instance_that_starts_admits_only_its_share_of_a_limit() {
+    run(async {
+        let deployment = Deployment::new();
+        let fleet_size = 84;
+        for number in 1..fleet_size {
+            let spec = json!({ "address": free_address() });
+            let name = format!("absent{number}");
+            deployment.store.put("jujubelink-instances", &name, spec);
+        }
+        // A request counts 10 units.
+        let (rate_per_s, burst) = (1_000.0, 1_000.0);
+        let mut config = deployment.store.spec("config", "main").unwrap();
+        config["tenants"][0]["rate_per_s"] = json!(rate_per_s);
+        config["tenants"][0]["burst"] = json!(burst);
+        deployment.store.put("config", "main", config);
+        let settings = "quota_window_s = 8.0\nquota_overage = 0.1\nquota_slack = 0.0\n";
+        let instance = deployment.start("n1", settings).await;
+        instance.wait_ready().await;
+        let mut admitted_units = 0.0;
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(1) {
+            let response = instance.send_request("r", "GET", "/read/x").await;
+            assert!([200, 429].contains(&response.status), "{}", response.status);
+            admitted_units += if response.status == 200 { 10.0 } else { 0.0 };
+        }
+        let limit = (rate_per_s * 8.0 + burst) * 1.1 / f64::from(fleet_size);
+        assert!(admitted_units <= limit, "{admitted_units} of {limit}");
+    });
+}
+
 /// Guards against two instances that both order engines to load weights, orders without a fencing
 /// number, and requests that reuse cached prompts of another version of the weights. The response to one
 /// write to the store is lost meanwhile.
