Report usage more often while a limit is nearly exhausted

Callers saw: in a fleet of 84, a workspace that asks for many times its limit gets more than it, and one within its rate is refused now and then.

Cause: the send interval is 2.1 s at 84 instances (0.2 s at 7), so each instance knows the usage of its peers with a mean delay of a second, and admits what the others have used up meanwhile. Besides, instances that start together sent to the same peer in the same round, so that its reports came in bunches with gaps of more than a second; the bucket takes such a gap for a suspension of the process, and accrues only the fair share in it.

Now an instance that has admitted requests of a workspace whose level is below three quarters of the burst sends its usage to all peers in each interval of 0.2 s, without the state that grows with the fleet; the number of these datagrams is at most 420 a second, so the interval grows above 84 instances. Regular messages start at a different peer on each instance.

Both tests fail against the old bucket and schedule.

--- a/src/jujubelink/core/fleet/schedule.rs
+++ b/src/jujubelink/core/fleet/schedule.rs
@@ -5,13 +5,17 @@
 /// Minimum time between two messages to the same peer. In a large fleet, the send interval is longer;
 /// this minimum then applies only between the instances that watch the store, and to all peers while
 /// engines load weights on this instance's order, because such engines refuse requests immediately.
-/// Within one interval the instances together may exceed a rate limit.
+/// Within one interval the instances together may exceed a rate limit; while a limit is nearly
+/// exhausted, its usage is therefore reported more often.
 pub const MIN_SEND_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum rate at which an instance sends messages. In a large fleet the interval between messages
 /// to each peer grows accordingly.
 const MAX_MESSAGES_PER_S: u32 = 40;
 
+/// Maximum rate at which an instance sends short usage reports while a limit is nearly exhausted.
+const MAX_USAGE_REPORTS_PER_S: u32 = 420;
+
 /// Number of send intervals without an echo after which contact with a peer counts as lost. Single
 /// lost datagrams are normal.
 const CONTACT_TIMEOUT_INTERVALS: u32 = 4;
@@ -31,6 +35,8 @@
 pub struct MessageSchedule {
     /// Time between messages to each peer. It grows with the number of peers.
     pub send_interval: Duration,
+    /// Time between usage reports to each peer while a limit is nearly exhausted.
+    pub usage_report_interval: Duration,
     /// Time without an echo after which contact with a peer counts as lost.
     pub contact_timeout: Duration,
     /// Time without an equal contact digest after which a limit is no longer shared with a peer.
@@ -43,14 +49,26 @@
     /// Creates the schedule for the number of other instances.
     pub fn new(peers: usize) -> Self {
         let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let send_interval = MIN_SEND_INTERVAL
-            .max(Duration::from_secs(1).saturating_mul(peers) / MAX_MESSAGES_PER_S);
+        let interval = |max_per_s: u32| {
+            MIN_SEND_INTERVAL.max(Duration::from_secs(1).saturating_mul(peers) / max_per_s)
+        };
+        let send_interval = interval(MAX_MESSAGES_PER_S);
         Self {
             send_interval,
+            usage_report_interval: interval(MAX_USAGE_REPORTS_PER_S),
             contact_timeout: send_interval * CONTACT_TIMEOUT_INTERVALS,
             agreement_timeout: send_interval * AGREEMENT_TIMEOUT_INTERVALS,
             rebroadcast_duration: MIN_REBROADCAST_DURATION
                 .max(send_interval * REBROADCAST_INTERVALS),
         }
     }
+
+    /// Whether the peer at an index of the list of peers gets something that is sent at an interval
+    /// in a round of [`MIN_SEND_INTERVAL`]. The peers are spread over the rounds of the interval.
+    /// `offset` is different for each instance, so that instances that started together do not all
+    /// send to the same peer in the same round.
+    pub fn is_due(interval: Duration, round: u64, index: u64, offset: u64) -> bool {
+        let rounds = (interval.as_millis() / MIN_SEND_INTERVAL.as_millis()).max(1) as u64;
+        index % rounds == round.wrapping_add(offset) % rounds
+    }
 }
--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::core::fleet::MessageSchedule;
 use crate::core::ids::{Incarnation, InstanceId, Timestamp};
 
 /// Refusal of a charge.
@@ -78,6 +79,8 @@
     refusals: u64,
     /// Units that peers reported while the limit was shared with them.
     reported: f64,
+    /// When a charge last succeeded.
+    charged_at: Option<Timestamp>,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
@@ -93,6 +96,7 @@
             total: 0,
             refusals: 0,
             reported: 0.0,
+            charged_at: None,
             peers: BTreeMap::new(),
         }
     }
@@ -140,6 +144,17 @@
         }
     }
 
+    /// Whether peers need to know of this instance's usage before the next regular message: the
+    /// level is low enough that all instances together can exhaust it until then, and a charge has
+    /// succeeded recently. Each charge is reported twice, because a datagram may be lost.
+    pub fn needs_usage_report(&mut self, now: Timestamp) -> bool {
+        let recent = MessageSchedule::new(self.peers.len()).usage_report_interval * 2;
+        self.level(now) < self.burst * REPORTED_LEVEL_RATIO
+            && self
+                .charged_at
+                .is_some_and(|at| now.saturating_sub(at) <= recent)
+    }
+
     /// Sets the peers of the fleet, and for each whether the limit is shared with it. A new peer
     /// starts without assumed units.
     pub fn set_peers<'a>(
@@ -217,6 +232,7 @@
         }
         self.level -= units as f64;
         self.total += units;
+        self.charged_at = Some(now);
         Ok(())
     }
 
@@ -266,5 +282,9 @@
 /// exchange messages several times per second.
 const SETTLE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Fraction of the burst below which charges are reported without waiting for the next regular
+/// message. A workspace that stays within its rate rarely gets below it.
+const REPORTED_LEVEL_RATIO: f64 = 0.75;
+
 /// Maximum retry delay sent to a client, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 30.0;
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -55,10 +55,10 @@
     let mut round = 0;
     loop {
         let addresses = peers.addresses_due(round);
+        let report_addresses = peers.short_report_addresses(&addresses, round);
         round += 1;
-        let report_addresses = peers.loading_report_addresses(&addresses);
         send_to_all(&peers, &socket, addresses, Peers::message);
-        send_to_all(&peers, &socket, report_addresses, Peers::loading_report);
+        send_to_all(&peers, &socket, report_addresses, Peers::short_report);
         peers.refresh_contacts();
         peers.buckets.log_usage(peers.context.log(), peers.now());
         peers.context.timers().sleep(MIN_SEND_INTERVAL).await;
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -94,6 +94,18 @@
             .collect()
     }
 
+    /// Returns the usage of the limits that peers need to know before the next regular message.
+    pub(super) fn nearly_exhausted(&self, now: Timestamp) -> Vec<WorkspaceUsage> {
+        let mut buckets = self.buckets.borrow_mut();
+        buckets
+            .iter_mut()
+            .filter_map(|(workspace, bucket)| {
+                let is_needed = bucket.needs_usage_report(now);
+                is_needed.then(|| workspace_usage(workspace, bucket.total()))
+            })
+            .collect()
+    }
+
     pub(super) fn on_report(
         &self,
         workspace: &str,
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -104,7 +104,8 @@
     /// Time since the sender started.
     #[prost(uint64, tag = "14")]
     pub(super) uptime_ms: u64,
-    /// Digest of the set of instances that the sender is in contact with, including itself.
+    /// Digest of the set of instances that the sender is in contact with, including itself; 0 in a
+    /// short report.
     #[prost(fixed64, tag = "15")]
     pub(super) contact_digest: u64,
     /// Whether the sender is shutting down.
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -14,7 +14,7 @@
 use super::message::{
     LastReceived, LoadingEngine, ModelWeights, PeerMessage, Suspect, WorkspaceUsage,
 };
-use crate::core::fleet::{Announcement, FreshnessProof, MIN_SEND_INTERVAL, MessageSchedule};
+use crate::core::fleet::{Announcement, FreshnessProof, MessageSchedule};
 use crate::core::ids::{ConfigVersion, Incarnation, InstanceId, ModelId, TargetId, Timestamp};
 use crate::core::quota::{PeerUsage, contact_digest};
 use crate::ops::fleet::Fleet;
@@ -352,40 +352,51 @@
         self.buckets.set_peers(&contacts, now);
     }
 
-    /// Returns the addresses that get a message in a round of [`MIN_SEND_INTERVAL`]. A large fleet
+    /// Returns the addresses that get a message in a round of the minimum send interval. A large fleet
     /// is spread over several rounds. Sending all datagrams at once would overflow the machine's
     /// link and lose the datagrams to the same peers each time.
-    pub(super) fn addresses_due(&self, round: u32) -> BTreeSet<SocketAddr> {
-        let rounds = (self.schedule().send_interval.as_millis() / MIN_SEND_INTERVAL.as_millis())
-            .max(1) as u32;
-        let table = self.table.borrow();
-        let in_turn = (0..)
-            .zip(table.values())
-            .filter(|(index, _)| index % rounds == round % rounds);
-        let mut due: BTreeSet<SocketAddr> = in_turn.map(|(_, peer)| peer.address).collect();
-        drop(table);
+    pub(super) fn addresses_due(&self, round: u64) -> BTreeSet<SocketAddr> {
+        let mut due = self.addresses_in_round(self.schedule().send_interval, round);
         due.extend(self.watcher_addresses());
         due
     }
 
-    /// Returns the addresses of the peers that get a loading report in this round: all that are not
-    /// `due`, while engines load on this instance's order.
-    pub(super) fn loading_report_addresses(&self, due: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
-        if !self.has_loading_engines() {
-            return Vec::new();
-        }
+    /// Returns the addresses of the peers that get something sent at an interval in this round.
+    fn addresses_in_round(&self, interval: Duration, round: u64) -> BTreeSet<SocketAddr> {
+        let offset = stable_hash(0, self.name.as_bytes());
         let table = self.table.borrow();
-        let addresses = table.values().map(|peer| peer.address);
-        addresses.filter(|address| !due.contains(address)).collect()
+        let in_turn = (0..)
+            .zip(table.values())
+            .filter(|(index, _)| MessageSchedule::is_due(interval, round, *index, offset));
+        in_turn.map(|(_, peer)| peer.address).collect()
     }
 
-    /// Creates a message that reports the engines that load or have loaded, without the state that
-    /// grows with the fleet: sent to all peers in each round, that would fill the link of a small
-    /// machine.
-    pub(super) fn loading_report(&self) -> PeerMessage {
+    /// Returns the addresses of the peers that get a short report in this round: of those that are
+    /// not `due`, all while engines load on this instance's order, and the next ones in turn while
+    /// a limit is nearly exhausted.
+    pub(super) fn short_report_addresses(
+        &self,
+        due: &BTreeSet<SocketAddr>,
+        round: u64,
+    ) -> Vec<SocketAddr> {
+        let addresses = if self.has_loading_engines() {
+            let table = self.table.borrow();
+            table.values().map(|peer| peer.address).collect()
+        } else if !self.buckets.nearly_exhausted(self.now()).is_empty() {
+            self.addresses_in_round(self.schedule().usage_report_interval, round)
+        } else {
+            BTreeSet::new()
+        };
+        addresses.difference(due).copied().collect()
+    }
+
+    /// Creates a message that reports the engines that load or have loaded and the usage of limits
+    /// that are nearly exhausted, without the state that grows with the fleet: sent to all peers in
+    /// each round, that would fill the link of a small machine.
+    pub(super) fn short_report(&self) -> PeerMessage {
         PeerMessage {
             heard: Vec::new(),
-            uses: Vec::new(),
+            uses: self.buckets.nearly_exhausted(self.now()),
             config_age_ms: None,
             named: Vec::new(),
             named_age_ms: None,
@@ -492,11 +503,15 @@
             }
         }
         drop(table);
-        let has_agreed = message.contact_digest == self.contact_digest(now);
+        // A short report has no digest, and does not change which peers are in contact.
+        let is_short = message.contact_digest == 0;
+        let has_agreed = !is_short && message.contact_digest == self.contact_digest(now);
         if has_agreed && let Some(peer) = self.table.borrow_mut().get_mut(&name) {
             peer.contacts_agreed_at = Some(now);
         }
-        self.refresh_contacts();
+        if !is_short {
+            self.refresh_contacts();
+        }
         for usage in &message.uses {
             let report = PeerUsage {
                 incarnation: message.incarnation,
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use jujubelink::core::fleet::{MIN_SEND_INTERVAL, MessageSchedule};
 use jujubelink::core::ids::InstanceId;
 use jujubelink::core::quota::{
     PeerUsage, ResendBudget, ResendPolicy, SharedBucket, contact_digest,
 };
+use jujubelink::util::hash::stable_hash;
 use proptest::prelude::*;
 
 use crate::support::property_config;
@@ -100,17 +102,22 @@
 
     /// Units admitted in the window with the most.
     fn max_units_in_window(&self, window_ms: u64) -> u64 {
-        let (mut first, mut in_window, mut max_units) = (0, 0, 0);
-        for (at, units) in &self.admitted {
-            in_window += units;
-            while self.admitted[first].0 + window_ms <= *at {
-                in_window -= self.admitted[first].1;
-                first += 1;
-            }
-            max_units = max_units.max(in_window);
+        max_units_in_window(&self.admitted, window_ms)
+    }
+}
+
+/// Units of the window with the most. The requests are times in ms and units, in order.
+fn max_units_in_window(requests: &[(u64, u64)], window_ms: u64) -> u64 {
+    let (mut first, mut in_window, mut max_units) = (0, 0, 0);
+    for (at, units) in requests {
+        in_window += units;
+        while requests[first].0 + window_ms <= *at {
+            in_window -= requests[first].1;
+            first += 1;
         }
-        max_units
+        max_units = max_units.max(in_window);
     }
+    max_units
 }
 
 /// Simulates 20 s during which the instances together request ten times the rate, in requests of
@@ -283,3 +290,219 @@
     assert!(resends as f64 <= 0.2 * 700.0 + 54.0, "{resends} resends");
     assert!(resends > 100, "{resends} resends");
 }
+
+/// Limits of the users' rules: what all instances together may admit in a window.
+const QUOTA_WINDOW_MS: u64 = 8_000;
+const QUOTA_OVERAGE: f64 = 0.1;
+const QUOTA_SLACK: f64 = 110_000.0;
+
+/// Rate limit of a large workspace in tokens, and the tokens of one of its requests.
+const LARGE_RATE_PER_S: f64 = 540_000.0;
+const LARGE_BURST: f64 = 1_080_000.0;
+const REQUEST_TOKENS: u64 = 9_000;
+
+/// Times of the simulated load, in ms.
+const BUSY_FROM_MS: u64 = 6_500;
+const BUSY_UNTIL_MS: u64 = 15_500;
+const END_MS: u64 = 18_000;
+
+/// Part of the rate that the workspace requests outside the busy period.
+const CALM_DEMAND: f64 = 0.55;
+
+/// One in this number of datagrams is lost.
+const LOSS_ONE_IN: u64 = 100;
+
+/// What an instance of a [`LargeFleet`] knows of a peer.
+#[derive(Debug, Clone, Copy, Default)]
+struct Link {
+    received_at_ms: Option<u64>,
+    echoed_at_ms: Option<u64>,
+    agreed_at_ms: Option<u64>,
+}
+
+/// A fleet whose instances exchange messages on the schedule of their number, as `ops::share` does.
+struct LargeFleet {
+    names: Vec<InstanceId>,
+    buckets: Vec<SharedBucket>,
+    /// By receiver and sender.
+    links: Vec<Vec<Link>>,
+    sharing: Vec<Vec<bool>>,
+    schedule: MessageSchedule,
+    random: u64,
+    /// Admitted requests: time in ms and units.
+    admitted: Vec<(u64, u64)>,
+    refusals: u64,
+}
+
+impl LargeFleet {
+    fn new(size: usize) -> Self {
+        let bucket = SharedBucket::new(LARGE_RATE_PER_S, LARGE_BURST, LARGE_BURST, ms(0));
+        Self {
+            names: (0..size)
+                .map(|index| format!("i{index:03}").into())
+                .collect(),
+            buckets: vec![bucket; size],
+            links: vec![vec![Link::default(); size]; size],
+            sharing: vec![Vec::new(); size],
+            schedule: MessageSchedule::new(size - 1),
+            random: 20_261_204,
+            admitted: Vec::new(),
+            refusals: 0,
+        }
+    }
+
+    fn size(&self) -> usize {
+        self.names.len()
+    }
+
+    fn next_random(&mut self, limit: u64) -> u64 {
+        self.random = stable_hash(self.random, b"next");
+        self.random % limit
+    }
+
+    fn is_in_contact(&self, local: usize, peer: usize, now_ms: u64) -> bool {
+        let timeout_ms = self.schedule.contact_timeout.as_millis() as u64;
+        let link = self.links[local][peer];
+        [link.received_at_ms, link.echoed_at_ms]
+            .iter()
+            .all(|at_ms| at_ms.is_some_and(|at_ms| now_ms - at_ms < timeout_ms))
+    }
+
+    fn digest(&self, local: usize, now_ms: u64) -> u64 {
+        let contacts = (0..self.size())
+            .filter(|peer| *peer == local || self.is_in_contact(local, *peer, now_ms));
+        contact_digest(contacts.map(|peer| &self.names[peer]))
+    }
+
+    fn refresh_contacts(&mut self, local: usize, now_ms: u64) {
+        let timeout_ms = self.schedule.agreement_timeout.as_millis() as u64;
+        let sharing: Vec<bool> = (0..self.size())
+            .map(|peer| {
+                let agreed_at_ms = self.links[local][peer].agreed_at_ms;
+                agreed_at_ms.is_some_and(|at_ms| now_ms - at_ms < timeout_ms)
+                    && self.is_in_contact(local, peer, now_ms)
+            })
+            .collect();
+        if sharing == self.sharing[local] {
+            return;
+        }
+        let peers = self.names.iter().zip(sharing.iter().copied());
+        let peers = (0..)
+            .zip(peers)
+            .filter(|(peer, _)| *peer != local)
+            .map(|(_, peer)| peer);
+        self.buckets[local].set_peers(peers, ms(now_ms));
+        self.sharing[local] = sharing;
+    }
+
+    /// Whether a datagram arrives.
+    fn arrives(&mut self) -> bool {
+        self.next_random(LOSS_ONE_IN) > 0
+    }
+
+    fn report(&mut self, from: usize, to: usize, now_ms: u64) {
+        let usage = PeerUsage {
+            incarnation: 1,
+            total: self.buckets[from].total(),
+        };
+        self.buckets[to].on_report(&self.names[from], usage, ms(now_ms));
+    }
+
+    /// Sends the messages and short reports of one round of an instance.
+    fn send_round(&mut self, local: usize, round: u64, now_ms: u64) {
+        let digest = self.digest(local, now_ms);
+        let offset = stable_hash(0, self.names[local].as_bytes());
+        let needs_usage_report = self.buckets[local].needs_usage_report(ms(now_ms));
+        let intervals = (
+            self.schedule.send_interval,
+            self.schedule.usage_report_interval,
+        );
+        let peers = (0..self.size()).filter(|peer| *peer != local);
+        for (index, peer) in (0..).zip(peers) {
+            let is_message = MessageSchedule::is_due(intervals.0, round, index, offset);
+            let is_report =
+                needs_usage_report && MessageSchedule::is_due(intervals.1, round, index, offset);
+            if !(is_message || is_report) || !self.arrives() {
+                continue;
+            }
+            if is_message {
+                let echoed_at_ms = self.links[local][peer].received_at_ms;
+                let link = &mut self.links[peer][local];
+                link.received_at_ms = Some(now_ms);
+                link.echoed_at_ms = link.echoed_at_ms.max(echoed_at_ms);
+                if digest == self.digest(peer, now_ms) {
+                    self.links[peer][local].agreed_at_ms = Some(now_ms);
+                }
+                self.refresh_contacts(peer, now_ms);
+            }
+            self.report(local, peer, now_ms);
+        }
+        self.refresh_contacts(local, now_ms);
+    }
+
+    /// Simulates a workspace that requests `busy_demand` times its rate in the busy period, each
+    /// request at a random instance.
+    fn simulate(size: usize, busy_demand: f64) -> Self {
+        let mut fleet = Self::new(size);
+        let round_ms = MIN_SEND_INTERVAL.as_millis() as u64;
+        let starts_ms: Vec<u64> = (0..size).map(|_| fleet.next_random(round_ms)).collect();
+        let mut requested = 0.0;
+        for now_ms in 0..END_MS {
+            for (local, start_ms) in starts_ms.iter().enumerate() {
+                if now_ms % round_ms == *start_ms {
+                    fleet.send_round(local, now_ms / round_ms, now_ms);
+                }
+            }
+            let is_busy = (BUSY_FROM_MS..BUSY_UNTIL_MS).contains(&now_ms);
+            let demand = if is_busy { busy_demand } else { CALM_DEMAND };
+            requested += demand * LARGE_RATE_PER_S / 1_000.0;
+            while requested >= REQUEST_TOKENS as f64 {
+                requested -= REQUEST_TOKENS as f64;
+                let local = fleet.next_random(size as u64) as usize;
+                match fleet.buckets[local].charge(REQUEST_TOKENS, ms(now_ms)) {
+                    Ok(()) => fleet.admitted.push((now_ms, REQUEST_TOKENS)),
+                    Err(_) => fleet.refusals += 1,
+                }
+            }
+        }
+        fleet
+    }
+
+    /// Asserts that the workspace kept its limit in each window.
+    fn assert_limit_is_kept(&self, case: &str) {
+        let window_s = QUOTA_WINDOW_MS as f64 / 1_000.0;
+        let limit =
+            (LARGE_RATE_PER_S * window_s + LARGE_BURST) * (1.0 + QUOTA_OVERAGE) + QUOTA_SLACK;
+        let units = max_units_in_window(&self.admitted, QUOTA_WINDOW_MS) as f64;
+        assert!(units <= limit, "{case}: {units} of {limit}");
+    }
+}
+
+/// Guards against a workspace that gets more than its limit at a large fleet, whose instances send
+/// regular messages to each other only every two seconds, because each one admits requests up to a
+/// level that the others have used up meanwhile.
+#[test]
+fn a_large_fleet_keeps_the_limit_of_a_busy_workspace() {
+    for demand in [4.0, 10.0] {
+        let fleet = LargeFleet::simulate(84, demand);
+        fleet.assert_limit_is_kept(&format!("demand {demand}"));
+        // Requests within the limit are admitted.
+        let busy_s = (BUSY_UNTIL_MS - BUSY_FROM_MS) as f64 / 1_000.0;
+        let admitted: u64 = fleet
+            .admitted
+            .iter()
+            .filter(|(at_ms, _)| (BUSY_FROM_MS..BUSY_UNTIL_MS).contains(at_ms))
+            .map(|(_, units)| units)
+            .sum();
+        let allowed = LARGE_RATE_PER_S * busy_s + LARGE_BURST;
+        assert!(admitted as f64 >= 0.8 * allowed, "{admitted} of {allowed}");
+    }
+}
+
+/// Guards against refusals within the limit at a large fleet: because messages arrive seldom, an
+/// instance would take itself for suspended, or a peer whose datagram was lost for cut off.
+#[test]
+fn a_large_fleet_admits_a_workspace_within_its_rate() {
+    let fleet = LargeFleet::simulate(84, CALM_DEMAND);
+    assert_eq!(fleet.refusals, 0);
+}
