Deduct the shares of peers whose usage reports are overdue

Cause: contact is lost after four send intervals, which is 0.8 s at 7 instances and 8 s at 79. Until then both sides of a cut use what the other one seems to leave, and also the whole level of the bucket. The bucket's constants for silence (1 s) held only for small fleets.

Now the bucket knows up to when the usage of each peer is known. When a report is overdue by 0.6 s over one send interval, the peer's share is deducted: what accrued since its last report, less what the full bucket discarded meanwhile, and its part of the level. The next report replaces the assumption by the usage, so that a lost datagram costs nothing once it has come. This also covers a suspended process, and replaces the fixed times; the timeout is in MessageSchedule. A peer that is met for the first time, or that was restarted while its share was deducted, gets nothing back of it.

The test plays 84 instances on the real schedule, a fifth of them isolated, or a fourth in a zone that is cut off, and asserts the stated limit.

--- a/src/jujubelink/core/fleet/schedule.rs
+++ b/src/jujubelink/core/fleet/schedule.rs
@@ -24,6 +24,10 @@
 /// with a peer. Instances notice a lost or new peer at different times.
 const AGREEMENT_TIMEOUT_INTERVALS: u32 = 6;
 
+/// Time beyond the send interval after which the usage of a silent peer is assumed. Messages can be
+/// late by some rounds on a busy machine.
+const REPORT_MARGIN: Duration = Duration::from_millis(600);
+
 /// Minimum time for which an observation or a suspect is included in messages.
 const MIN_REBROADCAST_DURATION: Duration = Duration::from_secs(1);
 
@@ -39,6 +43,10 @@
     pub usage_report_interval: Duration,
     /// Time without an echo after which contact with a peer counts as lost.
     pub contact_timeout: Duration,
+    /// Time without a report after which a peer with which a limit is shared is assumed to use its
+    /// share. It is shorter than the contact timeout, because the assumption is corrected as soon
+    /// as a report arrives.
+    pub report_timeout: Duration,
     /// Time without an equal contact digest after which a limit is no longer shared with a peer.
     pub agreement_timeout: Duration,
     /// Time for which an observation or a suspect is included in messages.
@@ -57,6 +65,7 @@
             send_interval,
             usage_report_interval: interval(MAX_USAGE_REPORTS_PER_S),
             contact_timeout: send_interval * CONTACT_TIMEOUT_INTERVALS,
+            report_timeout: send_interval + REPORT_MARGIN,
             agreement_timeout: send_interval * AGREEMENT_TIMEOUT_INTERVALS,
             rebroadcast_duration: MIN_REBROADCAST_DURATION
                 .max(send_interval * REBROADCAST_INTERVALS),
--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -48,15 +48,21 @@
 /// State of the limit with regard to one peer.
 #[derive(Debug, Clone, Copy, Default)]
 struct Peer {
-    /// When the last report arrived, or the peer was added.
-    reported_at: Timestamp,
     /// Usage up to which the peer's reports have been applied.
     incarnation: Incarnation,
     total: u64,
-    /// Since when the limit is shared with the peer; `None` while it is not.
-    sharing_since: Option<Timestamp>,
-    /// Units deducted for the peer while the limit was not shared with it. Reports are offset
-    /// against them until [`SETTLE_PERIOD`] after sharing resumed.
+    /// When the last report arrived, or the peer was added.
+    reported_at: Timestamp,
+    /// Whether the limit is shared with the peer.
+    is_sharing: bool,
+    /// Whether the peer's share of the limit is deducted: while the limit is not shared with it, or
+    /// while its reports are overdue.
+    is_reserved: bool,
+    /// Time up to which the peer's usage was reported or its share was deducted.
+    accounted_until: Timestamp,
+    /// `discarded` at that time.
+    discarded_before: f64,
+    /// Units deducted for the peer that its reports have not yet replaced.
     assumed_units: f64,
 }
 
@@ -65,7 +71,8 @@
 /// Invariant: over any period, the sum of the units that this instance admits, those reported by
 /// the peers with which the limit is shared, and the fair shares of all other peers is at most the
 /// rate plus one burst, plus what is in flight between instances. Sharing is mutual and transitive,
-/// so each group of instances stays within the sum of its fair shares.
+/// so each group of instances stays within the sum of its fair shares. A peer whose reports are
+/// overdue counts as one without sharing until its next report, which replaces its fair share.
 #[derive(Debug, Clone)]
 pub struct SharedBucket {
     rate_per_s: f64,
@@ -79,9 +86,15 @@
     refusals: u64,
     /// Units that peers reported while the limit was shared with them.
     reported: f64,
+    /// Units that accrued while the bucket was full, minus those that were assumed to be used.
+    discarded: f64,
     /// When a charge last succeeded.
     charged_at: Option<Timestamp>,
     peers: BTreeMap<InstanceId, Peer>,
+    /// Number of peers whose shares are deducted.
+    reserved_peers: usize,
+    /// Time up to which no further peer's reports are overdue.
+    next_overdue_at: Timestamp,
 }
 
 impl SharedBucket {
@@ -96,8 +109,11 @@
             total: 0,
             refusals: 0,
             reported: 0.0,
+            discarded: 0.0,
             charged_at: None,
             peers: BTreeMap::new(),
+            reserved_peers: 0,
+            next_overdue_at: now,
         }
     }
 
@@ -124,10 +140,7 @@
     /// Returns what this instance knows of the usage of the limit.
     pub fn status(&mut self, now: Timestamp) -> BucketStatus {
         self.advance(now);
-        let sharing = self
-            .peers
-            .values()
-            .filter(|peer| peer.sharing_since.is_some());
+        let sharing = self.peers.values().filter(|peer| peer.is_sharing);
         let ages: Vec<Duration> = sharing
             .map(|peer| now.saturating_sub(peer.reported_at))
             .collect();
@@ -167,51 +180,65 @@
         for (id, is_sharing) in peers {
             let mut peer = self.peers.remove(id).unwrap_or(Peer {
                 reported_at: now,
+                accounted_until: now,
+                discarded_before: self.discarded,
+                is_reserved: !is_sharing,
                 ..Peer::default()
             });
-            peer.sharing_since = is_sharing.then(|| peer.sharing_since.unwrap_or(now));
+            peer.is_sharing = is_sharing;
             kept.insert(id.clone(), peer);
         }
         self.peers = kept;
+        self.reserve_shares(now);
     }
 
     /// Applies a peer's report. While the limit is not shared with the peer, its fair share is
     /// deducted instead, and the reported usage is applied once sharing resumes.
     pub fn on_report(&mut self, id: &InstanceId, used: PeerUsage, now: Timestamp) {
         self.advance(now);
+        let (discarded, report_timeout) = (self.discarded, self.report_timeout());
         let Some(peer) = self.peers.get_mut(id) else {
             return;
         };
         if peer.incarnation != used.incarnation {
-            // At the first contact with a peer, it is unknown since when it has used its total. The
-            // assumed fair share covers what it used before.
-            let is_first = peer.incarnation == 0;
+            // It is unknown since when a peer that is met for the first time has used its total,
+            // and what an earlier incarnation used last. The share deducted so far covers both.
+            let is_covered = peer.incarnation == 0 || peer.is_reserved;
             peer.incarnation = used.incarnation;
-            peer.total = if is_first { used.total } else { 0 };
+            peer.total = if is_covered { used.total } else { 0 };
+            peer.assumed_units = 0.0;
         }
         peer.reported_at = now;
-        if peer.sharing_since.is_none() {
+        if !peer.is_sharing {
             return;
         }
+        if std::mem::replace(&mut peer.is_reserved, false) {
+            self.reserved_peers -= 1;
+            self.next_overdue_at = self.next_overdue_at.min(now + report_timeout);
+        }
+        peer.accounted_until = now;
+        peer.discarded_before = discarded;
         let new_units = used.total.saturating_sub(peer.total) as f64;
         peer.total = peer.total.max(used.total);
         self.reported += new_units;
         let already_assumed = new_units.min(peer.assumed_units);
-        peer.assumed_units -= already_assumed;
-        self.level -=
-            new_units - already_assumed - self.settle_assumed(new_units - already_assumed);
+        let unused = peer.assumed_units - already_assumed;
+        peer.assumed_units = 0.0;
+        let missing = new_units - already_assumed;
+        let settled = self.settle_assumed(missing, now);
+        self.level = (self.level + unused - (missing - settled)).min(self.burst);
     }
 
-    /// Consumes up to `units` of what was assumed for peers with which the limit is shared again,
-    /// and returns the consumed number. All of these peers are considered, because each of them may
-    /// have used the fair shares of the others in its group.
-    fn settle_assumed(&mut self, units: f64) -> f64 {
+    /// Consumes up to `units` of what was assumed for peers with which the limit is shared again
+    /// and which have not reported since, and returns the consumed number. All of these peers are
+    /// considered, because each of them may have used the fair shares of the others in its group.
+    fn settle_assumed(&mut self, units: f64, now: Timestamp) -> f64 {
+        let report_timeout = self.report_timeout();
         let mut missing = units;
-        let sharing = self
-            .peers
-            .values_mut()
-            .filter(|peer| peer.sharing_since.is_some());
-        for peer in sharing {
+        let resumed = self.peers.values_mut().filter(|peer| {
+            peer.is_reserved && peer.is_sharing && now <= peer.reported_at + report_timeout
+        });
+        for peer in resumed {
             let taken = missing.min(peer.assumed_units);
             peer.assumed_units -= taken;
             missing -= taken;
@@ -243,44 +270,70 @@
         self.level = (self.level + units as f64).min(self.burst);
     }
 
-    /// Accrues units since the last update, minus the fair shares of peers without sharing.
+    /// Accrues units since the last update, minus the fair shares of the peers whose usage is
+    /// unknown.
     fn advance(&mut self, now: Timestamp) {
-        let elapsed_s = now.saturating_sub(self.updated).as_secs_f64();
-        if elapsed_s <= 0.0 {
+        let elapsed = now.saturating_sub(self.updated);
+        if elapsed.is_zero() {
             return;
         }
         self.updated = now;
-        let accrued = self.rate_per_s * elapsed_s;
-        let fair_share = accrued / (self.peers.len() + 1) as f64;
-        if elapsed_s > MAX_SILENCE_S {
-            // The process was suspended while its peers continued without it.
-            self.level = (self.level + fair_share).min(self.burst);
-            return;
+        let accrued = self.rate_per_s * elapsed.as_secs_f64();
+        let fair_share = self.fair_share(elapsed);
+        if self.reserved_peers > 0 {
+            for peer in self.peers.values_mut().filter(|peer| peer.is_reserved) {
+                peer.assumed_units += fair_share;
+                peer.accounted_until = now;
+            }
         }
-        let mut reserved = 0.0;
-        for peer in self.peers.values_mut() {
-            match peer.sharing_since {
-                None => {
-                    peer.assumed_units += fair_share;
-                    reserved += fair_share;
-                }
-                Some(since) if now.saturating_sub(since) > SETTLE_PERIOD => {
-                    peer.assumed_units = 0.0
-                }
-                Some(_) => {}
+        let level = self.level + accrued - fair_share * self.reserved_peers as f64;
+        self.discarded += (level - self.burst).max(0.0);
+        self.level = level.min(self.burst);
+        if now > self.next_overdue_at {
+            self.reserve_shares(now);
+        }
+    }
+
+    /// Deducts the shares of the peers that have stopped to share the limit or whose reports have
+    /// become overdue: what accrued since their last report, and their part of the level. Otherwise
+    /// each group of instances without contact to the others would use the whole level.
+    fn reserve_shares(&mut self, now: Timestamp) {
+        let report_timeout = self.report_timeout();
+        let rate_per_instance = self.fair_share(Duration::from_secs(1));
+        let mut next_overdue_at = Timestamp::MAX;
+        self.reserved_peers = self.peers.values().filter(|peer| peer.is_reserved).count();
+        let mut group_size = self.peers.len() + 1 - self.reserved_peers;
+        for peer in self.peers.values_mut().filter(|peer| !peer.is_reserved) {
+            let overdue_at = peer.reported_at + report_timeout;
+            if peer.is_sharing && now <= overdue_at {
+                next_overdue_at = next_overdue_at.min(overdue_at);
+                continue;
             }
+            let unaccounted = now.saturating_sub(peer.accounted_until);
+            let accrued = rate_per_instance * unaccounted.as_secs_f64();
+            let from_discarded = (self.discarded - peer.discarded_before).clamp(0.0, accrued);
+            self.discarded -= from_discarded;
+            self.level -= accrued - from_discarded;
+            let part_of_level = self.level.max(0.0) / group_size as f64;
+            self.level -= part_of_level;
+            group_size -= 1;
+            self.reserved_peers += 1;
+            peer.assumed_units += accrued - from_discarded + part_of_level;
+            peer.is_reserved = true;
+            peer.accounted_until = now;
         }
-        self.level = (self.level + accrued - reserved).min(self.burst);
+        self.next_overdue_at = next_overdue_at;
     }
-}
 
-/// Time without any call after which the process is assumed to have been suspended, and contact to
-/// all peers to be lost, in seconds. Instances exchange messages several times per second.
-const MAX_SILENCE_S: f64 = 1.0;
+    /// The part of the units that accrue in a period to which each instance is entitled.
+    fn fair_share(&self, period: Duration) -> f64 {
+        self.rate_per_s * period.as_secs_f64() / (self.peers.len() + 1) as f64
+    }
 
-/// Time after which the reports of all peers that became reachable together have arrived. Instances
-/// exchange messages several times per second.
-const SETTLE_PERIOD: Duration = Duration::from_secs(1);
+    fn report_timeout(&self) -> Duration {
+        MessageSchedule::new(self.peers.len()).report_timeout
+    }
+}
 
 /// Fraction of the burst below which charges are reported without waiting for the next regular
 /// message. A workspace that stays within its rate rarely gets below it.
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -301,7 +301,9 @@
 const LARGE_BURST: f64 = 1_080_000.0;
 const REQUEST_TOKENS: u64 = 9_000;
 
-/// Times of the simulated load, in ms.
+/// Times of the simulated load and cuts, in ms.
+const CUT_FROM_MS: u64 = 6_000;
+const CUT_UNTIL_MS: u64 = 12_000;
 const BUSY_FROM_MS: u64 = 6_500;
 const BUSY_UNTIL_MS: u64 = 15_500;
 const END_MS: u64 = 18_000;
@@ -312,6 +314,26 @@
 /// One in this number of datagrams is lost.
 const LOSS_ONE_IN: u64 = 100;
 
+/// Which links are cut from [`CUT_FROM_MS`] to [`CUT_UNTIL_MS`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Cut {
+    None,
+    /// Each fifth instance is cut off from all others.
+    IsolatedFifth,
+    /// Each fourth instance is in a zone that is cut off from the others.
+    Zone,
+}
+
+impl Cut {
+    fn separates(self, first: usize, second: usize) -> bool {
+        match self {
+            Self::None => false,
+            Self::IsolatedFifth => first.is_multiple_of(5) || second.is_multiple_of(5),
+            Self::Zone => first.is_multiple_of(4) != second.is_multiple_of(4),
+        }
+    }
+}
+
 /// What an instance of a [`LargeFleet`] knows of a peer.
 #[derive(Debug, Clone, Copy, Default)]
 struct Link {
@@ -328,6 +350,7 @@
     links: Vec<Vec<Link>>,
     sharing: Vec<Vec<bool>>,
     schedule: MessageSchedule,
+    cut: Cut,
     random: u64,
     /// Admitted requests: time in ms and units.
     admitted: Vec<(u64, u64)>,
@@ -335,7 +358,7 @@
 }
 
 impl LargeFleet {
-    fn new(size: usize) -> Self {
+    fn new(size: usize, cut: Cut) -> Self {
         let bucket = SharedBucket::new(LARGE_RATE_PER_S, LARGE_BURST, LARGE_BURST, ms(0));
         Self {
             names: (0..size)
@@ -345,6 +368,7 @@
             links: vec![vec![Link::default(); size]; size],
             sharing: vec![Vec::new(); size],
             schedule: MessageSchedule::new(size - 1),
+            cut,
             random: 20_261_204,
             admitted: Vec::new(),
             refusals: 0,
@@ -396,8 +420,9 @@
     }
 
     /// Whether a datagram arrives.
-    fn arrives(&mut self) -> bool {
-        self.next_random(LOSS_ONE_IN) > 0
+    fn arrives(&mut self, from: usize, to: usize, now_ms: u64) -> bool {
+        let is_cut = (CUT_FROM_MS..CUT_UNTIL_MS).contains(&now_ms) && self.cut.separates(from, to);
+        !is_cut && self.next_random(LOSS_ONE_IN) > 0
     }
 
     fn report(&mut self, from: usize, to: usize, now_ms: u64) {
@@ -422,7 +447,7 @@
             let is_message = MessageSchedule::is_due(intervals.0, round, index, offset);
             let is_report =
                 needs_usage_report && MessageSchedule::is_due(intervals.1, round, index, offset);
-            if !(is_message || is_report) || !self.arrives() {
+            if !(is_message || is_report) || !self.arrives(local, peer, now_ms) {
                 continue;
             }
             if is_message {
@@ -442,8 +467,8 @@
 
     /// Simulates a workspace that requests `busy_demand` times its rate in the busy period, each
     /// request at a random instance.
-    fn simulate(size: usize, busy_demand: f64) -> Self {
-        let mut fleet = Self::new(size);
+    fn simulate(size: usize, cut: Cut, busy_demand: f64) -> Self {
+        let mut fleet = Self::new(size, cut);
         let round_ms = MIN_SEND_INTERVAL.as_millis() as u64;
         let starts_ms: Vec<u64> = (0..size).map(|_| fleet.next_random(round_ms)).collect();
         let mut requested = 0.0;
@@ -484,7 +509,7 @@
 #[test]
 fn a_large_fleet_keeps_the_limit_of_a_busy_workspace() {
     for demand in [4.0, 10.0] {
-        let fleet = LargeFleet::simulate(84, demand);
+        let fleet = LargeFleet::simulate(84, Cut::None, demand);
         fleet.assert_limit_is_kept(&format!("demand {demand}"));
         // Requests within the limit are admitted.
         let busy_s = (BUSY_UNTIL_MS - BUSY_FROM_MS) as f64 / 1_000.0;
@@ -499,10 +524,22 @@
     }
 }
 
+/// Guards against a workspace that gets more than its limit at a large fleet while instances are
+/// cut off for less than the contact timeout: both sides would use the whole limit.
+#[test]
+fn a_large_fleet_keeps_the_limit_while_instances_are_cut_off() {
+    for cut in [Cut::IsolatedFifth, Cut::Zone] {
+        for demand in [2.6, 4.0] {
+            let fleet = LargeFleet::simulate(84, cut, demand);
+            fleet.assert_limit_is_kept(&format!("{cut:?}, demand {demand}"));
+        }
+    }
+}
+
 /// Guards against refusals within the limit at a large fleet: because messages arrive seldom, an
 /// instance would take itself for suspended, or a peer whose datagram was lost for cut off.
 #[test]
 fn a_large_fleet_admits_a_workspace_within_its_rate() {
-    let fleet = LargeFleet::simulate(84, CALM_DEMAND);
+    let fleet = LargeFleet::simulate(84, Cut::None, CALM_DEMAND);
     assert_eq!(fleet.refusals, 0);
 }
