--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -55,11 +55,12 @@
     let mut round = 0;
     loop {
         let addresses = peers.addresses_due(round);
+        let report_addresses = peers.short_report_addresses(&addresses, round);
         round += 1;
-        let report_addresses = peers.loading_report_addresses(&addresses);
         send_to_all(&peers, &socket, addresses, Peers::message);
-        send_to_all(&peers, &socket, report_addresses, Peers::loading_report);
+        send_to_all(&peers, &socket, report_addresses, Peers::short_report);
         peers.refresh_contacts();
+        peers.buckets.log_usage(peers.context.log(), peers.now());
         peers.context.timers().sleep(MIN_SEND_INTERVAL).await;
     }
 }
@@ -128,15 +129,7 @@
     let config = peers.context.service::<dyn ConfigService>();
     loop {
         let changed = config.changed();
-        if let Some(policy) = peers.fleet.policy() {
-            let limits = policy
-                .workspaces
-                .iter()
-                .filter(|(_, workspace)| workspace.rate_per_s > 0.0)
-                .map(|(name, workspace)| (name, workspace.rate_per_s, workspace.burst));
-            let initial_level = |rate_per_s, burst| peers.initial_level(rate_per_s, burst);
-            peers.buckets.set_limits(limits, initial_level, peers.now());
-        }
+        peers.apply_limits();
         changed.await;
     }
 }
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -107,7 +107,8 @@
     /// Revision at which the store accepted the record of the sender. Earlier versions do not send it.
     #[prost(uint64, tag = "16")]
     pub(super) registered_revision: u64,
-    /// Digest of the set of instances that the sender is in contact with, including itself.
+    /// Digest of the set of instances that the sender is in contact with, including itself; 0 in a
+    /// short report.
     #[prost(fixed64, tag = "15")]
     pub(super) contact_digest: u64,
     /// Whether the sender is shutting down.
