--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -394,14 +394,25 @@
     /// each round, that would fill the link of a small machine.
     pub(super) fn short_report(&self) -> PeerMessage {
         PeerMessage {
-            heard: Vec::new(),
             uses: self.buckets.nearly_exhausted(self.now()),
-            config_age_ms: None,
-            named: Vec::new(),
-            named_age_ms: None,
-            suspects: Vec::new(),
-            contact_digest: 0,
-            ..self.message()
+            ..self.base_message()
+        }
+    }
+
+    /// Creates the part that all messages have.
+    fn base_message(&self) -> PeerMessage {
+        let now = self.now();
+        PeerMessage {
+            name: self.name.to_string(),
+            incarnation: self.context.incarnation(),
+            sent_at_ms: ms(now),
+            config_version: self.fleet.state().config_version(),
+            observed: pending_rebroadcasts(&self.observed, now),
+            loading: self.loading.borrow().clone(),
+            uptime_ms: ms(now.saturating_sub(self.started_at)),
+            registered_revision: self.registered_revision.get(),
+            is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
+            ..PeerMessage::default()
         }
     }
 
@@ -420,12 +431,8 @@
         let proof = state.proof();
         let age = |requested_at: Timestamp| ms(now.saturating_sub(requested_at));
         PeerMessage {
-            name: self.name.to_string(),
-            incarnation: self.context.incarnation(),
-            sent_at_ms: ms(now),
             heard: last_received.collect(),
             uses: self.buckets.totals(),
-            config_version: state.config_version(),
             config_age_ms: proof.map(|proof| age(proof.requested_at)),
             named: state
                 .announcements()
@@ -437,13 +444,9 @@
                 })
                 .collect(),
             named_age_ms: self.weights_confirmed_at.get().map(age),
-            observed: pending_rebroadcasts(&self.observed, now),
             suspects: pending_rebroadcasts(&self.suspects, now),
-            loading: self.loading.borrow().clone(),
-            uptime_ms: ms(now.saturating_sub(self.started_at)),
-            registered_revision: self.registered_revision.get(),
             contact_digest: self.contact_digest(now),
-            is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
+            ..self.base_message()
         }
     }
 
