Remove targets in time after a peer died that relayed the store

Cause: the request to the dead source waits for 1.4 s, and this time without an answer was taken for an outage of the store, after which removed entries have 2.2 s to come back. Besides, an instance with a source of updates never looked whether that time was over, so that such a target stayed until another one changed.

The time spent on a silent peer no longer counts towards an outage, and each round looks for entries whose time is over.

fleet::a_silent_peer_is_no_outage_of_the_store plays the decision, which is now in the core; the code before counted that time, by reading. The second part has no test of its own.

--- /dev/null
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -0,0 +1,47 @@
+//! Detection of outages of the store.
+
+use std::time::Duration;
+
+use crate::core::ids::Timestamp;
+
+/// Time without an answer after which the store counts as having been unavailable.
+const OUTAGE_THRESHOLD: Duration = Duration::from_millis(900);
+
+/// When the store last answered this instance or the peer from which it gets updates.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreContact {
+    last_answer_at: Timestamp,
+    /// Time since then that was spent on peers that did not answer. It says nothing about the store.
+    waited_for_peers: Duration,
+}
+
+impl StoreContact {
+    /// Creates the state of an instance that starts now.
+    pub fn new(now: Timestamp) -> Self {
+        Self {
+            last_answer_at: now,
+            waited_for_peers: Duration::ZERO,
+        }
+    }
+
+    /// Records an answer of the store, received directly or through a peer.
+    pub fn on_answer(&mut self, at: Timestamp) {
+        *self = Self::new(at);
+    }
+
+    /// Records that a peer did not answer a request for updates within `waited`.
+    pub fn on_silent_peer(&mut self, waited: Duration) {
+        self.waited_for_peers += waited;
+    }
+
+    /// Time without an answer up to `now`, except for the time spent on silent peers.
+    pub fn unanswered(&self, now: Timestamp) -> Duration {
+        let elapsed = now.saturating_sub(self.last_answer_at);
+        elapsed.saturating_sub(self.waited_for_peers)
+    }
+
+    /// Whether the store was unavailable before a request that was sent at `requested_at` and answered.
+    pub fn had_outage(&self, requested_at: Timestamp) -> bool {
+        self.unanswered(requested_at) > OUTAGE_THRESHOLD
+    }
+}
--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! [`ConfigSnapshot`](super::config::ConfigSnapshot).
 
 mod announcement;
+mod contact;
 mod freshness;
 mod order;
 mod policy;
@@ -17,6 +18,7 @@
 mod state;
 
 pub use announcement::{Announcement, WeightsBounds};
+pub use contact::StoreContact;
 pub use freshness::{Freshness, FreshnessProof};
 pub use order::InstancePosition;
 pub use policy::{
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::Fleet;
+use crate::core::fleet::StoreContact;
 use crate::ops::kernel::{Context, Lifecycle};
-use crate::ops::share::Peers;
+use crate::ops::share::{Peers, UpdateError};
 use crate::ops::store::{StoreError, StoreResult, StoredPolicy};
 use crate::util::duration::ms;
 
@@ -45,27 +46,32 @@
 /// Time between checks of the age of the last read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without a response after which the store counts as having been unavailable.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(900);
-
 /// Lists the targets, then watches them for changes.
 pub(super) async fn sync_targets(context: Context, fleet: Rc<Fleet>) {
     let timers = *context.timers();
     let mut revision = None;
-    let mut last_response_at = timers.boot_now();
+    let mut contact = StoreContact::new(timers.boot_now());
     loop {
+        fleet.expire_lapsed();
         let peers = context.service::<Peers>();
         if let (Some(_), Some(source)) = (revision, peers.update_source()) {
             match peers.fetch_updates(&source).await {
-                Some(has_changes) => {
+                Ok(has_changes) => {
                     revision = Some(fleet.target_revision());
-                    last_response_at = fleet.targets_confirmed_at();
+                    // The peer itself waits for the store's next answer for up to this time.
+                    let answered_at = fleet.targets_confirmed_at() + RELAYED_WATCH_TIMEOUT;
+                    contact.on_answer(answered_at.min(timers.boot_now()));
                     if has_changes {
                         timers.sleep(WATCH_DEBOUNCE).await;
                     }
                 }
                 // Call the store once, then try another peer.
-                None => revision = None,
+                Err(error) => {
+                    if let UpdateError::NoAnswer { waited } = error {
+                        contact.on_silent_peer(waited);
+                    }
+                    revision = None;
+                }
             }
             continue;
         }
@@ -81,12 +87,13 @@
         let is_complete = revision.is_none();
         match result {
             Ok(changes) => {
-                if requested_at.saturating_sub(last_response_at) > OUTAGE_THRESHOLD {
+                if contact.had_outage(requested_at) {
                     fleet.on_store_recovered();
                     slog::info!(context.log(), "store regained"; "call" => "targets");
                 }
-                last_response_at = timers.boot_now();
-                fleet.record_targets_confirmed(last_response_at);
+                let answered_at = timers.boot_now();
+                contact.on_answer(answered_at);
+                fleet.record_targets_confirmed(answered_at);
                 let is_newer = revision.is_none_or(|current| changes.revision >= current);
                 if is_newer {
                     revision = Some(changes.revision);
@@ -106,7 +113,7 @@
             }
             Err(error) => {
                 slog::warn!(context.log(), "cannot follow the targets"; "error" => %error,
-                    "unanswered_ms" => ms(timers.boot_now().saturating_sub(last_response_at)));
+                    "unanswered_ms" => ms(contact.unanswered(timers.boot_now())));
                 // The failed watch may have missed any number of changes.
                 revision = None;
                 if let Some((name, raw)) = peers.fetch_targets().await {
@@ -115,7 +122,6 @@
                 timers.sleep(RETRY_DELAY).await;
             }
         }
-        fleet.expire_lapsed();
     }
 }
 
--- a/src/jujubelink/ops/share/mod.rs
+++ b/src/jujubelink/ops/share/mod.rs
@@ -19,3 +19,4 @@
 mod updates;
 
 pub use peers::Peers;
+pub use updates::UpdateError;
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -47,6 +47,18 @@
 /// Time for which a peer that did not answer is not used as a source.
 const SOURCE_BACKOFF: Duration = Duration::from_secs(10);
 
+/// Why a peer provided no updates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpdateError {
+    /// The peer did not answer.
+    NoAnswer {
+        /// Time until the request was given up.
+        waited: Duration,
+    },
+    /// The peer has no recent state.
+    Outdated,
+}
+
 /// Response to a long-poll request. The field names are part of the peer protocol.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoreUpdate {
@@ -144,10 +156,11 @@
         })
     }
 
-    /// Requests updates from a peer and applies them. Returns whether the targets changed, or
-    /// `None` if the peer has no recent state.
-    pub async fn fetch_updates(&self, source: &InstanceId) -> Option<bool> {
-        let address = self.address_of(source)?;
+    /// Requests updates from a peer and applies them. Returns whether the targets changed.
+    pub async fn fetch_updates(&self, source: &InstanceId) -> Result<bool, UpdateError> {
+        let Some(address) = self.address_of(source) else {
+            return Err(UpdateError::Outdated);
+        };
         let local_revision = self.fleet.target_revision();
         let path = format!(
             "{UPDATES_PATH}?{local_revision},{}",
@@ -157,10 +170,16 @@
         let raw = self
             .fetch_from(address, &path, LONG_POLL_TIMEOUT + RESPONSE_MARGIN)
             .await;
-        let applied = raw.and_then(|raw| self.apply_update(&raw, source, requested_at));
-        if applied.is_none() {
+        let waited = self.now().saturating_sub(requested_at);
+        let applied = match raw {
+            Some(raw) => self
+                .apply_update(&raw, source, requested_at)
+                .ok_or(UpdateError::Outdated),
+            None => Err(UpdateError::NoAnswer { waited }),
+        };
+        if let Err(error) = applied {
             slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
-                "waited_ms" => ms(self.now().saturating_sub(requested_at)));
+                "waited_ms" => ms(waited), "error" => format!("{error:?}"));
             let until = self.now() + SOURCE_BACKOFF;
             if let Some(peer) = self.table.borrow_mut().get_mut(source) {
                 peer.backoff_until = until;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -6,7 +6,7 @@
 
 use jujubelink::core::fleet::{
     Announcement, FleetPolicy, FleetState, Freshness, FreshnessProof, InstancePosition,
-    MessageSchedule, TargetRecord, WeightsBounds,
+    MessageSchedule, StoreContact, TargetRecord, WeightsBounds,
 };
 use jujubelink::core::ids::{InstanceId, ModelId, TargetId};
 use jujubelink::ops::kernel::Timers;
@@ -410,3 +410,17 @@
     sorted.sort_unstable();
     assert_eq!(sorted, expected);
 }
+
+/// Guards against a peer that dies and is taken for an outage of the store: targets whose entries were
+/// removed would be kept for longer than they may get requests.
+#[test]
+fn a_silent_peer_is_no_outage_of_the_store() {
+    let mut contact = StoreContact::new(ms(1_000));
+    contact.on_answer(ms(10_000));
+    contact.on_silent_peer(ms(1_400));
+    assert!(!contact.had_outage(ms(11_500)));
+    assert!(contact.had_outage(ms(12_400)));
+    contact.on_answer(ms(12_500));
+    assert!(!contact.had_outage(ms(13_300)));
+    assert!(contact.had_outage(ms(13_500)));
+}
