Let other tasks run while datagrams arrive without a pause

Cause: a receive completes at once while the socket holds datagrams, so that the receiving task did not wait for as long as they arrived faster than they were decoded, and neither other tasks nor timers ran. TCP streams have a limit against this; datagrams had none.

Without the limit the test of the socket fails: all 128 datagrams in one run of the task. The test with the real binary passes without it too, since each request is allowed 10 s; it guards against a complete stop of the event loop.

--- a/src/jujubelink/util/net/mod.rs
+++ b/src/jujubelink/util/net/mod.rs
@@ -9,7 +9,7 @@
 mod stream;
 mod traffic;
 
-pub use datagram::Datagram;
+pub use datagram::{Datagram, MAX_DATAGRAMS_PER_WAIT};
 pub use listener::Listener;
 pub use stream::{KeepaliveSettings, MAX_BYTES_PER_WAIT, Stream};
 pub use traffic::{Traffic, traffic};
--- a/tests/testsuite/endless_bytes.rs
+++ b/tests/testsuite/endless_bytes.rs
@@ -5,10 +5,12 @@
 //! Clients get a truthful answer, and requests to other services are served meanwhile.
 
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::pin::Pin;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::pin::{Pin, pin};
 use std::process::Stdio;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -16,7 +18,7 @@
 use futures_util::future::Either;
 use http_body_util::BodyExt;
 use jujubelink::util::http::{Client, RequestOptions, full};
-use jujubelink::util::net::{MAX_BYTES_PER_WAIT, Stream};
+use jujubelink::util::net::{Datagram, MAX_BYTES_PER_WAIT, MAX_DATAGRAMS_PER_WAIT, Stream};
 use jujubelink_standins::StandInHandle;
 use jujubelink_standins::fleet::{CacheStore, FaultPlan, FleetTarget, ObjectStore, StoreEndpoint};
 use rand_chacha::ChaCha8Rng;
@@ -464,6 +466,37 @@
     });
 }
 
+/// Guards against a receiver of datagrams that never waits because they arrive faster than they are
+/// processed.
+#[test]
+fn a_socket_waits_after_a_limited_number_of_datagrams() {
+    run(async {
+        let socket = Datagram::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+        let sender = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        sender.connect(socket.local_addr().unwrap()).unwrap();
+        // Few enough for the receive buffer of the socket.
+        let sent = 2 * MAX_DATAGRAMS_PER_WAIT;
+        for _ in 0..sent {
+            sender.send(b"x").unwrap();
+        }
+        let (mut received, mut longest_run) = (0, 0);
+        let mut buffer = [0; 16];
+        let receive = std::future::poll_fn(|cx| {
+            let mut run = 0;
+            while received < sent {
+                let receive = pin!(socket.recv_from(&mut buffer));
+                ready!(receive.poll(cx)).unwrap();
+                received += 1;
+                run += 1;
+                longest_run = longest_run.max(run);
+            }
+            Poll::Ready(())
+        });
+        compio::time::timeout(WAIT_TIMEOUT, receive).await.unwrap();
+        assert!(longest_run <= MAX_DATAGRAMS_PER_WAIT, "{longest_run}");
+    });
+}
+
 /// Floods in the place of a response head.
 fn head_floods() -> Vec<Flood> {
     vec![
@@ -659,3 +692,37 @@
         }
     });
 }
+
+/// Guards against datagrams without end that stop the event loop, whether or not they can be decoded.
+#[test]
+fn endless_datagrams() {
+    const SENDERS: usize = 3;
+    for (name, datagram) in [
+        ("random datagrams", random_bytes()),
+        ("empty datagrams", vec![]),
+    ] {
+        run(async {
+            let site = Site::start().await;
+            let is_stopped = Arc::new(AtomicBool::new(false));
+            let senders: Vec<_> = (0..SENDERS)
+                .map(|_| {
+                    let is_stopped = Arc::clone(&is_stopped);
+                    let datagram = datagram[..datagram.len().min(256)].to_vec();
+                    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+                    socket.connect(site.instance.peer_address).unwrap();
+                    std::thread::spawn(move || {
+                        while !is_stopped.load(Ordering::Relaxed) {
+                            // Fails if the instance is gone, which requests show.
+                            let _ = socket.send(&datagram);
+                        }
+                    })
+                })
+                .collect();
+            site.check_others_served(name).await;
+            is_stopped.store(true, Ordering::Relaxed);
+            for sender in senders {
+                sender.join().unwrap();
+            }
+        });
+    }
+}
