Resume streams whose engine sends bytes but no new event

A resumable stream stayed until its deadline at an engine that went on to send bytes which are no event: a line without end, or events that the client already had. The client got nothing in that time and then a broken answer, although another engine was in service; clients of the users' platform give up earlier.

Cause: the time after which a target counts as silent began anew with each read, whatever was read. Before the first event it was also computed from the time that was left at each read.

It now runs from the start of the response or the last new event, and is checked before each read, so that bytes that arrive without a pause don't put it off. Events without an id and comments are forwarded as before but don't extend it.

The test floods the engine slowly too: one piece every 20 ms.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -11,6 +11,7 @@
 
 use super::exchange::Exchange;
 use super::send::SendOutcome;
+use crate::core::ids::Timestamp;
 use crate::core::relay::Failure;
 use crate::ops::services::AttemptOutcome;
 use crate::platform::is_connection_header;
@@ -19,7 +20,7 @@
 /// A larger event is treated as a failed connection.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// A resumable stream that is silent for this many times the route's maximum event gap is resumed
+/// A resumable stream without a new event for this many times the route's maximum event gap is resumed
 /// at another target. Clients give up after eight times the gap.
 const MAX_SILENT_GAPS: u32 = 4;
 
@@ -71,14 +72,16 @@
                 full(body)
             }
             TargetBody::Streamed(body) => {
-                let relayed = RelayedBody {
+                let mut relayed = RelayedBody {
                     is_event_stream: exchange.is_stream() && (200..300).contains(&status),
                     exchange,
                     status,
                     body,
                     buffer: BytesMut::new(),
                     has_data: false,
+                    silent_at: None,
                 };
+                relayed.restart_silence();
                 relayed.into_body()
             }
         };
@@ -104,7 +107,7 @@
     /// The connection failed, or an event is too large.
     ConnectionLost,
     DeadlinePassed,
-    /// The target sent nothing for too long.
+    /// The target sent no new event for too long.
     Silent,
 }
 
@@ -117,6 +120,8 @@
     /// Start of an event that has not arrived completely.
     buffer: BytesMut,
     has_data: bool,
+    /// Time at which the target counts as silent unless a new event arrives before.
+    silent_at: Option<Timestamp>,
 }
 
 impl RelayedBody {
@@ -163,14 +168,19 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, ReadError> {
-        let remaining = self.exchange.deadline.saturating_sub(self.exchange.now());
-        let silence_timeout = self.silence_timeout();
-        let timeout = silence_timeout.map_or(remaining, |silence| silence.min(remaining));
+        let deadline = self.exchange.deadline;
         loop {
+            let ends_at = self.silent_at.map_or(deadline, |at| at.min(deadline));
+            let remaining = ends_at.saturating_sub(self.exchange.now());
             let frame = self.body.frame();
-            let frame = self.exchange.proxy.context.timers().timeout(timeout, frame);
-            match frame.await {
-                None if timeout < remaining => return Err(ReadError::Silent),
+            let timers = *self.exchange.proxy.context.timers();
+            // Bytes that arrive without a pause must not put off the end.
+            let frame = match remaining.is_zero() {
+                true => None,
+                false => timers.timeout(remaining, frame).await,
+            };
+            match frame {
+                None if ends_at < deadline => return Err(ReadError::Silent),
                 None => return Err(ReadError::DeadlinePassed),
                 Some(None) => return Ok(None),
                 Some(Some(Err(_))) => return Err(ReadError::ConnectionLost),
@@ -183,6 +193,12 @@
         }
     }
 
+    /// Starts the time in which the target has to send the next event.
+    fn restart_silence(&mut self) {
+        let timeout = self.silence_timeout();
+        self.silent_at = timeout.map(|timeout| self.exchange.now() + timeout);
+    }
+
     /// Returns how long the target may be silent before the stream is resumed elsewhere, or `None`
     /// if it cannot be resumed.
     fn silence_timeout(&self) -> Option<Duration> {
@@ -210,10 +226,11 @@
             {
                 continue;
             }
+            self.record_first_data();
             if id.is_some() {
                 self.exchange.last_event = id;
+                self.restart_silence();
             }
-            self.record_first_data();
             return Some(event);
         }
         None
@@ -259,6 +276,7 @@
             Some(body) => {
                 self.buffer.clear();
                 self.body = body;
+                self.restart_silence();
                 Ok(())
             }
             None => Err(reason.into()),
--- a/tests/testsuite/endless_bytes.rs
+++ b/tests/testsuite/endless_bytes.rs
@@ -622,6 +622,50 @@
     }
 }
 
+/// Guards against a resumable stream that stays at an engine which goes on to send bytes but no new
+/// event: the client gives up long before the deadline. Another engine has to send the rest.
+#[test]
+fn a_stream_without_new_events_is_resumed() {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let event = chunk("id: 1\ndata: piece 1\n\n");
+    let first = format!("{}{event}", chunked());
+    let data = chunk("data: piece");
+    let floods = [
+        Flood::paced("slow event line", &first, &data, PAUSE),
+        Flood::paced("slow event line at the start", &chunked(), &data, PAUSE),
+        Flood::paced("slow events that were sent before", &first, &event, PAUSE),
+        Flood::new("events that were sent before", &first, &event),
+    ];
+    for flood in floods {
+        run(async {
+            let name = flood.name;
+            let site = Site::start().await;
+            let other = FleetTarget::new("e2", &FaultPlan::default());
+            let other = StandInHandle::start(other).unwrap();
+            site.engine_proxy.set_flood(Some(flood));
+            let flooded = site.request("r", "/ask/x", OTHER_DEADLINE_MS);
+            let changes = async {
+                eventually("the request is flooded", || async {
+                    (site.engine_proxy.begun() > 0).then_some(())
+                })
+                .await;
+                let models = json!([{ "name": "m", "version": 1, "adapters": [] }]);
+                let entry = json!({ "service": "llm", "address": other.address(), "zone": "a",
+                    "version": "v1", "slots": 32, "state": "ready", "models": models,
+                    "sequence": 3, "born": 1 });
+                site.store.put("servers", "e2", entry);
+            };
+            let (answer, ()) = futures_util::join!(flooded, changes);
+            let complete = Answer::Complete(200, expected_body("/ask/x"));
+            assert_eq!(answer, complete, "flood \"{name}\"");
+            eventually("the flooded connection is closed", || async {
+                (site.engine_proxy.ended() == site.engine_proxy.begun()).then_some(())
+            })
+            .await;
+        });
+    }
+}
+
 /// Floods in responses to calls that the instance makes by itself.
 fn call_floods() -> Vec<Flood> {
     let mut floods = head_floods();
--- a/tests/testsuite/support/flood.rs
+++ b/tests/testsuite/support/flood.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Size of the writes of a flood. They are larger than every buffer of the instance, so that its
 /// sockets are never empty.
@@ -23,6 +24,8 @@
     start: String,
     /// Sent again and again until the peer closes the connection.
     block: Vec<u8>,
+    /// Pause after each block.
+    pause: Duration,
 }
 
 impl Flood {
@@ -34,6 +37,16 @@
             path_prefix: "",
             start: start.to_owned(),
             block: unit.repeat(BLOCK_BYTES.div_ceil(unit.len())),
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// Creates a flood that sends `start` once and then one `unit` after each pause.
+    pub(crate) fn paced(name: &'static str, start: &str, unit: &str, pause: Duration) -> Self {
+        Self {
+            block: unit.into(),
+            pause,
+            ..Self::new(name, start, unit)
         }
     }
 
@@ -132,7 +145,7 @@
                 if let Some(flood) = flood.filter(|flood| path.starts_with(flood.path_prefix)) {
                     self.begun.fetch_add(1, Ordering::SeqCst);
                     let start = flood.start.replace(ID, &id);
-                    self.send_without_end(client, start.as_bytes(), &flood.block);
+                    self.send_without_end(client, start.as_bytes(), &flood);
                     self.ended.fetch_add(1, Ordering::SeqCst);
                     break;
                 }
@@ -160,12 +173,13 @@
     }
 
     /// Returns once the peer has closed the connection.
-    fn send_without_end(&self, mut client: &TcpStream, start: &[u8], block: &[u8]) {
+    fn send_without_end(&self, mut client: &TcpStream, start: &[u8], flood: &Flood) {
         let mut next = start;
         while client.write_all(next).is_ok() {
             self.sent_bytes
                 .fetch_add(next.len() as u64, Ordering::Relaxed);
-            next = block;
+            next = &flood.block;
+            std::thread::sleep(flood.pause);
         }
     }
 }
