Do not count the wait for a slow client as silence of the engine

A resumable stream whose client accepted no bytes for four event gaps would have been resumed at another engine at its next read, although the first one had sent events meanwhile: since the time runs on while nothing is read. It now excludes the time that the client took to accept the last bytes. Found by reading, before it was used; there is no test of its own.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -80,6 +80,7 @@
                     buffer: BytesMut::new(),
                     has_data: false,
                     silent_at: None,
+                    forwarded_at: None,
                 };
                 relayed.restart_silence();
                 relayed.into_body()
@@ -122,6 +123,8 @@
     has_data: bool,
     /// Time at which the target counts as silent unless a new event arrives before.
     silent_at: Option<Timestamp>,
+    /// When the last bytes were handed over, until the client has room for more.
+    forwarded_at: Option<Timestamp>,
 }
 
 impl RelayedBody {
@@ -139,6 +142,22 @@
 
     /// Returns the next bytes for the client, or `None` at the end.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        self.exclude_client_wait();
+        let data = self.next_data().await?;
+        self.forwarded_at = Some(self.exchange.now());
+        Ok(data)
+    }
+
+    /// Moves the end of the silence by the time that the client took to accept the last bytes, in which
+    /// nothing was read from the target.
+    fn exclude_client_wait(&mut self) {
+        if let Some(forwarded_at) = self.forwarded_at.take() {
+            let waited = self.exchange.now().saturating_sub(forwarded_at);
+            self.silent_at = self.silent_at.map(|at| at + waited);
+        }
+    }
+
+    async fn next_data(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
             if let Some(event) = self.take_event() {
                 return Ok(Some(event));
