Plan no orders in the last 100 ms of a term

An order that finds too little of the term left is not sent and counts as failed, so that its engine waits for 0.5 s and comes after others with the same weights. Since orders go on while a renewal is unanswered, this could happen at each loss of the store. The plan now asks for the same remaining term as the order; the check immediately before each order stays.

--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -147,7 +147,9 @@
     fn update_orders(self: &Rc<Self>) -> Option<Timestamp> {
         let models = self.models();
         let since = self.track_work(&models);
-        if since.is_some() && self.lease.borrow().epoch(self.now()).is_some() {
+        // An order that could not be sent in the term would count as a failure of its engine.
+        let lasts_until = self.now() + ORDER_MARGIN;
+        if since.is_some() && self.lease.borrow().epoch(lasts_until).is_some() {
             self.issue_orders(&models);
         } else {
             self.end_orders(&models);
