List two cases in which a workspace exceeds its limit

The tests of the limits in a large fleet ask for up to four times the rate during a cut and play 84 instances. With ten times the rate and a fifth of the instances isolated, 7,677,000 units are admitted where 6,050,000 are allowed, and with 380 instances 17,280,000 without a cut.

--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -543,3 +543,20 @@
     let fleet = LargeFleet::simulate(84, Cut::None, CALM_DEMAND);
     assert_eq!(fleet.refusals, 0);
 }
+
+/// Guards against a workspace that asks for ten times its rate and gets more than its limit while a part
+/// of a large fleet is cut off.
+#[test]
+fn a_large_fleet_keeps_the_limit_of_a_flooding_workspace_during_a_cut() {
+    for cut in [Cut::IsolatedFifth, Cut::Zone] {
+        let fleet = LargeFleet::simulate(84, cut, 10.0);
+        fleet.assert_limit_is_kept(&format!("{cut:?}"));
+    }
+}
+
+/// Guards against limits that hold for a fleet of 84 instances only: with 380, messages arrive seldom.
+#[test]
+fn a_fleet_of_380_instances_keeps_the_limit_of_a_busy_workspace() {
+    let fleet = LargeFleet::simulate(380, Cut::None, 4.0);
+    fleet.assert_limit_is_kept("380 instances");
+}
