End orders of models that are gone and of engines that hang

And an engine that reports a load without end kept its place, so that of three engines the other two got no order.

Rollouts of unknown models are removed in each round, and an order counts as lost 20 s after it was given at the latest. The new test of the rollout fails without the second by the code: the place is freed only 6 s after the last busy report. The first has no test of its own.

--- a/src/jujubelink/core/rollout/plan.rs
+++ b/src/jujubelink/core/rollout/plan.rs
@@ -74,6 +74,10 @@
 /// Engines may execute an order up to 12 s late, or lose it.
 const RESEND_AFTER: Duration = Duration::from_secs(6);
 
+/// Time after which an order counts as lost although its engine reports that it executes one: that may
+/// be another order, or the engine hangs.
+const MAX_LOAD_DURATION: Duration = Duration::from_secs(20);
+
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 
 /// An engine that is down for seconds stays in the list until its entry expires.
@@ -241,8 +245,10 @@
         let engines_by_id: BTreeMap<&TargetId, &Engine> =
             engines.iter().map(|engine| (&engine.id, engine)).collect();
         let params = self.params;
-        self.pending
-            .retain(|_, pending| now < pending.active_at + params.resend_after);
+        self.pending.retain(|_, pending| {
+            now < pending.active_at + params.resend_after
+                && now < pending.ordered_at + MAX_LOAD_DURATION
+        });
         self.complete_loads(&engines_by_id, now);
         self.pending.retain(|id, pending| {
             engines_by_id.get(id).is_some_and(|engine| {
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -142,10 +142,12 @@
         }
     }
 
-    /// Ends the orders that are complete or lost, and gives new ones while the lease is held. Returns
-    /// the time since which there have been engines with outdated weights.
+    /// Ends the orders that are complete or lost, gives new ones while the lease is held, and reports the
+    /// engines that load to the peers. Returns the time since which there have been engines with
+    /// outdated weights.
     fn update_orders(self: &Rc<Self>) -> Option<Timestamp> {
         let models = self.models();
+        self.remove_obsolete_rollouts(&models);
         let since = self.track_work(&models);
         // An order that could not be sent in the term would count as a failure of its engine.
         let lasts_until = self.now() + ORDER_MARGIN;
@@ -305,6 +307,15 @@
         }
     }
 
+    /// Removes the rollouts of models that the configuration no longer contains. Nothing would end
+    /// their orders, and their engines would count as loading.
+    fn remove_obsolete_rollouts(&self, models: &[ModelEngines]) {
+        let is_configured = |key: &RolloutKey| models.iter().any(|model| model.key == *key);
+        self.rollouts
+            .borrow_mut()
+            .retain(|key, _| is_configured(key));
+    }
+
     /// Starts the next orders and checks of all rollouts.
     fn issue_orders(self: &Rc<Self>, models: &[ModelEngines]) {
         let now = self.now();
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -413,6 +413,30 @@
     }
 }
 
+/// Guards against an engine that hangs during a load and stops the rollout to all others.
+#[test]
+fn an_engine_that_reports_a_load_without_end_does_not_stop_a_rollout() {
+    let params = RolloutParams::for_bound(WEIGHTS_BOUND);
+    let mut rollout = Rollout::new("m".into(), params);
+    let engines = [engine("a", 1), engine("b", 1), engine("c", 1)];
+    for now_ms in (0..30_000).step_by(100) {
+        let now = ms(now_ms);
+        for action in rollout.next(2, &engines, now) {
+            match action {
+                RolloutAction::Order { target, .. } if *target != *"a" => return,
+                RolloutAction::Order { target, .. } if now_ms == 0 => {
+                    rollout.on_order(&target, OrderResult::Accepted, now);
+                }
+                RolloutAction::Order { target, .. } => {
+                    rollout.on_order(&target, OrderResult::Busy, now);
+                }
+                RolloutAction::Check { target } => rollout.on_checked(&target, Some(true), now),
+            }
+        }
+    }
+    panic!("no other engine gets an order");
+}
+
 /// Guards against engines that do not answer and hold the places of those that could load.
 #[test]
 fn engines_that_do_not_answer_are_ordered_last() {
