Clarify names and comments of limits, messages and silence

A read gap of more than 1.6 s also occurs between the reads of running instances of later ranks; the comment said that it did not.

--- a/src/jujubelink/core/fleet/announcement.rs
+++ b/src/jujubelink/core/fleet/announcement.rs
@@ -15,8 +15,9 @@
 const STARTUP_OLD_WEIGHTS_RATIO: f64 = 0.6;
 
 /// Time since a version was last confirmed absent after which a read no longer dates its announcement,
-/// unless a read failed meanwhile. Instances that run read more often. The bound on old weights counts
-/// while they are suspended, but not while the store or a link is disrupted.
+/// unless a read failed meanwhile. The bound on old weights counts while instances are suspended, but
+/// not while the store or a link is disrupted. The first two instances read more often; a gap between
+/// the reads of others makes the announcement look older, which errs to the safe side.
 const MAX_READ_GAP: Duration = Duration::from_millis(1_600);
 
 /// Bounds on the use of superseded weights.
--- a/src/jujubelink/core/fleet/contact.rs
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -11,7 +11,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct StoreContact {
     last_answer_at: Timestamp,
-    /// Time since then that was spent on peers that did not answer. It says nothing about the store.
+    /// Time since then that was spent on peers that did not answer. It is no part of an outage, because
+    /// the store was not called.
     waited_for_peers: Duration,
 }
 
--- a/src/jujubelink/core/fleet/schedule.rs
+++ b/src/jujubelink/core/fleet/schedule.rs
@@ -2,18 +2,21 @@
 
 use std::time::Duration;
 
-/// Minimum time between two messages to the same peer. In a large fleet, the send interval is longer;
-/// this minimum then applies only between the instances that watch the store, and to all peers while
-/// engines load weights on this instance's order, because such engines refuse requests immediately.
-/// Within one interval the instances together may exceed a rate limit; while a limit is nearly
-/// exhausted, its usage is therefore reported more often.
+/// Minimum time between two messages to the same peer. In a large fleet, the send interval is longer,
+/// and this minimum then applies only
+///
+/// - between the instances that watch the store,
+/// - to all peers while engines load weights on this instance's order, because such engines refuse
+///   requests immediately,
+/// - while a limit is nearly exhausted, because the instances together may exceed it within an interval.
 pub const MIN_SEND_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum rate at which an instance sends messages. In a large fleet the interval between messages
 /// to each peer grows accordingly.
 const MAX_MESSAGES_PER_S: u32 = 40;
 
-/// Maximum rate at which an instance sends short usage reports while a limit is nearly exhausted.
+/// Maximum rate at which an instance sends short usage reports while a limit is nearly exhausted: one to
+/// each of 84 peers in each minimum interval.
 const MAX_USAGE_REPORTS_PER_S: u32 = 420;
 
 /// Number of send intervals without an echo after which contact with a peer counts as lost. Single
@@ -44,7 +47,7 @@
     /// Time without an echo after which contact with a peer counts as lost.
     pub contact_timeout: Duration,
     /// Time without a report after which a peer with which a limit is shared is assumed to use its
-    /// share. It is shorter than the contact timeout, because the assumption is corrected as soon
+    /// share. It is not longer than the contact timeout, because the assumption is corrected as soon
     /// as a report arrives.
     pub report_timeout: Duration,
     /// Time without an equal contact digest after which a limit is no longer shared with a peer.
--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -60,8 +60,8 @@
     is_reserved: bool,
     /// Time up to which the peer's usage was reported or its share was deducted.
     accounted_until: Timestamp,
-    /// `discarded` at that time.
-    discarded_before: f64,
+    /// `overflowed` at that time.
+    overflowed_before: f64,
     /// Units deducted for the peer that its reports have not yet replaced.
     assumed_units: f64,
 }
@@ -86,8 +86,9 @@
     refusals: u64,
     /// Units that peers reported while the limit was shared with them.
     reported: f64,
-    /// Units that accrued while the bucket was full, minus those that were assumed to be used.
-    discarded: f64,
+    /// Units that were lost because the bucket was full. A share that is deducted late is taken from
+    /// these first, since the level never contained them.
+    overflowed: f64,
     /// When a charge last succeeded.
     charged_at: Option<Timestamp>,
     peers: BTreeMap<InstanceId, Peer>,
@@ -109,7 +110,7 @@
             total: 0,
             refusals: 0,
             reported: 0.0,
-            discarded: 0.0,
+            overflowed: 0.0,
             charged_at: None,
             peers: BTreeMap::new(),
             reserved_peers: 0,
@@ -168,8 +169,8 @@
                 .is_some_and(|at| now.saturating_sub(at) <= recent)
     }
 
-    /// Sets the peers of the fleet, and for each whether the limit is shared with it. A new peer
-    /// starts without assumed units.
+    /// Sets the peers of the fleet, and for each whether the limit is shared with it. The share of a
+    /// new peer is deducted from now on.
     pub fn set_peers<'a>(
         &mut self,
         peers: impl Iterator<Item = (&'a InstanceId, bool)>,
@@ -181,7 +182,7 @@
             let mut peer = self.peers.remove(id).unwrap_or(Peer {
                 reported_at: now,
                 accounted_until: now,
-                discarded_before: self.discarded,
+                overflowed_before: self.overflowed,
                 is_reserved: !is_sharing,
                 ..Peer::default()
             });
@@ -196,7 +197,7 @@
     /// deducted instead, and the reported usage is applied once sharing resumes.
     pub fn on_report(&mut self, id: &InstanceId, used: PeerUsage, now: Timestamp) {
         self.advance(now);
-        let (discarded, report_timeout) = (self.discarded, self.report_timeout());
+        let (overflowed, report_timeout) = (self.overflowed, self.report_timeout());
         let Some(peer) = self.peers.get_mut(id) else {
             return;
         };
@@ -217,7 +218,7 @@
             self.next_overdue_at = self.next_overdue_at.min(now + report_timeout);
         }
         peer.accounted_until = now;
-        peer.discarded_before = discarded;
+        peer.overflowed_before = overflowed;
         let new_units = used.total.saturating_sub(peer.total) as f64;
         peer.total = peer.total.max(used.total);
         self.reported += new_units;
@@ -287,7 +288,7 @@
             }
         }
         let level = self.level + accrued - fair_share * self.reserved_peers as f64;
-        self.discarded += (level - self.burst).max(0.0);
+        self.overflowed += (level - self.burst).max(0.0);
         self.level = level.min(self.burst);
         if now > self.next_overdue_at {
             self.reserve_shares(now);
@@ -311,14 +312,14 @@
             }
             let unaccounted = now.saturating_sub(peer.accounted_until);
             let accrued = rate_per_instance * unaccounted.as_secs_f64();
-            let from_discarded = (self.discarded - peer.discarded_before).clamp(0.0, accrued);
-            self.discarded -= from_discarded;
-            self.level -= accrued - from_discarded;
+            let from_overflowed = (self.overflowed - peer.overflowed_before).clamp(0.0, accrued);
+            self.overflowed -= from_overflowed;
+            self.level -= accrued - from_overflowed;
             let part_of_level = self.level.max(0.0) / group_size as f64;
             self.level -= part_of_level;
             group_size -= 1;
             self.reserved_peers += 1;
-            peer.assumed_units += accrued - from_discarded + part_of_level;
+            peer.assumed_units += accrued - from_overflowed + part_of_level;
             peer.is_reserved = true;
             peer.accounted_until = now;
         }
@@ -336,7 +337,8 @@
 }
 
 /// Fraction of the burst below which charges are reported without waiting for the next regular
-/// message. A workspace that stays within its rate rarely gets below it.
+/// message. A workspace that stays within its rate rarely gets below it. Only this instance's view of
+/// the level counts, so the instances of a very large fleet can exhaust the limit before.
 const REPORTED_LEVEL_RATIO: f64 = 0.75;
 
 /// Maximum retry delay sent to a client, in seconds.
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -79,7 +79,7 @@
                     body,
                     buffer: BytesMut::new(),
                     has_data: false,
-                    silent_at: None,
+                    silence_ends_at: None,
                     forwarded_at: None,
                 };
                 relayed.restart_silence();
@@ -122,7 +122,7 @@
     buffer: BytesMut,
     has_data: bool,
     /// Time at which the target counts as silent unless a new event arrives before.
-    silent_at: Option<Timestamp>,
+    silence_ends_at: Option<Timestamp>,
     /// When the last bytes were handed over, until the client has room for more.
     forwarded_at: Option<Timestamp>,
 }
@@ -148,12 +148,12 @@
         Ok(data)
     }
 
-    /// Moves the end of the silence by the time that the client took to accept the last bytes, in which
+    /// Postpones `silence_ends_at` by the time that the client took to accept the last bytes, in which
     /// nothing was read from the target.
     fn exclude_client_wait(&mut self) {
         if let Some(forwarded_at) = self.forwarded_at.take() {
             let waited = self.exchange.now().saturating_sub(forwarded_at);
-            self.silent_at = self.silent_at.map(|at| at + waited);
+            self.silence_ends_at = self.silence_ends_at.map(|at| at + waited);
         }
     }
 
@@ -189,7 +189,7 @@
     async fn read(&mut self) -> Result<Option<Bytes>, ReadError> {
         let deadline = self.exchange.deadline;
         loop {
-            let ends_at = self.silent_at.map_or(deadline, |at| at.min(deadline));
+            let ends_at = self.silence_ends_at.map_or(deadline, |at| at.min(deadline));
             let remaining = ends_at.saturating_sub(self.exchange.now());
             let frame = self.body.frame();
             let timers = *self.exchange.proxy.context.timers();
@@ -215,7 +215,7 @@
     /// Starts the time in which the target has to send the next event.
     fn restart_silence(&mut self) {
         let timeout = self.silence_timeout();
-        self.silent_at = timeout.map(|timeout| self.exchange.now() + timeout);
+        self.silence_ends_at = timeout.map(|timeout| self.exchange.now() + timeout);
     }
 
     /// Returns how long the target may be silent before the stream is resumed elsewhere, or `None`
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -115,3 +115,10 @@
     #[prost(bool, tag = "12")]
     pub(super) is_leaving: bool,
 }
+
+impl PeerMessage {
+    /// Whether this is a short report, which lacks the state that grows with the fleet.
+    pub(super) fn is_short_report(&self) -> bool {
+        self.contact_digest == 0
+    }
+}
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -506,8 +506,8 @@
             }
         }
         drop(table);
-        // A short report has no digest, and does not change which peers are in contact.
-        let is_short = message.contact_digest == 0;
+        // A short report does not change which peers are in contact.
+        let is_short = message.is_short_report();
         let has_agreed = !is_short && message.contact_digest == self.contact_digest(now);
         if has_agreed && let Some(peer) = self.table.borrow_mut().get_mut(&name) {
             peer.contacts_agreed_at = Some(now);
