Take no late relay for an outage of the store

Cause: edge-jaboatao-1 got its updates from an instance whose list was older than 1.5 s at 18.06 s, listed the targets itself, and logged "store regained": the last list had been confirmed more than 1.9 s before. It then took the missing entry for one that had expired in an outage, and kept the server until 21.04 s. There was no outage at that time.

A relayed answer is now normal up to the age at which it is still used, 1.5 s. An outage must then last 2.4 s, and entries cannot expire in a shorter one.

--- a/src/jujubelink/core/fleet/contact.rs
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -7,6 +7,12 @@
 /// Time without an answer after which the store counts as having been unavailable.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(900);
 
+/// Age up to which a list that a peer relays is normal: the peer itself waits for the store's next
+/// answer, and its list is used up to this age. Together with the threshold, this is the shortest outage
+/// in which entries expire: they do so after three heartbeats of 1.2 s, of which the last one before the
+/// outage is up to one interval old.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
+
 /// When the store last answered this instance or the peer from which it gets updates.
 #[derive(Debug, Clone, Copy)]
 pub struct StoreContact {
@@ -25,11 +31,16 @@
         }
     }
 
-    /// Records an answer of the store, received directly or through a peer.
+    /// Records an answer of the store.
     pub fn on_answer(&mut self, at: Timestamp) {
         *self = Self::new(at);
     }
 
+    /// Records an answer that a peer received from the store at `confirmed_at` and relayed.
+    pub fn on_relayed_answer(&mut self, confirmed_at: Timestamp, now: Timestamp) {
+        self.on_answer((confirmed_at + MAX_RELAYED_AGE).min(now));
+    }
+
     /// Records that a peer did not answer a request for updates within `waited`.
     pub fn on_silent_peer(&mut self, waited: Duration) {
         self.waited_for_peers += waited;
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -58,9 +58,7 @@
             match peers.fetch_updates(&source).await {
                 Ok(has_changes) => {
                     revision = Some(fleet.target_revision());
-                    // The peer itself waits for the store's next answer for up to this time.
-                    let answered_at = fleet.targets_confirmed_at() + RELAYED_WATCH_TIMEOUT;
-                    contact.on_answer(answered_at.min(timers.boot_now()));
+                    contact.on_relayed_answer(fleet.targets_confirmed_at(), timers.boot_now());
                     if has_changes {
                         timers.sleep(WATCH_DEBOUNCE).await;
                     }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -424,3 +424,15 @@
     assert!(!contact.had_outage(ms(13_300)));
     assert!(contact.had_outage(ms(13_500)));
 }
+
+/// Guards against a peer that relays the store's answers late and is taken for an outage of the store, as
+/// on a day on which a server got requests 3.4 s after it had left.
+#[test]
+fn a_late_relayed_answer_is_no_outage_of_the_store() {
+    let mut contact = StoreContact::new(ms(1_000));
+    contact.on_relayed_answer(ms(16_100), ms(17_200));
+    assert!(!contact.had_outage(ms(18_063)));
+    assert!(contact.had_outage(ms(18_600)));
+    contact.on_relayed_answer(ms(18_000), ms(18_700));
+    assert!(!contact.had_outage(ms(19_500)));
+}
