Use one constant for the age of a relayed target list

The age up to which a relayed list is used and the age up to which it shows no outage are the same decision, and stood as 1.5 s in the peer exchange and in the core. The exchange now uses the constant of the core. No change of behaviour.

--- a/src/jujubelink/core/fleet/contact.rs
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -7,11 +7,13 @@
 /// Time without an answer after which the store counts as having been unavailable.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(900);
 
-/// Age up to which a list that a peer relays is normal: the peer itself waits for the store's next
-/// answer, and its list is used up to this age. Together with the threshold, this is the shortest outage
-/// in which entries expire: they do so after three heartbeats of 1.2 s, of which the last one before the
-/// outage is up to one interval old.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
+/// Maximum age of a target list received from a peer. The store answers watchers every second, and all
+/// instances have to discover a leaving target within two seconds.
+///
+/// A younger list shows no outage. Together with the threshold, this is the shortest outage in which
+/// entries expire: they do so after three heartbeats of 1.2 s, of which the last one before the outage is
+/// up to one interval old.
+pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
 
 /// When the store last answered this instance or the peer from which it gets updates.
 #[derive(Debug, Clone, Copy)]
--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -18,7 +18,7 @@
 mod state;
 
 pub use announcement::{Announcement, WeightsBounds};
-pub use contact::StoreContact;
+pub use contact::{MAX_RELAYED_AGE, StoreContact};
 pub use freshness::{Freshness, FreshnessProof};
 pub use order::InstancePosition;
 pub use policy::{
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -15,7 +15,7 @@
 
 use super::Peers;
 use super::peers::Peer;
-use crate::core::fleet::{Announcement, FreshnessProof};
+use crate::core::fleet::{Announcement, FreshnessProof, MAX_RELAYED_AGE};
 use crate::core::ids::{ConfigVersion, InstanceId, ModelId, Timestamp};
 use crate::ops::fleet::TargetListUpdate;
 use crate::ops::kvcache::CacheStores;
@@ -40,10 +40,6 @@
 /// Time allowed for the response in addition to the long-poll timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum age of a target list received from a peer. The store answers watchers every second, and
-/// all instances have to discover a leaving target within two seconds.
-const MAX_TARGETS_AGE: Duration = Duration::from_millis(1_500);
-
 /// Time for which a peer that did not answer is not used as a source.
 const SOURCE_BACKOFF: Duration = Duration::from_secs(10);
 
@@ -226,7 +222,7 @@
         let time_of = |age_ms: u64| measured_at.saturating_sub(Duration::from_millis(age_ms));
         let confirmed_at = time_of(update.targets_age_ms);
         let now = self.now();
-        if now.saturating_sub(confirmed_at) > MAX_TARGETS_AGE {
+        if now.saturating_sub(confirmed_at) > MAX_RELAYED_AGE {
             return None;
         }
         if let Some(age_ms) = update.config_age_ms {
