Log why and for how long a target without an entry is kept

The logs could not tell a false outage from a grace period that starts anew. The lines now state the remaining time, the length of the assumed outage, and the age of the target list: on an outdated source and on each answered request. No change of behaviour.

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -27,4 +27,4 @@
 };
 pub use records::{TargetAddress, TargetRecord};
 pub use schedule::{MIN_SEND_INTERVAL, MessageSchedule};
-pub use state::{FleetState, model_key};
+pub use state::{FleetState, Removal, model_key};
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -31,6 +31,20 @@
 /// Maximum number of removed targets that are remembered; further ones are not recorded.
 const MAX_REMOVED: usize = 4_096;
 
+/// What happened to a target whose entry was removed from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Removal {
+    /// The target was removed.
+    Removed,
+    /// The target is kept, because its entry may have expired in an outage of the store.
+    Postponed {
+        /// When the target is removed unless its entry reappears.
+        until: Timestamp,
+    },
+    /// The target was not known, or has a newer entry.
+    Unknown,
+}
+
 /// Returns the name under which the scheduler handles a model of a service. Several services may
 /// serve the same model, and each request belongs to one of the services.
 pub fn model_key(service: &str, model: &str) -> ModelId {
@@ -157,16 +171,21 @@
 
     /// Applies the removal of an entry at a store revision. Shortly after an outage of the store,
     /// the entry may merely have expired; the target is then kept until it has had time to write
-    /// the entry again.
-    pub fn on_target_removed(&mut self, id: &TargetId, revision: u64, now: Timestamp) {
+    /// the entry again. Returns what happened to the target.
+    pub fn on_target_removed(&mut self, id: &TargetId, revision: u64, now: Timestamp) -> Removal {
         let grace_end = self.store_recovered_at.map(|at| at + LAPSE_GRACE);
+        let is_known = self.targets.contains_key(id);
         if let Some(due) = grace_end.filter(|end| now < *end)
-            && self.targets.contains_key(id)
+            && is_known
         {
             self.lapsed.insert(id.clone(), (revision, due));
-            return;
+            return Removal::Postponed { until: due };
         }
         self.remove_target(id, revision, now);
+        match is_known && !self.targets.contains_key(id) {
+            true => Removal::Removed,
+            false => Removal::Unknown,
+        }
     }
 
     /// Removes a target unless its entry is newer than `revision`, and remembers the removal.
@@ -192,12 +211,13 @@
     }
 
     /// Applies a complete list at a store revision: targets that are missing in it are removed.
+    /// Returns what happened to these.
     pub fn on_target_list(
         &mut self,
         revision: u64,
         entries: Vec<(u64, TargetRecord)>,
         now: Timestamp,
-    ) {
+    ) -> Vec<(TargetId, Removal)> {
         let listed: BTreeSet<TargetId> = entries
             .iter()
             .map(|(_, record)| record.id.clone())
@@ -208,12 +228,15 @@
             .filter(|(id, (current, _))| !listed.contains(*id) && *current <= revision)
             .map(|(id, _)| id.clone())
             .collect();
+        let mut removals = Vec::new();
         for id in missing {
-            self.on_target_removed(&id, revision, now);
+            let removal = self.on_target_removed(&id, revision, now);
+            removals.push((id, removal));
         }
         for (revision, record) in entries {
             self.on_target(revision, record);
         }
+        removals
     }
 
     /// Returns all entries with their store revisions, for other instances.
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -12,7 +12,7 @@
 
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{
-    Announcement, FleetPolicy, FleetState, FreshnessProof, TargetRecord, WeightsBounds,
+    Announcement, FleetPolicy, FleetState, FreshnessProof, Removal, TargetRecord, WeightsBounds,
 };
 use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
@@ -181,21 +181,36 @@
                     id,
                     fault,
                 } => {
-                    if state.target(&id).is_some() {
-                        slog::info!(self.context.log(), "target removed"; "target" => &*id,
-                            "revision" => revision, "fault" => fault);
-                    }
-                    state.on_target_removed(&id, revision, now);
+                    let removal = state.on_target_removed(&id, revision, now);
+                    self.log_removal(&id, revision, removal, fault);
                 }
             }
         }
         if is_complete {
-            state.on_target_list(changes.revision, entries, now);
+            for (id, removal) in state.on_target_list(changes.revision, entries, now) {
+                self.log_removal(&id, changes.revision, removal, None);
+            }
         }
         drop(state);
         self.publish_snapshot();
     }
 
+    fn log_removal(&self, id: &TargetId, revision: u64, removal: Removal, fault: Option<String>) {
+        match removal {
+            Removal::Removed => {
+                slog::info!(self.context.log(), "target removed"; "target" => &**id,
+                    "revision" => revision, "fault" => fault);
+            }
+            Removal::Postponed { until } => {
+                let remaining = until.saturating_sub(self.context.timers().boot_now());
+                slog::info!(self.context.log(), "target kept after a store outage";
+                    "target" => &**id, "revision" => revision, "fault" => fault,
+                    "remaining_ms" => ms(remaining));
+            }
+            Removal::Unknown => {}
+        }
+    }
+
     fn log_target_change(&self, state: &FleetState, record: &TargetRecord, revision: u64) {
         let previous = state.target(&record.id);
         let is_same = previous.is_some_and(|previous| {
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -87,7 +87,8 @@
             Ok(changes) => {
                 if contact.had_outage(requested_at) {
                     fleet.on_store_recovered();
-                    slog::info!(context.log(), "store regained"; "call" => "targets");
+                    slog::info!(context.log(), "store regained"; "call" => "targets",
+                        "unanswered_ms" => ms(contact.unanswered(requested_at)));
                 }
                 let answered_at = timers.boot_now();
                 contact.on_answer(answered_at);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -485,7 +485,8 @@
             "sends" => self.sends, "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(now.saturating_sub(self.arrived)),
             "config" => admission.map(|admission| admission.policy.version),
-            "config_age_ms" => self.relay.fleet.config_age().map(ms));
+            "config_age_ms" => self.relay.fleet.config_age().map(ms),
+            "targets_age_ms" => ms(now.saturating_sub(self.relay.fleet.targets_confirmed_at())));
         let elapsed = now.saturating_sub(self.arrived);
         self.proxy.context.metrics().time("relay.answered", elapsed);
     }
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -175,7 +175,8 @@
         };
         if let Err(error) = applied {
             slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
-                "waited_ms" => ms(waited), "error" => format!("{error:?}"));
+                "waited_ms" => ms(waited), "error" => format!("{error:?}"),
+                "targets_age_ms" => ms(self.now().saturating_sub(self.fleet.targets_confirmed_at())));
             let until = self.now() + SOURCE_BACKOFF;
             if let Some(peer) = self.table.borrow_mut().get_mut(source) {
                 peer.backoff_until = until;
