--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -1,10 +1,11 @@
 //! Requests from clients through the real binary to targets that speak the platform's protocol. The
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
-use std::io::BufRead;
+use std::io::{BufRead, Read};
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::rc::Rc;
+use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
@@ -437,6 +438,55 @@
     });
 }
 
+/// Guards against targets that get requests after they have left, because an instance takes a source of
+/// updates that lost the store for an outage of the store, and waits for their entries to reappear.
+#[test]
+fn a_source_that_lost_the_store_is_no_outage_of_the_store() {
+    run(async {
+        let deployment = Deployment::new();
+        let mut instances = Vec::new();
+        let mut logs = Vec::new();
+        for number in 10..24 {
+            let name = format!("n{number}");
+            let instance = deployment.start_with_log(&name, "", StoreMode::Up, Stdio::piped());
+            let mut instance = instance.await;
+            logs.push(read_lines(instance.process.take_log()));
+            instances.push(instance);
+        }
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        let followers = wait_for_four_followers(&instances).await;
+        // All but one of the sources lose the store, so most followers depend on one that did.
+        let watching = (0..instances.len()).filter(|index| !followers.contains(index));
+        for watcher in watching.skip(1) {
+            instances[watcher]
+                .store_endpoint
+                .set_mode(StoreMode::Silent);
+        }
+        let lost_source = "\"error\":\"Outdated\"";
+        eventually(
+            "a follower notices that its source lost the store",
+            || async {
+                let mut lines = followers.iter().flat_map(|index| logs[*index].try_iter());
+                lines.any(|line| line.contains(lost_source)).then_some(())
+            },
+        )
+        .await;
+        deployment.store.remove("servers", "s2");
+        for follower in &followers {
+            wait_until_unused(&deployment.services[1], &instances[*follower]).await;
+        }
+        for follower in &followers {
+            let outages: Vec<String> = logs[*follower]
+                .try_iter()
+                .filter(|line| line.contains("\"store regained\""))
+                .collect();
+            assert!(outages.is_empty(), "{outages:?}");
+        }
+    });
+}
+
 /// Guards against instances that disagree on their order when a large fleet starts over several seconds:
 /// all of them then watch the store, or none does.
 #[test]
@@ -495,6 +545,19 @@
     .await;
 }
 
+/// Reads the lines of a log in a thread.
+fn read_lines(log: impl Read + Send + 'static) -> mpsc::Receiver<String> {
+    let (sender, lines) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in std::io::BufReader::new(log).lines().map_while(Result::ok) {
+            if sender.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
+
 /// Injects one fault, or none, into each of the next requests.
 fn schedule_faults(faults: &FaultPlan, next: &[Option<TargetFault>]) {
     faults.borrow_mut().extend(next.iter().copied());
@@ -654,14 +717,7 @@
                 .await;
             assert_eq!(response.status, 200);
         }
-        let (sender, lines) = std::sync::mpsc::channel();
-        std::thread::spawn(move || {
-            for line in std::io::BufReader::new(log).lines().map_while(Result::ok) {
-                if sender.send(line).is_err() {
-                    return;
-                }
-            }
-        });
+        let lines = read_lines(log);
         let dropped_count = eventually("a log line counts the dropped lines", || async {
             instance.send_request("last", "GET", "/read/x").await;
             lines.try_iter().find_map(|line| {
