Take targets out of service that announce their shutdown in a response

A target that leaves states so in all its responses (Server-Leaving), and an instance that has passed on such a response sends it no request that a client sent more than the drain bound later, whether or not it reaches the store. The header was not decoded: an instance without the store kept using the target.

The response head now sets the incarnation of the target as leaving, which the scheduler and the last check before a send already respect. A response of another target at the same address says nothing about this one. The knowledge outlasts the entry, which may expire and be written again by the same incarnation.

The test fails without the change: "timed out waiting for: prompts go to the other engine".

--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -14,7 +14,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
 use jujubelink::platform::names::{
-    ATTEMPT_ID, EXPECT_TARGET, EXPECT_WEIGHTS, LAST_EVENT_ID, MODEL, NOT_RUN, ORDER_PATH,
+    ATTEMPT_ID, EXPECT_TARGET, EXPECT_WEIGHTS, LAST_EVENT_ID, LEAVING, MODEL, NOT_RUN, ORDER_PATH,
     REPORT_PATH, RESPONSE_SIGNATURE, TARGET_ID, TARGET_LOAD, WEIGHTS,
 };
 use jujubelink::util::http::{Body, BodyError, collect_limited, empty, full};
@@ -59,6 +59,7 @@
     load_duration: Cell<Duration>,
     /// End of the running load, and the version that it loads.
     loading: Cell<Option<(Instant, u64)>>,
+    is_leaving: Cell<bool>,
     faults: FaultPlan,
     seen: RefCell<Vec<(HeaderMap, Bytes)>>,
     runs: Cell<u64>,
@@ -73,6 +74,7 @@
             version: Cell::new(1),
             load_duration: Cell::default(),
             loading: Cell::default(),
+            is_leaving: Cell::new(false),
             faults: Rc::clone(faults),
             seen: RefCell::default(),
             runs: Cell::new(0),
@@ -100,6 +102,11 @@
         self.load_duration.set(duration);
     }
 
+    /// Sets whether all responses state that the target is shutting down.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.set(is_leaving);
+    }
+
     /// Returns the loaded version of the weights.
     pub fn version(&self) -> u64 {
         if let Some((end, version)) = self.loading.get()
@@ -188,6 +195,17 @@
 
 impl StandIn for FleetTarget {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let mut response = self.respond(request).await;
+        if self.is_leaving.get() {
+            let one = "1".parse().expect("a valid header value");
+            response.headers_mut().insert(LEAVING, one);
+        }
+        response
+    }
+}
+
+impl FleetTarget {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let body = collect_limited(body, MAX_BODY_BYTES).await;
         let body = body.ok().flatten().unwrap_or_default();
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -205,9 +205,11 @@
             entry.0 = entry.0.max(revision);
             entry.1 = now;
         }
-        let targets = &self.targets;
+        let (targets, removed) = (&self.targets, &self.removed);
         self.observed.retain(|(id, _), _| targets.contains_key(id));
-        self.leaving.retain(|(id, _)| targets.contains_key(id));
+        // An entry that expired may be written again by an incarnation that is shutting down.
+        self.leaving
+            .retain(|(id, _)| targets.contains_key(id) || removed.contains_key(id));
     }
 
     /// Applies a complete list at a store revision: targets that are missing in it are removed.
@@ -290,15 +292,16 @@
                 .contains(&(record.id.clone(), record.incarnation))
     }
 
-    /// Records that a target announced its shutdown in a response.
-    pub fn set_leaving(&mut self, id: &TargetId) {
-        let Some(record) = self.target(id) else {
-            return;
-        };
-        let target_run = (id.clone(), record.incarnation);
-        if self.leaving.insert(target_run) {
+    /// Records that an incarnation of a target announced its shutdown in a response. Returns whether
+    /// that was unknown.
+    pub fn set_leaving(&mut self, id: &TargetId, incarnation: Incarnation) -> bool {
+        let is_new = !self.leaving.contains(&(id.clone(), incarnation));
+        if is_new && self.is_current_incarnation(id, incarnation) {
+            self.leaving.insert((id.clone(), incarnation));
             self.generation += 1;
+            return true;
         }
+        false
     }
 
     /// Records the announcement of a model's weights version. Returns whether it is the newest
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -13,6 +13,8 @@
     pub is_signed: bool,
     /// Whether the target states that it has not run the request.
     pub is_not_run: bool,
+    /// Whether the target states that it is shutting down.
+    pub is_leaving: bool,
     /// Name of the target that responded, if stated.
     pub target: Option<String>,
     /// Number of running requests, queued requests and slots.
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -491,9 +491,12 @@
         Some(true)
     }
 
-    /// Marks a target as leaving, as it announced in a response.
-    pub fn set_leaving(&self, target: &TargetId) {
-        self.state.borrow_mut().set_leaving(target);
+    /// Takes an incarnation of a target out of service, as it announced its shutdown in a response.
+    pub fn set_leaving(&self, target: &TargetId, incarnation: Incarnation) {
+        if self.state.borrow_mut().set_leaving(target, incarnation) {
+            slog::info!(self.context.log(), "target announced its shutdown";
+                "target" => &**target, "incarnation" => incarnation);
+        }
         self.publish_snapshot();
     }
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -217,7 +217,14 @@
     ) -> Result<SendOutcome, SendFailure> {
         let head = decode_response_head(response.status().as_u16(), response.headers());
         let verdict = classify_response(&head, &self.head.id, &record.id);
-        if verdict != ResponseVerdict::Foreign {
+        let is_from_target = !matches!(
+            verdict,
+            ResponseVerdict::Foreign
+                | ResponseVerdict::Misdirected {
+                    is_expected_target: false
+                }
+        );
+        if is_from_target {
             self.record_target_state(record, &head);
         }
         match verdict {
@@ -307,8 +314,12 @@
         }
     }
 
-    /// Records the load and weights that a response reports about its target.
+    /// Records what a response reports about its target: its shutdown, load and weights.
     fn record_target_state(&self, record: &TargetRecord, head: &ResponseHead) {
+        if head.is_leaving {
+            let fleet = &self.relay.fleet;
+            fleet.set_leaving(&record.id, record.incarnation);
+        }
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
         if let (Some(model), Some(weights)) = (model, head.weights) {
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -735,8 +735,9 @@
     }
 
     fn set_target_leaving(&self, target: &TargetId, is_leaving: bool) {
-        if is_leaving {
-            self.fleet.set_leaving(target);
+        let record = self.fleet.state().target(target).cloned();
+        if let (true, Some(record)) = (is_leaving, record) {
+            self.fleet.set_leaving(target, record.incarnation);
         }
     }
 }
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -23,6 +23,8 @@
 pub const TARGET_LOAD: &str = "jujubelink-server-load";
 /// Present on the response to a request that was not run.
 pub const NOT_RUN: &str = "jujubelink-not-executed";
+/// Present, with the value 1, on all responses of a target that is shutting down.
+pub const LEAVING: &str = "server-leaving";
 /// Target that responded.
 pub const TARGET_ID: &str = "jujubelink-instance-id";
 /// Model of the request.
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -8,8 +8,8 @@
 
 use super::names::{
     ATTEMPT_ID, CACHE_SALT, DEADLINE_MS, EXPECT_TARGET, EXPECT_WEIGHTS, KV_FETCH, KV_SAVE,
-    LAST_EVENT_ID, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, RESPONSE_SIGNATURE, TARGET_ID,
-    TARGET_LOAD, TOKEN_COUNT, WEIGHTS, WORKSPACE,
+    LAST_EVENT_ID, LEAVING, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, RESPONSE_SIGNATURE,
+    TARGET_ID, TARGET_LOAD, TOKEN_COUNT, WEIGHTS, WORKSPACE,
 };
 use crate::core::relay::{AttemptHead, PromptHead, RelayHead, ResponseHead};
 use crate::util::hash::{sha256_hex, stable_hash};
@@ -154,6 +154,7 @@
         request_id: text(headers, ATTEMPT_ID).map(str::to_owned),
         is_signed: headers.contains_key(RESPONSE_SIGNATURE),
         is_not_run: headers.contains_key(NOT_RUN),
+        is_leaving: text(headers, LEAVING).is_some_and(|value| value.trim() == "1"),
         target: text(headers, TARGET_ID).map(str::to_owned),
         load,
         weights: text(headers, WEIGHTS).and_then(|value| value.trim().parse().ok()),
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -97,6 +97,23 @@
     assert_eq!(state.serving_targets("llm"), [id]);
 }
 
+/// Guards against requests to a target that announced its shutdown only in a response: its entry may be
+/// removed and appear once more, as after an outage of the store. A restarted target is used again.
+#[test]
+fn an_announced_shutdown_outlasts_the_entry() {
+    let mut state = FleetState::new();
+    let id: TargetId = "t".into();
+    state.on_target(1, record("t", 1, false));
+    assert!(!state.set_leaving(&id, 0));
+    assert!(state.set_leaving(&id, 1));
+    assert!(!state.set_leaving(&id, 1));
+    state.on_target_removed(&id, 2, secs(1));
+    state.on_target(3, record("t", 1, false));
+    assert!(state.serving_targets("llm").is_empty());
+    state.on_target(4, record("t", 2, false));
+    assert_eq!(state.serving_targets("llm"), [id]);
+}
+
 /// Guards against live targets that are dropped because their entries expired during an outage of
 /// the store, and against lost targets that are kept forever. Live targets write their entries
 /// again soon after the outage.
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -263,10 +263,11 @@
     assert_eq!(head.request_id.as_deref(), Some("9c41"));
     assert_eq!(head.target.as_deref(), Some("i-1"));
     assert_eq!((head.load, head.weights), (Some((3, 0, 8)), Some(4)));
-    assert!(head.is_signed && !head.is_not_run);
+    assert!(head.is_signed && !head.is_not_run && !head.is_leaving);
+    headers.insert("server-leaving", "1".parse().unwrap());
     headers.insert("jujubelink-not-executed", "1".parse().unwrap());
     headers.insert("jujubelink-server-load", "3,0".parse().unwrap());
     let head = decode_response_head(503, &headers);
-    assert!(head.is_not_run);
+    assert!(head.is_not_run && head.is_leaving);
     assert_eq!(head.load, None);
 }
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path.rs
@@ -751,6 +751,44 @@
     });
 }
 
+/// Guards against requests to a target that states in its responses that it is shutting down, while its
+/// entry in the store still says that it is ready, was written again, or was removed and reappears.
+#[test]
+fn targets_that_announce_their_shutdown_in_responses_get_no_requests() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        deployment.services[0].set_leaving(true);
+        deployment.engines[0].set_leaving(true);
+        wait_until_unused(&deployment.services[0], &instance).await;
+        eventually("prompts go to the other engine", || async {
+            let before = deployment.engines[0].runs();
+            for number in 0..6 {
+                let id = format!("p{number}");
+                instance.send_prompt(&id, "/ask/x").await;
+            }
+            (deployment.engines[0].runs() == before).then_some(())
+        })
+        .await;
+        let runs = deployment.services[0].runs();
+        // The instance sees the entries in the order in which they are written.
+        deployment.put_target("s1", "ready", 1);
+        deployment.put_target("s2", "draining", 1);
+        instance.wait_status("no target is left", 503).await;
+        deployment.store.remove("servers", "s1");
+        deployment.put_target("s1", "ready", 1);
+        deployment.put_target("s2", "ready", 2);
+        instance.wait_status("the other target is back", 200).await;
+        for _ in 0..6 {
+            instance.send_request("r", "GET", "/read/x").await;
+        }
+        assert_eq!(deployment.services[0].runs(), runs);
+        deployment.services[0].set_leaving(false);
+        deployment.put_target("s1", "ready", 2);
+        deployment.put_target("s2", "draining", 2);
+        instance.wait_status("the target has restarted", 200).await;
+    });
+}
+
 /// Guards against an instance that reads the configuration before the list of instances, and admits
 /// what a fleet of one instance could: when a large fleet starts again at once, a workspace would get
 /// many times its limit.
