Attribute responses without an id on kept connections to no request

What callers saw: reported by operators of other systems. A faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal counted for the request whose response was due, unless it named another request. Without an identifier it may be the repetition of an earlier one. It may also name the same request: one that is refused is sent again, to the same target if there is no other, and the pool may give it the connection of the refusal.

Why it works: a response without an id counts only as the first one on its connection, as no earlier request can have caused it there; otherwise the outcome is unknown and the connection is closed. A target that gets the same request again gets it on a new connection. The unit test of misdirected responses, which have no id, now states that they are the first on their connection.

The tests of the platform's path become a folder, so that these share its deployment.

--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -53,12 +53,20 @@
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Classifies the response to the request `id` sent to `target`.
-pub fn classify_response(head: &ResponseHead, id: &str, target: &str) -> ResponseVerdict {
-    if head
-        .request_id
-        .as_deref()
-        .is_some_and(|echoed| echoed != id)
-    {
+///
+/// On a connection that served another request before, a response without an identifier may be a
+/// repetition of that request's response.
+pub fn classify_response(
+    head: &ResponseHead,
+    id: &str,
+    target: &str,
+    is_new_connection: bool,
+) -> ResponseVerdict {
+    let is_answer_to_request = match &head.request_id {
+        Some(echoed) => echoed == id,
+        None => is_new_connection,
+    };
+    if !is_answer_to_request {
         return ResponseVerdict::Foreign;
     }
     if head.status == MISDIRECTED {
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -136,10 +136,7 @@
             ));
         }
         let request = self.request_for(&record, remaining, weights)?;
-        let options = match self.is_repeatable() {
-            true => RequestOptions::default(),
-            false => RequestOptions::for_non_idempotent(),
-        };
+        let options = self.request_options(&record);
         let timeout = self.head_timeout(remaining);
         self.sends += 1;
         let sending = self
@@ -171,6 +168,19 @@
         self.evaluate_response(&record, response).await
     }
 
+    /// Returns the options for the connection. A target that gets the request again may repeat its
+    /// first response on the connection of that response, with the same identifier.
+    fn request_options(&self, record: &TargetRecord) -> RequestOptions {
+        let options = match self.is_repeatable() {
+            true => RequestOptions::default(),
+            false => RequestOptions::for_non_idempotent(),
+        };
+        match self.excluded.contains(&record.id) {
+            true => options.with_new_connection(),
+            false => options,
+        }
+    }
+
     fn is_repeatable(&self) -> bool {
         let admission = self.admission.as_ref();
         admission.is_some_and(|admission| admission.route.kind.is_repeatable())
@@ -229,7 +239,9 @@
         response: Response<Incoming>,
     ) -> Result<SendOutcome, SendFailure> {
         let head = decode_response_head(response.status().as_u16(), response.headers());
-        let verdict = classify_response(&head, &self.head.id, &record.id);
+        let reuse = response.extensions().get::<ConnectionReuse>();
+        let is_new_connection = reuse.is_some_and(ConnectionReuse::is_new_connection);
+        let verdict = classify_response(&head, &self.head.id, &record.id, is_new_connection);
         let is_from_target = !matches!(
             verdict,
             ResponseVerdict::Foreign
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -127,13 +127,27 @@
     }
 }
 
-/// Extension of a response by which the receiver can prevent further use of the connection.
-#[derive(Debug, Clone, Default)]
+/// Extension of a response about the use of its connection for other requests. The receiver can prevent
+/// further use.
+#[derive(Debug, Clone)]
 pub struct ConnectionReuse {
+    is_new: bool,
     is_discarded: Arc<AtomicBool>,
 }
 
 impl ConnectionReuse {
+    fn new(is_new: bool) -> Self {
+        Self {
+            is_new,
+            is_discarded: Arc::default(),
+        }
+    }
+
+    /// Whether the response is the first one on its connection.
+    pub fn is_new_connection(&self) -> bool {
+        self.is_new
+    }
+
     /// Excludes the connection from further requests, because the data that it delivers next may
     /// belong to the previous request.
     pub fn discard(&self) {
@@ -186,7 +200,7 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.return_when_ready(address, sender, response)),
+                Ok(response) => return Ok(self.return_when_ready(address, sender, response, false)),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendFailure::sent(address, failure.into_error())),
@@ -198,7 +212,7 @@
             Err(error) => return Err(SendFailure::unsent(error, request)),
         };
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.return_when_ready(address, sender, response)),
+            Ok(response) => Ok(self.return_when_ready(address, sender, response, true)),
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => {
                     let source = io::Error::other(failure.into_error());
@@ -245,10 +259,11 @@
         address: SocketAddr,
         mut sender: http1::SendRequest<Body>,
         mut response: Response<Incoming>,
+        is_new: bool,
     ) -> Response<Incoming> {
         let idle = Rc::clone(&self.idle);
         let keep_alive_timeout = keep_alive_timeout(response.headers());
-        let reuse = ConnectionReuse::default();
+        let reuse = ConnectionReuse::new(is_new);
         response.extensions_mut().insert(reuse.clone());
         compio::runtime::spawn(async move {
             if sender.ready().await.is_err() || reuse.is_discarded() {
--- /dev/null
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -0,0 +1,179 @@
+//! Targets that repeat an earlier response on a kept connection, or close the connection within a
+//! response.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use super::{Deployment, RunningInstance, expected_events, wait_until_unused};
+use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
+
+impl Deployment {
+    /// Makes `address` the only target of the plain service.
+    fn use_plain_target(&self, address: SocketAddr) {
+        self.put_target_at("s1", address, "ready", 2, 1);
+        self.put_target("s2", "draining", 1);
+    }
+}
+
+fn success(request: &ReceivedRequest, body: &str) -> String {
+    response_head("200 OK", &request.id, body.len()) + body
+}
+
+fn refusal(id: &str) -> String {
+    let head = response_head("503 Service Unavailable", id, 0);
+    head.replacen("\r\n", "\r\njujubelink-not-executed: 1\r\n", 1)
+}
+
+fn response_head(status: &str, id: &str, body_length: usize) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\njujubelink-attempt-id: {id}\r\njujubelink-server-stamp: s\r\n\
+         content-length: {body_length}\r\n\r\n"
+    )
+}
+
+/// Sends a request that the first target refuses and the second one serves, and then another one
+/// that arrives on the connection of the refusal, where the target runs it and writes `repeated`.
+/// Returns the response to the latter.
+async fn send_behind_a_repeated_refusal(
+    deployment: &Deployment,
+    instance: &RunningInstance,
+    repeated: &'static str,
+) -> TestResponse {
+    let target = ScriptedTarget::start(move |request| match request.id.as_str() {
+        "first" => Reply::kept(refusal("first")),
+        "second" if request.index > 0 => Reply::kept(repeated),
+        _ => Reply::kept(success(request, "ok")),
+    });
+    deployment.use_plain_target(target.address());
+    eventually("the target serves requests", || async {
+        let response = instance.send_request("r", "GET", "/read/x").await;
+        (response.body == "ok").then_some(())
+    })
+    .await;
+    let runs = deployment.services[1].runs();
+    let response = eventually("the request arrives on a kept connection", || async {
+        instance.send_request("first", "POST", "/pay/x").await;
+        let response = instance.send_request("second", "POST", "/pay/x").await;
+        let received = target.received();
+        let second = received.iter().rfind(|request| request.id == "second")?;
+        (second.index > 0).then_some(response)
+    })
+    .await;
+    let received = target.received();
+    let arrivals = received.iter().filter(|request| request.id == "second");
+    assert_eq!(arrivals.count(), 1, "{repeated}");
+    assert_eq!(deployment.services[1].runs(), runs, "{repeated}");
+    response
+}
+
+/// Guards against a refusal of an earlier request that is taken for the one of a request that runs: the
+/// client would be told that it has not run, or it would run a second time.
+#[test]
+fn a_repeated_refusal_on_a_kept_connection_refuses_no_later_request() {
+    run(async {
+        for repeated in [
+            "HTTP/1.1 503 Service Unavailable\r\njujubelink-attempt-id: first\r\n\
+             jujubelink-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 503 Service Unavailable\r\njujubelink-not-executed: 1\r\n\
+             content-length: 0\r\n\r\n",
+            "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+        ] {
+            let (deployment, instance) = Deployment::start_ready("").await;
+            let response = send_behind_a_repeated_refusal(&deployment, &instance, repeated).await;
+            assert_eq!(response.status, 502, "{repeated}");
+        }
+    });
+}
+
+/// Guards against a repeated refusal of the same request: the request was sent to its target once more,
+/// on the connection on which the target had refused it.
+#[test]
+fn a_repeated_refusal_does_not_refuse_the_next_attempt_at_the_same_target() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let refusing_connections = Mutex::new(HashSet::new());
+        let target = ScriptedTarget::start(move |request| {
+            let mut refusing = refusing_connections.lock().unwrap();
+            let is_refused = request.path == "/pay/x"
+                && (refusing.len() < 2 || refusing.contains(&request.connection));
+            if !is_refused {
+                return Reply::kept(success(request, "ok"));
+            }
+            refusing.insert(request.connection);
+            Reply::kept(refusal(&request.id))
+        });
+        deployment.use_plain_target(target.address());
+        eventually("the target serves requests", || async {
+            let response = instance.send_request("r", "GET", "/read/x").await;
+            (response.body == "ok").then_some(())
+        })
+        .await;
+        wait_until_unused(&deployment.services[1], &instance).await;
+        let response = instance.send_request("r", "POST", "/pay/x").await;
+        let received = target.received().into_iter();
+        let attempts: Vec<_> = received
+            .filter(|request| request.path == "/pay/x")
+            .collect();
+        assert_eq!((response.status, attempts.len()), (200, 3), "{attempts:?}");
+    });
+}
+
+/// Guards against a response that the target did not finish and that reaches the client as a complete
+/// one, or as the statement that the request has not run, wherever the target closes the connection.
+#[test]
+fn a_response_that_ends_early_is_not_delivered_as_complete() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        for id in ["s1", "s2", "e1", "e2"] {
+            deployment.store.remove("servers", id);
+        }
+        let request = ReceivedRequest {
+            connection: 0,
+            index: 0,
+            path: String::new(),
+            id: "r".to_owned(),
+        };
+        let complete = success(&request, &expected_events(1..=1));
+        let is_boundary = |length: &usize| {
+            let ends_line = complete[..*length].ends_with(['\r', '\n']);
+            ends_line || length % 20 == 1 || *length + 1 >= complete.len()
+        };
+        for length in (0..=complete.len()).filter(is_boundary) {
+            let prefix = complete[..length].to_owned();
+            // New targets and prompts each time, as targets that fail again and again get no requests, and
+            // prompts that crash several targets are refused.
+            let targets = [format!("s{length}"), format!("e{length}")].map(|id| {
+                let reply = prefix.clone();
+                let target = ScriptedTarget::start(move |_| Reply::closed(reply.clone()));
+                deployment.put_target_at(&id, target.address(), "ready", 1, 1);
+                (id, target)
+            });
+            for (route, (_, target)) in ["pay", "tell"].iter().zip(&targets) {
+                let path = format!("/{route}/{length}");
+                let prompt = format!("{length:x}:1200");
+                let response = eventually("the request is sent to the target", || async {
+                    let response = match *route {
+                        "pay" => instance.send_request("r", "POST", &path).await,
+                        _ => instance.send_prompt_of_parts("r", &path, &prompt).await,
+                    };
+                    (!target.received().is_empty()).then_some(response)
+                })
+                .await;
+                let expected: &[u16] = match length < complete.len() {
+                    true => &[0, 502],
+                    false => &[200],
+                };
+                assert!(
+                    expected.contains(&response.status),
+                    "{} to {path} after {prefix:?}",
+                    response.status
+                );
+            }
+            for (id, _) in &targets {
+                deployment.store.remove("servers", id);
+            }
+        }
+    });
+}
--- a/tests/testsuite/platform_path.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -1,6 +1,8 @@
 //! Requests from clients through the real binary to targets that speak the platform's protocol. The
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
+mod faulty_responses;
+
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
 use std::process::Stdio;
@@ -80,6 +82,17 @@
             .iter()
             .find(|(target, _)| target == id)
             .unwrap();
+        self.put_target_at(id, handle.address(), state, incarnation, weights);
+    }
+
+    fn put_target_at(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        state: &str,
+        incarnation: u64,
+        weights: u64,
+    ) {
         let (service, models) = match id.starts_with('e') {
             true => (
                 "llm",
@@ -87,7 +100,7 @@
             ),
             false => ("app", json!([])),
         };
-        let entry = json!({ "service": service, "address": handle.address(), "zone": "a",
+        let entry = json!({ "service": service, "address": address, "zone": "a",
             "version": "v1", "slots": 8, "state": state, "models": models, "sequence": 3,
             "born": incarnation });
         self.store.put("servers", id, entry);
@@ -221,45 +234,59 @@
     /// Sends a request for a streamed completion of a prompt that has a part shared with other prompts
     /// (`a1`, 800 tokens) and a part of its own (`b2`, 400 tokens).
     async fn send_prompt(&self, id: &str, path: &str) -> TestResponse {
+        self.send_prompt_of_parts(id, path, "a1:800,b2:400").await
+    }
+
+    async fn send_prompt_of_parts(&self, id: &str, path: &str, parts: &str) -> TestResponse {
         let request = http::Request::post(path)
             .header("host", "shop.example")
             .header("jujubelink-attempt-id", id)
             .header("jujubelink-deadline-ms", "3000")
             .header("jujubelink-model", "m")
             .header("jujubelink-token-count", "1200,50")
-            .header("jujubelink-prompt-prefix", "a1:800,b2:400")
+            .header("jujubelink-prompt-prefix", parts)
             .header("authorization", format!("Bearer {KEY}"));
         send_with_host(self.process.client_address, request, "prompt").await
     }
 }
 
-/// Sends a request that already has a `host` header.
+/// Sends a request that already has a `host` header. Status 0 stands for a response that ended early.
 async fn send_with_host(
     address: SocketAddr,
     request: http::request::Builder,
     body: &str,
 ) -> TestResponse {
-    use jujubelink::util::http::{Client, RequestOptions, collect_limited, full};
+    use http_body_util::BodyExt;
+    use jujubelink::util::http::{Client, RequestOptions, full};
     let request = request.body(full(body.to_owned())).unwrap();
     let options = RequestOptions::default().with_new_connection();
-    let response = Client::new().send(address, request, options).await.unwrap();
-    let (head, body) = response.into_parts();
-    // Status 0 stands for a body that ended early.
-    let (status, body) = match collect_limited(body, 1 << 20).await {
-        Ok(Some(body)) => (head.status.as_u16(), body),
-        _ => (0, static_bytes("incomplete body")),
+    let Ok(response) = Client::new().send(address, request, options).await else {
+        return TestResponse {
+            status: 0,
+            headers: HeaderMap::new(),
+            body: String::new(),
+        };
     };
+    let (head, mut body) = response.into_parts();
+    let mut text = String::new();
+    let mut status = head.status.as_u16();
+    while let Some(frame) = body.frame().await {
+        match frame.map(http_body::Frame::into_data) {
+            Ok(Ok(data)) => text += &String::from_utf8_lossy(&data),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                status = 0;
+                break;
+            }
+        }
+    }
     TestResponse {
         status,
         headers: head.headers,
-        body: String::from_utf8(body.to_vec()).unwrap(),
+        body: text,
     }
 }
 
-fn static_bytes(text: &'static str) -> bytes::Bytes {
-    bytes::Bytes::from_static(text.as_bytes())
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers
         .get(name)
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -18,7 +18,7 @@
 /// client, and against a request that counts as not run although the target did not state so.
 #[test]
 fn only_signed_responses_to_the_request_are_delivered() {
-    let classify = |head: &ResponseHead| classify_response(head, "r", "t");
+    let classify = |head: &ResponseHead| classify_response(head, "r", "t", false);
     assert_eq!(classify(&head(200)), ResponseVerdict::Deliver);
     assert_eq!(classify(&head(404)), ResponseVerdict::Deliver);
     assert_eq!(classify(&head(500)), ResponseVerdict::FailedRun);
@@ -61,7 +61,7 @@
         target: Some("t".to_owned()),
         ..head(421)
     };
-    let verdict = classify_response(&misdirected, "r", "t");
+    let verdict = classify_response(&misdirected, "r", "t", true);
     assert_eq!(
         verdict,
         ResponseVerdict::Misdirected {
@@ -69,7 +69,7 @@
         }
     );
     misdirected.target = Some("u".to_owned());
-    let verdict = classify_response(&misdirected, "r", "t");
+    let verdict = classify_response(&misdirected, "r", "t", true);
     assert_eq!(
         verdict,
         ResponseVerdict::Misdirected {
@@ -78,6 +78,33 @@
     );
 }
 
+/// Guards against an earlier response that is repeated on a kept connection without an identifier and is
+/// taken for the response to the request.
+#[test]
+fn responses_without_an_identifier_count_only_on_new_connections() {
+    let classify = |head: &ResponseHead, is_new| classify_response(head, "r", "t", is_new);
+    for status in [200, 404, 421, 429, 500, 503] {
+        for is_not_run in [false, true] {
+            let response = ResponseHead {
+                request_id: None,
+                is_not_run,
+                ..head(status)
+            };
+            assert_eq!(
+                classify(&response, false),
+                ResponseVerdict::Foreign,
+                "{status}"
+            );
+        }
+    }
+    let refusal = ResponseHead {
+        request_id: None,
+        is_not_run: true,
+        ..head(503)
+    };
+    assert_eq!(classify(&refusal, true), ResponseVerdict::Refused);
+}
+
 /// Guards against a request that runs twice although it may run only once, and against more runs
 /// than its route allows.
 #[test]
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod flood;
 mod instance;
+mod scripted;
 
 pub(crate) use cluster::{Cluster, config};
 pub(crate) use fleet::{
@@ -13,6 +14,7 @@
 pub(crate) use flood::{Flood, FloodProxy, ID};
 pub(crate) use instance::{ADMIN_KEY, Instance};
 pub(crate) use jujubelink_standins::ports::free_address;
+pub(crate) use scripted::{ReceivedRequest, Reply, ScriptedTarget};
 
 use std::net::SocketAddr;
 
