Continue a stream only with a response of the same media type

Cause: a stream was continued by any successful response. Responses with an error status were never used, but an error in a body of another type with status 200 was read as events: its text was forwarded if it ended with an empty line, and an empty one completed the stream.

Evidence: the test on the real path fails without the change: after two events, a response "200, application/json" ends the stream as complete. It passes there for the statuses 500, 503, 404 and 302.

Why it works: a response that continues a stream has the media type of the first one. Otherwise the client's connection is closed without the end of the body, as with an error status.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::Response;
+use http::header::CONTENT_TYPE;
 use http::response::Parts;
+use http::{HeaderMap, Response};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
@@ -73,6 +74,7 @@
             }
             TargetBody::Streamed(body) => {
                 let mut relayed = RelayedBody {
+                    media_type: media_type(&head.headers),
                     is_event_stream: exchange.is_stream() && (200..300).contains(&status),
                     exchange,
                     status,
@@ -116,6 +118,8 @@
 struct RelayedBody {
     exchange: Exchange,
     status: u16,
+    /// Media type of the first response. A response that continues the stream has the same one.
+    media_type: Option<String>,
     is_event_stream: bool,
     body: Incoming,
     /// Start of an event that has not arrived completely.
@@ -291,7 +295,7 @@
         if !can_resume {
             return Err(reason.into());
         }
-        match self.exchange.resume().await {
+        match self.exchange.resume(self.media_type.as_deref()).await {
             Some(body) => {
                 self.buffer.clear();
                 self.body = body;
@@ -304,8 +308,9 @@
 }
 
 impl Exchange {
-    /// Requests the rest of the stream from another target.
-    async fn resume(&mut self) -> Option<Incoming> {
+    /// Requests the rest of the stream from another target. A response of another media type is not
+    /// the rest of the stream, but an error, for example, even if its status is a success.
+    async fn resume(&mut self, expected_type: Option<&str>) -> Option<Incoming> {
         let log_not_resumed = |exchange: &Self, reason: &str| {
             slog::info!(exchange.proxy.context.log(), "stream not resumed";
                 "request" => &*exchange.head.id, "last_event" => exchange.last_event,
@@ -319,7 +324,9 @@
             Ok(SendOutcome::Response(TargetResponse {
                 body: TargetBody::Streamed(body),
                 head,
-            })) if head.status.is_success() => {
+            })) if head.status.is_success()
+                && media_type(&head.headers).as_deref() == expected_type =>
+            {
                 slog::info!(self.proxy.context.log(), "stream resumed";
                     "request" => &*self.head.id, "last_event" => self.last_event,
                     "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
@@ -338,6 +345,13 @@
     }
 }
 
+/// Returns the media type of a body, without parameters such as the character set.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next()?;
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
 /// Returns the length of the first complete event, including its final empty line.
 fn event_end(buffer: &[u8]) -> Option<usize> {
     let mut line_start = 0;
--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -1,9 +1,10 @@
-//! Targets that repeat an earlier response on a kept connection, or close the connection within a
-//! response.
+//! Targets that repeat an earlier response on a kept connection, continue a stream with an error, or
+//! close the connection within a response.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 use super::{Deployment, RunningInstance, expected_events, wait_until_unused};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
@@ -32,6 +33,17 @@
     )
 }
 
+/// Returns the head of a stream and its first events, without an end.
+fn stream_start(request: &ReceivedRequest, events: std::ops::RangeInclusive<u64>) -> String {
+    let data = expected_events(events);
+    format!(
+        "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {}\r\njujubelink-server-stamp: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{data}\r\n",
+        request.id,
+        data.len()
+    )
+}
+
 /// Sends a request that the first target refuses and the second one serves, and then another one
 /// that arrives on the connection of the refusal, where the target runs it and writes `repeated`.
 /// Returns the response to the latter.
@@ -120,6 +132,73 @@
     });
 }
 
+/// Guards against an error response that continues a broken stream, and against a stream that ends
+/// there as if it were complete.
+#[test]
+fn an_error_response_does_not_continue_a_stream() {
+    run(async {
+        for (status, content_type, body) in [
+            (
+                "500 Internal Server Error",
+                "text/plain",
+                "error: no room\n\n",
+            ),
+            (
+                "404 Not Found",
+                "text/event-stream",
+                "id: 9\ndata: error\n\n",
+            ),
+            (
+                "503 Service Unavailable",
+                "text/event-stream",
+                "id: 9\ndata: error\n\n",
+            ),
+            ("302 Found", "text/plain", "error: elsewhere\n\n"),
+            ("200 OK", "application/json", "{\"error\": \"no room\"}\n\n"),
+            ("200 OK", "application/json", ""),
+        ] {
+            let (deployment, instance) = Deployment::start_ready("").await;
+            let error = format!(
+                "content-type: {content_type}\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let sent = AtomicUsize::new(0);
+            let script = Arc::new(move |request: &ReceivedRequest| {
+                match sent.fetch_add(1, Ordering::SeqCst) {
+                    0 => Reply::closed(stream_start(request, 1..=2)),
+                    _ => Reply::kept(format!(
+                        "HTTP/1.1 {status}\r\njujubelink-attempt-id: {}\r\n\
+                         jujubelink-server-stamp: s\r\n{error}",
+                        request.id
+                    )),
+                }
+            });
+            let targets = ["e1", "e2"].map(|id| {
+                let script = script.clone();
+                let target = ScriptedTarget::start(move |request| script(request));
+                deployment.put_target_at(id, target.address(), "ready", 2, 1);
+                target
+            });
+            let response = eventually("the stream is sent to both engines", || async {
+                let response = instance.send_prompt("p", "/ask/x").await;
+                let received = targets.iter().map(|target| target.received().len());
+                (received.sum::<usize>() >= 2).then_some(response)
+            })
+            .await;
+            assert_eq!(
+                response.status, 0,
+                "{status} {content_type}: {}",
+                response.body
+            );
+            assert_eq!(
+                response.body,
+                expected_events(1..=2),
+                "{status} {content_type}"
+            );
+        }
+    });
+}
+
 /// Guards against a response that the target did not finish and that reaches the client as a complete
 /// one, or as the statement that the request has not run, wherever the target closes the connection.
 #[test]
