--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -220,17 +220,14 @@
         self.seen
             .borrow_mut()
             .push((head.headers.clone(), body.clone()));
+        let id = head.headers.get(ATTEMPT_ID);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         if self.is_misdirected(&head.headers) {
-            let mut response = with_status(StatusCode::MISDIRECTED_REQUEST, empty());
-            let id = self.id.parse().expect("a valid header value");
-            response.headers_mut().insert(TARGET_ID, id);
-            return response;
+            return not_run(StatusCode::MISDIRECTED_REQUEST, id, TARGET_ID, &self.id);
         }
         let fault = self.faults.borrow_mut().pop_front().flatten();
         if let Some(TargetFault::Refuse | TargetFault::RefuseFor(_)) = fault {
-            let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, empty());
-            let one = "1".parse().expect("a valid header value");
-            response.headers_mut().insert(NOT_RUN, one);
+            let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, id, NOT_RUN, "1");
             if let Some(TargetFault::RefuseFor(pause)) = fault {
                 let seconds = format!("{:.1}", pause.as_secs_f64());
                 let seconds = seconds.parse().expect("a valid header value");
@@ -239,8 +236,6 @@
             return response;
         }
         self.runs.set(self.runs.get() + 1);
-        let id = head.headers.get(ATTEMPT_ID);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let echo = || {
             let text = format!(
                 "{} {} {}",
@@ -269,6 +264,16 @@
     }
 }
 
+/// Returns a response to a request that was not run, with the id of its attempt and another header.
+fn not_run(status: StatusCode, id: &str, name: &'static str, value: &str) -> Response<Body> {
+    let mut response = with_status(status, empty());
+    for (name, value) in [(ATTEMPT_ID, id), (name, value)] {
+        let value = value.parse().expect("a valid header value");
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
 fn with_status(status: StatusCode, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
