Derive the shortest outage of the store from the heartbeat of targets

What callers saw: nothing on the deployments so far, whose targets write their entries every 1.2 s. The time of silence that counts as an outage was twice that, as a constant.

Cause: a figure of one kind of deployment stood for all; the platform states the interval in the settings of each process (heartbeat_ms), which was not read.

Evidence: the code; the test states the bound for three intervals, of which the constant met one.

Why it works: the setting fleet.heartbeat_ms (default 1,200 ms) comes from the platform's field, and takes effect when the file changes. Below an interval of 0.75 s the threshold stays at 1.5 s, since answers of the store to other instances are known only through their messages. On the present deployments it is 2.4 s, as before.

--- a/src/jujubelink/core/fleet/contact.rs
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -4,9 +4,9 @@
 
 use crate::core::ids::Timestamp;
 
-/// Shortest outage of the store in which an entry can expire. Entries expire after three heartbeats of
-/// 1.2 s, and the last heartbeat before the outage is up to one interval old.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_400);
+/// Shortest outage of the store in which an entry can expire, in heartbeats of its target. Entries expire
+/// after three heartbeats of silence, and the last one before the outage is up to one interval old.
+const SHORTEST_OUTAGE_HEARTBEATS: u32 = 2;
 
 /// Maximum age of a target list received from a peer. The store answers watchers every second, and all
 /// instances have to discover a leaving target within two seconds.
@@ -24,17 +24,25 @@
     /// When the store last answered any instance, as far as known here; the start of the instance until
     /// the first answer. Not before `own_answer_at`.
     last_answer_at: Timestamp,
+    /// Time between two heartbeats of a target.
+    heartbeat: Duration,
 }
 
 impl StoreContact {
-    /// Creates the state of an instance that starts now.
-    pub fn new(now: Timestamp) -> Self {
+    /// Creates the state of an instance that starts now, with the time between two heartbeats of a target.
+    pub fn new(now: Timestamp, heartbeat: Duration) -> Self {
         Self {
             own_answer_at: None,
             last_answer_at: now,
+            heartbeat,
         }
     }
 
+    /// Replaces the time between two heartbeats of a target.
+    pub fn with_heartbeat(self, heartbeat: Duration) -> Self {
+        Self { heartbeat, ..self }
+    }
+
     /// Records an answer to this instance's request. Returns the duration of the outage that it ends, if
     /// any. The time from the request to the answer is no part of an outage, because the store holds
     /// watches open.
@@ -58,7 +66,9 @@
     }
 
     fn outage_until(&self, at: Timestamp) -> Option<Duration> {
-        Some(self.unanswered(at)).filter(|duration| *duration > OUTAGE_THRESHOLD)
+        // Answers to others are known only through their messages, so a shorter silence shows nothing.
+        let shortest = (self.heartbeat * SHORTEST_OUTAGE_HEARTBEATS).max(MAX_RELAYED_AGE);
+        Some(self.unanswered(at)).filter(|duration| *duration > shortest)
     }
 
     /// Time since the store last answered any instance.
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -65,6 +65,7 @@
     /// Creates an empty view.
     pub fn new(context: &Context, settings: FleetSettings, store: SharedStore) -> Self {
         let started_at = context.timers().boot_now();
+        let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         Self {
             context: context.clone(),
             settings: RefCell::new(Rc::new(settings)),
@@ -76,7 +77,7 @@
             target_revision: Cell::new(0),
             started_at,
             targets_confirmed_at: Cell::new(Timestamp::ZERO),
-            store_contact: RefCell::new(StoreContact::new(started_at)),
+            store_contact: RefCell::new(StoreContact::new(started_at, heartbeat)),
             changed: Notifier::new(),
         }
     }
@@ -94,6 +95,10 @@
     /// Applies changed settings. Changes of addresses and of the instance name take effect only at
     /// the next start.
     pub fn set_settings(&self, settings: FleetSettings) {
+        let heartbeat = Duration::from_millis(settings.heartbeat_ms);
+        let contact = *self.store_contact.borrow();
+        self.store_contact
+            .replace(contact.with_heartbeat(heartbeat));
         self.settings.replace(Rc::new(settings));
     }
 
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -84,6 +84,9 @@
     /// Time within which requests must run on newly announced weights, in milliseconds.
     #[serde(default = "default_weights_ms")]
     pub weights_ms: u64,
+    /// Time between two writes of a target's entry in the store.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
 }
 
 fn default_revocation_ms() -> u64 {
@@ -122,6 +125,10 @@
     12_000
 }
 
+fn default_heartbeat_ms() -> u64 {
+    1_200
+}
+
 /// Identity and peers of the instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -428,11 +428,14 @@
     assert_eq!(sorted, expected);
 }
 
+/// Time between two heartbeats of a target.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// Guards against a peer that dies, relays late or has lost the store, and is taken for an outage of the
 /// store: targets whose entries were removed would be kept for longer than they may get requests.
 #[test]
 fn a_silent_or_late_peer_is_no_outage_of_the_store() {
-    let mut contact = StoreContact::new(ms(9_000));
+    let mut contact = StoreContact::new(ms(9_000), HEARTBEAT);
     assert_eq!(contact.on_answer(ms(10_000), ms(10_000)), None);
     assert_eq!(contact.on_answer(ms(12_400), ms(12_410)), None);
     // Other instances report answers while this one gets none for a minute.
@@ -447,7 +450,7 @@
 /// Guards against a watch that is held open and is taken for an outage of the store.
 #[test]
 fn a_long_watch_is_no_outage_of_the_store() {
-    let mut contact = StoreContact::new(ms(0));
+    let mut contact = StoreContact::new(ms(0), HEARTBEAT);
     assert_eq!(contact.on_answer(ms(10), ms(3_000)), None);
     assert_eq!(contact.on_answer(ms(3_010), ms(6_000)), None);
 }
@@ -456,9 +459,23 @@
 /// instance that learns from a peer, or by its own call, that the store is back.
 #[test]
 fn silence_of_the_store_towards_all_instances_is_an_outage() {
-    let mut contact = StoreContact::new(ms(0));
+    let mut contact = StoreContact::new(ms(0), HEARTBEAT);
     assert_eq!(contact.on_peer_answer(ms(2_500)), Some(ms(2_500)));
     assert_eq!(contact.on_peer_answer(ms(2_600)), None);
     assert_eq!(contact.on_answer(ms(5_100), ms(5_110)), Some(ms(2_500)));
     assert_eq!(contact.unanswered(ms(6_110)), secs(1));
 }
+
+/// Guards against live targets that are dropped, or removed ones that are kept, on deployments whose
+/// targets have other heartbeats: how long an outage must be for entries to expire follows from these.
+#[test]
+fn the_shortest_outage_follows_the_heartbeat_of_the_targets() {
+    for (heartbeat_ms, shortest_ms) in [(300, 1_500), (1_200, 2_400), (5_000, 10_000)] {
+        let contact = StoreContact::new(ms(0), ms(heartbeat_ms));
+        assert_eq!({ contact }.on_peer_answer(ms(shortest_ms)), None);
+        let outage = ms(shortest_ms + 1);
+        assert_eq!({ contact }.on_peer_answer(outage), Some(outage));
+        let mut changed = contact.with_heartbeat(ms(5_001));
+        assert_eq!(changed.on_peer_answer(outage), None);
+    }
+}
