Remove races from the tests of faulty responses

A loop that repeats its requests counted arrivals of all rounds, and two tests began while the former targets were still in use: on a slow machine the first request may reach these. Each round now has ids and prompts of its own, and the plain target is the only one before a test begins.

--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -1,19 +1,24 @@
 //! Targets that repeat an earlier response on a kept connection, continue a stream with an error, or
 //! close the connection within a response.
 
+use std::cell::Cell;
 use std::collections::HashSet;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use super::{Deployment, RunningInstance, expected_events, wait_until_unused};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
 
 impl Deployment {
-    /// Makes `address` the only target of the plain service.
-    fn use_plain_target(&self, address: SocketAddr) {
-        self.put_target_at("s1", address, "ready", 2, 1);
+    /// Makes `target` the only one of the plain service, and waits until the instance uses no other.
+    async fn use_plain_target(&self, target: &ScriptedTarget, instance: &RunningInstance) {
+        self.put_target_at("s1", target.address(), "ready", 2, 1);
         self.put_target("s2", "draining", 1);
+        eventually("the target serves requests", || async {
+            let response = instance.send_request("r", "GET", "/read/x").await;
+            (response.body == "ok").then_some(())
+        })
+        .await;
+        wait_until_unused(&self.services[1], instance).await;
     }
 }
 
@@ -44,9 +49,8 @@
     )
 }
 
-/// Sends a request that the first target refuses and the second one serves, and then another one
-/// that arrives on the connection of the refusal, where the target runs it and writes `repeated`.
-/// Returns the response to the latter.
+/// Sends a request that the target refuses, and then another one that arrives on the connection of the
+/// refusal, where the target runs it and writes `repeated`. Returns the response to the latter.
 async fn send_behind_a_repeated_refusal(
     deployment: &Deployment,
     instance: &RunningInstance,
@@ -54,28 +58,24 @@
 ) -> TestResponse {
     let target = ScriptedTarget::start(move |request| match request.id.as_str() {
         "first" => Reply::kept(refusal("first")),
-        "second" if request.index > 0 => Reply::kept(repeated),
+        id if id.starts_with("second") && request.index > 0 => Reply::kept(repeated),
         _ => Reply::kept(success(request, "ok")),
     });
-    deployment.use_plain_target(target.address());
-    eventually("the target serves requests", || async {
-        let response = instance.send_request("r", "GET", "/read/x").await;
-        (response.body == "ok").then_some(())
-    })
-    .await;
-    let runs = deployment.services[1].runs();
-    let response = eventually("the request arrives on a kept connection", || async {
+    deployment.use_plain_target(&target, instance).await;
+    let number = Cell::new(0);
+    let (id, response) = eventually("the request arrives on a kept connection", || async {
+        number.set(number.get() + 1);
+        let id = format!("second-{}", number.get());
         instance.send_request("first", "POST", "/pay/x").await;
-        let response = instance.send_request("second", "POST", "/pay/x").await;
-        let received = target.received();
-        let second = received.iter().rfind(|request| request.id == "second")?;
-        (second.index > 0).then_some(response)
+        let response = instance.send_request(&id, "POST", "/pay/x").await;
+        let mut received = target.received().into_iter();
+        let arrival = received.find(|request| request.id == id)?;
+        (arrival.index > 0).then_some((id, response))
     })
     .await;
-    let received = target.received();
-    let arrivals = received.iter().filter(|request| request.id == "second");
-    assert_eq!(arrivals.count(), 1, "{repeated}");
-    assert_eq!(deployment.services[1].runs(), runs, "{repeated}");
+    let received = target.received().into_iter();
+    let arrivals = received.filter(|request| request.id == id).count();
+    assert_eq!(arrivals, 1, "{repeated}");
     response
 }
 
@@ -116,13 +116,7 @@
             refusing.insert(request.connection);
             Reply::kept(refusal(&request.id))
         });
-        deployment.use_plain_target(target.address());
-        eventually("the target serves requests", || async {
-            let response = instance.send_request("r", "GET", "/read/x").await;
-            (response.body == "ok").then_some(())
-        })
-        .await;
-        wait_until_unused(&deployment.services[1], &instance).await;
+        deployment.use_plain_target(&target, &instance).await;
         let response = instance.send_request("r", "POST", "/pay/x").await;
         let received = target.received().into_iter();
         let attempts: Vec<_> = received
@@ -162,11 +156,12 @@
                 "content-type: {content_type}\r\ncontent-length: {}\r\n\r\n{body}",
                 body.len()
             );
-            let sent = AtomicUsize::new(0);
+            let sent = Mutex::new(HashSet::new());
             let script = Arc::new(move |request: &ReceivedRequest| {
-                match sent.fetch_add(1, Ordering::SeqCst) {
-                    0 => Reply::closed(stream_start(request, 1..=2)),
-                    _ => Reply::kept(format!(
+                let is_first = sent.lock().unwrap().insert(request.id.clone());
+                match is_first {
+                    true => Reply::closed(stream_start(request, 1..=2)),
+                    false => Reply::kept(format!(
                         "HTTP/1.1 {status}\r\njujubelink-attempt-id: {}\r\n\
                          jujubelink-server-stamp: s\r\n{error}",
                         request.id
@@ -179,10 +174,16 @@
                 deployment.put_target_at(id, target.address(), "ready", 2, 1);
                 target
             });
+            let number = Cell::new(0);
             let response = eventually("the stream is sent to both engines", || async {
-                let response = instance.send_prompt("p", "/ask/x").await;
-                let received = targets.iter().map(|target| target.received().len());
-                (received.sum::<usize>() >= 2).then_some(response)
+                number.set(number.get() + 1);
+                let (id, prompt) = (
+                    format!("p{}", number.get()),
+                    format!("{:x}:1200", number.get()),
+                );
+                let response = instance.send_prompt_of_parts(&id, "/ask/x", &prompt).await;
+                let received = targets.iter().flat_map(ScriptedTarget::received);
+                (received.filter(|request| request.id == id).count() == 2).then_some(response)
             })
             .await;
             assert_eq!(
