--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -97,8 +97,7 @@
     assert_eq!(state.serving_targets("llm"), [id]);
 }
 
-/// Guards against requests to a target that announced its shutdown only in a response: its entry may be
-/// removed and appear once more, as after an outage of the store. A restarted target is used again.
+/// Guards against requests to a leaving target whose entry is removed and appears once more.
 #[test]
 fn an_announced_shutdown_outlasts_the_entry() {
     let mut state = FleetState::new();
@@ -466,8 +465,7 @@
     assert_eq!(contact.unanswered(ms(6_110)), secs(1));
 }
 
-/// Guards against live targets that are dropped, or removed ones that are kept, on deployments whose
-/// targets have other heartbeats: how long an outage must be for entries to expire follows from these.
+/// Guards against an outage threshold that fits the heartbeat of one kind of deployment only.
 #[test]
 fn the_shortest_outage_follows_the_heartbeat_of_the_targets() {
     for (heartbeat_ms, shortest_ms) in [(300, 1_500), (1_200, 2_400), (5_000, 10_000)] {
--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -79,8 +79,7 @@
     response
 }
 
-/// Guards against a refusal of an earlier request that is taken for the one of a request that runs: the
-/// client would be told that it has not run, or it would run a second time.
+/// Guards against a request that runs and is reported as not run, or is sent to a second target.
 #[test]
 fn a_repeated_refusal_on_a_kept_connection_refuses_no_later_request() {
     run(async {
@@ -99,8 +98,7 @@
     });
 }
 
-/// Guards against a repeated refusal of the same request: the request was sent to its target once more,
-/// on the connection on which the target had refused it.
+/// Guards against a resend on the connection of the refusal, which the target may repeat there.
 #[test]
 fn a_repeated_refusal_does_not_refuse_the_next_attempt_at_the_same_target() {
     run(async {
@@ -126,8 +124,7 @@
     });
 }
 
-/// Guards against an error response that continues a broken stream, and against a stream that ends
-/// there as if it were complete.
+/// Guards against error text within a stream, and a broken stream that looks complete.
 #[test]
 fn an_error_response_does_not_continue_a_stream() {
     run(async {
@@ -200,8 +197,7 @@
     });
 }
 
-/// Guards against a response that the target did not finish and that reaches the client as a complete
-/// one, or as the statement that the request has not run, wherever the target closes the connection.
+/// Guards against a cut response that looks complete or states that the request has not run.
 #[test]
 fn a_response_that_ends_early_is_not_delivered_as_complete() {
     run(async {
@@ -222,8 +218,7 @@
         };
         for length in (0..=complete.len()).filter(is_boundary) {
             let prefix = complete[..length].to_owned();
-            // New targets and prompts each time, as targets that fail again and again get no requests, and
-            // prompts that crash several targets are refused.
+            // Targets that fail repeatedly get no requests, and prompts that crash targets are refused.
             let targets = [format!("s{length}"), format!("e{length}")].map(|id| {
                 let reply = prefix.clone();
                 let target = ScriptedTarget::start(move |_| Reply::closed(reply.clone()));
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -465,8 +465,7 @@
     });
 }
 
-/// Guards against targets that get requests after they have left, because an instance takes a source of
-/// updates that lost the store for an outage of the store, and waits for their entries to reappear.
+/// Guards against targets that are kept after they have left, because one source lost the store.
 #[test]
 fn a_source_that_lost_the_store_is_no_outage_of_the_store() {
     run(async {
@@ -778,8 +777,7 @@
     });
 }
 
-/// Guards against requests to a target that states in its responses that it is shutting down, while its
-/// entry in the store still says that it is ready, was written again, or was removed and reappears.
+/// Guards against requests to a leaving target whose entry still says ready, or reappears.
 #[test]
 fn targets_that_announce_their_shutdown_in_responses_get_no_requests() {
     run(async {
@@ -816,8 +814,7 @@
     });
 }
 
-/// Guards against requests to a target that refused one and stated for how long it wants no further ones,
-/// and against a client that is told to come back before any target accepts requests.
+/// Guards against requests during a pause, and clients told to come back before any target's pause ends.
 #[test]
 fn targets_that_ask_for_a_pause_get_no_requests_until_it_ends() {
     run(async {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -78,8 +78,7 @@
     );
 }
 
-/// Guards against an earlier response that is repeated on a kept connection without an identifier and is
-/// taken for the response to the request.
+/// Guards against a repeated earlier response that is taken for the response to the request.
 #[test]
 fn responses_without_an_identifier_count_only_on_new_connections() {
     let classify = |head: &ResponseHead, is_new| classify_response(head, "r", "t", is_new);
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -108,8 +108,7 @@
     assert_eq!(scheduler.queued(), 0);
 }
 
-/// Guards against a request that was queued before its target announced its shutdown and is sent to it
-/// once a slot is free.
+/// Guards against requests to a target that announced its shutdown while they were queued.
 #[test]
 fn a_queued_request_is_not_sent_to_a_target_that_leaves_meanwhile() {
     let mut scheduler = new_scheduler(1);
@@ -139,8 +138,7 @@
     );
 }
 
-/// Guards against requests to a target that asked for a pause, and against a request that waits for its
-/// deadline although all targets asked for a longer pause.
+/// Guards against requests during a pause, and requests that wait although no pause ends in time.
 #[test]
 fn paused_targets_get_no_requests_until_the_pause_ends() {
     let mut scheduler = new_scheduler(2);
