Show by a test that a source that hangs delays news of leaving targets

What callers saw: requests reach a target up to 3 s and more after it has left (DRAIN).

An instance that gets updates of the store from another one accepts a list that is up to 1.5 s old and then waits up to 1.4 s for the next answer. If the source hangs in between, the instance reads the store after 2.9 s.

--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -513,6 +513,51 @@
     });
 }
 
+/// Guards against requests to targets that have left, because an instance waits for a source that hangs
+/// instead of reading the store.
+#[test]
+fn a_source_that_hangs_does_not_delay_news_of_leaving_targets() {
+    /// Time within which requests to a leaving target have to end.
+    const DRAIN_TIME: Duration = Duration::from_secs(2);
+    run(async {
+        let deployment = Deployment::new();
+        let mut instances = Vec::new();
+        for number in 10..24 {
+            instances.push(deployment.start(&format!("n{number}"), "").await);
+        }
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        let followers = wait_for_four_followers(&instances).await;
+        // After a change, the lists of all sources have the same age.
+        deployment.put_target("s1", "ready", 2);
+        let changed_at = Instant::now();
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let sources = || (0..instances.len()).filter(|index| !followers.contains(index));
+        for source in sources() {
+            let store = &instances[source].store_endpoint;
+            store.set_mode(StoreMode::Silent);
+        }
+        deployment.store.remove("servers", "s2");
+        let removed_at = Instant::now();
+        // The sources answer once more with a list that is just recent enough, then hang.
+        compio::time::sleep_until(changed_at + Duration::from_millis(1_600)).await;
+        for source in sources() {
+            instances[source].process.pause();
+        }
+        compio::time::sleep_until(removed_at + DRAIN_TIME).await;
+        let received = deployment.services[1].seen().len();
+        for follower in &followers {
+            for _ in 0..6 {
+                instances[*follower]
+                    .send_request("r", "GET", "/read/x")
+                    .await;
+            }
+        }
+        assert_eq!(deployment.services[1].seen().len(), received);
+    });
+}
+
 /// Guards against instances that disagree on their order when a large fleet starts over several seconds:
 /// all of them then watch the store, or none does.
 #[test]
