Bound the age of the target list of an instance that waits for a source

Cause: an instance judged the age of a relayed list only when an answer arrived. It accepted a list that was up to 1.5 s old, then waited up to 1.4 s for the next answer, and read the store after that. The bound of the wait did not depend on the age of its own list.

Why it works: an instance waits until its own list was confirmed 1.7 s ago, whatever the source does, and then reads the store. So that this is rare, a source answers as soon as the store confirms its list, which is each second, in place of 0.9 s after each request, and at once to a requester whose list is older than its own by half a second. It watches the store for a second from the last confirmation, where it had watched for a second after the pause that follows a change. A list that is read from the store counts as confirmed when it was requested, not when it arrived.

--- a/src/jujubelink/core/fleet/contact.rs
+++ b/src/jujubelink/core/fleet/contact.rs
@@ -8,8 +8,9 @@
 /// after three heartbeats of silence, and the last one before the outage is up to one interval old.
 const SHORTEST_OUTAGE_HEARTBEATS: u32 = 2;
 
-/// Maximum age of a target list received from a peer. The store answers watchers every second, and all
-/// instances have to discover a leaving target within two seconds.
+/// Maximum age of a target list received from a peer. An instance whose list is older reads the store. The
+/// store answers the peer every second, and all instances have to discover a leaving target within two
+/// seconds.
 pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
 
 /// When the store last answered the instances of the fleet.
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -57,6 +57,8 @@
     started_at: Timestamp,
     /// When the store last confirmed the target list, directly or through a peer.
     targets_confirmed_at: Cell<Timestamp>,
+    /// Notified when the store confirms the target list.
+    targets_confirmed: Notifier,
     store_contact: RefCell<StoreContact>,
     changed: Notifier,
 }
@@ -77,6 +79,7 @@
             target_revision: Cell::new(0),
             started_at,
             targets_confirmed_at: Cell::new(Timestamp::ZERO),
+            targets_confirmed: Notifier::new(),
             store_contact: RefCell::new(StoreContact::new(started_at, heartbeat)),
             changed: Notifier::new(),
         }
@@ -412,10 +415,22 @@
         self.targets_confirmed_at.get()
     }
 
+    /// Time since the store last confirmed the target list.
+    pub fn targets_age(&self) -> Duration {
+        self.now().saturating_sub(self.targets_confirmed_at.get())
+    }
+
     /// Records that the store confirmed the target list at `at`.
     pub fn record_targets_confirmed(&self, at: Timestamp) {
-        let newest = self.targets_confirmed_at.get().max(at);
-        self.targets_confirmed_at.set(newest);
+        if at > self.targets_confirmed_at.get() {
+            self.targets_confirmed_at.set(at);
+            self.targets_confirmed.notify();
+        }
+    }
+
+    /// Completes when the store next confirms the target list.
+    pub fn targets_confirmed(&self) -> impl Future<Output = ()> + 'static {
+        self.targets_confirmed.changed()
     }
 
     /// Returns the target list for a peer that has the targets up to a revision.
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Fleet;
+use crate::core::fleet::MAX_RELAYED_AGE;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
 use crate::ops::store::{StoreError, StoreResult, StoredPolicy};
@@ -14,7 +15,8 @@
 /// targets have to take effect two seconds later.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Maximum duration of a watch request while other instances get their updates from this one.
+/// Maximum time between two answers of the store to an instance from which others get their updates, and so
+/// maximum duration of its watch requests.
 const RELAYED_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Delay after a change of the targets before the next watch, so that changes in quick succession
@@ -52,7 +54,10 @@
     loop {
         fleet.expire_lapsed();
         let peers = context.service::<Peers>();
-        if let (Some(_), Some(source)) = (revision, peers.update_source()) {
+        let list_age = fleet.targets_age();
+        if let (Some(_), Some(source)) = (revision, peers.update_source())
+            && list_age < MAX_RELAYED_AGE
+        {
             match peers.fetch_updates(&source).await {
                 Ok(has_changes) => {
                     revision = Some(fleet.target_revision());
@@ -66,7 +71,7 @@
             continue;
         }
         let watch_timeout = match peers.has_followers() {
-            true => RELAYED_WATCH_TIMEOUT,
+            true => RELAYED_WATCH_TIMEOUT.saturating_sub(list_age),
             false => WATCH_TIMEOUT,
         };
         let requested_at = timers.boot_now();
@@ -78,14 +83,18 @@
         match result {
             Ok(changes) => {
                 fleet.on_store_answer(requested_at);
-                let answered_at = timers.boot_now();
-                fleet.record_targets_confirmed(answered_at);
+                // The store may have created a list at any time since the request.
+                let confirmed_at = match is_complete {
+                    true => requested_at,
+                    false => timers.boot_now(),
+                };
                 let is_newer = revision.is_none_or(|current| changes.revision >= current);
                 if is_newer {
                     revision = Some(changes.revision);
                 }
                 let has_changes = !changes.changes.is_empty();
                 fleet.on_targets(changes, is_complete);
+                fleet.record_targets_confirmed(confirmed_at);
                 if has_changes {
                     timers.sleep(WATCH_DEBOUNCE).await;
                 }
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -495,7 +495,7 @@
             "took_ms" => ms(now.saturating_sub(self.arrived)),
             "config" => admission.map(|admission| admission.policy.version),
             "config_age_ms" => self.relay.fleet.config_age().map(ms),
-            "targets_age_ms" => ms(now.saturating_sub(self.relay.fleet.targets_confirmed_at())));
+            "targets_age_ms" => ms(self.relay.fleet.targets_age()));
         let elapsed = now.saturating_sub(self.arrived);
         self.proxy.context.metrics().time("relay.answered", elapsed);
     }
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -34,11 +34,16 @@
 /// used it makes one call to the store.
 const MAX_WATCHERS: usize = 10;
 
-/// Maximum time for which a long-poll request is held open.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time allowed for a response to arrive after its source had to send it. Together with
+/// [`MAX_RELAYED_AGE`] it bounds the age of the target list of an instance that waits for a source.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time allowed for the response in addition to the long-poll timeout.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+/// Time by which the source's target list is more recent than that of the requester for a response without
+/// changes to be sent immediately.
+const CONFIRMATION_GAIN: Duration = Duration::from_millis(500);
+
+/// Timeout of a request for the content of a KV cache store.
+const CACHE_UPDATES_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for which a peer that did not answer is not used as a source.
 const SOURCE_BACKOFF: Duration = Duration::from_secs(10);
@@ -120,20 +125,28 @@
         self.fleet_size() > MAX_WATCHERS
     }
 
-    /// Answers the long-poll request of a peer that has the targets up to a revision and a version
-    /// of the configuration. Responds immediately if there is something newer, otherwise at the
-    /// next change or after [`LONG_POLL_TIMEOUT`].
+    /// Answers the long-poll request of a peer that has the targets up to a revision, confirmed some
+    /// time ago, and a version of the configuration. Responds immediately if there is something newer,
+    /// otherwise as soon as something changes, the store confirms the targets again, or they are too old
+    /// to be relayed.
     pub(super) async fn wait_for_update(self: Rc<Self>, query: &str) -> Option<Bytes> {
-        let (after_revision, after_version) = query.split_once(',')?;
-        let (after_revision, after_version): (u64, u64) =
-            (after_revision.parse().ok()?, after_version.parse().ok()?);
+        let mut fields = query.split(',').map(|field| field.parse::<u64>().ok());
+        let (after_revision, after_version) = (fields.next()??, fields.next()??);
+        // Earlier versions do not send the age.
+        let requester_age = fields.next().flatten().map(Duration::from_millis);
         let received_at = self.now();
-        let config = self.context.service::<dyn ConfigService>();
+        let list_age = self.fleet.targets_age();
         let has_update = self.fleet.target_revision() > after_revision
-            || self.fleet.state().config_version() > after_version;
+            || self.fleet.state().config_version() > after_version
+            || requester_age.is_some_and(|age| age > list_age + CONFIRMATION_GAIN);
         if !has_update {
-            let timeout = Box::pin(self.context.timers().sleep(LONG_POLL_TIMEOUT));
-            select(config.changed(), timeout).await;
+            let config = self.context.service::<dyn ConfigService>();
+            let expiry = self
+                .context
+                .timers()
+                .sleep(MAX_RELAYED_AGE.saturating_sub(list_age));
+            let changed = select(config.changed(), Box::pin(self.fleet.targets_confirmed()));
+            select(changed, Box::pin(expiry)).await;
         }
         let now = self.now();
         let age = |at: Timestamp| ms(now.saturating_sub(at));
@@ -153,20 +166,22 @@
         })
     }
 
-    /// Requests updates from a peer and applies them. Returns whether the targets changed.
+    /// Requests updates from a peer and applies them. Returns whether the targets changed. Waits only
+    /// until the local target list is too old, whatever the age of the peer's list.
     pub async fn fetch_updates(&self, source: &InstanceId) -> Result<bool, UpdateError> {
         let Some(address) = self.address_of(source) else {
             return Err(UpdateError::Outdated);
         };
-        let local_revision = self.fleet.target_revision();
+        let requested_at = self.now();
+        let list_age = self.fleet.targets_age();
         let path = format!(
-            "{UPDATES_PATH}?{local_revision},{}",
-            self.fleet.state().config_version()
+            "{UPDATES_PATH}?{},{},{}",
+            self.fleet.target_revision(),
+            self.fleet.state().config_version(),
+            ms(list_age)
         );
-        let requested_at = self.now();
-        let raw = self
-            .fetch_from(address, &path, LONG_POLL_TIMEOUT + RESPONSE_MARGIN)
-            .await;
+        let timeout = (MAX_RELAYED_AGE + RESPONSE_MARGIN).saturating_sub(list_age);
+        let raw = self.fetch_from(address, &path, timeout).await;
         let waited = self.now().saturating_sub(requested_at);
         let applied = match raw {
             Some(raw) => self
@@ -177,7 +192,7 @@
         if let Err(error) = applied {
             slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
                 "waited_ms" => ms(waited), "error" => format!("{error:?}"),
-                "targets_age_ms" => ms(self.now().saturating_sub(self.fleet.targets_confirmed_at())));
+                "targets_age_ms" => ms(self.fleet.targets_age()));
             let until = self.now() + SOURCE_BACKOFF;
             if let Some(peer) = self.table.borrow_mut().get_mut(source) {
                 peer.backoff_until = until;
@@ -206,7 +221,7 @@
             return CacheEventsResponse::Busy;
         };
         let path = format!("{CACHE_UPDATES_PATH}?{store},{position}");
-        let raw = self.fetch_from(address, &path, RESPONSE_MARGIN).await;
+        let raw = self.fetch_from(address, &path, CACHE_UPDATES_TIMEOUT).await;
         let updates = raw.and_then(|raw| serde_json::from_slice(&raw).ok());
         updates.map_or(CacheEventsResponse::Failed, CacheEventsResponse::Changes)
     }
