Keep the pause of a target whose entry is missing for a while

Cause: the pause is part of the state of the target in the routing table. The state of a removed target goes when another target takes its index.

Evidence: the test failed before this change, with the target placed at once.

Why it works: the table keeps the end of the pause and the incarnation when it reuses an index, and restores both if the target returns. Another incarnation ends the pause, as before. At most 1,024 pauses are kept.

--- a/src/jujubelink/core/routing/table.rs
+++ b/src/jujubelink/core/routing/table.rs
@@ -16,6 +16,9 @@
 const MIN_LIFETIME: Duration = Duration::from_millis(500);
 const MAX_LIFETIME: Duration = Duration::from_secs(120);
 
+/// Maximum number of pauses kept for targets that may return.
+const MAX_FORMER_PAUSES: usize = 1_024;
+
 /// Smoothing factor of observed block lifetimes.
 const LIFETIME_SMOOTHING: f64 = 0.1;
 
@@ -155,11 +158,20 @@
     }
 }
 
+/// A pause of a target that was removed before the pause ended.
+#[derive(Debug, Clone, Copy)]
+struct FormerPause {
+    incarnation: Incarnation,
+    until: Timestamp,
+}
+
 /// All current targets, and removed ones whose index has not been reused.
 #[derive(Debug, Clone, Default)]
 pub struct TargetTable {
     states: Vec<TargetState>,
     by_name: HashMap<TargetId, TargetIndex>,
+    /// Pauses of targets whose index has been reused, at most [`MAX_FORMER_PAUSES`].
+    former_pauses: HashMap<TargetId, FormerPause>,
 }
 
 impl TargetTable {
@@ -174,6 +186,11 @@
             return index;
         }
         let mut state = TargetState::new(id.clone());
+        // The entry of a running target may be missing for a while.
+        if let Some(pause) = self.former_pauses.remove(id) {
+            state.incarnation = pause.incarnation;
+            state.paused_until = pause.until;
+        }
         let free = self.states.iter().position(|reusable| {
             reusable.settings.is_none() && reusable.load.local_requests() == 0
         });
@@ -181,7 +198,8 @@
         if let Some(reusable) = self.states.get_mut(index) {
             state.generation = reusable.generation + 1;
             self.by_name.remove(&reusable.id);
-            *reusable = state;
+            let former = std::mem::replace(reusable, state);
+            self.keep_pause(&former);
         } else {
             self.states.push(state);
         }
@@ -190,6 +208,25 @@
         index
     }
 
+    /// Keeps the pause of a removed target, in place of the one that ends first if there are too many.
+    fn keep_pause(&mut self, former: &TargetState) {
+        if former.paused_until == Timestamp::ZERO {
+            return;
+        }
+        if self.former_pauses.len() >= MAX_FORMER_PAUSES {
+            let pauses = self.former_pauses.iter();
+            let first_end = pauses.min_by_key(|(_, pause)| pause.until);
+            if let Some(id) = first_end.map(|(id, _)| id.clone()) {
+                self.former_pauses.remove(&id);
+            }
+        }
+        let pause = FormerPause {
+            incarnation: former.incarnation,
+            until: former.paused_until,
+        };
+        self.former_pauses.insert(former.id.clone(), pause);
+    }
+
     /// Returns a target.
     pub fn get(&self, index: TargetIndex) -> &TargetState {
         &self.states[index as usize]
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -14,7 +14,9 @@
 use jujubelink_standins::platform::Platform;
 use serde_json::json;
 
-use crate::support::decisions::{config_with_engines, engine_name, new_request, prompt_text};
+use crate::support::decisions::{
+    config_with_engines, config_with_named_engines, engine_name, new_request, prompt_text,
+};
 use crate::support::{Instance, eventually, run, send};
 
 const NOW: Timestamp = Duration::from_secs(1000);
@@ -195,6 +197,29 @@
     assert!(scheduler.place_plain(&names, &[], 7, NOW).is_some());
 }
 
+/// Guards against requests during a pause to a target whose entry was missing for a while.
+#[test]
+fn a_target_that_returns_keeps_its_pause() {
+    let mut scheduler = new_scheduler(1);
+    let name: TargetId = engine_name(0).as_str().into();
+    let names = [name.clone()];
+    let state = |incarnation| LoadReport {
+        incarnation,
+        ..LoadReport::default()
+    };
+    scheduler.on_engine_state(&name, &state(1));
+    scheduler.set_paused(&name, NOW + Duration::from_secs(3));
+    // Other targets take its place in the table meanwhile.
+    let others = (1..3).map(engine_name);
+    scheduler.on_config(&config_with_named_engines([].into_iter()));
+    scheduler.on_config(&config_with_named_engines(others));
+    scheduler.on_config(&config_with_engines(3));
+    scheduler.on_engine_state(&name, &state(1));
+    assert!(scheduler.place_plain(&names, &[], 7, NOW).is_none());
+    scheduler.on_engine_state(&name, &state(2));
+    assert!(scheduler.place_plain(&names, &[], 7, NOW).is_some());
+}
+
 /// Guards against two suspects that run at one target: after a crash, it would be unknown which of
 /// them caused it.
 #[test]
