Check a target again once the connection to it is open

Requests could reach a target after it had asked for a pause (BUDGET) if their connections took longer to open than the half second that the rule allows, more than two at once if many were waiting for a connection.

Cause: whether a target is leaving or has asked for a pause was checked before the connection was taken or opened. Opening one takes up to the timeout of 1 s, and longest at targets that are full.

Evidence: from reading the code. The new test needs a client that can withhold a request, which it could not before, so it did not compile on the former code.

Why it works: the client checks the caller's condition when a new connection is ready, right before it writes the request, and returns the request unsent if it does not hold. The relay takes that for a target that refused before anything was sent, as in the check before.

--- a/src/jujubelink/ops/platform/client.rs
+++ b/src/jujubelink/ops/platform/client.rs
@@ -52,7 +52,7 @@
         matches!(
             self,
             Self::Connection {
-                source: ClientError::Connect { .. }
+                source: ClientError::Connect { .. } | ClientError::Withheld { .. }
             } | Self::Refused { .. }
         )
     }
--- a/src/jujubelink/ops/proxy/plain/run.rs
+++ b/src/jujubelink/ops/proxy/plain/run.rs
@@ -224,7 +224,9 @@
                 request.restore_body(unsent);
             }
             return Err(match failure.error {
-                ClientError::Connect { .. } => AttemptError::ConnectFailed,
+                ClientError::Connect { .. } | ClientError::Withheld { .. } => {
+                    AttemptError::ConnectFailed
+                }
                 ClientError::MaybeSent { .. } => AttemptError::ConnectionLost,
             });
         }
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -72,6 +72,28 @@
         }
     }
 
+    fn removed() -> Self {
+        Self::new(
+            Failure::NotSent,
+            RefusalCode::NoTarget,
+            "the target was removed",
+            AttemptOutcome::Cancelled,
+        )
+    }
+
+    fn paused(remaining: Duration) -> Self {
+        let failure = Self::new(
+            Failure::NotSent,
+            RefusalCode::Overloaded,
+            "the target asked for a pause",
+            AttemptOutcome::Cancelled,
+        );
+        Self {
+            refusal: failure.refusal.with_retry_after(remaining),
+            ..failure
+        }
+    }
+
     fn mismatched() -> Self {
         Self::new(
             Failure::MayHaveRun,
@@ -94,32 +116,10 @@
 impl Exchange {
     /// Sends the request to the target of its placement.
     pub(super) async fn send(&mut self) -> Result<SendOutcome, SendFailure> {
-        let removed = || {
-            SendFailure::new(
-                Failure::NotSent,
-                RefusalCode::NoTarget,
-                "the target was removed",
-                AttemptOutcome::Cancelled,
-            )
-        };
-        let placement = self.placement.as_ref().ok_or_else(removed)?;
+        let placement = self.placement.as_ref().ok_or_else(SendFailure::removed)?;
         let record = self.relay.fleet.state().target(&placement.target).cloned();
-        let record = record.ok_or_else(removed)?;
-        if self.relay.fleet.state().is_leaving(&record) {
-            return Err(removed());
-        }
-        let target = std::slice::from_ref(&record.id);
-        let scheduler = self.proxy.service::<dyn SchedulerService>();
-        if let Some(pause) = scheduler.remaining_pause(target) {
-            let mut failure = SendFailure::new(
-                Failure::NotSent,
-                RefusalCode::Overloaded,
-                "the target asked for a pause",
-                AttemptOutcome::Cancelled,
-            );
-            failure.refusal = failure.refusal.with_retry_after(pause);
-            return Err(failure);
-        }
+        let record = record.ok_or_else(SendFailure::removed)?;
+        self.check_target(&record)?;
         let remaining = self.check_send().map_err(SendFailure::before_send)?;
         let weights = self.weights_at(&record);
         self.weights = weights;
@@ -139,10 +139,12 @@
         let options = self.request_options(&record);
         let timeout = self.head_timeout(remaining);
         self.sends += 1;
+        // The target may leave or ask for a pause while the connection is opened.
+        let may_send = || self.check_target(&record).is_ok();
         let sending = self
             .proxy
             .client
-            .send_or_return(record.address, request, options);
+            .send_if(record.address, request, options, may_send);
         let response = match self.proxy.context.timers().timeout(timeout, sending).await {
             None => {
                 return Err(SendFailure::new(
@@ -161,6 +163,10 @@
                         "no connection to the target",
                         AttemptOutcome::ConnectFailed,
                     ),
+                    ClientError::Withheld { .. } => self
+                        .check_target(&record)
+                        .err()
+                        .unwrap_or_else(SendFailure::removed),
                     ClientError::MaybeSent { .. } => SendFailure::connection_lost(),
                 });
             }
@@ -168,6 +174,18 @@
         self.evaluate_response(&record, response).await
     }
 
+    /// Fails if the target is shutting down or has asked for a pause.
+    fn check_target(&self, record: &TargetRecord) -> Result<(), SendFailure> {
+        if self.relay.fleet.state().is_leaving(record) {
+            return Err(SendFailure::removed());
+        }
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        match scheduler.remaining_pause(std::slice::from_ref(&record.id)) {
+            Some(pause) => Err(SendFailure::paused(pause)),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the options for the connection. A target that gets the request again may repeat its
     /// first response on the connection of that response, with the same identifier.
     fn request_options(&self, record: &TargetRecord) -> RequestOptions {
--- a/src/jujubelink/ops/upstream/engine.rs
+++ b/src/jujubelink/ops/upstream/engine.rs
@@ -129,7 +129,9 @@
         let send = self.client.send(target.address, request, options);
         match compio::time::timeout(timeout, send).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(ClientError::Connect { .. })) => Err(AttemptError::ConnectFailed),
+            Ok(Err(ClientError::Connect { .. } | ClientError::Withheld { .. })) => {
+                Err(AttemptError::ConnectFailed)
+            }
             Ok(Err(ClientError::MaybeSent { .. })) => Err(AttemptError::ConnectionLost),
             Err(_) => Err(AttemptError::TimedOut),
         }
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -42,6 +42,13 @@
         /// Cause.
         source: io::Error,
     },
+    /// A connection was established, but the caller's condition for the request no longer held. Nothing
+    /// was sent.
+    #[display("request to {address} was withheld")]
+    Withheld {
+        /// Address of the peer.
+        address: SocketAddr,
+    },
     /// The request may have been received, partly or completely.
     #[display("request to {address} failed after it may have been sent")]
     MaybeSent {
@@ -193,10 +200,22 @@
     ///
     /// Pooled connections that the peer has closed are skipped.
     pub async fn send_or_return(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        options: RequestOptions,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        self.send_if(address, request, options, || true).await
+    }
+
+    /// Like [`Self::send_or_return`], but withholds the request if `may_send` does not hold when the
+    /// connection is ready. Until then, up to [`CONNECT_TIMEOUT`] may have passed.
+    pub async fn send_if(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
         options: RequestOptions,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response<Incoming>, SendFailure> {
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
             match sender.try_send_request(request).await {
@@ -211,6 +230,10 @@
             Ok(sender) => sender,
             Err(error) => return Err(SendFailure::unsent(error, request)),
         };
+        if !may_send() {
+            let error = ClientError::Withheld { address };
+            return Err(SendFailure::unsent(error, request));
+        }
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.return_when_ready(address, sender, response, true)),
             Err(mut failure) => match failure.take_message() {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,9 +1,13 @@
 //! Classification of a target's response, and whether its request may be sent again.
 
+use http::Request;
 use jujubelink::core::fleet::RequestKind;
 use jujubelink::core::relay::{
     Failure, ResponseHead, ResponseVerdict, classify_response, may_send_again,
 };
+use jujubelink::util::http::{Client, ClientError, RequestOptions, empty};
+
+use crate::support::{Reply, ScriptedTarget, run};
 
 fn head(status: u16) -> ResponseHead {
     ResponseHead {
@@ -130,3 +134,26 @@
         assert!(!may_send_again(kind, Failure::NotRun, 0, 4, 2));
     }
 }
+
+/// Guards against requests to a target that asks for a pause while a connection to it is opened.
+#[test]
+fn a_request_is_withheld_if_its_target_may_not_be_used_once_connected() {
+    run(async {
+        let target =
+            ScriptedTarget::start(|_| Reply::kept("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+        let client = Client::new();
+        let request = Request::get("/read/x")
+            .header("host", target.address().to_string())
+            .body(empty())
+            .unwrap();
+        let options = RequestOptions::default();
+        let withheld = client.send_if(target.address(), request, options, || false);
+        let failure = withheld.await.err().expect("the request is withheld");
+        assert!(matches!(failure.error, ClientError::Withheld { .. }));
+        assert!(target.received().is_empty());
+        let request = failure.unsent.expect("the request is returned");
+        let sent = client.send_if(target.address(), request, options, || true);
+        assert_eq!(sent.await.ok().expect("a response").status(), 200);
+        assert_eq!(target.received().len(), 1);
+    });
+}
