--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -152,7 +152,7 @@
         let now = self.now();
         let age = |at: Timestamp| ms(now.saturating_sub(at));
         let state = self.fleet.state();
-        self.encode(&StoreUpdate {
+        let raw = self.encode(&StoreUpdate {
             held_ms: age(received_at),
             targets_age_ms: age(self.fleet.targets_confirmed_at()),
             store_unanswered_ms: Some(ms(self.fleet.store_unanswered())),
@@ -164,7 +164,10 @@
                 .map(|(model, version, at)| (model.to_string(), version, at.map(age)))
                 .collect(),
             weights_age_ms: self.weights_confirmed_at().map(age),
-        })
+        })?;
+        let metrics = self.context.metrics();
+        metrics.count("relayed.update_bytes", raw.len() as u64);
+        Some(raw)
     }
 
     /// Requests updates from a peer and applies them. Returns whether the targets changed. Waits only
@@ -191,6 +194,7 @@
             None => Err(UpdateError::NoAnswer),
         };
         if let Err(error) = applied {
+            self.context.metrics().count("relayed.failures", 1);
             slog::warn!(self.context.log(), "no recent news of a peer"; "peer" => &**source,
                 "waited_ms" => ms(waited), "error" => format!("{error:?}"),
                 "targets_age_ms" => ms(self.fleet.targets_age()));
@@ -207,7 +211,10 @@
         let (address, position) = query.split_once(',')?;
         let stores = self.context.service::<CacheStores>();
         let changes = stores.updates_after(address.parse().ok()?, position.parse().ok()?)?;
-        Some(encode_store_changes(&changes).into())
+        let raw = encode_store_changes(&changes);
+        let metrics = self.context.metrics();
+        metrics.count("relayed.cache_bytes", raw.len() as u64);
+        Some(raw.into())
     }
 
     /// Requests the content changes of a KV cache store from a peer. A peer that lost contact with
