Do not answer at once with an older target list

A source whose list was confirmed more recently than that of the requester answers at once. If its list is older than the requester's by revision, the answer confirms nothing, and the requester would ask again without a pause for up to half a second. Such a source now waits for its next change or confirmation.

--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -137,9 +137,13 @@
         let requester_age = fields.next().flatten().map(Duration::from_millis);
         let received_at = self.now();
         let list_age = self.fleet.targets_age();
-        let has_update = self.fleet.target_revision() > after_revision
+        let revision = self.fleet.target_revision();
+        // An older list, however recent, does not confirm that of the requester.
+        let is_more_recent = revision >= after_revision
+            && requester_age.is_some_and(|age| age > list_age + CONFIRMATION_GAIN);
+        let has_update = revision > after_revision
             || self.fleet.state().config_version() > after_version
-            || requester_age.is_some_and(|age| age > list_age + CONFIRMATION_GAIN);
+            || is_more_recent;
         if !has_update {
             let config = self.context.service::<dyn ConfigService>();
             let expiry = self
