--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -148,7 +148,7 @@
             .unwrap();
         let options = RequestOptions::default();
         let withheld = client.send_if(target.address(), request, options, || false);
-        let failure = withheld.await.err().expect("the request is withheld");
+        let failure = withheld.await.expect_err("the request is withheld");
         assert!(matches!(failure.error, ClientError::Withheld { .. }));
         assert!(target.received().is_empty());
         let request = failure.unsent.expect("the request is returned");
