--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -55,6 +55,7 @@
         fleet.expire_lapsed();
         let peers = context.service::<Peers>();
         let list_age = fleet.targets_age();
+        // Waiting for a source with an older list would exceed the bound on its age.
         if let (Some(_), Some(source)) = (revision, peers.update_source())
             && list_age < MAX_RELAYED_AGE
         {
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -2,7 +2,9 @@
 //!
 //! In a large fleet only the first [`MAX_WATCHERS`] instances, in the order of [`Peers::rank`],
 //! watch the store. The others send a long-poll request to one of them, which answers as soon as
-//! something changes. The number of calls to the store therefore does not grow with the fleet.
+//! something changes or the store confirms its state. The number of calls to the store therefore does
+//! not grow with the fleet. An instance whose target list gets too old reads the store itself, so that
+//! news of leaving targets does not depend on its source.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
