Share the set-up of a large fleet between tests

Two tests of the platform's path started 14 instances and found the followers with the same lines. No change of what they check.

--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -428,14 +428,7 @@
 fn only_some_instances_of_a_large_fleet_watch_the_store() {
     run(async {
         let deployment = Deployment::new();
-        let mut instances = Vec::new();
-        for number in 10..24 {
-            instances.push(deployment.start(&format!("n{number}"), "").await);
-        }
-        for instance in &instances {
-            instance.wait_ready().await;
-        }
-        let followers = wait_for_four_followers(&instances).await;
+        let (instances, followers) = start_large_fleet(&deployment).await;
         deployment.put_target("s1", "draining", 1);
         for follower in &followers {
             wait_until_unused(&deployment.services[0], &instances[*follower]).await;
@@ -521,14 +514,7 @@
     const DRAIN_TIME: Duration = Duration::from_secs(2);
     run(async {
         let deployment = Deployment::new();
-        let mut instances = Vec::new();
-        for number in 10..24 {
-            instances.push(deployment.start(&format!("n{number}"), "").await);
-        }
-        for instance in &instances {
-            instance.wait_ready().await;
-        }
-        let followers = wait_for_four_followers(&instances).await;
+        let (instances, followers) = start_large_fleet(&deployment).await;
         // After a change, the lists of all sources have the same age.
         deployment.put_target("s1", "ready", 2);
         let changed_at = Instant::now();
@@ -580,6 +566,20 @@
     });
 }
 
+/// Starts a fleet in which four instances get changes from others. Returns all instances and the indices of
+/// the four.
+async fn start_large_fleet(deployment: &Deployment) -> (Vec<RunningInstance>, Vec<usize>) {
+    let mut instances = Vec::new();
+    for number in 10..24 {
+        instances.push(deployment.start(&format!("n{number}"), "").await);
+    }
+    for instance in &instances {
+        instance.wait_ready().await;
+    }
+    let followers = wait_for_four_followers(&instances).await;
+    (instances, followers)
+}
+
 /// Waits until all instances but four watch the store, which takes at least one call a second each.
 /// Returns the indices of the four.
 async fn wait_for_four_followers(instances: &[RunningInstance]) -> Vec<usize> {
