Use the one function for the age of the target list

The age has a function of its own since, and the only caller left of the time from which it is computed did the same computation again. The accessor of that time is gone. No change of behaviour: the age is taken in the same step, without a wait in between.

--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -410,11 +410,6 @@
         self.target_revision.get()
     }
 
-    /// When the store last confirmed the target list.
-    pub fn targets_confirmed_at(&self) -> Timestamp {
-        self.targets_confirmed_at.get()
-    }
-
     /// Time since the store last confirmed the target list.
     pub fn targets_age(&self) -> Duration {
         self.now().saturating_sub(self.targets_confirmed_at.get())
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -160,7 +160,7 @@
         let state = self.fleet.state();
         let raw = self.encode(&StoreUpdate {
             held_ms: age(received_at),
-            targets_age_ms: age(self.fleet.targets_confirmed_at()),
+            targets_age_ms: ms(self.fleet.targets_age()),
             store_unanswered_ms: Some(ms(self.fleet.store_unanswered())),
             targets: self.fleet.target_update_since(after_revision),
             config_version: state.config_version(),
