--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -49,6 +49,8 @@
     BreakAfter(u64),
     /// Delays the response.
     Delay(Duration),
+    /// Sends the given number of events, then nothing for the given time, and then the rest.
+    PauseAfter(u64, Duration),
 }
 
 /// Faults of the upcoming requests, in order of arrival over all targets that share the plan.
@@ -172,19 +174,25 @@
         let first = last
             .and_then(|last| last.parse::<u64>().ok())
             .map_or(1, |last| last + 1);
-        let mut frames: Vec<Result<Frame<Bytes>, BodyError>> = Vec::new();
+        let mut frames: Vec<(Duration, Result<Frame<Bytes>, BodyError>)> = Vec::new();
         for event in first..=EVENTS {
-            if fault == Some(TargetFault::BreakAfter(event - first)) {
-                frames.push(Ok(Frame::data(Bytes::from(format!("id: {event}\nda")))));
-                frames.push(Err("broken off".into()));
+            let sent = event - first;
+            if fault == Some(TargetFault::BreakAfter(sent)) {
+                let part = Bytes::from(format!("id: {event}\nda"));
+                frames.push((EVENT_GAP, Ok(Frame::data(part))));
+                frames.push((EVENT_GAP, Err("broken off".into())));
                 break;
             }
+            let gap = match fault {
+                Some(TargetFault::PauseAfter(events, pause)) if events == sent => pause,
+                _ => EVENT_GAP,
+            };
             let text = format!("id: {event}\ndata: piece {event}\n\n");
-            frames.push(Ok(Frame::data(Bytes::from(text))));
+            frames.push((gap, Ok(Frame::data(Bytes::from(text)))));
         }
         // Events are produced one at a time, as engines do, so that each is sent on its own.
-        let frames = futures_util::stream::iter(frames).then(|frame| async move {
-            compio::time::sleep(EVENT_GAP).await;
+        let frames = futures_util::stream::iter(frames).then(|(gap, frame)| async move {
+            compio::time::sleep(gap).await;
             frame
         });
         let body = Box::pin(StreamBody::new(frames));
