Log why a response ends early and why a request is not sent again

A request whose connection closed before any response left no line at all.

'request not sent again', 'response interrupted', 'response ended early' and 'request abandoned' state the reason, the number of sends and runs, and the remaining time. The checks return the reason in place of a bool; their conditions are unchanged. The tests of the conditions now compare the reasons as well.

--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -8,4 +8,6 @@
 mod response;
 
 pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, RelayHead};
-pub use response::{Failure, ResponseHead, ResponseVerdict, classify_response, may_send_again};
+pub use response::{
+    Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
+};
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::core::fleet::RequestKind;
 
 /// Status and headers of a target's response.
@@ -101,23 +103,49 @@
     MayHaveRun,
 }
 
-/// Whether a request may be sent to another target after a failure. `sends` counts all sends so
+/// Why a request is not sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NoResend {
+    /// It must run at most once, and may have run.
+    #[display("the request must run at most once")]
+    NotRepeatable,
+    /// Targets may have run it as often as its route allows.
+    #[display("all attempts are used")]
+    AttemptsUsed,
+    /// It has been sent too often, even if no target ran it.
+    #[display("the request was sent too often")]
+    SendsUsed,
+    /// No target could respond before the deadline.
+    #[display("the deadline is too near")]
+    DeadlineNear,
+    /// The resend budget of its service is used up.
+    #[display("the resend budget is used up")]
+    BudgetUsed,
+}
+
+/// Checks whether a request may be sent to another target after a failure. `sends` counts all sends so
 /// far, and `runs` those by which a target may have run the request, of which `max_attempts` are
 /// allowed.
 ///
 /// A request that must run at most once is sent again only if it can't have been run. A send that
 /// reached no target does not count as a run, but the number of sends is limited as well.
-pub fn may_send_again(
+pub fn check_resend(
     kind: RequestKind,
     failure: Failure,
     runs: u32,
     sends: u32,
     max_attempts: u32,
-) -> bool {
-    match failure {
-        Failure::NotSent | Failure::NotRun => sends < MAX_SENDS && runs < max_attempts,
-        Failure::MayHaveRun => kind.is_repeatable() && runs < max_attempts && sends < MAX_SENDS,
+) -> Result<(), NoResend> {
+    if failure == Failure::MayHaveRun && !kind.is_repeatable() {
+        return Err(NoResend::NotRepeatable);
+    }
+    if runs >= max_attempts {
+        return Err(NoResend::AttemptsUsed);
+    }
+    if sends >= MAX_SENDS {
+        return Err(NoResend::SendsUsed);
     }
+    Ok(())
 }
 
 /// Maximum number of sends of one request, including those that no target ran.
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -13,7 +13,7 @@
 use super::exchange::Exchange;
 use super::send::SendOutcome;
 use crate::core::ids::Timestamp;
-use crate::core::relay::Failure;
+use crate::core::relay::{Failure, NoResend};
 use crate::ops::services::AttemptOutcome;
 use crate::platform::is_connection_header;
 use crate::util::http::{Body, BodyError, full};
@@ -280,7 +280,7 @@
             ReadError::DeadlinePassed => ("the deadline passed", AttemptOutcome::Cancelled),
             ReadError::Silent => ("the target fell silent", AttemptOutcome::TimedOut),
         };
-        self.exchange.log_response(reason, self.status);
+        self.exchange.log_interruption(reason);
         if let Some(placement) = &self.exchange.placement {
             let target = placement.target.clone();
             self.exchange.excluded.push(target);
@@ -288,38 +288,41 @@
         self.exchange.end_placement(outcome);
         self.exchange.runs += 1;
         self.exchange.may_have_run = true;
-        let can_resume = self.exchange.is_resumable()
-            && self.is_event_stream
-            && !matches!(error, ReadError::DeadlinePassed)
-            && self.exchange.can_resend(Failure::MayHaveRun);
-        if !can_resume {
-            return Err(reason.into());
-        }
-        match self.exchange.resume(self.media_type.as_deref()).await {
-            Some(body) => {
+        match self.resume(&error).await {
+            Ok(body) => {
                 self.buffer.clear();
                 self.body = body;
                 self.restart_silence();
                 Ok(())
             }
-            None => Err(reason.into()),
+            Err(resend) => {
+                self.exchange.log_early_end(reason, &resend);
+                Err(reason.into())
+            }
+        }
+    }
+
+    /// Continues the stream at another target. If that is impossible, returns the reason.
+    async fn resume(&mut self, error: &ReadError) -> Result<Incoming, String> {
+        if matches!(error, ReadError::DeadlinePassed) {
+            return Err(NoResend::DeadlineNear.to_string());
         }
+        if !self.is_event_stream {
+            return Err(NoResend::NotRepeatable.to_string());
+        }
+        self.exchange
+            .acquire_resend(Failure::MayHaveRun)
+            .map_err(|reason| reason.to_string())?;
+        self.exchange.resume(self.media_type.as_deref()).await
     }
 }
 
 impl Exchange {
     /// Requests the rest of the stream from another target. A response of another media type is not
-    /// the rest of the stream, but an error, for example, even if its status is a success.
-    async fn resume(&mut self, expected_type: Option<&str>) -> Option<Incoming> {
-        let log_not_resumed = |exchange: &Self, reason: &str| {
-            slog::info!(exchange.proxy.context.log(), "stream not resumed";
-                "request" => &*exchange.head.id, "last_event" => exchange.last_event,
-                "reason" => reason);
-        };
-        if let Err(refusal) = self.place().await {
-            log_not_resumed(self, &refusal.message);
-            return None;
-        }
+    /// the rest of the stream, but an error, for example, even if its status is a success. Returns the
+    /// reason if the stream is not continued.
+    async fn resume(&mut self, expected_type: Option<&str>) -> Result<Incoming, String> {
+        self.place().await.map_err(|refusal| refusal.message)?;
         match self.send().await {
             Ok(SendOutcome::Response(TargetResponse {
                 body: TargetBody::Streamed(body),
@@ -330,16 +333,12 @@
                 slog::info!(self.proxy.context.log(), "stream resumed";
                     "request" => &*self.head.id, "last_event" => self.last_event,
                     "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
-                Some(body)
-            }
-            Ok(_) => {
-                log_not_resumed(self, "the target gave no stream");
-                None
+                Ok(body)
             }
+            Ok(_) => Err("the target gave no stream".to_owned()),
             Err(failure) => {
-                log_not_resumed(self, &failure.refusal.message);
                 self.end_placement(failure.outcome);
-                None
+                Err(failure.refusal.message)
             }
         }
     }
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -14,7 +14,7 @@
 use crate::core::fleet::{TargetAddress, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
-use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, RelayHead, may_send_again};
+use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, RelayHead};
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -32,11 +32,11 @@
 /// Limit on the wait for a response head, as a fraction of the remaining time, while another target
 /// could still be tried. A request that is sent again may wait in the queue for at least the same
 /// fraction, even if the latency objective has passed.
-const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
+pub(super) const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
 
 /// A request is not sent if less time remains before its deadline, because no target could respond
 /// in time.
-const MIN_SEND_TIME: Duration = Duration::from_millis(10);
+pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
 
 /// Retry delay for clients if no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -69,6 +69,8 @@
     /// Weights version that the last send required.
     pub(super) weights: Option<u64>,
     queue_time: Duration,
+    /// Whether the end of the request was logged.
+    is_ended: bool,
 }
 
 impl Exchange {
@@ -93,6 +95,7 @@
             may_have_run: false,
             weights: None,
             queue_time: Duration::ZERO,
+            is_ended: false,
         }
     }
 
@@ -100,6 +103,11 @@
         self.proxy.context.timers().boot_now()
     }
 
+    /// Time until the deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.now())
+    }
+
     pub(super) fn admission(&self) -> Result<&Admission, Refusal> {
         let admission = self.admission.as_ref();
         admission.ok_or_else(|| Refusal::not_run(RefusalCode::Internal, "not admitted"))
@@ -129,7 +137,8 @@
                 Ok(SendOutcome::TargetFailure(response)) => {
                     self.runs += 1;
                     self.may_have_run = true;
-                    if !self.can_resend(Failure::MayHaveRun) {
+                    if let Err(reason) = self.acquire_resend(Failure::MayHaveRun) {
+                        self.log_no_resend(reason);
                         return Ok(response);
                     }
                     self.end_placement(AttemptOutcome::Failed);
@@ -147,7 +156,7 @@
         let Some(incoming) = body.take() else {
             return Ok(());
         };
-        let remaining = self.deadline.saturating_sub(self.now());
+        let remaining = self.remaining();
         let read = collect_limited(incoming, limit);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
@@ -226,7 +235,7 @@
         let first_token_due = (self.arrived + latency_objective).min(self.deadline);
         let mut wait = first_token_due.saturating_sub(self.now());
         if self.sends > 0 {
-            let remaining = self.deadline.saturating_sub(self.now());
+            let remaining = self.remaining();
             wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
         }
         let mut excluded = self.excluded.clone();
@@ -358,7 +367,7 @@
             )
             .with_retry_after(Duration::ZERO));
         }
-        let remaining = self.deadline.saturating_sub(self.now());
+        let remaining = self.remaining();
         if remaining < MIN_SEND_TIME {
             return Err(Refusal::not_run(
                 RefusalCode::DeadlineExceeded,
@@ -368,58 +377,6 @@
         Ok(remaining)
     }
 
-    /// Returns the timeout for the response head.
-    pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
-        let is_last = !self.admission.as_ref().is_some_and(|admission| {
-            let route = &admission.route;
-            may_send_again(
-                route.kind,
-                Failure::MayHaveRun,
-                self.runs + 1,
-                self.sends + 1,
-                route.max_attempts,
-            )
-        });
-        match is_last {
-            true => remaining,
-            false => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
-        }
-    }
-
-    /// Whether the request may be sent again, within the resend budget of its service.
-    pub(super) fn can_resend(&self, failure: Failure) -> bool {
-        let Some(admission) = &self.admission else {
-            return false;
-        };
-        let route = &admission.route;
-        let remaining = self.deadline.saturating_sub(self.now());
-        if remaining < MIN_SEND_TIME
-            || !may_send_again(
-                route.kind,
-                failure,
-                self.runs,
-                self.sends,
-                route.max_attempts,
-            )
-        {
-            return false;
-        }
-        // The budget limits the requests that arrive at targets. A failed send may not have
-        // arrived, but the next one may, so every resend takes from the budget.
-        let instances = self.relay.peers.fleet_size();
-        let now = self.now();
-        let is_allowed = self.relay.with_resend_budget(&admission.service, |budget| {
-            budget.try_acquire(instances, now)
-        });
-        if !is_allowed {
-            self.proxy
-                .context
-                .metrics()
-                .count("relay.resend_refused", 1);
-        }
-        is_allowed
-    }
-
     fn handle_failure(&mut self, failure: SendFailure) -> Result<(), Refusal> {
         if failure.kind == Failure::MayHaveRun {
             self.runs += 1;
@@ -435,10 +392,13 @@
             self.excluded.push(placement.target.clone());
         }
         self.end_placement(failure.outcome.clone());
-        if failure.is_final || !self.can_resend(failure.kind) {
+        if failure.is_final {
             return Err(self.with_outcome(failure.refusal));
         }
-        Ok(())
+        self.acquire_resend(failure.kind).map_err(|reason| {
+            self.log_no_resend(reason);
+            self.with_outcome(failure.refusal)
+        })
     }
 
     /// Sets the outcome of a refusal to that of all sends so far.
@@ -481,8 +441,48 @@
         scheduler.report(&request, placement, outcome);
     }
 
+    /// Logs why a failed request is not sent again.
+    pub(super) fn log_no_resend(&self, reason: NoResend) {
+        slog::info!(self.proxy.context.log(), "request not sent again"; "request" => &*self.head.id,
+            "reason" => reason.to_string(), "sends" => self.sends, "runs" => self.runs,
+            "remaining_ms" => ms(self.remaining()));
+    }
+
+    /// Logs that a response stopped before it was complete.
+    pub(super) fn log_interruption(&self, reason: &str) {
+        slog::info!(self.proxy.context.log(), "response interrupted"; "request" => &*self.head.id,
+            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "reason" => reason, "last_event" => self.last_event, "sends" => self.sends,
+            "took_ms" => ms(self.now().saturating_sub(self.arrived)),
+            "remaining_ms" => ms(self.remaining()));
+    }
+
+    /// Logs a response that ends before it is complete: why it ended, and why no target continues it.
+    pub(super) fn log_early_end(&mut self, reason: &str, resend: &str) {
+        self.is_ended = true;
+        slog::info!(self.proxy.context.log(), "response ended early"; "request" => &*self.head.id,
+            "reason" => reason, "resend" => resend, "last_event" => self.last_event,
+            "sends" => self.sends, "runs" => self.runs,
+            "took_ms" => ms(self.now().saturating_sub(self.arrived)),
+            "remaining_ms" => ms(self.remaining()));
+        self.proxy.context.metrics().count("relay.ended_early", 1);
+    }
+
+    /// Logs a request that ended with neither a response nor a refusal, as its client left or its
+    /// connection was closed.
+    fn log_abandoned(&self) {
+        slog::info!(self.proxy.context.log(), "request abandoned"; "request" => &*self.head.id,
+            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "last_event" => self.last_event, "sends" => self.sends,
+            "lifecycle" => format!("{:?}", self.proxy.context.shutdown().lifecycle()),
+            "took_ms" => ms(self.now().saturating_sub(self.arrived)),
+            "remaining_ms" => ms(self.remaining()));
+        self.proxy.context.metrics().count("relay.abandoned", 1);
+    }
+
     /// Logs a request that a target answered.
-    pub(super) fn log_response(&self, outcome: &str, status: u16) {
+    pub(super) fn log_response(&mut self, outcome: &str, status: u16) {
+        self.is_ended = true;
         let now = self.now();
         let admission = self.admission.as_ref();
         slog::info!(self.proxy.context.log(), "request answered"; "request" => &*self.head.id,
@@ -509,7 +509,8 @@
     }
 
     /// Logs a request that was refused or failed in the router.
-    pub(super) fn log_refusal(&self, refusal: &Refusal) {
+    pub(super) fn log_refusal(&mut self, refusal: &Refusal) {
+        self.is_ended = true;
         let admission = self.admission.as_ref();
         slog::info!(self.proxy.context.log(), "request refused"; "request" => &*self.head.id,
             "code" => refusal.code.to_string(), "outcome" => refusal.outcome.to_string(),
@@ -528,6 +529,9 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        if !self.is_ended {
+            self.log_abandoned();
+        }
         self.end_placement(AttemptOutcome::Cancelled);
         if let Some(charge) = self.charge.take() {
             // A request that was never sent has used nothing.
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod exchange;
 mod ready;
+mod resend;
 mod send;
 
 use std::cell::RefCell;
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -0,0 +1,49 @@
+//! Whether and when a request is sent again.
+
+use std::time::Duration;
+
+use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
+use crate::core::relay::{Failure, NoResend, check_resend};
+
+impl Exchange {
+    /// Returns the timeout for the response head.
+    pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
+        match self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends + 1) {
+            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+            Err(_) => remaining,
+        }
+    }
+
+    fn check_resend(&self, failure: Failure, runs: u32, sends: u32) -> Result<(), NoResend> {
+        let Some(admission) = &self.admission else {
+            return Err(NoResend::NotRepeatable);
+        };
+        let route = &admission.route;
+        check_resend(route.kind, failure, runs, sends, route.max_attempts)
+    }
+
+    /// Takes a further send from the resend budget of the service, if the request may be sent again
+    /// after a failure.
+    pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
+        self.check_resend(failure, self.runs, self.sends)?;
+        if self.remaining() < MIN_SEND_TIME {
+            return Err(NoResend::DeadlineNear);
+        }
+        // The budget limits the requests that arrive at targets. A failed send may not have
+        // arrived, but the next one may, so every resend takes from the budget.
+        let Some(admission) = &self.admission else {
+            return Err(NoResend::NotRepeatable);
+        };
+        let instances = self.relay.peers.fleet_size();
+        let now = self.now();
+        let is_allowed = self.relay.with_resend_budget(&admission.service, |budget| {
+            budget.try_acquire(instances, now)
+        });
+        if !is_allowed {
+            let metrics = self.proxy.context.metrics();
+            metrics.count("relay.resend_refused", 1);
+            return Err(NoResend::BudgetUsed);
+        }
+        Ok(())
+    }
+}
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -3,7 +3,7 @@
 use http::Request;
 use jujubelink::core::fleet::RequestKind;
 use jujubelink::core::relay::{
-    Failure, ResponseHead, ResponseVerdict, classify_response, may_send_again,
+    Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
 };
 use jujubelink::util::http::{Client, ClientError, RequestOptions, empty};
 
@@ -119,19 +119,24 @@
         },
     ];
     for kind in single_run {
-        assert!(!may_send_again(kind, Failure::MayHaveRun, 1, 1, 3));
-        assert!(may_send_again(kind, Failure::NotRun, 0, 1, 1));
-        assert!(may_send_again(kind, Failure::NotSent, 0, 1, 1));
-        assert!(!may_send_again(kind, Failure::NotSent, 1, 2, 1));
+        let check = |failure, runs, sends, max| check_resend(kind, failure, runs, sends, max);
+        let may_have_run = check(Failure::MayHaveRun, 1, 1, 3);
+        assert_eq!(may_have_run, Err(NoResend::NotRepeatable));
+        assert_eq!(check(Failure::NotRun, 0, 1, 1), Ok(()));
+        assert_eq!(check(Failure::NotSent, 0, 1, 1), Ok(()));
+        let ran_before = check(Failure::NotSent, 1, 2, 1);
+        assert_eq!(ran_before, Err(NoResend::AttemptsUsed));
     }
     let repeatable = [
         RequestKind::Idempotent,
         RequestKind::Stream { is_resumable: true },
     ];
     for kind in repeatable {
-        assert!(may_send_again(kind, Failure::MayHaveRun, 1, 1, 2));
-        assert!(!may_send_again(kind, Failure::MayHaveRun, 2, 2, 2));
-        assert!(!may_send_again(kind, Failure::NotRun, 0, 4, 2));
+        let check = |failure, runs, sends| check_resend(kind, failure, runs, sends, 2);
+        assert_eq!(check(Failure::MayHaveRun, 1, 1), Ok(()));
+        let last_attempt = check(Failure::MayHaveRun, 2, 2);
+        assert_eq!(last_attempt, Err(NoResend::AttemptsUsed));
+        assert_eq!(check(Failure::NotRun, 0, 4), Err(NoResend::SendsUsed));
     }
 }
 
