Test pauses of targets: what holds today

Four tests hold on and have to hold after the fix: pauses outside of resumable streams cost no response and no second run; a stream leaves an engine that is silent for good, within 400 ms of the first event of the next run; resumed streams keep to attempts and budget; a response that ends early is logged once with its reasons.

--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use super::{Deployment, RunningInstance, expected_events, wait_until_unused};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
@@ -22,33 +23,42 @@
     }
 }
 
-fn success(request: &ReceivedRequest, body: &str) -> String {
+pub(super) fn success(request: &ReceivedRequest, body: &str) -> String {
     response_head("200 OK", &request.id, body.len()) + body
 }
 
-fn refusal(id: &str) -> String {
+pub(super) fn refusal(id: &str) -> String {
     let head = response_head("503 Service Unavailable", id, 0);
     head.replacen("\r\n", "\r\njujubelink-not-executed: 1\r\n", 1)
 }
 
-fn response_head(status: &str, id: &str, body_length: usize) -> String {
+pub(super) fn response_head(status: &str, id: &str, body_length: usize) -> String {
     format!(
         "HTTP/1.1 {status}\r\njujubelink-attempt-id: {id}\r\njujubelink-server-stamp: s\r\n\
          content-length: {body_length}\r\n\r\n"
     )
 }
 
-/// Returns the head of a stream and its first events, without an end.
-fn stream_start(request: &ReceivedRequest, events: std::ops::RangeInclusive<u64>) -> String {
-    let data = expected_events(events);
+/// Returns the head of a stream.
+pub(super) fn stream_head(request: &ReceivedRequest) -> String {
     format!(
         "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {}\r\njujubelink-server-stamp: s\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{data}\r\n",
-        request.id,
-        data.len()
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+        request.id
     )
 }
 
+/// Returns events as a part of a stream.
+pub(super) fn stream_part(events: std::ops::RangeInclusive<u64>) -> String {
+    let data = expected_events(events);
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// Returns the head of a stream and its first events, without an end.
+fn stream_start(request: &ReceivedRequest, events: std::ops::RangeInclusive<u64>) -> String {
+    stream_head(request) + &stream_part(events)
+}
+
 /// Sends a request that the target refuses, and then another one that arrives on the connection of the
 /// refusal, where the target runs it and writes `repeated`. Returns the response to the latter.
 async fn send_behind_a_repeated_refusal(
@@ -206,10 +216,12 @@
             deployment.store.remove("servers", id);
         }
         let request = ReceivedRequest {
+            arrived_at: Instant::now(),
             connection: 0,
             index: 0,
             path: String::new(),
             id: "r".to_owned(),
+            last_event: None,
         };
         let complete = success(&request, &expected_events(1..=1));
         let is_boundary = |length: &usize| {
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -2,6 +2,7 @@
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
 mod faulty_responses;
+mod silent_targets;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
@@ -238,10 +239,22 @@
     }
 
     async fn send_prompt_of_parts(&self, id: &str, path: &str, parts: &str) -> TestResponse {
+        let deadline = Duration::from_secs(3);
+        self.send_prompt_with_deadline(id, path, parts, deadline)
+            .await
+    }
+
+    async fn send_prompt_with_deadline(
+        &self,
+        id: &str,
+        path: &str,
+        parts: &str,
+        deadline: Duration,
+    ) -> TestResponse {
         let request = http::Request::post(path)
             .header("host", "shop.example")
             .header("jujubelink-attempt-id", id)
-            .header("jujubelink-deadline-ms", "3000")
+            .header("jujubelink-deadline-ms", deadline.as_millis() as u64)
             .header("jujubelink-model", "m")
             .header("jujubelink-token-count", "1200,50")
             .header("jujubelink-prompt-prefix", parts)
--- /dev/null
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -0,0 +1,369 @@
+//! Targets that send nothing for a while and go on, or never go on.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use jujubelink_standins::fleet::StoreMode;
+use serde_json::Value;
+
+use super::faulty_responses::{refusal, response_head, stream_head, stream_part, success};
+use super::{Deployment, RunningInstance, expected_events, read_lines};
+use crate::support::{
+    ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, WAIT_TIMEOUT, eventually, run,
+};
+
+/// Number of events in a complete stream.
+const EVENTS: u64 = 5;
+
+/// Deadline of the prompts; it is also the timeout of their routes.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Time for which two targets may run a request.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Pause of a target that is silent for good.
+const SILENCE: Duration = Duration::from_secs(2 * WAIT_TIMEOUT.as_secs());
+
+/// An instance whose targets answer according to one script.
+struct ScriptedDeployment {
+    _deployment: Deployment,
+    instance: RunningInstance,
+    targets: Vec<ScriptedTarget>,
+}
+
+/// Starts the targets in `ids`, which are the only ones in service. `script` gets each request and the
+/// number of its earlier arrivals at any of them.
+fn deploy(
+    ids: &[&str],
+    script: impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static,
+) -> (Deployment, Vec<ScriptedTarget>) {
+    let deployment = Deployment::new();
+    let arrivals = Mutex::new(HashMap::<String, usize>::new());
+    let script = Arc::new(move |request: &ReceivedRequest| {
+        if request.id.starts_with("warm-up") {
+            return stream(request, &[]);
+        }
+        let attempt = {
+            let mut arrivals = arrivals.lock().unwrap();
+            let count = arrivals.entry(request.id.clone()).or_default();
+            *count += 1;
+            *count - 1
+        };
+        script(request, attempt)
+    });
+    for (id, _) in &deployment.handles {
+        deployment.store.remove("servers", id);
+    }
+    let targets = ids.iter().map(|id| {
+        let script = Arc::clone(&script);
+        let target = ScriptedTarget::start(move |request| script(request));
+        deployment.put_target_at(id, target.address(), "ready", 2, 1);
+        target
+    });
+    let targets = targets.collect();
+    (deployment, targets)
+}
+
+impl ScriptedDeployment {
+    async fn start(
+        ids: &[&str],
+        settings: &str,
+        script: impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static,
+    ) -> Self {
+        let (deployment, targets) = deploy(ids, script);
+        let instance = deployment.start("n1", settings).await;
+        wait_until_prompts_complete(&instance).await;
+        Self {
+            _deployment: deployment,
+            instance,
+            targets,
+        }
+    }
+
+    /// Sends a request for a stream that may be resumed.
+    async fn ask(&self, id: &str) -> TestResponse {
+        send_prompt(&self.instance, id, "/ask/x").await
+    }
+
+    /// Returns the arrivals of a request, in their order.
+    fn arrivals(&self, id: &str) -> Vec<(&ScriptedTarget, ReceivedRequest)> {
+        let all = self.targets.iter().flat_map(|target| {
+            let received = target.received().into_iter();
+            received.map(move |request| (target, request))
+        });
+        let mut arrivals: Vec<_> = all.filter(|(_, request)| request.id == id).collect();
+        arrivals.sort_by_key(|(_, request)| request.arrived_at);
+        arrivals
+    }
+
+    /// Waits until no target answers a request, and checks that none ran it for long while a later one
+    /// did. A run starts with its first event.
+    async fn assert_runs_at_one_target(&self, id: &str) {
+        let mut runs: Vec<(Instant, Instant)> = Vec::new();
+        for (target, request) in self.arrivals(id) {
+            let times = eventually("the reply ends", || async {
+                let times = target.reply_times(&request);
+                times.ended_at.map(|ended_at| (times, ended_at))
+            });
+            let (times, ended_at) = times.await;
+            if let Some(started_at) = times.parts_sent_at.get(1) {
+                runs.push((*started_at, ended_at));
+            }
+        }
+        for (index, (started_at, ended_at)) in runs.iter().enumerate() {
+            for (_, earlier_ended_at) in &runs[..index] {
+                let end = earlier_ended_at.min(ended_at);
+                let overlap = end.saturating_duration_since(*started_at);
+                assert!(
+                    overlap < MAX_OVERLAP,
+                    "{id}: at two targets for {overlap:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Waits until the instance admits prompts: a new one has no tokens of the workspace's rate limit yet.
+async fn wait_until_prompts_complete(instance: &RunningInstance) {
+    instance.wait_ready().await;
+    let number = Cell::new(0);
+    eventually("a stream is complete", || async {
+        number.set(number.get() + 1);
+        let id = format!("warm-up-{}", number.get());
+        let response = send_prompt(instance, &id, "/ask/x").await;
+        is_complete(&response).then_some(())
+    })
+    .await;
+}
+
+/// Sends a prompt that has no parts in common with others.
+async fn send_prompt(instance: &RunningInstance, id: &str, path: &str) -> TestResponse {
+    let parts = format!("{id}:1200");
+    instance
+        .send_prompt_with_deadline(id, path, &parts, DEADLINE)
+        .await
+}
+
+/// Number of events that a response has sent before a pause, and the length of the pause in milliseconds.
+type Pause = (u64, u64);
+
+/// Returns a stream that goes on after the last event of the request.
+fn stream(request: &ReceivedRequest, pauses: &[Pause]) -> Reply {
+    let first = request.last_event.map_or(1, |last| last + 1);
+    let mut steps = vec![Step::Send(stream_head(request))];
+    for event in first..=EVENTS {
+        let pauses = pauses.iter().filter(|(sent, _)| *sent == event - first);
+        steps.extend(pauses.map(|(_, ms)| Step::Pause(Duration::from_millis(*ms))));
+        steps.push(Step::Send(stream_part(event..=event)));
+    }
+    steps.push(Step::Send("0\r\n\r\n".to_owned()));
+    Reply {
+        steps,
+        closes: false,
+    }
+}
+
+/// Returns the head of a stream and some events, after which the target sends nothing more.
+fn silent_stream(request: &ReceivedRequest, events: u64) -> Reply {
+    stream(request, &[(events, SILENCE.as_millis() as u64)])
+}
+
+/// Returns the head of a stream and the next two events, after which the connection closes.
+fn broken_stream(request: &ReceivedRequest) -> Reply {
+    let first = request.last_event.map_or(1, |last| last + 1);
+    Reply::closed(stream_head(request) + &stream_part(first..=first + 1))
+}
+
+fn is_complete(response: &TestResponse) -> bool {
+    response.status == 200 && response.body == expected_events(1..=EVENTS)
+}
+
+/// Checks that all responses, which are given with a name of their case, are complete.
+fn assert_complete<'a>(responses: impl IntoIterator<Item = (&'a str, TestResponse)>) {
+    let incomplete: Vec<_> = responses
+        .into_iter()
+        .filter(|(_, response)| !is_complete(response))
+        .map(|(case, response)| (case, response.status, response.body))
+        .collect();
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+}
+
+/// Checks that a response is complete, or that the client can tell that it is not.
+fn assert_complete_or_interrupted(what: &str, response: &TestResponse) {
+    let is_interrupted =
+        response.status == 0 && expected_events(1..=EVENTS).starts_with(&response.body);
+    assert!(
+        is_interrupted || is_complete(response),
+        "{what}: {} {}",
+        response.status,
+        response.body
+    );
+}
+
+/// Guards against responses that are given up, and requests that run twice, because of a pause where no
+/// stream can be resumed.
+#[test]
+fn pauses_outside_of_resumable_streams_cost_no_response() {
+    run(async {
+        let ids = ["s1", "s2", "e1", "e2"];
+        let setup = ScriptedDeployment::start(&ids, "", |request, _| {
+            let body = |pause_ms| Reply {
+                steps: vec![
+                    Step::Send(response_head("200 OK", &request.id, 2)),
+                    Step::Pause(Duration::from_millis(pause_ms)),
+                    Step::Send("ok".to_owned()),
+                ],
+                closes: false,
+            };
+            let head = |pause_ms| {
+                let delay = Duration::from_millis(pause_ms);
+                Reply::kept(success(request, "ok")).with_delay(delay)
+            };
+            match &*request.id {
+                "ask-head" | "tell-head" => {
+                    stream(request, &[]).with_delay(Duration::from_millis(1_200))
+                }
+                "tell" => stream(request, &[(2, 1_900)]),
+                "read-head" => head(1_200),
+                "pay-head" => head(1_300),
+                _ => body(1_300),
+            }
+        });
+        let setup = setup.await;
+        let instance = &setup.instance;
+        let prompts = ["ask-head", "tell-head", "tell"].map(|id| async move {
+            let route = id.split('-').next().unwrap();
+            (id, send_prompt(instance, id, &format!("/{route}/x")).await)
+        });
+        let plain = ["read-head", "read-body", "pay-head", "pay-body"].map(|id| async move {
+            let (method, path) = match id.starts_with("read") {
+                true => ("GET", "/read/x"),
+                false => ("POST", "/pay/x"),
+            };
+            let response = instance.send_request(id, method, path).await;
+            assert_eq!((response.status, &*response.body), (200, "ok"), "{id}");
+        });
+        let (responses, _) = futures_util::join!(join_all(prompts), join_all(plain));
+        assert_complete(responses);
+        for id in ["tell-head", "tell", "pay-head", "pay-body"] {
+            assert_eq!(setup.arrivals(id).len(), 1, "{id}");
+        }
+    });
+}
+
+/// Guards against a stream that stays at an engine that never goes on, and against an engine that still
+/// works on a stream that another one has taken over.
+#[test]
+fn a_stream_leaves_an_engine_that_is_silent_for_good() {
+    run(async {
+        let setup = ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| {
+            // The stream lasts longer than the engine before may run it.
+            let rest = stream(request, &[(1, 500)]);
+            match (&*request.id, attempt) {
+                ("head", 0) => silent_stream(request, 0),
+                ("last", 0) => silent_stream(request, 4),
+                (_, 0) => silent_stream(request, 2),
+                ("late", _) => rest.with_delay(Duration::from_millis(800)),
+                _ => rest,
+            }
+        });
+        let setup = setup.await;
+        let responses = join_all(["head", "middle", "last", "late"].map(|id| {
+            let setup = &setup;
+            async move {
+                let response = setup.ask(id).await;
+                setup.assert_runs_at_one_target(id).await;
+                (id, response)
+            }
+        }));
+        assert_complete(responses.await);
+    });
+}
+
+/// Guards against streams that run more often than their route allows, and against more resends than
+/// the budget allows.
+#[test]
+fn resumed_streams_keep_to_attempts_and_budget() {
+    const BUDGET: usize = 5;
+    run(async {
+        let few = format!("resend_ratio = 0.0\nresend_slack = {BUDGET}.0");
+        join_all([&*few, ""].map(|settings| async move {
+            let ids = ["e1", "e2", "e3"];
+            let setup = ScriptedDeployment::start(&ids, settings, |request, attempt| {
+                let number: usize = request.id.trim_start_matches('r').parse().unwrap();
+                match (number + attempt) % 3 {
+                    0 => broken_stream(request),
+                    1 => stream(request, &[(1, 1_200)]),
+                    _ => Reply::kept(refusal(&request.id)),
+                }
+            });
+            let setup = setup.await;
+            let ids: Vec<_> = (0..9).map(|number| format!("r{number}")).collect();
+            join_all(ids.iter().map(|id| async {
+                let response = setup.ask(id).await;
+                if response.status != 503 {
+                    assert_complete_or_interrupted(id, &response);
+                }
+            }))
+            .await;
+            let mut resends = 0;
+            for (number, id) in ids.iter().enumerate() {
+                let arrivals = setup.arrivals(id).len();
+                let attempts = 0..arrivals;
+                let runs = attempts
+                    .filter(|attempt| (number + attempt) % 3 != 2)
+                    .count();
+                assert!(runs <= 2, "{id}: {runs} runs");
+                resends += arrivals.saturating_sub(1);
+            }
+            assert!(resends > 0);
+            if !settings.is_empty() {
+                assert!(resends <= BUDGET, "{resends} resends");
+            }
+        }))
+        .await;
+    });
+}
+
+/// Guards against responses that end early without a record of the reason.
+#[test]
+fn a_response_that_ends_early_is_logged_with_its_reasons() {
+    run(async {
+        let script = |request: &ReceivedRequest, _| broken_stream(request);
+        let (deployment, _targets) = deploy(&["e1", "e2"], script);
+        let log = "[log]\nlevel = \"info\"\n";
+        let started = deployment.start_with_log("n1", log, StoreMode::Up, Stdio::piped());
+        let mut instance = started.await;
+        let lines = read_lines(instance.process.take_log());
+        wait_until_prompts_complete(&instance).await;
+        let response = send_prompt(&instance, "r", "/ask/x").await;
+        assert_eq!(response.status, 0, "{}", response.body);
+        assert_eq!(response.body, expected_events(1..=4));
+        send_prompt(&instance, "warm-up-last", "/ask/x").await;
+        let early_ends = Mutex::new(Vec::new());
+        eventually("the next request is logged", || async {
+            let lines = lines.try_iter();
+            let mut lines = lines.map(|line| serde_json::from_str::<Value>(&line).unwrap());
+            lines.find_map(|line| {
+                let is_last =
+                    line["request"] == "warm-up-last" && line["msg"] == "request answered";
+                if line["msg"] == "response ended early" {
+                    early_ends.lock().unwrap().push(line);
+                }
+                is_last.then_some(())
+            })
+        })
+        .await;
+        let early_ends = early_ends.into_inner().unwrap();
+        assert_eq!(early_ends.len(), 1, "{early_ends:?}");
+        assert_eq!(early_ends[0]["request"], "r");
+        for field in ["reason", "resend"] {
+            let text = early_ends[0][field].as_str();
+            assert!(text.is_some_and(|text| !text.is_empty()), "{early_ends:?}");
+        }
+    });
+}
--- a/tests/testsuite/support/scripted.rs
+++ b/tests/testsuite/support/scripted.rs
@@ -1,13 +1,16 @@
 //! A target that answers each request with bytes that the test chooses.
 
-use std::io::{Read, Write};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// A request that has arrived completely.
 #[derive(Debug, Clone)]
 pub(crate) struct ReceivedRequest {
+    pub(crate) arrived_at: Instant,
     /// Number of the connection, from 0.
     pub(crate) connection: usize,
     /// Number of the request on its connection, from 0.
@@ -15,11 +18,20 @@
     pub(crate) path: String,
     /// Attempt id; empty if absent.
     pub(crate) id: String,
+    /// Number of the last stream event that the client has, if the request resumes a stream.
+    pub(crate) last_event: Option<u64>,
 }
 
-/// The bytes that answer a request.
+/// A part of a reply.
+pub(crate) enum Step {
+    Send(String),
+    /// Sends nothing for this time.
+    Pause(Duration),
+}
+
+/// The bytes that answer a request, and pauses between them.
 pub(crate) struct Reply {
-    pub(crate) bytes: String,
+    pub(crate) steps: Vec<Step>,
     /// Whether the connection is closed afterwards.
     pub(crate) closes: bool,
 }
@@ -28,7 +40,7 @@
     /// Keeps the connection open after the bytes.
     pub(crate) fn kept(bytes: impl Into<String>) -> Self {
         Self {
-            bytes: bytes.into(),
+            steps: vec![Step::Send(bytes.into())],
             closes: false,
         }
     }
@@ -36,10 +48,24 @@
     /// Closes the connection after the bytes.
     pub(crate) fn closed(bytes: impl Into<String>) -> Self {
         Self {
-            bytes: bytes.into(),
+            steps: vec![Step::Send(bytes.into())],
             closes: true,
         }
     }
+
+    /// Sends nothing for the given time before the rest of the reply.
+    pub(crate) fn with_delay(mut self, delay: Duration) -> Self {
+        self.steps.insert(0, Step::Pause(delay));
+        self
+    }
+}
+
+/// When parts of a reply were sent.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ReplyTimes {
+    pub(crate) parts_sent_at: Vec<Instant>,
+    /// When the reply was complete or its connection closed.
+    pub(crate) ended_at: Option<Instant>,
 }
 
 type Script = dyn Fn(&ReceivedRequest) -> Reply + Send + Sync;
@@ -47,6 +73,8 @@
 struct Shared {
     script: Box<Script>,
     received: Mutex<Vec<ReceivedRequest>>,
+    /// By the numbers of connection and request.
+    reply_times: Mutex<HashMap<(usize, usize), ReplyTimes>>,
     is_stopped: AtomicBool,
 }
 
@@ -67,6 +95,7 @@
         let shared = Arc::new(Shared {
             script: Box::new(script),
             received: Mutex::default(),
+            reply_times: Mutex::default(),
             is_stopped: AtomicBool::new(false),
         });
         let accepting = Arc::clone(&shared);
@@ -91,6 +120,13 @@
     pub(crate) fn received(&self) -> Vec<ReceivedRequest> {
         self.shared.received.lock().unwrap().clone()
     }
+
+    /// Returns the times of the reply to a request.
+    pub(crate) fn reply_times(&self, request: &ReceivedRequest) -> ReplyTimes {
+        let reply_times = self.shared.reply_times.lock().unwrap();
+        let times = reply_times.get(&(request.connection, request.index));
+        times.cloned().unwrap_or_default()
+    }
 }
 
 impl Drop for ScriptedTarget {
@@ -103,22 +139,38 @@
 
 impl Shared {
     fn serve(&self, connection: usize, mut stream: &TcpStream) {
+        let _ = stream.set_nodelay(true);
         let mut index = 0;
-        while let Some((path, id)) = read_request(stream) {
+        while let Some((path, id, last_event)) = read_request(stream) {
             let reply = if path.starts_with("/api/") {
                 Reply::kept("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n")
             } else {
                 let request = ReceivedRequest {
+                    arrived_at: Instant::now(),
                     connection,
                     index,
                     path,
                     id,
+                    last_event,
                 };
                 self.received.lock().unwrap().push(request.clone());
                 (self.script)(&request)
             };
+            let record = |act: &dyn Fn(&mut ReplyTimes, Instant)| {
+                let mut reply_times = self.reply_times.lock().unwrap();
+                let times = reply_times.entry((connection, index)).or_default();
+                act(times, Instant::now());
+            };
+            let is_open = reply.steps.iter().all(|step| match step {
+                Step::Send(bytes) => {
+                    record(&|times, now| times.parts_sent_at.push(now));
+                    stream.write_all(bytes.as_bytes()).is_ok()
+                }
+                Step::Pause(pause) => !closes_within(stream, *pause),
+            });
+            record(&|times, now| times.ended_at = Some(now));
             index += 1;
-            if stream.write_all(reply.bytes.as_bytes()).is_err() || reply.closes {
+            if !is_open || reply.closes {
                 break;
             }
         }
@@ -126,9 +178,30 @@
     }
 }
 
-/// Reads a request with a body of stated length. Returns its path and attempt id, or `None` if the
-/// connection ends.
-fn read_request(mut stream: &TcpStream) -> Option<(String, String)> {
+/// Waits for the given time, or until the peer closes the connection. Returns whether it did.
+fn closes_within(stream: &TcpStream, time: Duration) -> bool {
+    let end = Instant::now() + time;
+    loop {
+        let remaining = end.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            let _ = stream.set_read_timeout(None);
+            return false;
+        }
+        let _ = stream.set_read_timeout(Some(remaining));
+        match stream.peek(&mut [0]) {
+            Ok(0) => return true,
+            Ok(_) => std::thread::sleep(remaining.min(Duration::from_millis(10))),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => {}
+                _ => return true,
+            },
+        }
+    }
+}
+
+/// Reads a request with a body of stated length. Returns its path, attempt id and last event, or `None`
+/// if the connection ends.
+fn read_request(mut stream: &TcpStream) -> Option<(String, String, Option<u64>)> {
     let mut data = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -141,7 +214,9 @@
             let length = header("content-length:").map_or(0, |text| text.parse().unwrap_or(0));
             if body.len() >= length {
                 let path = head.split(' ').nth(1)?.to_owned();
-                return Some((path, header("jujubelink-attempt-id:").unwrap_or_default()));
+                let id = header("jujubelink-attempt-id:").unwrap_or_default();
+                let last_event = header("last-event-id:").and_then(|text| text.parse().ok());
+                return Some((path, id, last_event));
             }
         }
         let length = stream.read(&mut buffer).ok().filter(|length| *length > 0)?;
