--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -118,12 +118,19 @@
     }
 
     fn put_configuration_with_services(&self, version: u64, keys: &[&str], services: &[Value]) {
+        let mut config = Self::configuration(version, keys);
+        let listed_services = config["services"].as_array_mut().unwrap();
+        listed_services.extend_from_slice(services);
+        self.store.put("config", "main", config);
+    }
+
+    fn configuration(version: u64, keys: &[&str]) -> Value {
         let route = |name: &str, path: &str, kind: &str, service: &str, resumable: bool| {
             json!({ "name": name, "host": "shop.example", "path_prefix": path, "kind": kind,
                 "timeout_ms": 4000, "target_latency_ms": 3000, "priority": 1, "service": service,
                 "max_attempts": 2, "public": false, "resumable": resumable, "gap_aim_ms": 250 })
         };
-        let mut config = json!({ "version": version,
+        json!({ "version": version,
             "routes": [
                 route("read", "/read/", "idempotent", "app", false),
                 route("pay", "/pay/", "non_idempotent", "app", false),
@@ -136,10 +143,7 @@
                   "engine": { "slots": 8, "kv_capacity": 100000, "models": [{ "name": "m" }] } },
             ],
             "tenants": [{ "name": "club", "api_keys": keys, "unit": "tokens",
-                "plain_tokens": 10, "rate_per_s": 10000000, "burst": 10000000 }] });
-        let listed_services = config["services"].as_array_mut().unwrap();
-        listed_services.extend_from_slice(services);
-        self.store.put("config", "main", config);
+                "plain_tokens": 10, "rate_per_s": 10000000, "burst": 10000000 }] })
     }
 
     async fn start(&self, name: &str, settings: &str) -> RunningInstance {
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -8,12 +8,13 @@
 
 use futures_util::future::join_all;
 use jujubelink_standins::fleet::StoreMode;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::faulty_responses::{refusal, response_head, stream_head, stream_part, success};
-use super::{Deployment, RunningInstance, expected_events, read_lines};
+use super::{Deployment, KEY, RunningInstance, expected_events, read_lines};
 use crate::support::{
-    ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, WAIT_TIMEOUT, eventually, run,
+    ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, WAIT_TIMEOUT, eventually,
+    free_address, run,
 };
 
 /// Number of events in a complete stream.
@@ -28,9 +29,12 @@
 /// Pause of a target that is silent for good.
 const SILENCE: Duration = Duration::from_secs(2 * WAIT_TIMEOUT.as_secs());
 
+/// Settings without any budget for sending a request again.
+const NO_RESENDS: &str = "resend_ratio = 0.0\nresend_slack = 0.0";
+
 /// An instance whose targets answer according to one script.
 struct ScriptedDeployment {
-    _deployment: Deployment,
+    deployment: Deployment,
     instance: RunningInstance,
     targets: Vec<ScriptedTarget>,
 }
@@ -78,7 +82,7 @@
         let instance = deployment.start("n1", settings).await;
         wait_until_prompts_complete(&instance).await;
         Self {
-            _deployment: deployment,
+            deployment,
             instance,
             targets,
         }
@@ -89,6 +93,14 @@
         send_prompt(&self.instance, id, "/ask/x").await
     }
 
+    /// Waits until a request has reached a target.
+    async fn wait_for_arrival(&self, id: &str) {
+        eventually("the request reaches a target", || async {
+            (!self.arrivals(id).is_empty()).then_some(())
+        })
+        .await;
+    }
+
     /// Returns the arrivals of a request, in their order.
     fn arrivals(&self, id: &str) -> Vec<(&ScriptedTarget, ReceivedRequest)> {
         let all = self.targets.iter().flat_map(|target| {
@@ -178,6 +190,12 @@
     Reply::closed(stream_head(request) + &stream_part(first..=first + 1))
 }
 
+/// Returns a refusal by a target that has no free slot.
+fn refusal_when_full(request: &ReceivedRequest) -> Reply {
+    let load = "\r\njujubelink-server-load: 8,4,8\r\n";
+    Reply::kept(refusal(&request.id).replacen("\r\n", load, 1))
+}
+
 fn is_complete(response: &TestResponse) -> bool {
     response.status == 200 && response.body == expected_events(1..=EVENTS)
 }
@@ -204,6 +222,216 @@
     );
 }
 
+/// Guards against a stream that ends early because the engine that resumes it pauses as well.
+#[test]
+fn a_stream_is_complete_although_every_engine_pauses() {
+    run(async {
+        let rows: [(&str, u64, &[Pause]); 5] = [
+            ("1.05 s", 1_050, &[(2, 1_050)]),
+            ("1.2 s", 1_200, &[(2, 1_200)]),
+            (
+                "1.2 s, the next engine before its first event",
+                1_200,
+                &[(0, 1_200)],
+            ),
+            (
+                "1.2 s, both engines go on at once",
+                1_200,
+                &[(0, 200), (1, 1_200)],
+            ),
+            ("1.4 s", 1_400, &[(2, 1_400)]),
+        ];
+        let responses =
+            join_all(rows.map(|(case, pause_ms, later_pauses)| async move {
+                let setup =
+                    ScriptedDeployment::start(&["e1", "e2"], "", move |request, attempt| {
+                        match attempt {
+                            0 => stream(request, &[(2, pause_ms)]),
+                            _ => stream(request, later_pauses),
+                        }
+                    });
+                let setup = setup.await;
+                let response = setup.ask("r").await;
+                setup.assert_runs_at_one_target("r").await;
+                (case, response)
+            }));
+        assert_complete(responses.await);
+    });
+}
+
+/// Guards against a stream that ends early because it may not be sent to another engine.
+#[test]
+fn a_paused_stream_is_complete_without_a_resend_budget() {
+    run(async {
+        let script = |request: &ReceivedRequest, _| stream(request, &[(2, 1_200)]);
+        let setup = ScriptedDeployment::start(&["e1", "e2"], NO_RESENDS, script).await;
+        assert_complete([("r", setup.ask("r").await)]);
+        assert_eq!(setup.arrivals("r").len(), 1);
+    });
+}
+
+/// Guards against a request that fails long before its deadline, although it may not be sent again.
+#[test]
+fn a_late_head_is_delivered_without_a_resend_budget() {
+    run(async {
+        let ids = ["s1", "s2", "e1", "e2"];
+        let setup = ScriptedDeployment::start(&ids, NO_RESENDS, |request, _| {
+            let delay = Duration::from_millis(1_800);
+            match request.path.starts_with("/read/") {
+                true => Reply::kept(success(request, "ok")).with_delay(delay),
+                false => stream(request, &[]).with_delay(delay + delay / 3),
+            }
+        });
+        let setup = setup.await;
+        let (plain, streamed) = futures_util::join!(
+            setup.instance.send_request("p", "GET", "/read/x"),
+            setup.ask("r")
+        );
+        assert_eq!((plain.status, &*plain.body), (200, "ok"));
+        assert_complete([("r", streamed)]);
+        assert_eq!(
+            (setup.arrivals("p").len(), setup.arrivals("r").len()),
+            (1, 1)
+        );
+    });
+}
+
+/// Guards against a stream that ends early because no other engine can take it over.
+#[test]
+fn a_paused_stream_goes_on_at_its_engine_if_no_other_one_takes_it() {
+    run(async {
+        let pauses = |request: &ReceivedRequest, _| stream(request, &[(2, 1_200)]);
+        let only_one = async {
+            let setup = ScriptedDeployment::start(&["e1"], "", pauses).await;
+            ("one engine", setup.ask("r").await)
+        };
+        let refuses = async {
+            let setup =
+                ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| match attempt {
+                    0 => stream(request, &[(2, 1_200)]),
+                    _ => refusal_when_full(request),
+                });
+            ("a refusal", setup.await.ask("r").await)
+        };
+        let unreachable = async {
+            let setup = ScriptedDeployment::start(&["e1"], "", pauses).await;
+            let (response, ()) = futures_util::join!(setup.ask("r"), async {
+                setup.wait_for_arrival("r").await;
+                let address = free_address();
+                setup.deployment.put_target_at("e2", address, "ready", 3, 1);
+            });
+            ("an unreachable engine", response)
+        };
+        let responses = futures_util::join!(only_one, refuses, unreachable);
+        assert_complete(<[_; 3]>::from(responses));
+    });
+}
+
+/// Guards against a stream that ends early because its route or key changes while its engine pauses.
+#[test]
+fn a_paused_stream_is_complete_beside_a_change_of_the_configuration() {
+    run(async {
+        let with_services = |keys: &[&str]| {
+            let mut config = Deployment::configuration(6, keys);
+            let mut other = config["services"][1].clone();
+            other["name"] = json!("other");
+            config["services"].as_array_mut().unwrap().push(other);
+            config
+        };
+        let split = |first: u32, second: u32| json!([{ "service": "llm", "weight": first }, { "service": "other", "weight": second }]);
+        let mut before = with_services(&[KEY]);
+        before["routes"][2]["traffic_split"] = split(1, 0);
+        let mut moved = with_services(&[KEY]);
+        moved["routes"][2]["service"] = json!("other");
+        let mut reweighted = with_services(&[KEY]);
+        reweighted["routes"][2]["traffic_split"] = split(0, 1);
+        let mut removed = with_services(&[KEY]);
+        removed["routes"].as_array_mut().unwrap().remove(2);
+        let rows = [
+            ("moved", moved),
+            ("reweighted", reweighted),
+            ("removed", removed),
+            ("withdrawn key", with_services(&[])),
+        ];
+        let before = &before;
+        let responses = join_all(rows.map(|(change, mut config)| async move {
+            let (deployment, targets) = deploy(&["e1", "e2"], |request, attempt| match attempt {
+                0 => stream(request, &[(2, 1_200)]),
+                _ => stream(request, &[]),
+            });
+            deployment.store.put("config", "main", before.clone());
+            let instance = deployment.start("n1", "").await;
+            wait_until_prompts_complete(&instance).await;
+            let setup = ScriptedDeployment {
+                deployment,
+                instance,
+                targets,
+            };
+            let (response, ()) = futures_util::join!(setup.ask("r"), async {
+                setup.wait_for_arrival("r").await;
+                config["version"] = json!(7);
+                setup.deployment.store.put("config", "main", config);
+            });
+            (change, response)
+        }));
+        assert_complete(responses.await);
+    });
+}
+
+/// Guards against a stream that ends early because its pauses are long or repeated, or concern several
+/// clients.
+#[test]
+fn long_and_repeated_pauses_cost_no_stream() {
+    run(async {
+        let long = async {
+            let setup =
+                ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| match attempt {
+                    0 => stream(request, &[(2, 2_800)]),
+                    _ => refusal_when_full(request),
+                });
+            ("a long pause", setup.await.ask("r").await)
+        };
+        let repeated = async {
+            let pauses = [(1, 1_100), (2, 1_100)];
+            let script = move |request: &ReceivedRequest, _| stream(request, &pauses);
+            let setup = ScriptedDeployment::start(&["e1", "e2"], "", script).await;
+            ("repeated pauses", setup.ask("r").await)
+        };
+        let concurrent = async {
+            let script = |request: &ReceivedRequest, _| stream(request, &[(2, 1_200)]);
+            let setup = ScriptedDeployment::start(&["e1", "e2"], "", script).await;
+            let (ids, setup) = (["r1", "r2", "r3", "r4", "r5", "r6"], &setup);
+            join_all(ids.map(|id| async move { (id, setup.ask(id).await) })).await
+        };
+        let (long, repeated, concurrent) = futures_util::join!(long, repeated, concurrent);
+        assert_complete([long, repeated].into_iter().chain(concurrent));
+    });
+}
+
+/// Guards against a stream that leaves an engine that goes on for one that never does.
+#[test]
+fn a_paused_stream_is_complete_although_the_next_engine_is_silent_for_good() {
+    run(async {
+        let rows = [("after its head", true), ("before its head", false)];
+        let responses =
+            join_all(rows.map(|(case, sends_head)| async move {
+                let setup =
+                    ScriptedDeployment::start(&["e1", "e2"], "", move |request, attempt| {
+                        match attempt {
+                            0 => stream(request, &[(2, 2_500)]),
+                            _ if sends_head => silent_stream(request, 0),
+                            _ => stream(request, &[]).with_delay(SILENCE),
+                        }
+                    });
+                let setup = setup.await;
+                let response = setup.ask("r").await;
+                setup.assert_runs_at_one_target("r").await;
+                (case, response)
+            }));
+        assert_complete(responses.await);
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
@@ -284,6 +512,59 @@
     });
 }
 
+/// Guards against a response that ends before its deadline because all engines are silent.
+#[test]
+fn a_stream_of_silent_engines_ends_no_earlier_than_its_deadline() {
+    run(async {
+        let rows = [
+            ("two engines", &["e1", "e2"][..], ""),
+            ("no resend budget", &["e1", "e2"], NO_RESENDS),
+            ("one engine", &["e1"], ""),
+        ];
+        let ends = join_all(rows.map(|(case, ids, settings)| async move {
+            let script = |request: &ReceivedRequest, _| silent_stream(request, 2);
+            let setup = ScriptedDeployment::start(ids, settings, script).await;
+            let started = Instant::now();
+            let asked = compio::time::timeout(WAIT_TIMEOUT, setup.ask("r"));
+            let response = asked.await.expect("the response ends");
+            let took = started.elapsed();
+            assert_eq!(response.status, 0, "{case}: {}", response.body);
+            assert_complete_or_interrupted(case, &response);
+            (case, took)
+        }));
+        let ends = ends.await.into_iter();
+        let early: Vec<_> = ends.filter(|(_, took)| *took < DEADLINE).collect();
+        assert!(early.is_empty(), "{early:?}");
+    });
+}
+
+/// Guards against a stream that ends early because the first engine that is asked to resume it refuses.
+#[test]
+fn a_broken_stream_is_resumed_after_a_refusal() {
+    run(async {
+        let third_engine = async {
+            let ids = ["e1", "e2", "e3"];
+            let setup = ScriptedDeployment::start(&ids, "", |request, attempt| match attempt {
+                0 => broken_stream(request),
+                1 => refusal_when_full(request),
+                _ => stream(request, &[]),
+            });
+            ("a third engine", setup.await.ask("r").await)
+        };
+        let same_engine = async {
+            let ids = ["e1", "e2"];
+            let setup = ScriptedDeployment::start(&ids, "", |request, attempt| match attempt {
+                0 => broken_stream(request),
+                1 => Reply::kept(refusal(&request.id)),
+                _ => stream(request, &[]),
+            });
+            ("the refusing engine", setup.await.ask("r").await)
+        };
+        let responses = futures_util::join!(third_engine, same_engine);
+        assert_complete(<[_; 2]>::from(responses));
+    });
+}
+
 /// Guards against streams that run more often than their route allows, and against more resends than
 /// the budget allows.
 #[test]
