Await a silent target until another one has taken its request over

Callers got a closed connection in place of the rest of a stream, or 504 long before the deadline, although the target would have gone on: with two engines that pause for 1.05, 1.2 or 1.4 s, with one pause and no resend budget, no other engine, an engine that refuses or cannot be reached, or a change of the route at the same moment.

Cause: a target that was silent for four event gaps, or for 45% of the remaining time before the response head, was given up first. Attempts, budget, configuration and targets were checked afterwards, and each of them could end the response. The last allowed attempt was given up in the same way.

Now another target is chosen, within attempts and budget, and gets the request while the silent one is still awaited. The silent one is given up once the other has sent the start of its response, or has had the request for 300 ms, as two targets may work on a stream for 400 ms. If it goes on first, the other run is ended. If no other target takes the request, the silent one is awaited until the deadline, and its silence is logged with the reason.

--- a/src/jujubelink/core/quota/resend.rs
+++ b/src/jujubelink/core/quota/resend.rs
@@ -55,6 +55,15 @@
     /// Acquires one resend if this instance's part of the budget allows it. `instances` is the
     /// number of instances that share the slack. Returns whether it is allowed.
     pub fn try_acquire(&mut self, instances: usize, now: Timestamp) -> bool {
+        let is_allowed = self.is_allowed(instances, now);
+        if is_allowed {
+            self.current_bucket(now).resends += 1;
+        }
+        is_allowed
+    }
+
+    /// Whether this instance's part of the budget allows one more resend.
+    pub fn is_allowed(&mut self, instances: usize, now: Timestamp) -> bool {
         self.current_bucket(now);
         let window = self.policy.window;
         let recent = self
@@ -68,11 +77,7 @@
         }
         let slack = self.policy.slack / instances.max(1) as f64;
         let allowed = USABLE_RATIO * (self.policy.ratio * f64::from(requests) + slack);
-        if f64::from(resends + 1) > allowed {
-            return false;
-        }
-        self.current_bucket(now).resends += 1;
-        true
+        f64::from(resends + 1) <= allowed
     }
 
     /// Drops the buckets that have left the window, and returns the current one.
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -1,17 +1,20 @@
 //! Forwarding of target responses to the client.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
 use http::response::Parts;
 use http::{HeaderMap, Response};
-use http_body::Frame;
-use http_body_util::{BodyExt, StreamBody};
+use http_body::{Body as _, Frame};
+use http_body_util::StreamBody;
 use hyper::body::Incoming;
 
 use super::exchange::Exchange;
-use super::send::SendOutcome;
+use super::send::{SendFailure, SendOutcome};
+use super::takeover::{Expected, Takeover};
 use crate::core::ids::Timestamp;
 use crate::core::relay::{Failure, NoResend};
 use crate::ops::services::AttemptOutcome;
@@ -21,8 +24,8 @@
 /// A larger event is treated as a failed connection.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// A resumable stream without a new event for this many times the route's maximum event gap is resumed
-/// at another target. Clients give up after eight times the gap.
+/// A resumable stream without a new event for this many times the route's maximum event gap is continued
+/// by another target, if one can take it over. Clients give up after eight times the gap.
 const MAX_SILENT_GAPS: u32 = 4;
 
 /// A target's response, with its body buffered or not yet read.
@@ -33,7 +36,35 @@
 
 enum TargetBody {
     Buffered(Bytes),
-    Streamed(Incoming),
+    Streamed(StreamedBody),
+}
+
+/// A body that is read as it arrives.
+pub(super) struct StreamedBody {
+    incoming: Incoming,
+    /// Frame that was read and is read again first.
+    unread: Option<BodyFrame>,
+}
+
+/// Result of reading from a body: a frame, its end, or an error.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+impl StreamedBody {
+    /// Puts a frame back, which is then read again first.
+    pub(super) fn unread(&mut self, frame: BodyFrame) {
+        self.unread = Some(frame);
+    }
+}
+
+impl Expected for StreamedBody {
+    type Output = BodyFrame;
+
+    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<BodyFrame> {
+        match self.unread.take() {
+            Some(frame) => Poll::Ready(frame),
+            None => Pin::new(&mut self.incoming).poll_frame(cx),
+        }
+    }
 }
 
 impl TargetResponse {
@@ -47,10 +78,29 @@
     pub(super) fn streamed(head: Parts, body: Incoming) -> Self {
         Self {
             head,
-            body: TargetBody::Streamed(body),
+            body: TargetBody::Streamed(StreamedBody {
+                incoming: body,
+                unread: None,
+            }),
         }
     }
 
+    /// Returns the body if it is read as it arrives.
+    pub(super) fn streamed_body(&mut self) -> Option<&mut StreamedBody> {
+        match &mut self.body {
+            TargetBody::Streamed(body) => Some(body),
+            TargetBody::Buffered(_) => None,
+        }
+    }
+
+    /// Whether this is the rest of a stream of the given media type. A response of another type is an
+    /// error, for example, even if its status is a success.
+    fn continues_stream(&self, expected_type: Option<&str>) -> bool {
+        matches!(self.body, TargetBody::Streamed(_))
+            && self.head.status.is_success()
+            && media_type(&self.head.headers).as_deref() == expected_type
+    }
+
     /// Converts to the response for the client. The exchange lives until the body ends.
     pub(super) fn into_response(self, mut exchange: Exchange) -> Response<Body> {
         let mut head = self.head;
@@ -110,8 +160,8 @@
     /// The connection failed, or an event is too large.
     ConnectionLost,
     DeadlinePassed,
-    /// The target sent no new event for too long.
-    Silent,
+    /// The target that took the response over from a silent one did not continue it.
+    NotContinued,
 }
 
 /// A body that is forwarded as it arrives; an event stream is forwarded in complete events.
@@ -121,7 +171,7 @@
     /// Media type of the first response. A response that continues the stream has the same one.
     media_type: Option<String>,
     is_event_stream: bool,
-    body: Incoming,
+    body: StreamedBody,
     /// Start of an event that has not arrived completely.
     buffer: BytesMut,
     has_data: bool,
@@ -195,19 +245,25 @@
         loop {
             let ends_at = self.silence_ends_at.map_or(deadline, |at| at.min(deadline));
             let remaining = ends_at.saturating_sub(self.exchange.now());
-            let frame = self.body.frame();
+            let frame = std::future::poll_fn(|cx| self.body.poll_output(cx));
             let timers = *self.exchange.proxy.context.timers();
             // Bytes that arrive without a pause must not put off the end.
             let frame = match remaining.is_zero() {
                 true => None,
                 false => timers.timeout(remaining, frame).await,
             };
+            let frame = match frame {
+                Some(frame) => frame,
+                None if ends_at >= deadline => return Err(ReadError::DeadlinePassed),
+                None => match self.replace_silent_target().await? {
+                    Some(frame) => frame,
+                    None => continue,
+                },
+            };
             match frame {
-                None if ends_at < deadline => return Err(ReadError::Silent),
-                None => return Err(ReadError::DeadlinePassed),
-                Some(None) => return Ok(None),
-                Some(Some(Err(_))) => return Err(ReadError::ConnectionLost),
-                Some(Some(Ok(frame))) => {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(ReadError::ConnectionLost),
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
@@ -216,13 +272,56 @@
         }
     }
 
+    /// Has another target continue the stream, if that is possible. Returns a frame of the silent target
+    /// if it goes on meanwhile.
+    async fn replace_silent_target(&mut self) -> Result<Option<BodyFrame>, ReadError> {
+        let media_type = self.media_type.as_deref();
+        let continues = |response: &TargetResponse| response.continues_stream(media_type);
+        let result = match self.exchange.take_over(&mut self.body, continues).await {
+            Takeover::Continued(frame) => return Ok(Some(frame)),
+            Takeover::Rejected => {
+                self.restart_silence();
+                return Ok(None);
+            }
+            Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
+            Takeover::Sent(pending) => self.exchange.await_response(pending).await,
+        };
+        match self.continue_stream(result) {
+            Ok(()) => Ok(None),
+            Err(failure) => {
+                self.exchange.record_failure(&failure);
+                Err(ReadError::NotContinued)
+            }
+        }
+    }
+
+    /// Continues the stream with the response of another target, after the last complete event.
+    fn continue_stream(
+        &mut self,
+        result: Result<SendOutcome, SendFailure>,
+    ) -> Result<(), SendFailure> {
+        let response = match result? {
+            SendOutcome::Response(response) => response,
+            SendOutcome::TargetFailure(_) => return Err(SendFailure::unusable()),
+        };
+        let continues = response.continues_stream(self.media_type.as_deref());
+        let (TargetBody::Streamed(body), true) = (response.body, continues) else {
+            return Err(SendFailure::unusable());
+        };
+        self.exchange.log_resumed();
+        self.buffer.clear();
+        self.body = body;
+        self.restart_silence();
+        Ok(())
+    }
+
     /// Starts the time in which the target has to send the next event.
     fn restart_silence(&mut self) {
         let timeout = self.silence_timeout();
         self.silence_ends_at = timeout.map(|timeout| self.exchange.now() + timeout);
     }
 
-    /// Returns how long the target may be silent before the stream is resumed elsewhere, or `None`
+    /// Returns how long the target may be silent before another one may take the stream over, or `None`
     /// if it cannot be resumed.
     fn silence_timeout(&self) -> Option<Duration> {
         if !self.exchange.is_resumable() || !self.is_event_stream {
@@ -278,69 +377,37 @@
         let (reason, outcome) = match error {
             ReadError::ConnectionLost => ("the target broke off", AttemptOutcome::Crashed),
             ReadError::DeadlinePassed => ("the deadline passed", AttemptOutcome::Cancelled),
-            ReadError::Silent => ("the target fell silent", AttemptOutcome::TimedOut),
+            ReadError::NotContinued => ("the target fell silent", AttemptOutcome::TimedOut),
         };
         self.exchange.log_interruption(reason);
         if let Some(placement) = &self.exchange.placement {
-            let target = placement.target.clone();
-            self.exchange.excluded.push(target);
-        }
-        self.exchange.end_placement(outcome);
-        self.exchange.runs += 1;
-        self.exchange.may_have_run = true;
-        match self.resume(&error).await {
-            Ok(body) => {
-                self.buffer.clear();
-                self.body = body;
-                self.restart_silence();
-                Ok(())
-            }
-            Err(resend) => {
-                self.exchange.log_early_end(reason, &resend);
-                Err(reason.into())
-            }
+            self.exchange.excluded.push(placement.target.clone());
+            self.exchange.end_placement(outcome);
+            self.exchange.record_run();
         }
+        let resend = match error {
+            ReadError::DeadlinePassed => NoResend::DeadlineNear.to_string(),
+            _ if !self.is_event_stream => NoResend::NotRepeatable.to_string(),
+            _ => match self.resume().await {
+                Ok(()) => return Ok(()),
+                Err(resend) => resend,
+            },
+        };
+        self.exchange.log_early_end(reason, &resend);
+        Err(reason.into())
     }
 
-    /// Continues the stream at another target. If that is impossible, returns the reason.
-    async fn resume(&mut self, error: &ReadError) -> Result<Incoming, String> {
-        if matches!(error, ReadError::DeadlinePassed) {
-            return Err(NoResend::DeadlineNear.to_string());
-        }
-        if !self.is_event_stream {
-            return Err(NoResend::NotRepeatable.to_string());
-        }
-        self.exchange
-            .acquire_resend(Failure::MayHaveRun)
-            .map_err(|reason| reason.to_string())?;
-        self.exchange.resume(self.media_type.as_deref()).await
-    }
-}
-
-impl Exchange {
-    /// Requests the rest of the stream from another target. A response of another media type is not
-    /// the rest of the stream, but an error, for example, even if its status is a success. Returns the
-    /// reason if the stream is not continued.
-    async fn resume(&mut self, expected_type: Option<&str>) -> Result<Incoming, String> {
-        self.place().await.map_err(|refusal| refusal.message)?;
-        match self.send().await {
-            Ok(SendOutcome::Response(TargetResponse {
-                body: TargetBody::Streamed(body),
-                head,
-            })) if head.status.is_success()
-                && media_type(&head.headers).as_deref() == expected_type =>
-            {
-                slog::info!(self.proxy.context.log(), "stream resumed";
-                    "request" => &*self.head.id, "last_event" => self.last_event,
-                    "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
-                Ok(body)
-            }
-            Ok(_) => Err("the target gave no stream".to_owned()),
-            Err(failure) => {
-                self.end_placement(failure.outcome);
-                Err(failure.refusal.message)
-            }
-        }
+    /// Requests the rest of the stream from another target. Returns the reason if it is not continued.
+    async fn resume(&mut self) -> Result<(), String> {
+        let is_allowed = self.exchange.acquire_resend(Failure::MayHaveRun);
+        is_allowed.map_err(|reason| reason.to_string())?;
+        let placed = self.exchange.place().await;
+        placed.map_err(|refusal| refusal.message)?;
+        let result = self.exchange.send().await;
+        self.continue_stream(result).map_err(|failure| {
+            self.exchange.record_failure(&failure);
+            failure.refusal.message
+        })
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -57,7 +57,9 @@
     pub(super) admission: Option<Admission>,
     charge: Option<Charge>,
     pub(super) placement: Option<Placement>,
-    is_model_placement: bool,
+    /// Placement at a silent target, while another target is asked to take the request over.
+    pub(super) silent_placement: Option<Placement>,
+    /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
     /// Number of attempts to send the request to a target, including failed ones.
     pub(super) sends: u32,
@@ -88,7 +90,7 @@
             admission: None,
             charge: None,
             placement: None,
-            is_model_placement: false,
+            silent_placement: None,
             excluded: Vec::new(),
             sends: 0,
             runs: 0,
@@ -207,21 +209,41 @@
     /// Obtains a placement from the scheduler.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
         let started = self.now();
-        let result = match &self.head.prompt {
-            Some(_) if self.is_engine_service()? => self.place_model().await,
-            _ => self.place_plain(),
-        };
+        let result = self.choose_target().await;
         self.queue_time += self.now().saturating_sub(started);
-        result
+        self.placement = Some(result?);
+        Ok(())
     }
 
-    fn is_engine_service(&self) -> Result<bool, Refusal> {
-        let admission = self.admission()?;
+    /// Obtains a placement at a target other than the current one.
+    pub(super) async fn choose_target(&self) -> Result<Placement, Refusal> {
+        match self.is_model_request() {
+            true => self.place_model().await,
+            false => self.place_plain(),
+        }
+    }
+
+    fn is_model_request(&self) -> bool {
+        let Some(admission) = &self.admission else {
+            return false;
+        };
         let service = admission.policy.services.get(&admission.service);
-        Ok(service.is_some_and(|service| service.engine.is_some()))
+        self.head.prompt.is_some() && service.is_some_and(|service| service.engine.is_some())
     }
 
-    async fn place_model(&mut self) -> Result<(), Refusal> {
+    /// Whether the request has been sent to a target before.
+    pub(super) fn was_sent_to(&self, target: &TargetId) -> bool {
+        let silent = self.silent_placement.as_ref();
+        silent.is_some_and(|silent| silent.target == *target) || self.excluded.contains(target)
+    }
+
+    /// Returns the targets at which the request has failed, and the one that runs it.
+    fn excluded_targets(&self) -> Vec<TargetId> {
+        let current = self.placement.iter().map(|current| current.target.clone());
+        self.excluded.iter().cloned().chain(current).collect()
+    }
+
+    async fn place_model(&self) -> Result<Placement, Refusal> {
         let Some(prompt) = &self.head.prompt else {
             return self.place_plain();
         };
@@ -238,7 +260,7 @@
             let remaining = self.remaining();
             wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
         }
-        let mut excluded = self.excluded.clone();
+        let mut excluded = self.excluded_targets();
         excluded.extend(self.targets_with_stale_weights(admission));
         let request = ModelRequest {
             id: self.head.id.clone(),
@@ -251,14 +273,8 @@
             is_suspect: false,
         };
         let scheduler = self.proxy.service::<dyn SchedulerService>();
-        match scheduler.place(&request).await {
-            Ok(placement) => {
-                self.placement = Some(placement);
-                self.is_model_placement = true;
-                Ok(())
-            }
-            Err(error) => Err(self.with_outcome(placement_refusal(error))),
-        }
+        let placement = scheduler.place(&request).await;
+        placement.map_err(|error| self.with_outcome(placement_refusal(error)))
     }
 
     /// Returns the engines whose weights are too old to be used.
@@ -281,30 +297,23 @@
             .collect()
     }
 
-    fn place_plain(&mut self) -> Result<(), Refusal> {
+    fn place_plain(&self) -> Result<Placement, Refusal> {
         let service = self.admission()?.service.clone();
         let candidates = self.relay.fleet.state().serving_targets(&service);
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement = scheduler
-            .place_plain(&candidates, &self.excluded)
+            .place_plain(&candidates, &self.excluded_targets())
             .or_else(|| scheduler.place_plain(&candidates, &[]));
-        match placement {
-            Some(placement) => {
-                self.placement = Some(placement);
-                self.is_model_placement = false;
-                Ok(())
-            }
-            None => {
-                let refusal = match scheduler.remaining_pause(&candidates) {
-                    Some(pause) => {
-                        Refusal::not_run(RefusalCode::Overloaded, "all targets asked for a pause")
-                            .with_retry_after(pause)
-                    }
-                    None => no_target(),
-                };
-                Err(self.with_outcome(refusal))
-            }
-        }
+        placement.ok_or_else(|| {
+            let refusal = match scheduler.remaining_pause(&candidates) {
+                Some(pause) => {
+                    Refusal::not_run(RefusalCode::Overloaded, "all targets asked for a pause")
+                        .with_retry_after(pause)
+                }
+                None => no_target(),
+            };
+            self.with_outcome(refusal)
+        })
     }
 
     /// Returns the namespace that separates the cached prompts of a workspace with cache isolation.
@@ -378,6 +387,18 @@
     }
 
     fn handle_failure(&mut self, failure: SendFailure) -> Result<(), Refusal> {
+        self.record_failure(&failure);
+        if failure.is_final {
+            return Err(self.with_outcome(failure.refusal));
+        }
+        self.acquire_resend(failure.kind).map_err(|reason| {
+            self.log_no_resend(reason);
+            self.with_outcome(failure.refusal)
+        })
+    }
+
+    /// Records a failed send and ends its placement.
+    pub(super) fn record_failure(&mut self, failure: &SendFailure) {
         if failure.kind == Failure::MayHaveRun {
             self.runs += 1;
             self.may_have_run = true;
@@ -392,13 +413,6 @@
             self.excluded.push(placement.target.clone());
         }
         self.end_placement(failure.outcome.clone());
-        if failure.is_final {
-            return Err(self.with_outcome(failure.refusal));
-        }
-        self.acquire_resend(failure.kind).map_err(|reason| {
-            self.log_no_resend(reason);
-            self.with_outcome(failure.refusal)
-        })
     }
 
     /// Sets the outcome of a refusal to that of all sends so far.
@@ -412,7 +426,7 @@
 
     /// Records the first event or byte of the response.
     pub(super) fn record_first_token(&self) {
-        if let (Some(placement), true) = (&self.placement, self.is_model_placement) {
+        if let (Some(placement), true) = (&self.placement, self.is_model_request()) {
             let scheduler = self.proxy.service::<dyn SchedulerService>();
             scheduler.record_first_token(placement);
         }
@@ -420,11 +434,15 @@
 
     /// Reports the end of the send to the scheduler.
     pub(super) fn end_placement(&mut self, outcome: AttemptOutcome) {
-        let Some(placement) = self.placement.take() else {
-            return;
-        };
+        if let Some(placement) = self.placement.take() {
+            self.release(placement, outcome);
+        }
+    }
+
+    /// Reports the end of a placement to the scheduler.
+    pub(super) fn release(&self, placement: Placement, outcome: AttemptOutcome) {
         let scheduler = self.proxy.service::<dyn SchedulerService>();
-        if !self.is_model_placement {
+        if !self.is_model_request() {
             scheduler.report_plain(placement, outcome);
             return;
         }
@@ -448,6 +466,19 @@
             "remaining_ms" => ms(self.remaining()));
     }
 
+    /// Logs what happens with a target that has not responded in time.
+    pub(super) fn log_silent_target(&self, message: &'static str, reason: &str) {
+        let target = |placement: &Option<Placement>| {
+            placement
+                .as_ref()
+                .map(|placement| placement.target.to_string())
+        };
+        slog::info!(self.proxy.context.log(), "{}", message; "request" => &*self.head.id,
+            "target" => target(&self.placement), "silent_target" => target(&self.silent_placement),
+            "reason" => reason, "last_event" => self.last_event, "sends" => self.sends,
+            "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
+    }
+
     /// Logs that a response stopped before it was complete.
     pub(super) fn log_interruption(&self, reason: &str) {
         slog::info!(self.proxy.context.log(), "response interrupted"; "request" => &*self.head.id,
@@ -457,6 +488,13 @@
             "remaining_ms" => ms(self.remaining()));
     }
 
+    /// Logs that another target continues a stream.
+    pub(super) fn log_resumed(&self) {
+        slog::info!(self.proxy.context.log(), "stream resumed"; "request" => &*self.head.id,
+            "last_event" => self.last_event, "sends" => self.sends,
+            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
+    }
+
     /// Logs a response that ends before it is complete: why it ended, and why no target continues it.
     pub(super) fn log_early_end(&mut self, reason: &str, resend: &str) {
         self.is_ended = true;
@@ -533,6 +571,9 @@
             self.log_abandoned();
         }
         self.end_placement(AttemptOutcome::Cancelled);
+        if let Some(silent) = self.silent_placement.take() {
+            self.release(silent, AttemptOutcome::Cancelled);
+        }
         if let Some(charge) = self.charge.take() {
             // A request that was never sent has used nothing.
             let used = match self.sends > 0 {
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -11,6 +11,7 @@
 mod ready;
 mod resend;
 mod send;
+mod takeover;
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
+use crate::core::ids::Timestamp;
+use crate::core::quota::ResendBudget;
 use crate::core::relay::{Failure, NoResend, check_resend};
 
 impl Exchange {
-    /// Returns the timeout for the response head.
+    /// Returns how long the response head is awaited before another target may take the request over.
+    /// If none may, this is all remaining time.
     pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
         match self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends + 1) {
             Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
@@ -26,18 +29,34 @@
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
         self.check_resend(failure, self.runs, self.sends)?;
+        // The budget limits the requests that arrive at targets. A failed send may not have
+        // arrived, but the next one may, so every resend takes from the budget.
+        self.with_budget(ResendBudget::try_acquire)
+    }
+
+    /// Checks whether another target may take the request over from the one that runs it.
+    pub(super) fn check_replacement(&self) -> Result<(), NoResend> {
+        self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends)?;
+        self.with_budget(ResendBudget::is_allowed)
+    }
+
+    /// Takes the send to another target, which is to take the request over, from the resend budget.
+    pub(super) fn acquire_replacement(&self) -> Result<(), NoResend> {
+        self.with_budget(ResendBudget::try_acquire)
+    }
+
+    fn with_budget(
+        &self,
+        is_allowed: impl FnOnce(&mut ResendBudget, usize, Timestamp) -> bool,
+    ) -> Result<(), NoResend> {
+        let admission = self.admission.as_ref().ok_or(NoResend::NotRepeatable)?;
         if self.remaining() < MIN_SEND_TIME {
             return Err(NoResend::DeadlineNear);
         }
-        // The budget limits the requests that arrive at targets. A failed send may not have
-        // arrived, but the next one may, so every resend takes from the budget.
-        let Some(admission) = &self.admission else {
-            return Err(NoResend::NotRepeatable);
-        };
         let instances = self.relay.peers.fleet_size();
         let now = self.now();
         let is_allowed = self.relay.with_resend_budget(&admission.service, |budget| {
-            budget.try_acquire(instances, now)
+            is_allowed(budget, instances, now)
         });
         if !is_allowed {
             let metrics = self.proxy.context.metrics();
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -1,21 +1,32 @@
 //! Sending a request to one target, up to the response head.
 
+use std::cell::Cell;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use http::{Request, Response, Uri, Version};
 use hyper::body::Incoming;
 
+use super::Relay;
 use super::body::TargetResponse;
 use super::exchange::Exchange;
+use super::takeover::Expected;
 use crate::core::fleet::{RequestKind, TargetRecord, model_key};
+use crate::core::ids::Timestamp;
 use crate::core::relay::{AttemptHead, Failure, ResponseHead, ResponseVerdict, classify_response};
 use crate::core::routing::LoadReport;
+use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::services::{AttemptOutcome, SchedulerService};
 use crate::platform::{decode_response_head, encode_request, read_report};
 use crate::util::duration::ms;
-use crate::util::http::{ClientError, ConnectionReuse, RequestOptions, collect_limited, full};
+use crate::util::http::{
+    ClientError, ConnectionReuse, RequestOptions, SendFailure as ClientSendFailure,
+    collect_limited, full,
+};
 
 /// Responses up to this size are read completely before they are forwarded, so that an interrupted
 /// one can be requested again.
@@ -103,7 +114,26 @@
         )
     }
 
-    fn connection_lost() -> Self {
+    pub(super) fn timed_out() -> Self {
+        Self::new(
+            Failure::MayHaveRun,
+            RefusalCode::DeadlineExceeded,
+            "the target did not answer in time",
+            AttemptOutcome::TimedOut,
+        )
+    }
+
+    /// The response is complete, but not of the kind that the request needs.
+    pub(super) fn unusable() -> Self {
+        Self::new(
+            Failure::MayHaveRun,
+            RefusalCode::UpstreamFailed,
+            "the target does not continue the response",
+            AttemptOutcome::Failed,
+        )
+    }
+
+    pub(super) fn connection_lost() -> Self {
         Self::new(
             Failure::MayHaveRun,
             RefusalCode::UpstreamFailed,
@@ -113,13 +143,49 @@
     }
 }
 
+/// A request for which a connection to its target is opened, or that was sent there and not answered yet.
+/// Dropping it closes the connection.
+pub(super) struct PendingResponse {
+    record: Rc<TargetRecord>,
+    response: LocalBoxFuture<'static, SendResult>,
+    sent_at: Rc<Cell<Option<Timestamp>>>,
+}
+
+type SendResult = Result<Response<Incoming>, ClientSendFailure>;
+
+impl PendingResponse {
+    /// The target.
+    pub(super) fn record(&self) -> &TargetRecord {
+        &self.record
+    }
+
+    /// When the connection was open and the request was sent.
+    pub(super) fn sent_at(&self) -> Option<Timestamp> {
+        self.sent_at.get()
+    }
+}
+
+impl Expected for PendingResponse {
+    type Output = SendResult;
+
+    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
+        self.response.as_mut().poll(cx)
+    }
+}
+
 impl Exchange {
-    /// Sends the request to the target of its placement.
+    /// Sends the request to the target of its placement, and waits for the response head.
     pub(super) async fn send(&mut self) -> Result<SendOutcome, SendFailure> {
+        let pending = self.begin_send()?;
+        self.await_response(pending).await
+    }
+
+    /// Starts to send the request to the target of its placement.
+    pub(super) fn begin_send(&mut self) -> Result<PendingResponse, SendFailure> {
         let placement = self.placement.as_ref().ok_or_else(SendFailure::removed)?;
         let record = self.relay.fleet.state().target(&placement.target).cloned();
         let record = record.ok_or_else(SendFailure::removed)?;
-        self.check_target(&record)?;
+        check_target(&self.proxy, &self.relay, &record)?;
         let remaining = self.check_send().map_err(SendFailure::before_send)?;
         let weights = self.weights_at(&record);
         self.weights = weights;
@@ -137,53 +203,49 @@
         }
         let request = self.request_for(&record, remaining, weights)?;
         let options = self.request_options(&record);
-        let timeout = self.head_timeout(remaining);
         self.sends += 1;
+        let sent_at = Rc::new(Cell::new(None));
         // The target may leave or ask for a pause while the connection is opened.
-        let may_send = || self.check_target(&record).is_ok();
-        let sending = self
-            .proxy
-            .client
-            .send_if(record.address, request, options, may_send);
-        let response = match self.proxy.context.timers().timeout(timeout, sending).await {
-            None => {
-                return Err(SendFailure::new(
-                    Failure::MayHaveRun,
-                    RefusalCode::DeadlineExceeded,
-                    "the target did not answer in time",
-                    AttemptOutcome::TimedOut,
-                ));
-            }
-            Some(Ok(response)) => response,
-            Some(Err(failure)) => {
-                return Err(match failure.error {
-                    ClientError::Connect { .. } => SendFailure::new(
-                        Failure::NotSent,
-                        RefusalCode::NoTarget,
-                        "no connection to the target",
-                        AttemptOutcome::ConnectFailed,
-                    ),
-                    ClientError::Withheld { .. } => self
-                        .check_target(&record)
-                        .err()
-                        .unwrap_or_else(SendFailure::removed),
-                    ClientError::MaybeSent { .. } => SendFailure::connection_lost(),
-                });
+        let may_send = {
+            let (proxy, relay) = (Rc::clone(&self.proxy), Rc::clone(&self.relay));
+            let (record, sent_at) = (record.clone(), Rc::clone(&sent_at));
+            move || {
+                let is_allowed = check_target(&proxy, &relay, &record).is_ok();
+                sent_at.set(is_allowed.then(|| proxy.context.timers().boot_now()));
+                is_allowed
             }
         };
-        self.evaluate_response(&record, response).await
+        let (client, address) = (self.proxy.client.clone(), record.address);
+        let response = async move { client.send_if(address, request, options, may_send).await };
+        Ok(PendingResponse {
+            record,
+            response: response.boxed_local(),
+            sent_at,
+        })
     }
 
-    /// Fails if the target is shutting down or has asked for a pause.
-    fn check_target(&self, record: &TargetRecord) -> Result<(), SendFailure> {
-        if self.relay.fleet.state().is_leaving(record) {
-            return Err(SendFailure::removed());
-        }
-        let scheduler = self.proxy.service::<dyn SchedulerService>();
-        match scheduler.remaining_pause(std::slice::from_ref(&record.id)) {
-            Some(pause) => Err(SendFailure::paused(pause)),
-            None => Ok(()),
-        }
+    /// Evaluates the result of a send.
+    pub(super) async fn evaluate(
+        &mut self,
+        record: &TargetRecord,
+        result: SendResult,
+    ) -> Result<SendOutcome, SendFailure> {
+        let error = match result {
+            Ok(response) => return self.evaluate_response(record, response).await,
+            Err(failure) => failure.error,
+        };
+        Err(match error {
+            ClientError::Connect { .. } => SendFailure::new(
+                Failure::NotSent,
+                RefusalCode::NoTarget,
+                "no connection to the target",
+                AttemptOutcome::ConnectFailed,
+            ),
+            ClientError::Withheld { .. } => check_target(&self.proxy, &self.relay, record)
+                .err()
+                .unwrap_or_else(SendFailure::removed),
+            ClientError::MaybeSent { .. } => SendFailure::connection_lost(),
+        })
     }
 
     /// Returns the options for the connection. A target that gets the request again may repeat its
@@ -193,7 +255,7 @@
             true => RequestOptions::default(),
             false => RequestOptions::for_non_idempotent(),
         };
-        match self.excluded.contains(&record.id) {
+        match self.was_sent_to(&record.id) {
             true => options.with_new_connection(),
             false => options,
         }
@@ -432,6 +494,18 @@
     }
 }
 
+/// Fails if the target is shutting down or has asked for a pause.
+fn check_target(proxy: &Proxy, relay: &Relay, record: &TargetRecord) -> Result<(), SendFailure> {
+    if relay.fleet.state().is_leaving(record) {
+        return Err(SendFailure::removed());
+    }
+    let scheduler = proxy.service::<dyn SchedulerService>();
+    match scheduler.remaining_pause(std::slice::from_ref(&record.id)) {
+        Some(pause) => Err(SendFailure::paused(pause)),
+        None => Ok(()),
+    }
+}
+
 /// Whether clients take the status to mean that the request was not run.
 fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -0,0 +1,249 @@
+//! Takeover from a silent target: another one gets the request while the silent one is still awaited,
+//! because it may go on.
+
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use super::body::TargetResponse;
+use super::exchange::Exchange;
+use super::send::{PendingResponse, SendFailure, SendOutcome};
+use crate::core::relay::TAKEOVER_OVERLAP;
+use crate::ops::services::{AttemptOutcome, Placement};
+
+/// Time in which bytes are read that arrived while this process stood still. Without it, every target
+/// would count as silent after a stall.
+const STALL_RECOVERY: Duration = Duration::from_millis(5);
+
+/// What a target is expected to send next.
+pub(super) trait Expected: Unpin {
+    /// The outcome of the wait.
+    type Output;
+
+    /// Polls for the outcome.
+    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<Self::Output>;
+}
+
+/// Result of an attempt to replace a silent target.
+pub(super) enum Takeover<T> {
+    /// The silent target went on.
+    Continued(T),
+    /// Another target responded. The silent one was given up.
+    Responded(Box<TargetResponse>),
+    /// Another target has the request and has not responded yet. The silent one was given up.
+    Sent(PendingResponse),
+    /// No other target has taken the request over. The silent one is still awaited.
+    Rejected,
+}
+
+enum Race<T, U> {
+    Expected(T),
+    Other(U),
+}
+
+/// Waits for a target or another future, whichever completes first.
+async fn race<E: Expected, F: Future>(
+    expected: &mut E,
+    mut other: Pin<&mut F>,
+) -> Race<E::Output, F::Output> {
+    std::future::poll_fn(|cx| {
+        if let Poll::Ready(output) = expected.poll_output(cx) {
+            return Poll::Ready(Race::Expected(output));
+        }
+        other.as_mut().poll(cx).map(Race::Other)
+    })
+    .await
+}
+
+impl Exchange {
+    /// Waits for the response to a request that was sent. Other targets may take it over meanwhile.
+    pub(super) async fn await_response(
+        &mut self,
+        mut pending: PendingResponse,
+    ) -> Result<SendOutcome, SendFailure> {
+        let timers = *self.proxy.context.timers();
+        loop {
+            let remaining = self.remaining();
+            let timeout = self.head_timeout(remaining);
+            let response = std::future::poll_fn(|cx| pending.poll_output(cx));
+            let result = match timers.timeout(timeout, response).await {
+                Some(result) => result,
+                None if timeout >= remaining => return Err(SendFailure::timed_out()),
+                None => match self.take_over(&mut pending, |_| true).await {
+                    Takeover::Continued(result) => result,
+                    Takeover::Responded(response) => return Ok(SendOutcome::Response(*response)),
+                    Takeover::Sent(replacement) => {
+                        pending = replacement;
+                        continue;
+                    }
+                    Takeover::Rejected => continue,
+                },
+            };
+            return self.evaluate(pending.record(), result).await;
+        }
+    }
+
+    /// Sends the request to another target while a silent one is still awaited. The silent target is
+    /// given up once the other one has started a response that `accepts` holds for, or has had the
+    /// request for [`TAKEOVER_OVERLAP`].
+    pub(super) async fn take_over<E: Expected>(
+        &mut self,
+        silent: &mut E,
+        accepts: impl Fn(&TargetResponse) -> bool,
+    ) -> Takeover<E::Output> {
+        let placement = match race(silent, pin!(self.place_replacement())).await {
+            Race::Expected(output) => return Takeover::Continued(output),
+            Race::Other(Ok(placement)) => placement,
+            Race::Other(Err(reason)) => {
+                self.log_silent_target("silent target still awaited", &reason);
+                return Takeover::Rejected;
+            }
+        };
+        let weights = self.weights;
+        self.silent_placement = self.placement.replace(placement);
+        let takeover = self.send_replacement(silent, accepts).await;
+        if let Takeover::Continued(_) | Takeover::Rejected = &takeover {
+            self.placement = self.silent_placement.take();
+            self.weights = weights;
+        }
+        takeover
+    }
+
+    /// Obtains a placement at another target, within the resend budget.
+    async fn place_replacement(&self) -> Result<Placement, String> {
+        self.proxy.context.timers().sleep(STALL_RECOVERY).await;
+        self.check_replacement()
+            .map_err(|reason| reason.to_string())?;
+        self.check_send().map_err(|refusal| refusal.message)?;
+        let placement = self.choose_target().await;
+        let placement = placement.map_err(|refusal| refusal.message)?;
+        if let Err(reason) = self.acquire_replacement() {
+            self.release(placement, AttemptOutcome::Cancelled);
+            return Err(reason.to_string());
+        }
+        Ok(placement)
+    }
+
+    async fn send_replacement<E: Expected>(
+        &mut self,
+        silent: &mut E,
+        accepts: impl Fn(&TargetResponse) -> bool,
+    ) -> Takeover<E::Output> {
+        let mut pending = match self.begin_send() {
+            Ok(pending) => pending,
+            Err(failure) => return self.reject_replacement(&failure),
+        };
+        let timers = *self.proxy.context.timers();
+        loop {
+            let arrived = {
+                let wait = self.overlap_left(&pending);
+                let response = std::future::poll_fn(|cx| pending.poll_output(cx));
+                let response = timers.timeout(wait, response);
+                race(silent, pin!(response)).await
+            };
+            match arrived {
+                Race::Expected(output) => {
+                    self.cancel_replacement(&pending);
+                    return Takeover::Continued(output);
+                }
+                Race::Other(Some(result)) => {
+                    let evaluated = {
+                        let evaluation = self.evaluate(pending.record(), result);
+                        race(silent, pin!(evaluation)).await
+                    };
+                    return match evaluated {
+                        Race::Expected(output) => {
+                            self.cancel_replacement(&pending);
+                            Takeover::Continued(output)
+                        }
+                        Race::Other(Ok(SendOutcome::Response(response))) if accepts(&response) => {
+                            self.await_first_frame(silent, &pending, response).await
+                        }
+                        Race::Other(Ok(_)) => self.reject_replacement(&SendFailure::unusable()),
+                        Race::Other(Err(failure)) => self.reject_replacement(&failure),
+                    };
+                }
+                Race::Other(None) if self.remaining().is_zero() => {
+                    self.cancel_replacement(&pending);
+                    return Takeover::Rejected;
+                }
+                Race::Other(None) if self.overlap_left(&pending).is_zero() => {
+                    self.give_up_silent_target();
+                    return Takeover::Sent(pending);
+                }
+                // The connection to the other target is not open yet.
+                Race::Other(None) => {}
+            }
+        }
+    }
+
+    /// Waits until the other target has sent the start of a body that is forwarded as it arrives. A sound
+    /// target may send the head of a response and then be silent as well.
+    async fn await_first_frame<E: Expected>(
+        &mut self,
+        silent: &mut E,
+        pending: &PendingResponse,
+        mut response: TargetResponse,
+    ) -> Takeover<E::Output> {
+        let first = match response.streamed_body() {
+            None => None,
+            Some(body) => {
+                let timers = *self.proxy.context.timers();
+                let frame = std::future::poll_fn(|cx| body.poll_output(cx));
+                let frame = timers.timeout(self.overlap_left(pending), frame);
+                match race(silent, pin!(frame)).await {
+                    Race::Expected(output) => {
+                        self.cancel_replacement(pending);
+                        return Takeover::Continued(output);
+                    }
+                    Race::Other(Some(None | Some(Err(_)))) => {
+                        return self.reject_replacement(&SendFailure::connection_lost());
+                    }
+                    Race::Other(frame) => frame,
+                }
+            }
+        };
+        if let (Some(body), Some(frame)) = (response.streamed_body(), first) {
+            body.unread(frame);
+        }
+        self.give_up_silent_target();
+        Takeover::Responded(Box::new(response))
+    }
+
+    /// Returns how long the silent target may still be awaited.
+    fn overlap_left(&self, pending: &PendingResponse) -> Duration {
+        let sent_at = pending.sent_at().unwrap_or(self.now());
+        let overlap_ends_at = (sent_at + TAKEOVER_OVERLAP).min(self.deadline);
+        overlap_ends_at.saturating_sub(self.now())
+    }
+
+    /// Ends the run at the silent target.
+    fn give_up_silent_target(&mut self) {
+        self.log_silent_target("silent target replaced", "");
+        if let Some(silent) = self.silent_placement.take() {
+            self.excluded.push(silent.target.clone());
+            self.release(silent, AttemptOutcome::TimedOut);
+        }
+        self.record_run();
+    }
+
+    /// Ends the run at the other target, as the silent one went on or the deadline has passed.
+    fn cancel_replacement(&mut self, pending: &PendingResponse) {
+        if pending.sent_at().is_some() {
+            self.record_run();
+        }
+        self.end_placement(AttemptOutcome::Cancelled);
+    }
+
+    fn reject_replacement<T>(&mut self, failure: &SendFailure) -> Takeover<T> {
+        self.record_failure(failure);
+        Takeover::Rejected
+    }
+
+    /// Records that a target may have run the request.
+    pub(super) fn record_run(&mut self) {
+        self.runs += 1;
+        self.may_have_run = true;
+    }
+}
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -208,8 +208,9 @@
         self.send_if(address, request, options, || true).await
     }
 
-    /// Like [`Self::send_or_return`], but withholds the request if `may_send` does not hold when the
-    /// connection is ready. Until then, up to [`CONNECT_TIMEOUT`] may have passed.
+    /// Like [`Self::send_or_return`], but withholds the request if `may_send` does not hold when a
+    /// connection is ready, right before the request is sent. Until then, up to [`CONNECT_TIMEOUT`]
+    /// may have passed.
     pub async fn send_if(
         &self,
         address: SocketAddr,
@@ -217,7 +218,11 @@
         options: RequestOptions,
         may_send: impl Fn() -> bool,
     ) -> Result<Response<Incoming>, SendFailure> {
+        let withheld = ClientError::Withheld { address };
         while let Some(mut sender) = self.take_idle(address, options.max_idle) {
+            if !may_send() {
+                return Err(SendFailure::unsent(withheld, request));
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.return_when_ready(address, sender, response, false)),
                 Err(mut failure) => match failure.take_message() {
@@ -231,8 +236,7 @@
             Err(error) => return Err(SendFailure::unsent(error, request)),
         };
         if !may_send() {
-            let error = ClientError::Withheld { address };
-            return Err(SendFailure::unsent(error, request));
+            return Err(SendFailure::unsent(withheld, request));
         }
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.return_when_ready(address, sender, response, true)),
