Resume a broken stream at further targets after a refusal

Callers lost the rest of a stream when its engine broke off and the next one refused the request or could not be reached, although attempts, sends and time were left: a resume tried a single target, unlike the first send of a request.

It now tries further targets within the same limits. If no other target is left, one that has refused without running the request is asked again, as a response that has begun cannot be refused any more. Targets that refuse are therefore kept apart from those at which the request failed.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -397,17 +397,25 @@
         Err(reason.into())
     }
 
-    /// Requests the rest of the stream from another target. Returns the reason if it is not continued.
+    /// Requests the rest of the stream from other targets until one continues it. Returns the reason if
+    /// none does.
     async fn resume(&mut self) -> Result<(), String> {
-        let is_allowed = self.exchange.acquire_resend(Failure::MayHaveRun);
-        is_allowed.map_err(|reason| reason.to_string())?;
-        let placed = self.exchange.place().await;
-        placed.map_err(|refusal| refusal.message)?;
-        let result = self.exchange.send().await;
-        self.continue_stream(result).map_err(|failure| {
-            self.exchange.record_failure(&failure);
-            failure.refusal.message
-        })
+        let mut failure = Failure::MayHaveRun;
+        loop {
+            let is_allowed = self.exchange.acquire_resend(failure);
+            is_allowed.map_err(|reason| reason.to_string())?;
+            let placed = self.exchange.place().await;
+            placed.map_err(|refusal| refusal.message)?;
+            let result = self.exchange.send().await;
+            let Err(failed) = self.continue_stream(result) else {
+                return Ok(());
+            };
+            self.exchange.record_failure(&failed);
+            if failed.is_final {
+                return Err(failed.refusal.message);
+            }
+            failure = failed.kind;
+        }
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -61,6 +61,8 @@
     pub(super) silent_placement: Option<Placement>,
     /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
+    /// Targets that have refused the request without running it.
+    refusing: Vec<TargetId>,
     /// Number of attempts to send the request to a target, including failed ones.
     pub(super) sends: u32,
     /// Number of sends that a target may have run.
@@ -92,6 +94,7 @@
             placement: None,
             silent_placement: None,
             excluded: Vec::new(),
+            refusing: Vec::new(),
             sends: 0,
             runs: 0,
             may_have_run: false,
@@ -217,9 +220,19 @@
 
     /// Obtains a placement at a target other than the current one.
     pub(super) async fn choose_target(&self) -> Result<Placement, Refusal> {
-        match self.is_model_request() {
-            true => self.place_model().await,
-            false => self.place_plain(),
+        if !self.is_model_request() {
+            return self.place_plain();
+        }
+        let refusing = self.refusing.iter().cloned();
+        let unavailable = self.excluded_targets().into_iter().chain(refusing);
+        let placement = self.place_model(unavailable.collect()).await;
+        // A response that has begun cannot be refused any more, so its request waits for a target that
+        // had no place before.
+        match placement {
+            Err(_) if self.may_have_run && !self.refusing.is_empty() => {
+                self.place_model(self.excluded_targets()).await
+            }
+            placement => placement,
         }
     }
 
@@ -234,7 +247,9 @@
     /// Whether the request has been sent to a target before.
     pub(super) fn was_sent_to(&self, target: &TargetId) -> bool {
         let silent = self.silent_placement.as_ref();
-        silent.is_some_and(|silent| silent.target == *target) || self.excluded.contains(target)
+        silent.is_some_and(|silent| silent.target == *target)
+            || self.excluded.contains(target)
+            || self.refusing.contains(target)
     }
 
     /// Returns the targets at which the request has failed, and the one that runs it.
@@ -243,7 +258,7 @@
         self.excluded.iter().cloned().chain(current).collect()
     }
 
-    async fn place_model(&self) -> Result<Placement, Refusal> {
+    async fn place_model(&self, mut excluded: Vec<TargetId>) -> Result<Placement, Refusal> {
         let Some(prompt) = &self.head.prompt else {
             return self.place_plain();
         };
@@ -260,7 +275,6 @@
             let remaining = self.remaining();
             wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
         }
-        let mut excluded = self.excluded_targets();
         excluded.extend(self.targets_with_stale_weights(admission));
         let request = ModelRequest {
             id: self.head.id.clone(),
@@ -302,7 +316,10 @@
         let candidates = self.relay.fleet.state().serving_targets(&service);
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement = scheduler
-            .place_plain(&candidates, &self.excluded_targets())
+            .place_plain(
+                &candidates,
+                &[self.excluded_targets(), self.refusing.clone()].concat(),
+            )
             .or_else(|| scheduler.place_plain(&candidates, &[]));
         placement.ok_or_else(|| {
             let refusal = match scheduler.remaining_pause(&candidates) {
@@ -410,7 +427,12 @@
         if let Some(placement) = &self.placement
             && failure.exclude_target
         {
-            self.excluded.push(placement.target.clone());
+            match failure.kind {
+                Failure::NotRun => self.refusing.push(placement.target.clone()),
+                Failure::NotSent | Failure::MayHaveRun => {
+                    self.excluded.push(placement.target.clone());
+                }
+            }
         }
         self.end_placement(failure.outcome.clone());
     }
