Resume a stream under the configuration that admitted it

Callers lost the rest of a stream if its engine broke off after a change of the configuration had moved the route to another service, changed its weights or removed it. The check before a send compared the route with the newest configuration, which is meant for requests that wait in the queue.

A request that may have run is now finished as it was admitted. Its key is still checked against the newest configuration, so that withdrawn keys start no further run.

silent_targets::a_broken_stream_is_resumed_after_a_change_of_its_route fails without the change and passes with it.

--- a/src/jujubelink/ops/proxy/relay/admission.rs
+++ b/src/jujubelink/ops/proxy/relay/admission.rs
@@ -28,9 +28,7 @@
 /// missing route or key is answered with a temporary refusal, because a newer version may contain
 /// it.
 pub(super) fn admit(fleet: &Fleet, head: &RelayHead, path: &str) -> Result<Admission, Refusal> {
-    let policy = fleet
-        .policy()
-        .ok_or_else(|| not_ready("the instance has no configuration yet"))?;
+    let policy = active_policy(fleet)?;
     let Some(route) = policy.match_route(&head.host, path) else {
         return Err(deny(fleet, RefusalCode::UnknownRoute, "no such route"));
     };
@@ -49,6 +47,16 @@
     })
 }
 
+/// Returns the workspace of the request's key according to the active configuration.
+pub(super) fn check_key(fleet: &Fleet, head: &RelayHead) -> Result<WorkspaceId, Refusal> {
+    authenticate(fleet, &*active_policy(fleet)?, head)
+}
+
+fn active_policy(fleet: &Fleet) -> Result<Rc<FleetPolicy>, Refusal> {
+    let policy = fleet.policy();
+    policy.ok_or_else(|| not_ready("the instance has no configuration yet"))
+}
+
 fn authenticate(
     fleet: &Fleet,
     policy: &FleetPolicy,
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use super::Relay;
-use super::admission::{Admission, admit, quota_units};
+use super::admission::{Admission, admit, check_key, quota_units};
 use super::body::TargetResponse;
 use super::send::{SendFailure, SendOutcome};
 use crate::core::fleet::{TargetAddress, model_key};
@@ -381,18 +381,32 @@
         (state.weights_of(record, model) == weights).then_some(record.address)
     }
 
-    /// Repeats the checks before a send: the configuration may have changed while the request was
-    /// queued, and the machine may have been suspended. Returns the remaining time.
-    pub(super) fn check_send(&self) -> Result<Duration, Refusal> {
+    /// Checks whether the active configuration still admits the request to its service. A request that
+    /// may have run is finished as it was admitted, as long as its key is valid.
+    fn check_admission(&self) -> Result<(), Refusal> {
         let admission = self.admission()?;
-        let current = admit(&self.relay.fleet, &self.head, self.parts.uri.path())?;
-        if current.service != admission.service || current.workspace != admission.workspace {
-            return Err(Refusal::not_run(
+        let fleet = &self.relay.fleet;
+        let is_unchanged = if self.may_have_run {
+            let is_key_checked = admission.workspace.is_some();
+            !is_key_checked || admission.workspace == Some(check_key(fleet, &self.head)?)
+        } else {
+            let current = admit(fleet, &self.head, self.parts.uri.path())?;
+            current.service == admission.service && current.workspace == admission.workspace
+        };
+        match is_unchanged {
+            true => Ok(()),
+            false => Err(Refusal::not_run(
                 RefusalCode::Overloaded,
                 "the configuration changed while the request waited",
             )
-            .with_retry_after(Duration::ZERO));
+            .with_retry_after(Duration::ZERO)),
         }
+    }
+
+    /// Repeats the checks before a send: the configuration may have changed while the request was
+    /// queued, and the machine may have been suspended. Returns the remaining time.
+    pub(super) fn check_send(&self) -> Result<Duration, Refusal> {
+        self.check_admission()?;
         let remaining = self.remaining();
         if remaining < MIN_SEND_TIME {
             return Err(Refusal::not_run(
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -29,6 +29,9 @@
 /// Pause of a target that is silent for good.
 const SILENCE: Duration = Duration::from_secs(2 * WAIT_TIMEOUT.as_secs());
 
+/// Name of a change after which the key of the client is unknown.
+const WITHDRAWN_KEY: &str = "withdrawn key";
+
 /// Settings without any budget for sending a request again.
 const NO_RESENDS: &str = "resend_ratio = 0.0\nresend_slack = 0.0";
 
@@ -327,57 +330,87 @@
     });
 }
 
+/// Requests a stream, and changes the configuration after it has reached an engine. Returns the response
+/// for each change of the route, and for a withdrawn key.
+async fn ask_beside_changes(
+    script: impl Fn(&ReceivedRequest, usize) -> Reply + Copy + Send + Sync + 'static,
+) -> Vec<(&'static str, TestResponse)> {
+    let with_services = |keys: &[&str]| {
+        let mut config = Deployment::configuration(6, keys);
+        let mut other = config["services"][1].clone();
+        other["name"] = json!("other");
+        config["services"].as_array_mut().unwrap().push(other);
+        config
+    };
+    let split = |first: u32, second: u32| json!([{ "service": "llm", "weight": first }, { "service": "other", "weight": second }]);
+    let mut before = with_services(&[KEY]);
+    before["routes"][2]["traffic_split"] = split(1, 0);
+    let mut moved = with_services(&[KEY]);
+    moved["routes"][2]["service"] = json!("other");
+    let mut reweighted = with_services(&[KEY]);
+    reweighted["routes"][2]["traffic_split"] = split(0, 1);
+    let mut removed = with_services(&[KEY]);
+    removed["routes"].as_array_mut().unwrap().remove(2);
+    let rows = [
+        ("moved", moved),
+        ("reweighted", reweighted),
+        ("removed", removed),
+        (WITHDRAWN_KEY, with_services(&[])),
+    ];
+    let before = &before;
+    let responses = rows.map(|(change, mut config)| async move {
+        let (deployment, targets) = deploy(&["e1", "e2"], script);
+        deployment.store.put("config", "main", before.clone());
+        let instance = deployment.start("n1", "").await;
+        wait_until_prompts_complete(&instance).await;
+        let setup = ScriptedDeployment {
+            deployment,
+            instance,
+            targets,
+        };
+        let (response, ()) = futures_util::join!(setup.ask("r"), async {
+            setup.wait_for_arrival("r").await;
+            config["version"] = json!(7);
+            setup.deployment.store.put("config", "main", config);
+        });
+        (change, response)
+    });
+    join_all(responses).await
+}
+
 /// Guards against a stream that ends early because its route or key changes while its engine pauses.
 #[test]
 fn a_paused_stream_is_complete_beside_a_change_of_the_configuration() {
     run(async {
-        let with_services = |keys: &[&str]| {
-            let mut config = Deployment::configuration(6, keys);
-            let mut other = config["services"][1].clone();
-            other["name"] = json!("other");
-            config["services"].as_array_mut().unwrap().push(other);
-            config
-        };
-        let split = |first: u32, second: u32| json!([{ "service": "llm", "weight": first }, { "service": "other", "weight": second }]);
-        let mut before = with_services(&[KEY]);
-        before["routes"][2]["traffic_split"] = split(1, 0);
-        let mut moved = with_services(&[KEY]);
-        moved["routes"][2]["service"] = json!("other");
-        let mut reweighted = with_services(&[KEY]);
-        reweighted["routes"][2]["traffic_split"] = split(0, 1);
-        let mut removed = with_services(&[KEY]);
-        removed["routes"].as_array_mut().unwrap().remove(2);
-        let rows = [
-            ("moved", moved),
-            ("reweighted", reweighted),
-            ("removed", removed),
-            ("withdrawn key", with_services(&[])),
-        ];
-        let before = &before;
-        let responses = join_all(rows.map(|(change, mut config)| async move {
-            let (deployment, targets) = deploy(&["e1", "e2"], |request, attempt| match attempt {
-                0 => stream(request, &[(2, 1_200)]),
-                _ => stream(request, &[]),
-            });
-            deployment.store.put("config", "main", before.clone());
-            let instance = deployment.start("n1", "").await;
-            wait_until_prompts_complete(&instance).await;
-            let setup = ScriptedDeployment {
-                deployment,
-                instance,
-                targets,
-            };
-            let (response, ()) = futures_util::join!(setup.ask("r"), async {
-                setup.wait_for_arrival("r").await;
-                config["version"] = json!(7);
-                setup.deployment.store.put("config", "main", config);
-            });
-            (change, response)
-        }));
+        let responses = ask_beside_changes(|request, attempt| match attempt {
+            0 => stream(request, &[(2, 1_200)]),
+            _ => stream(request, &[]),
+        });
         assert_complete(responses.await);
     });
 }
 
+/// Guards against a stream that is not resumed because its route has changed since it began, and against
+/// one that is resumed although its key was withdrawn.
+#[test]
+fn a_broken_stream_is_resumed_after_a_change_of_its_route() {
+    run(async {
+        let responses = ask_beside_changes(|request, attempt| match attempt {
+            0 => {
+                let mut reply = broken_stream(request);
+                reply.steps.push(Step::Pause(Duration::from_secs(2)));
+                reply
+            }
+            _ => stream(request, &[]),
+        });
+        let mut responses = responses.await;
+        let (_, withdrawn) = responses.pop().unwrap();
+        assert_complete(responses);
+        assert_eq!(withdrawn.status, 0, "{}", withdrawn.body);
+        assert_eq!(withdrawn.body, expected_events(1..=2));
+    });
+}
+
 /// Guards against a stream that ends early because its pauses are long or repeated, or concern several
 /// clients.
 #[test]
