Decode each entry of the target list on its own

An instance decoded a page of a list, and the response to a watch, as one JSON value. One entry of another writer that the decoder rejects as JSON made the whole response invalid: the instance kept its last list of targets, and requests went to targets that had announced their shutdown or were gone.

A page is now split into its items without looking into them, and each item is decoded on its own. Skipping is not recursive, so the depth of an entry does not matter, and bytes that JSON does not allow are replaced first. An entry that cannot be decoded names no target, replaces what the target wrote before, and is logged once per revision. The other entries hold.

An entry without zone or slots, with an unused field of another type, with port 0 or with an unspecified address now names no target either; before, it was used with defaults. An object whose name a URI cannot contain no longer ends the reading of the next page, and the contents are decoded from text, so that unknown fields are skipped whatever they hold.

--- a/crates/jujubelink-standins/src/fleet/cache.rs
+++ b/crates/jujubelink-standins/src/fleet/cache.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use jujubelink::platform::names::CACHE_EVENTS_PATH;
 use jujubelink::util::http::{Body, empty, full};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::StandIn;
 
@@ -15,7 +15,8 @@
 pub struct CacheStore {
     /// Number of the current run, sent as `boot_epoch`.
     incarnation: Cell<u64>,
-    events: RefCell<Vec<Value>>,
+    /// Serialized events.
+    events: RefCell<Vec<String>>,
     poll_count: Cell<u64>,
 }
 
@@ -36,9 +37,13 @@
 
     /// Publishes an event about a cached part of a prompt: stored if `sign` is `+`, removed if `-`.
     pub fn event(&self, sign: &str, salt: &str, part: &str, tokens: u64, model: &str) {
-        let mut events = self.events.borrow_mut();
-        let number = events.len() + 1;
-        events.push(json!([number, sign, salt, part, tokens, model]));
+        let number = self.events.borrow().len() + 1;
+        self.raw_event(&json!([number, sign, salt, part, tokens, model]).to_string());
+    }
+
+    /// Publishes an event that is sent exactly as given.
+    pub fn raw_event(&self, event: &str) {
+        self.events.borrow_mut().push(event.to_owned());
     }
 
     /// Simulates a restart: starts a new incarnation without events.
@@ -61,9 +66,17 @@
             .strip_prefix("since=")
             .and_then(|text| text.parse().ok());
         let events = self.events.borrow();
-        let new_events: Vec<&Value> = events.iter().skip(since.unwrap_or(0)).collect();
-        let body = json!({ "boot_epoch": self.incarnation.get(), "next": events.len(), "lost": false,
-            "events": new_events });
-        Response::new(full(body.to_string()))
+        let new_events: Vec<&str> = events
+            .iter()
+            .skip(since.unwrap_or(0))
+            .map(String::as_str)
+            .collect();
+        let body = format!(
+            "{{\"boot_epoch\":{},\"next\":{},\"lost\":false,\"events\":[{}]}}",
+            self.incarnation.get(),
+            events.len(),
+            new_events.join(",")
+        );
+        Response::new(full(body))
     }
 }
--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -38,13 +38,16 @@
 struct Object {
     revision: u64,
     created_revision: u64,
-    spec: Value,
+    /// JSON, unless a test wrote something else.
+    spec: Vec<u8>,
+    /// JSON, unless a test wrote something else.
+    metadata: Vec<u8>,
 }
 
 struct Change {
     revision: u64,
     kind: String,
-    object: Value,
+    object: Vec<u8>,
     is_removed: bool,
 }
 
@@ -68,18 +71,38 @@
 
     /// Writes an object unconditionally, on behalf of an operator or a target.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.put_raw(kind, name, spec.to_string().as_bytes());
+    }
+
+    /// Writes an object whose `spec` is sent exactly as given, whether it is valid JSON or not.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8]) {
+        self.write_object(kind, name, spec, None);
+    }
+
+    /// Writes an object whose `metadata` is sent exactly as given.
+    pub fn put_with_metadata(&self, kind: &str, name: &str, spec: Value, metadata: &[u8]) {
+        self.write_object(kind, name, spec.to_string().as_bytes(), Some(metadata));
+    }
+
+    fn write_object(&self, kind: &str, name: &str, spec: &[u8], metadata: Option<&[u8]>) {
         let revision = self.next_revision();
         let key = (kind.to_owned(), name.to_owned());
         let mut objects = self.objects.borrow_mut();
         let created_revision = objects
             .get(&key)
             .map_or(revision, |existing| existing.created_revision);
+        let regular_metadata = json!({ "name": name, "revision": revision,
+            "create_rev": created_revision, "finalizers": [], "deleting": false });
         let object = Object {
             revision,
             created_revision,
-            spec,
+            spec: spec.to_owned(),
+            metadata: match metadata {
+                Some(metadata) => metadata.to_owned(),
+                None => regular_metadata.to_string().into_bytes(),
+            },
         };
-        self.record_change(kind, revision, render(name, &object), false);
+        self.record_change(kind, revision, render(&object), false);
         objects.insert(key, object);
     }
 
@@ -88,15 +111,15 @@
         let key = (kind.to_owned(), name.to_owned());
         if let Some(object) = self.objects.borrow_mut().remove(&key) {
             let revision = self.next_revision();
-            self.record_change(kind, revision, render(name, &object), true);
+            self.record_change(kind, revision, render(&object), true);
         }
     }
 
-    /// Returns the spec of an object.
+    /// Returns the spec of an object, if it is valid JSON.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
         let objects = self.objects.borrow();
         let object = objects.get(&(kind.to_owned(), name.to_owned()))?;
-        Some(object.spec.clone())
+        serde_json::from_slice(&object.spec).ok()
     }
 
     /// Discards the history. Watches that start at an earlier revision are answered with 410.
@@ -115,7 +138,7 @@
         self.revision.get()
     }
 
-    fn record_change(&self, kind: &str, revision: u64, object: Value, is_removed: bool) {
+    fn record_change(&self, kind: &str, revision: u64, object: Vec<u8>, is_removed: bool) {
         self.history.borrow_mut().push(Change {
             revision,
             kind: kind.to_owned(),
@@ -129,30 +152,32 @@
         let of_kind = objects
             .iter()
             .filter(|((object_kind, _), _)| object_kind == kind);
-        let items: Vec<Value> = of_kind
-            .map(|((_, name), object)| render(name, object))
-            .collect();
-        answer(
-            StatusCode::OK,
-            &json!({ "items": items, "truncated": false, "current_rev": self.revision.get() }),
-        )
+        let items: Vec<Vec<u8>> = of_kind.map(|(_, object)| render(object)).collect();
+        let start = format!(
+            "{{\"current_rev\":{},\"truncated\":false,\"items\":[",
+            self.revision.get()
+        );
+        answer_raw([start.as_bytes(), &items.join(&b','), b"]}"].concat())
     }
 
     fn read(&self, kind: &str, name: &str) -> Response<Body> {
         let objects = self.objects.borrow();
         match objects.get(&(kind.to_owned(), name.to_owned())) {
-            Some(object) => answer(StatusCode::OK, &render(name, object)),
+            Some(object) => answer_raw(render(object)),
             None => answer(StatusCode::NOT_FOUND, &json!({ "error": "absent" })),
         }
     }
 
-    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+    fn events(&self, kind: &str, after: u64) -> Vec<Vec<u8>> {
         let history = self.history.borrow();
         let new_changes = history
             .iter()
             .filter(|change| change.kind == kind && change.revision > after);
         new_changes
-            .map(|change| json!({ "object": change.object, "removed": change.is_removed }))
+            .map(|change| {
+                let end = format!(",\"removed\":{}}}", change.is_removed);
+                [b"{\"object\":", &*change.object, end.as_bytes()].concat()
+            })
             .collect()
     }
 
@@ -164,8 +189,9 @@
             }
             let events = self.events(kind, after);
             if !events.is_empty() || waited >= limit {
-                let body = json!({ "events": events, "current_rev": self.revision.get() });
-                return answer(StatusCode::OK, &body);
+                let end = format!("],\"current_rev\":{}}}", self.revision.get());
+                let start: &[u8] = b"{\"events\":[";
+                return answer_raw([start, &events.join(&b','), end.as_bytes()].concat());
             }
             compio::time::sleep(WATCH_POLL_INTERVAL).await;
             waited += WATCH_POLL_INTERVAL;
@@ -293,10 +319,20 @@
     }
 }
 
-fn render(name: &str, object: &Object) -> Value {
-    json!({ "metadata": { "name": name, "revision": object.revision,
-        "create_rev": object.created_revision, "finalizers": [], "deleting": false },
-        "spec": object.spec, "status": null })
+/// Returns the serialized object.
+fn render(object: &Object) -> Vec<u8> {
+    let parts: [&[u8]; 5] = [
+        b"{\"metadata\":",
+        &object.metadata,
+        b",\"spec\":",
+        &object.spec,
+        b",\"status\":null}",
+    ];
+    parts.concat()
+}
+
+fn answer_raw(body: Vec<u8>) -> Response<Body> {
+    Response::new(full(body))
 }
 
 fn answer(status: StatusCode, body: &Value) -> Response<Body> {
--- a/src/jujubelink/ops/fleet/mod.rs
+++ b/src/jujubelink/ops/fleet/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! [`PluginScope::FleetStore`]: crate::ops::kernel::PluginScope::FleetStore
 
+mod faults;
 mod plugin;
 mod state;
 mod sync;
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -10,6 +10,7 @@
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 
+use super::faults::LoggedFaults;
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{
     Announcement, FleetPolicy, FleetState, FreshnessProof, Removal, StoreContact, TargetRecord,
@@ -19,7 +20,7 @@
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
-use crate::ops::store::{SharedStore, StoredPolicy, TargetChange, TargetChanges};
+use crate::ops::store::{EntryFault, SharedStore, StoredPolicy, TargetChange, TargetChanges};
 use crate::util::duration::ms;
 
 /// Part of the revocation bound that is reserved for sending the request to the target.
@@ -60,6 +61,7 @@
     /// Notified when the store confirms the target list.
     targets_confirmed: Notifier,
     store_contact: RefCell<StoreContact>,
+    logged_faults: RefCell<LoggedFaults>,
     changed: Notifier,
 }
 
@@ -81,6 +83,7 @@
             targets_confirmed_at: Cell::new(Timestamp::ZERO),
             targets_confirmed: Notifier::new(),
             store_contact: RefCell::new(StoreContact::new(started_at, heartbeat)),
+            logged_faults: RefCell::default(),
             changed: Notifier::new(),
         }
     }
@@ -173,6 +176,7 @@
 
     /// Applies changes of targets. A complete list also removes the targets that are not in it.
     pub fn on_targets(&self, changes: TargetChanges, is_complete: bool) {
+        self.log_entry_faults(&changes.faults);
         let now = self.context.timers().boot_now();
         let newest = self.target_revision.get().max(changes.revision);
         self.target_revision.set(newest);
@@ -207,6 +211,15 @@
         self.publish_snapshot();
     }
 
+    /// Logs entries of the store that cannot be decoded and are ignored.
+    pub fn log_entry_faults(&self, faults: &[EntryFault]) {
+        let mut logged = self.logged_faults.borrow_mut();
+        for fault in faults.iter().filter(|fault| logged.is_new(fault)) {
+            slog::warn!(self.context.log(), "entry of the store ignored"; "kind" => fault.kind,
+                "name" => &fault.name, "revision" => fault.revision, "fault" => &fault.reason);
+        }
+    }
+
     fn log_removal(&self, id: &TargetId, revision: u64, removal: Removal, fault: Option<String>) {
         match removal {
             Removal::Removed => {
@@ -500,6 +513,7 @@
             changes: changes
                 .map(|(revision, record)| TargetChange::Written { revision, record })
                 .collect(),
+            faults: Vec::new(),
             revision: list.revision,
         };
         self.on_targets(changes, true);
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -154,6 +154,8 @@
                     fleet.on_store_answer(requested_at);
                     let absent_until = peers.weights_confirmed_at();
                     peers.record_weights_confirmed(requested_at);
+                    fleet.log_entry_faults(&announced.faults);
+                    let announced = announced.entries;
                     fleet.on_stored_weights(&announced, absent_until, failed_request_at);
                 }
                 Err(error) => {
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -103,7 +103,8 @@
     loop {
         match store.list_instances().await {
             Ok(listed) => {
-                let expired = peers.apply_instance_list(listed);
+                peers.fleet.log_entry_faults(&listed.faults);
+                let expired = peers.apply_instance_list(listed.entries);
                 if peers.rank() == 0 {
                     for name in expired {
                         if let Err(error) = store.remove_instance(&name).await {
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -88,10 +88,43 @@
 pub struct TargetChanges {
     /// Changes in order of revision.
     pub changes: Vec<TargetChange>,
+    /// Entries that cannot be decoded.
+    pub faults: Vec<EntryFault>,
     /// Last included revision; the next watch continues after it.
     pub revision: ObjectVersion,
 }
 
+/// An entry of the store that cannot be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryFault {
+    /// Kind of the entry.
+    pub kind: &'static str,
+    /// Name of the entry; empty if it cannot be read either.
+    pub name: String,
+    /// Revision of the entry; 0 if it cannot be read either.
+    pub revision: ObjectVersion,
+    /// Description of the error.
+    pub reason: String,
+}
+
+/// The entries of a list that can be decoded.
+#[derive(Debug, Clone)]
+pub struct Listed<T> {
+    /// Decoded entries.
+    pub entries: Vec<T>,
+    /// Entries that cannot be decoded.
+    pub faults: Vec<EntryFault>,
+}
+
+impl<T> Default for Listed<T> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+}
+
 /// The entry of an instance in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceRecord {
@@ -117,7 +150,7 @@
     fn watch_targets(&self, after: ObjectVersion, limit: Duration) -> StoreFuture<TargetChanges>;
 
     /// Lists the newest announced weights version of each model.
-    fn list_announced_weights(&self) -> StoreFuture<Vec<(ModelId, u64)>>;
+    fn list_announced_weights(&self) -> StoreFuture<Listed<(ModelId, u64)>>;
 
     /// Reads the lease for orders with its version; `None` if it was never held.
     fn read_lease(&self) -> StoreFuture<Option<(ObjectVersion, LeaseRecord)>>;
@@ -131,7 +164,7 @@
     ) -> StoreFuture<ObjectVersion>;
 
     /// Lists the entries of all instances.
-    fn list_instances(&self) -> StoreFuture<Vec<InstanceRecord>>;
+    fn list_instances(&self) -> StoreFuture<Listed<InstanceRecord>>;
 
     /// Writes this instance's entry. Returns its new version.
     fn write_instance(&self, record: InstanceRecord) -> StoreFuture<ObjectVersion>;
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use super::objects::decode_owned;
 use crate::core::fleet::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
     WeightedService,
@@ -114,8 +115,8 @@
 const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
 
 /// Decodes a configuration.
-pub fn decode_configuration(spec: &serde_json::Value) -> Result<FleetPolicy, String> {
-    let document = Document::deserialize(spec).map_err(|error| error.to_string())?;
+pub fn decode_configuration(spec: &str) -> Result<FleetPolicy, String> {
+    let document: Document = decode_owned(spec)?;
     let mut routes: HashMap<String, Vec<Rc<PolicyRoute>>> = HashMap::new();
     for route in document.routes {
         let host = route.host.to_ascii_lowercase();
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -7,19 +7,21 @@
 use futures_util::FutureExt;
 use http::{Method, Request, StatusCode};
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
 use super::names::{
     CONFIG_NAME, KIND_CONFIG, KIND_INSTANCES, KIND_LEASES, KIND_TARGETS, KIND_WEIGHTS,
     OBJECTS_PATH, ORDER_LEASE,
 };
+use super::objects::{
+    Object, UnreadableObject, decode, decode_events, decode_owned, decode_page, invalid_response,
+};
 use super::{decode_configuration, decode_target};
 use crate::core::ids::{ModelId, ObjectVersion};
 use crate::core::rollout::LeaseRecord;
 use crate::ops::store::{
-    FleetStore, InstanceRecord, StoreError, StoreFuture, StoreResult, StoredPolicy, TargetChange,
-    TargetChanges,
+    EntryFault, FleetStore, InstanceRecord, Listed, StoreError, StoreFuture, StoreResult,
+    StoredPolicy, TargetChange, TargetChanges,
 };
 use crate::util::http::{Body, CallError, Client, empty, full};
 
@@ -33,48 +35,6 @@
 /// Maximum number of pages read of a list; a longer list is treated as an invalid response.
 const MAX_PAGES: usize = 64;
 
-/// Metadata of an object in the store.
-#[derive(Deserialize)]
-struct Metadata {
-    name: String,
-    /// Revision of the object, which a conditional write has to state.
-    revision: ObjectVersion,
-}
-
-#[derive(Deserialize)]
-struct Object {
-    metadata: Metadata,
-    /// Contents; the format depends on the kind of the object.
-    #[serde(default)]
-    spec: Value,
-}
-
-/// One page of a list.
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Object>,
-    #[serde(default)]
-    truncated: bool,
-    /// Revision of the store when it read the page.
-    current_rev: ObjectVersion,
-}
-
-#[derive(Deserialize)]
-struct Event {
-    object: Object,
-    #[serde(default)]
-    removed: bool,
-}
-
-/// Response to a watch.
-#[derive(Deserialize)]
-struct Events {
-    #[serde(default)]
-    events: Vec<Event>,
-    /// Revision from which the next watch continues.
-    current_rev: ObjectVersion,
-}
-
 /// Version of a model's weights that engines are to run.
 #[derive(Deserialize)]
 struct AnnouncedWeights {
@@ -157,7 +117,8 @@
         match self.send(method, path, body, RESPONSE_TIMEOUT).await? {
             (status, body) if status.is_success() => {
                 // The response to a removal contains no object.
-                Ok(parse::<Object>(&body).map_or(0, |object| object.metadata.revision))
+                Ok(Object::from_response(&body)
+                    .map_or_else(|unreadable| unreadable.revision, |object| object.revision))
             }
             (StatusCode::CONFLICT | StatusCode::NOT_FOUND, _) => Err(StoreError::Conflict),
             (status, _) => Err(unexpected_status(status)),
@@ -165,21 +126,31 @@
     }
 
     /// Returns all objects of a kind, and the revision of the store at the first page.
-    async fn list(&self, kind: &str) -> StoreResult<(Vec<Object>, ObjectVersion)> {
-        let mut objects: Vec<Object> = Vec::new();
+    async fn list(
+        &self,
+        kind: &str,
+    ) -> StoreResult<(Vec<Result<Object, UnreadableObject>>, ObjectVersion)> {
+        let mut objects = Vec::new();
         let mut revision = None;
+        // The next page starts after the last name that can be read.
+        let mut last_name: Option<String> = None;
         for _ in 0..MAX_PAGES {
-            let path = match objects.last() {
-                Some(last) => format!("{OBJECTS_PATH}/{kind}?after={}", last.metadata.name),
+            let path = match &last_name {
+                Some(name) => format!("{OBJECTS_PATH}/{kind}?after={}", encode_name(name)),
                 None => format!("{OBJECTS_PATH}/{kind}"),
             };
             let Some(body) = self.get(&path, RESPONSE_TIMEOUT).await? else {
                 return Ok((Vec::new(), 0));
             };
-            let page: Page = parse(&body)?;
-            let first = *revision.get_or_insert(page.current_rev);
-            let is_last = !page.truncated || page.items.is_empty();
-            objects.extend(page.items);
+            let page = decode_page(&body)?;
+            let first = *revision.get_or_insert(page.revision);
+            let is_last = !page.is_truncated || page.objects.is_empty();
+            let mut names = page.objects.iter().rev().map(|object| match object {
+                Ok(object) => &object.name,
+                Err(unreadable) => &unreadable.name,
+            });
+            last_name = names.find(|name| !name.is_empty()).cloned().or(last_name);
+            objects.extend(page.objects);
             if is_last {
                 return Ok((objects, first));
             }
@@ -188,26 +159,106 @@
             "the list of {kind} has too many pages"
         )))
     }
+
+    /// Lists the objects of a kind and decodes each with `decoder`.
+    async fn list_decoded<T>(
+        &self,
+        kind: &'static str,
+        decoder: impl Fn(&Object) -> Result<T, UnreadableObject>,
+    ) -> StoreResult<Listed<T>> {
+        let (objects, _) = self.list(kind).await?;
+        let mut listed = Listed::default();
+        for object in objects {
+            match object.and_then(|object| decoder(&object)) {
+                Ok(entry) => listed.entries.push(entry),
+                Err(unreadable) => {
+                    return Err(invalid_response(unreadable.into_fault(kind).reason));
+                }
+            }
+        }
+        Ok(listed)
+    }
 }
 
-/// Decodes a change of a target's entry. An invalid entry counts as removed.
-fn target_change(object: Object, is_removed: bool, revision: ObjectVersion) -> TargetChange {
-    let Metadata { name, revision: at } = object.metadata;
-    let removed = |fault| TargetChange::Removed {
-        revision: revision.max(at),
-        id: name.as_str().into(),
-        fault,
+/// Returns a name in the form that a path or a query can contain.
+fn encode_name(name: &str) -> String {
+    let encode = |byte: u8| match byte {
+        b'-' | b'.' | b'_' | b'~' => char::from(byte).to_string(),
+        _ if byte.is_ascii_alphanumeric() => char::from(byte).to_string(),
+        _ => format!("%{byte:02X}"),
     };
-    if is_removed {
-        return removed(None);
+    name.bytes().map(encode).collect()
+}
+
+/// Collects the changes of targets from the objects of one response.
+struct TargetDecoder {
+    changes: Vec<TargetChange>,
+    faults: Vec<EntryFault>,
+    /// Newest revision so far, which stands in for one that cannot be read.
+    revision: ObjectVersion,
+}
+
+impl TargetDecoder {
+    fn new(revision: ObjectVersion) -> Self {
+        Self {
+            changes: Vec::new(),
+            faults: Vec::new(),
+            revision,
+        }
+    }
+
+    /// Adds an object. An invalid entry counts as removed.
+    fn add(&mut self, object: Result<Object, UnreadableObject>, is_removed: bool) {
+        let (Ok(Object { revision, .. }) | Err(UnreadableObject { revision, .. })) = &object;
+        self.revision = self.revision.max(*revision);
+        let removed = |name: &str, revision, fault| TargetChange::Removed {
+            revision,
+            id: name.into(),
+            fault,
+        };
+        let decoded = object.and_then(|object| match is_removed {
+            true => Ok(removed(&object.name, object.revision, None)),
+            false => object
+                .decode(|spec| decode_target(&object.name, spec))
+                .map(|record| TargetChange::Written {
+                    revision: object.revision,
+                    record,
+                }),
+        });
+        match decoded {
+            Ok(change) => self.changes.push(change),
+            Err(unreadable) => {
+                let revision = match unreadable.revision {
+                    0 => self.revision,
+                    revision => revision,
+                };
+                let fault = unreadable.into_fault(KIND_TARGETS);
+                if !fault.name.is_empty() {
+                    let reason = Some(fault.reason.clone());
+                    self.changes.push(removed(&fault.name, revision, reason));
+                }
+                self.faults.push(fault);
+            }
+        }
+    }
+
+    fn finish(self, revision: ObjectVersion) -> TargetChanges {
+        TargetChanges {
+            changes: self.changes,
+            faults: self.faults,
+            revision,
+        }
     }
-    match decode_target(&name, &object.spec) {
-        Ok(record) => TargetChange::Written {
-            revision: at,
-            record,
-        },
-        Err(fault) => removed(Some(fault)),
+}
+
+/// Decodes the response to a watch of the targets after the revision `after`.
+pub fn decode_target_events(body: &[u8], after: ObjectVersion) -> StoreResult<TargetChanges> {
+    let events = decode_events(body)?;
+    let mut decoder = TargetDecoder::new(after);
+    for event in events.events {
+        decoder.add(event.object, event.is_removed);
     }
+    Ok(decoder.finish(events.revision))
 }
 
 impl FleetStore for ObjectStoreClient {
@@ -224,8 +275,9 @@
     }
 
     fn decode_policy(&self, raw: &Bytes) -> StoreResult<StoredPolicy> {
-        let object: Object = parse(raw)?;
-        let policy = decode_configuration(&object.spec).map_err(invalid_response)?;
+        let policy = Object::from_response(raw)
+            .and_then(|object| object.decode(decode_configuration))
+            .map_err(|unreadable| invalid_response(unreadable.into_fault(KIND_CONFIG).reason))?;
         Ok(StoredPolicy {
             policy,
             raw: raw.clone(),
@@ -236,13 +288,11 @@
         let client = self.clone();
         async move {
             let (objects, revision) = client.list(KIND_TARGETS).await?;
-            let changes = objects.into_iter();
-            Ok(TargetChanges {
-                changes: changes
-                    .map(|object| target_change(object, false, 0))
-                    .collect(),
-                revision,
-            })
+            let mut decoder = TargetDecoder::new(0);
+            for object in objects {
+                decoder.add(object, false);
+            }
+            Ok(decoder.finish(revision))
         }
         .boxed_local()
     }
@@ -253,30 +303,16 @@
             let wait_ms = limit.as_millis();
             let path = format!("{OBJECTS_PATH}/{KIND_TARGETS}?watch={after}&wait_ms={wait_ms}");
             let body = client.get(&path, limit + RESPONSE_TIMEOUT).await?;
-            let events: Events = parse(&body.unwrap_or_default())?;
-            let revision = events.current_rev;
-            let changes = events.events.into_iter();
-            Ok(TargetChanges {
-                changes: changes
-                    .map(|event| target_change(event.object, event.removed, 0))
-                    .collect(),
-                revision,
-            })
+            decode_target_events(&body.unwrap_or_default(), after)
         }
         .boxed_local()
     }
 
-    fn list_announced_weights(&self) -> StoreFuture<Vec<(ModelId, u64)>> {
+    fn list_announced_weights(&self) -> StoreFuture<Listed<(ModelId, u64)>> {
         let client = self.clone();
         async move {
-            let (objects, _) = client.list(KIND_WEIGHTS).await?;
-            objects
-                .into_iter()
-                .map(|object| {
-                    let announced: AnnouncedWeights = decode_spec(&object)?;
-                    Ok((announced.model.into(), announced.version))
-                })
-                .collect()
+            let decoder = |object: &Object| object.decode(decode_weights);
+            client.list_decoded(KIND_WEIGHTS, decoder).await
         }
         .boxed_local()
     }
@@ -288,8 +324,12 @@
             let Some(body) = client.get(&path, RESPONSE_TIMEOUT).await? else {
                 return Ok(None);
             };
-            let object: Object = parse(&body)?;
-            Ok(Some((object.metadata.revision, decode_spec(&object)?)))
+            let unreadable = |unreadable: UnreadableObject| {
+                invalid_response(unreadable.into_fault(KIND_LEASES).reason)
+            };
+            let object = Object::from_response(&body).map_err(unreadable)?;
+            let record = object.decode(decode_owned).map_err(unreadable)?;
+            Ok(Some((object.revision, record)))
         }
         .boxed_local()
     }
@@ -313,20 +353,17 @@
         .boxed_local()
     }
 
-    fn list_instances(&self) -> StoreFuture<Vec<InstanceRecord>> {
+    fn list_instances(&self) -> StoreFuture<Listed<InstanceRecord>> {
         let client = self.clone();
         async move {
-            let (objects, _) = client.list(KIND_INSTANCES).await?;
-            objects
-                .into_iter()
-                .map(|object| {
-                    let stored: StoredInstance = decode_spec(&object)?;
-                    Ok(InstanceRecord {
-                        name: object.metadata.name,
-                        address: stored.address,
-                    })
+            let decoder = |object: &Object| {
+                let stored: StoredInstance = object.decode(decode_owned)?;
+                Ok(InstanceRecord {
+                    name: object.name.clone(),
+                    address: stored.address,
                 })
-                .collect()
+            };
+            client.list_decoded(KIND_INSTANCES, decoder).await
         }
         .boxed_local()
     }
@@ -340,7 +377,7 @@
             let created = client.write(Method::POST, &path, Some(body.clone())).await;
             match created {
                 Err(StoreError::Conflict) => {
-                    let path = format!("{path}/{}", record.name);
+                    let path = format!("{path}/{}", encode_name(&record.name));
                     client.write(Method::PUT, &path, Some(body)).await
                 }
                 other => other,
@@ -351,28 +388,21 @@
 
     fn remove_instance(&self, name: &str) -> StoreFuture<()> {
         let client = self.clone();
-        let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}/{name}");
+        let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}/{}", encode_name(name));
         async move { client.write(Method::DELETE, &path, None).await.map(drop) }.boxed_local()
     }
 }
 
-fn parse<T: DeserializeOwned>(body: &[u8]) -> StoreResult<T> {
-    serde_json::from_slice(body).map_err(|error| invalid_response(error.to_string()))
-}
-
 fn unexpected_status(status: StatusCode) -> StoreError {
     StoreError::Refused {
         status: status.as_u16(),
     }
 }
 
-/// Decodes the contents of an object.
-fn decode_spec<T: DeserializeOwned>(object: &Object) -> StoreResult<T> {
-    T::deserialize(&object.spec).map_err(|error| invalid_response(error.to_string()))
-}
-
-fn invalid_response(reason: String) -> StoreError {
-    StoreError::InvalidResponse { reason }
+/// Decodes announced weights.
+fn decode_weights(spec: &str) -> Result<(ModelId, u64), String> {
+    let announced: AnnouncedWeights = decode(spec)?;
+    Ok((announced.model.into(), announced.version))
 }
 
 fn no_response(reason: String) -> StoreError {
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -8,11 +8,14 @@
 use jujubelink::core::fleet::{QuotaUnit, RequestKind};
 use jujubelink::core::kvcache::{PartChange, StoredPart};
 use jujubelink::core::relay::{AttemptHead, EngineParams};
+use jujubelink::ops::store::TargetChange;
 use jujubelink::platform::{
     decode_cache_events, decode_configuration, decode_request, decode_response_head, decode_target,
-    encode_request,
+    decode_target_events, encode_request,
 };
 use jujubelink::util::hash::sha256_hex;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use serde_json::json;
 
 fn configuration() -> serde_json::Value {
@@ -38,7 +41,7 @@
 /// because the platform added a field.
 #[test]
 fn decodes_a_configuration() {
-    let policy = decode_configuration(&configuration()).unwrap();
+    let policy = decode_configuration(&configuration().to_string()).unwrap();
     assert_eq!(policy.version, 7);
     let route = policy
         .match_route("jepu9.example:8080", "/lepu270/2f")
@@ -75,24 +78,176 @@
         "version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"phase":"both",
         "models":[{"name":"daka510000","version":3,"adapters":[]}],"sequence":4,
         "born":1792071419051u64});
-    let record = decode_target("i-7f3a91c2", &entry).unwrap();
+    let record = decode_target("i-7f3a91c2", &entry.to_string()).unwrap();
     assert_eq!(record.weights_of("daka510000"), Some(3));
     assert_eq!(record.incarnation, 1_792_071_419_051);
     assert_eq!((record.slots, record.is_leaving), (64, false));
     let mut draining = entry.clone();
     draining["state"] = json!("draining");
-    assert!(decode_target("i", &draining).unwrap().is_leaving);
+    assert!(
+        decode_target("i", &draining.to_string())
+            .unwrap()
+            .is_leaving
+    );
     for (field, value) in [
         ("state", json!("odd")),
+        ("state", json!(null)),
         ("address", json!(7)),
+        ("address", json!("10.128.0.9:70000")),
+        ("address", json!("10.128.0.9:0")),
+        ("address", json!("0.0.0.0:8080")),
+        ("zone", json!(["recife-a"])),
+        ("slots", json!(-1)),
+        ("slots", json!(0.5)),
+        ("slots", json!(u64::MAX)),
+        ("version", json!(1)),
+        ("sequence", json!("4")),
+        ("cold_remaining_ms", json!({})),
+        ("born", json!(1.5)),
+        ("models", json!([{"name":"daka510000","version":-1}])),
         ("service", json!(null)),
         ("models", json!("x")),
     ] {
         let mut invalid = entry.clone();
         invalid[field] = value;
-        assert!(decode_target("i", &invalid).is_err(), "{field}");
+        assert!(decode_target("i", &invalid.to_string()).is_err(), "{field}");
+    }
+    for field in ["service", "address", "zone", "slots", "state"] {
+        let mut incomplete = entry.clone();
+        incomplete.as_object_mut().unwrap().remove(field);
+        assert!(
+            decode_target("i", &incomplete.to_string()).is_err(),
+            "{field}"
+        );
+    }
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let text = entry.to_string();
+    for invalid in [
+        "\"no object\"",
+        "null",
+        "",
+        "{",
+        "[\"huvo11a\",\"10.128.0.9:8080\",\"recife-a\",64,\"ready\",[],1]",
+        &nested,
+        &text.replace("\"recife-a\"", &nested),
+        &text.replace("\"recife-a\"", "\"\\ud800\""),
+        &text.replace(":64", ":1e400"),
+        &text.replace(":64", ":99999999999999999999999"),
+        &text.replace('{', "{\"state\":\"ready\","),
+    ] {
+        assert!(decode_target("i", invalid).is_err(), "{invalid:.200}");
+    }
+    // A field that is not named by the protocol may hold anything.
+    for further in [&nested, "1e400", "\"\\ud800\""] {
+        let extended = text.replacen('{', &format!("{{\"further\":{further},"), 1);
+        assert!(decode_target("i", &extended).is_ok());
+    }
+}
+
+/// Returns a response to a watch of the targets with an object between two valid ones.
+fn events_with(object: &[u8]) -> Vec<u8> {
+    let valid = |name: &str, revision: u64| {
+        let entry = json!({ "service": "app", "address": "10.128.0.9:8080", "zone": "a",
+            "slots": 8, "state": "ready" });
+        let metadata = json!({ "name": name, "revision": revision });
+        json!({ "object": { "metadata": metadata, "spec": entry }, "removed": false }).to_string()
+    };
+    let (first, last) = (valid("first", 11), valid("last", 13));
+    let parts: [&[u8]; 7] = [
+        b"{\"events\":[",
+        first.as_bytes(),
+        b",{\"removed\":false,\"object\":",
+        object,
+        b"},",
+        last.as_bytes(),
+        b"],\"current_rev\":13}",
+    ];
+    parts.concat()
+}
+
+/// Returns the names of the targets that a response writes, and of those that it removes.
+fn changed_targets(body: &[u8]) -> (Vec<String>, Vec<String>) {
+    let changes = decode_target_events(body, 10).expect("a response");
+    let (mut written, mut removed) = (Vec::new(), Vec::new());
+    for change in changes.changes {
+        match change {
+            TargetChange::Written { record, .. } => written.push(record.id.to_string()),
+            TargetChange::Removed { id, .. } => removed.push(id.to_string()),
+        }
+    }
+    (written, removed)
+}
+
+/// Guards against an odd object that hides the others in a response, and against one that is ignored
+/// although it replaces a valid entry.
+#[test]
+fn odd_objects_do_not_affect_the_others_of_a_response() {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let with_spec = |spec: &[u8]| {
+        let start: &[u8] = b"{\"metadata\":{\"name\":\"odd\",\"revision\":12},\"spec\":";
+        [start, spec, b"}"].concat()
+    };
+    let entry = |zone: &[u8]| {
+        let start: &[u8] = b"{\"service\":\"app\",\"address\":\"10.0.0.1:1\",\"slots\":1,\
+            \"state\":\"ready\",\"zone\":\"";
+        [start, zone, b"\"}"].concat()
+    };
+    for object in [
+        with_spec(nested.as_bytes()),
+        with_spec(b"1e400"),
+        with_spec(b"\"\xff\xc0\""),
+        with_spec(&entry(b"\xff")),
+        with_spec(&entry(b"\x00")),
+        with_spec(&entry(b"\\ud800")),
+        b"{\"metadata\":{\"name\":\"odd\",\"revision\":12}}".to_vec(),
+        b"{\"metadata\":{\"name\":\"odd\",\"revision\":1e400},\"spec\":{}}".to_vec(),
+        b"{\"metadata\":{\"name\":\"odd\"},\"spec\":{},\"status\":1e400}".to_vec(),
+    ] {
+        let (written, removed) = changed_targets(&events_with(&object));
+        assert_eq!(written, ["first", "last"]);
+        assert_eq!(
+            removed,
+            ["odd"],
+            "{:.200}",
+            String::from_utf8_lossy(&object)
+        );
+    }
+    for object in [
+        "null",
+        "7",
+        "{}",
+        "[]",
+        &nested,
+        "{\"metadata\":{\"name\":1}}",
+    ] {
+        let changes = decode_target_events(&events_with(object.as_bytes()), 10).unwrap();
+        assert_eq!(changes.faults.len(), 1, "{object:.200}");
+        let (written, removed) = changed_targets(&events_with(object.as_bytes()));
+        assert_eq!((written.len(), removed.len()), (2, 0), "{object:.200}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(23), ..ProptestConfig::with_cases(512) })]
+
+    /// Guards against bytes in one object that change how the others are decoded, or stop the process.
+    #[test]
+    fn any_bytes_in_an_object_leave_the_others_readable(
+        bytes in proptest::collection::vec(any::<u8>(), 0..64),
+        levels in 0usize..300,
+    ) {
+        // Other bytes than these end a JSON string.
+        let text: Vec<u8> = bytes.iter().copied().filter(|byte| !b"\"\\".contains(byte)).collect();
+        let metadata = "{\"metadata\":{\"name\":\"odd\",\"revision\":12},\"spec\":";
+        let start = format!("{metadata}{}\"", "[".repeat(levels));
+        let end = format!("\"{}}}", "]".repeat(levels));
+        let object = [start.as_bytes(), &text, end.as_bytes()].concat();
+        let (written, removed) = changed_targets(&events_with(&object));
+        prop_assert_eq!(written, ["first", "last"]);
+        prop_assert_eq!(removed, ["odd"]);
+        let _ = decode_target_events(&events_with(&bytes), 10);
+        let _ = decode_target_events(&bytes, 10);
     }
-    assert!(decode_target("i", &json!("no object")).is_err());
 }
 
 fn client_request() -> http::request::Parts {
