Decode announced weights and instance entries on their own

One entry among the announced weights, or among the entries of instances, that cannot be decoded made the whole list unreadable. With the first kind no instance followed any announcement, and engines stayed on old weights. With the second a new instance did not become ready, as it applies no limits before it has read the list, and it answered 503.

Both lists now leave such an entry out, log it once per revision and keep the others. Weights count only under the name of their model, as the protocol states, so that an entry of another name cannot change the version of a model.

--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -213,7 +213,7 @@
 
 /// Decodes a JSON object. Unknown fields are skipped without recursion, however deeply nested they
 /// are. An array, which derived decoders accept as the fields in order, is invalid.
-pub(super) fn decode<'a, T: Deserialize<'a>>(json: &'a str) -> Result<T, String> {
+fn decode<'a, T: Deserialize<'a>>(json: &'a str) -> Result<T, String> {
     if !json.trim_ascii_start().starts_with('{') {
         return Err("not a JSON object".to_owned());
     }
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -14,7 +14,7 @@
     OBJECTS_PATH, ORDER_LEASE,
 };
 use super::objects::{
-    Object, UnreadableObject, decode, decode_events, decode_owned, decode_page, invalid_response,
+    Object, UnreadableObject, decode_events, decode_owned, decode_page, invalid_response,
 };
 use super::{decode_configuration, decode_target};
 use crate::core::ids::{ModelId, ObjectVersion};
@@ -171,9 +171,7 @@
         for object in objects {
             match object.and_then(|object| decoder(&object)) {
                 Ok(entry) => listed.entries.push(entry),
-                Err(unreadable) => {
-                    return Err(invalid_response(unreadable.into_fault(kind).reason));
-                }
+                Err(unreadable) => listed.faults.push(unreadable.into_fault(kind)),
             }
         }
         Ok(listed)
@@ -311,7 +309,8 @@
     fn list_announced_weights(&self) -> StoreFuture<Listed<(ModelId, u64)>> {
         let client = self.clone();
         async move {
-            let decoder = |object: &Object| object.decode(decode_weights);
+            let decoder =
+                |object: &Object| object.decode(|spec| decode_weights(&object.name, spec));
             client.list_decoded(KIND_WEIGHTS, decoder).await
         }
         .boxed_local()
@@ -399,9 +398,12 @@
     }
 }
 
-/// Decodes announced weights.
-fn decode_weights(spec: &str) -> Result<(ModelId, u64), String> {
-    let announced: AnnouncedWeights = decode(spec)?;
+/// Decodes the announced weights of the model `name`.
+fn decode_weights(name: &str, spec: &str) -> Result<(ModelId, u64), String> {
+    let announced: AnnouncedWeights = decode_owned(spec)?;
+    if announced.model != name {
+        return Err(format!("names another model, {:?}", announced.model));
+    }
     Ok((announced.model.into(), announced.version))
 }
 
--- a/tests/testsuite/platform_path/odd_entries.rs
+++ b/tests/testsuite/platform_path/odd_entries.rs
@@ -99,3 +99,122 @@
         );
     });
 }
+
+/// Guards against one undecodable announcement of weights that hides the others.
+#[test]
+fn an_odd_weights_entry_does_not_hide_other_announcements() {
+    run(async {
+        let (deployment, _instance) = Deployment::start_ready("").await;
+        let mut failures = Vec::new();
+        let odd_entries = odd_entries(&deployment.spec("versions", "m"), "version");
+        for (odd, version) in odd_entries.into_iter().zip(2..) {
+            deployment.store.put_raw("versions", "odd", &odd.spec);
+            deployment.announce_weights(version);
+            let is_loaded = || {
+                deployment
+                    .engines
+                    .iter()
+                    .all(|engine| engine.version() == version)
+            };
+            for _ in 0..400 {
+                if is_loaded() {
+                    break;
+                }
+                compio::time::sleep(Duration::from_millis(10)).await;
+            }
+            if !is_loaded() {
+                failures.push(odd.what);
+            }
+            deployment.store.remove("versions", "odd");
+            eventually("the engines load the announced weights", || async {
+                is_loaded().then_some(())
+            })
+            .await;
+            for id in ["e1", "e2"] {
+                deployment.put_target_with_weights(id, "ready", 1, version);
+            }
+        }
+        assert!(
+            failures.is_empty(),
+            "weights not loaded in 4 s beside: {failures:#?}"
+        );
+    });
+}
+
+/// Guards against one undecodable entry of an instance that keeps new instances from becoming ready
+/// and from learning of the others.
+#[test]
+fn an_odd_instance_entry_does_not_hide_other_instances() {
+    run(async {
+        let (deployment, _first) = Deployment::start_ready("").await;
+        let valid = json!({ "address": "127.0.0.1:4000" });
+        let mut failures = Vec::new();
+        let mut version = 5;
+        for odd in odd_entries(&valid, "address") {
+            deployment
+                .store
+                .put_raw("jujubelink-instances", "odd", &odd.spec);
+            let instance = deployment.start("n2", "").await;
+            let mut status = 0;
+            for _ in 0..50 {
+                status = instance.send_request("r", "GET", "/read/x").await.status;
+                if status == 200 && instance.is_ready().await {
+                    break;
+                }
+                compio::time::sleep(Duration::from_millis(100)).await;
+            }
+            if status != 200 {
+                failures.push(format!("{}: status {status} after 5 s", odd.what));
+                continue;
+            }
+            // What the store announces arrives through the first instance.
+            instance.store_endpoint.set_mode(StoreMode::Refusing);
+            deployment.put_configuration(version + 1, &["another key"]);
+            instance
+                .wait_status("the first instance is known", 401)
+                .await;
+            version += 2;
+            deployment.put_configuration(version, &[KEY]);
+        }
+        assert!(failures.is_empty(), "instances not ready: {failures:#?}");
+    });
+}
+
+/// Guards against metadata that cannot be decoded and a name that a URI cannot contain, which hide the
+/// other entries of their kind.
+#[test]
+fn odd_metadata_does_not_hide_other_entries() {
+    run(async {
+        let deployment = Deployment::new();
+        for (kind, valid) in [("servers", "s1"), ("versions", "m")] {
+            let spec = deployment.spec(kind, valid);
+            let names: [&[u8]; 4] = [
+                b"null",
+                b"{\"name\":\"\\ud800\",\"revision\":3}",
+                b"{\"name\":\"odd\",\"revision\":1e400}",
+                b"{\"name\":7,\"revision\":3}",
+            ];
+            for (number, metadata) in names.into_iter().enumerate() {
+                let key = format!("odd{number}");
+                deployment
+                    .store
+                    .put_with_metadata(kind, &key, spec.clone(), metadata);
+            }
+        }
+        let odd = json!({ "address": "127.0.0.1:70000" });
+        deployment
+            .store
+            .put("jujubelink-instances", "a b\u{7f}/%?#\u{fc}", odd);
+        let instance = deployment.start("n1", "").await;
+        instance.wait_ready().await;
+        deployment.put_target("s1", "draining", 1);
+        let reached = requests_at_leaving_target(&deployment.services[0], &instance).await;
+        assert_eq!(reached, 0);
+        deployment.announce_weights(2);
+        eventually("the engines load the announced weights", || async {
+            let mut engines = deployment.engines.iter();
+            engines.all(|engine| engine.version() == 2).then_some(())
+        })
+        .await;
+    });
+}
