Take over a lease for orders that cannot be decoded

If another writer overwrote the lease for orders with contents that cannot be decoded, each read of it failed, no instance could take it, and engines stayed on old weights for good. A record with the largest fencing number decoded, but the next number overflowed.

Such a lease now counts as held by an unknown instance: a candidate waits until it has seen the same version for the takeover time and then writes the lease on the condition of that version. Its fencing number is the version. That is above all earlier numbers, since each write raises the number by at most 1 and the version by at least 1; a record that contradicts this was not written by an instance and counts as undecodable.

--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -10,7 +10,7 @@
 pub struct LeaseRecord {
     /// Name of the machine that holds the lease.
     pub holder: String,
-    /// Fencing number; increases with each change of the holder.
+    /// Fencing number; increases with each change of the holder. Never above the version of the object.
     pub epoch: Epoch,
     /// Whether the holder has given its last order and has released the lease.
     #[serde(default)]
@@ -64,7 +64,9 @@
 
 #[derive(Debug, Clone)]
 struct Observed {
+    /// Version of the object; 0 if it is absent.
     version: ObjectVersion,
+    /// `None` if the object is absent or its contents cannot be used.
     record: Option<LeaseRecord>,
     /// When this version was first observed.
     since: Timestamp,
@@ -160,8 +162,19 @@
         let is_takeover_due = role
             .work_since
             .is_some_and(|at| now >= at + role.takeover_delay);
+        let take_over = |wait: Duration, epoch: Epoch| {
+            let is_settled = now >= observed.since + wait;
+            match (is_settled, is_takeover_due) {
+                (true, true) => write(epoch),
+                (false, _) if now >= observed.read_at + POLL_PERIOD => LeaseAction::Read,
+                _ => LeaseAction::Wait,
+            }
+        };
         match &observed.record {
-            None if is_takeover_due => write(1),
+            None if observed.version == 0 && is_takeover_due => write(1),
+            None if observed.version == 0 => LeaseAction::Wait,
+            // Any instance may hold the lease. Its fencing number is below the version.
+            None => take_over(self.timing.takeover_after, observed.version),
             Some(record) if is_local => {
                 let renew_at = self.renewed_at + self.timing.renew_after;
                 match self.held {
@@ -176,14 +189,8 @@
                     true => self.timing.takeover_after_release,
                     false => self.timing.takeover_after,
                 };
-                let is_settled = now >= observed.since + wait;
-                match (is_settled, is_takeover_due) {
-                    (true, true) => write(record.epoch + 1),
-                    (false, _) if now >= observed.read_at + POLL_PERIOD => LeaseAction::Read,
-                    _ => LeaseAction::Wait,
-                }
+                take_over(wait, record.epoch + 1)
             }
-            None => LeaseAction::Wait,
         }
     }
 
@@ -212,8 +219,9 @@
         self.renewed_at = now;
     }
 
-    /// Handles the object as read; version 0 means that it is absent. `requested_at` is the time
-    /// before the request was sent.
+    /// Handles the object as read; version 0 means that it is absent, and no record with another
+    /// version that its contents cannot be decoded. `requested_at` is the time before the request was
+    /// sent.
     pub fn on_read(
         &mut self,
         version: ObjectVersion,
@@ -222,6 +230,9 @@
         now: Timestamp,
     ) {
         self.failures = 0;
+        // Each write raises the fencing number by at most 1 and the version by at least 1. A record
+        // whose number is above its version was not written by an instance.
+        let record = record.filter(|record| record.epoch <= version);
         let is_same = self
             .observed
             .as_ref()
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -16,7 +16,7 @@
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
-use crate::ops::store::StoreError;
+use crate::ops::store::{StoreError, StoredLease};
 use crate::platform::{EngineReport, WeightsOrder, read_report, send_weights_order};
 use crate::util::duration::ms;
 use crate::util::http::Client;
@@ -275,9 +275,16 @@
         match self.fleet.store().read_lease().await {
             Ok(found) => {
                 let (version, record) = match found {
-                    Some((version, record)) => (version, Some(record)),
+                    Some(StoredLease { version, record }) => (version, Some(record)),
                     None => (0, None),
                 };
+                let record = match record.transpose() {
+                    Ok(record) => record,
+                    Err(fault) => {
+                        self.fleet.log_entry_faults(&[fault]);
+                        None
+                    }
+                };
                 let now = self.now();
                 let mut lease = self.lease.borrow_mut();
                 lease.on_read(version, record, requested_at, now);
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// The lease for orders as stored.
+#[derive(Debug, Clone)]
+pub struct StoredLease {
+    /// Version that a write has to state.
+    pub version: ObjectVersion,
+    /// Contents, or why they cannot be decoded.
+    pub record: Result<LeaseRecord, EntryFault>,
+}
+
 /// The entry of an instance in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceRecord {
@@ -152,8 +161,8 @@
     /// Lists the newest announced weights version of each model.
     fn list_announced_weights(&self) -> StoreFuture<Listed<(ModelId, u64)>>;
 
-    /// Reads the lease for orders with its version; `None` if it was never held.
-    fn read_lease(&self) -> StoreFuture<Option<(ObjectVersion, LeaseRecord)>>;
+    /// Reads the lease for orders; `None` if it was never held.
+    fn read_lease(&self) -> StoreFuture<Option<StoredLease>>;
 
     /// Writes the lease if its version is `if_version`; 0 requires that it is absent. Returns the
     /// new version.
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -21,7 +21,7 @@
 use crate::core::rollout::LeaseRecord;
 use crate::ops::store::{
     EntryFault, FleetStore, InstanceRecord, Listed, StoreError, StoreFuture, StoreResult,
-    StoredPolicy, TargetChange, TargetChanges,
+    StoredLease, StoredPolicy, TargetChange, TargetChanges,
 };
 use crate::util::http::{Body, CallError, Client, empty, full};
 
@@ -316,19 +316,24 @@
         .boxed_local()
     }
 
-    fn read_lease(&self) -> StoreFuture<Option<(ObjectVersion, LeaseRecord)>> {
+    fn read_lease(&self) -> StoreFuture<Option<StoredLease>> {
         let client = self.clone();
         async move {
             let path = format!("{OBJECTS_PATH}/{KIND_LEASES}/{ORDER_LEASE}");
             let Some(body) = client.get(&path, RESPONSE_TIMEOUT).await? else {
                 return Ok(None);
             };
-            let unreadable = |unreadable: UnreadableObject| {
-                invalid_response(unreadable.into_fault(KIND_LEASES).reason)
+            let decoded = Object::from_response(&body)
+                .and_then(|object| Ok((object.revision, object.decode(decode_owned)?)));
+            let (version, record) = match decoded {
+                Ok((version, record)) => (version, Ok(record)),
+                Err(unreadable) => (unreadable.revision, Err(unreadable.into_fault(KIND_LEASES))),
             };
-            let object = Object::from_response(&body).map_err(unreadable)?;
-            let record = object.decode(decode_owned).map_err(unreadable)?;
-            Ok(Some((object.revision, record)))
+            match (version, record) {
+                // Without the revision the lease cannot be written either.
+                (0, Err(fault)) => Err(invalid_response(fault.reason)),
+                (version, record) => Ok(Some(StoredLease { version, record })),
+            }
         }
         .boxed_local()
     }
--- a/tests/testsuite/platform_path/odd_entries.rs
+++ b/tests/testsuite/platform_path/odd_entries.rs
@@ -218,3 +218,57 @@
         .await;
     });
 }
+
+/// Guards against a lease that cannot be decoded and stops the orders to engines for good, and against
+/// a next holder whose fencing number is not above the earlier ones.
+#[test]
+fn an_odd_lease_entry_does_not_stop_rollouts() {
+    run(async {
+        let (deployment, _instance) = Deployment::start_ready("").await;
+        let announce = async |version: u64| {
+            deployment.announce_weights(version);
+            eventually("the engines load the announced weights", || async {
+                let mut engines = deployment.engines.iter();
+                engines
+                    .all(|engine| engine.version() == version)
+                    .then_some(())
+            })
+            .await;
+            for id in ["e1", "e2"] {
+                deployment.put_target_with_weights(id, "ready", 1, version);
+            }
+            let orders = deployment.engines.iter().flat_map(|engine| engine.orders());
+            let fences = orders.map(|order| order["fence"].as_u64().expect("a fencing number"));
+            fences.collect::<Vec<u64>>()
+        };
+        let mut fences = announce(2).await;
+        let lease = deployment.spec(KIND_LEASES, ORDER_LEASE);
+        let mut odd_leases = odd_entries(&lease, "epoch");
+        odd_leases.retain(|odd| odd.what.contains("100,000") || odd.what == "a number too large");
+        let mut largest = lease.clone();
+        largest["epoch"] = json!(u64::MAX);
+        largest["holder"] = json!("another");
+        odd_leases.push(OddEntry {
+            what: "the largest number",
+            spec: largest.to_string().into_bytes(),
+        });
+        for (odd, version) in odd_leases.into_iter().zip(3..) {
+            println!("lease: {}", odd.what);
+            deployment
+                .store
+                .put_raw(KIND_LEASES, ORDER_LEASE, &odd.spec);
+            // Until its term ends, the holder may give orders with the former number.
+            compio::time::sleep(Duration::from_secs(2)).await;
+            let highest = fences.iter().max().copied();
+            let earlier = fences.len();
+            fences = announce(version).await;
+            let new = fences.iter().filter(|fence| Some(**fence) > highest);
+            assert_eq!(
+                new.count(),
+                fences.len() - earlier,
+                "{}: {fences:?}",
+                odd.what
+            );
+        }
+    });
+}
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -58,9 +58,10 @@
 }
 
 /// Simulates three instances that compete for the lease for 60 s, with lost and late responses,
-/// instances that are cut off from the store or suspended, and planned stops. Returns the orders:
-/// time in ms, index of the holder, and epoch of the lease.
-fn simulate(seed: u64) -> Vec<(u64, usize, u64)> {
+/// instances that are cut off from the store or suspended, and planned stops. Another program may
+/// overwrite the lease with each of the given records, or with contents that cannot be decoded.
+/// Returns the orders: time in ms, index of the holder, and epoch of the lease.
+fn simulate(seed: u64, foreign_records: &[Option<LeaseRecord>]) -> Vec<(u64, usize, u64)> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut store = Store::default();
     let names = ["a", "b", "c"];
@@ -73,6 +74,11 @@
     let mut orders = Vec::new();
     for now_ms in (0..60_000).step_by(50) {
         store.apply_late_writes(now_ms);
+        if !foreign_records.is_empty() && random.next_u32() % 200 == 0 {
+            let chosen = random.next_u32() as usize % foreign_records.len();
+            store.version += 1;
+            store.record = foreign_records[chosen].clone();
+        }
         for local in 0..3 {
             if random.next_u32() % 400 == 0 {
                 cut_until[local] = now_ms + u64::from(random.next_u32() % 8_000);
@@ -159,9 +165,30 @@
 /// or suspended could cause these.
 #[test]
 fn orders_of_different_holders_are_far_enough_apart() {
+    let total = check_orders(&[]);
+    // The lease is held most of the time.
+    assert!(total > 200 * 600, "{total} orders");
+}
+
+/// Guards against the same after another program has overwritten the lease, and against a lease that
+/// no instance takes any more.
+#[test]
+fn orders_are_far_enough_apart_after_the_lease_was_overwritten() {
+    let highest = LeaseRecord {
+        holder: "x".to_owned(),
+        epoch: u64::MAX,
+        is_released: true,
+        nonce: 1,
+    };
+    let total = check_orders(&[None, Some(highest)]);
+    assert!(total > 200 * 100, "{total} orders");
+}
+
+/// Simulates with 200 seeds and checks the orders of each run. Returns their number.
+fn check_orders(foreign_records: &[Option<LeaseRecord>]) -> usize {
     let mut total = 0;
     for seed in 0..200 {
-        let orders = simulate(seed);
+        let orders = simulate(seed, foreign_records);
         total += orders.len();
         for pair in orders.windows(2) {
             let ((at, holder, epoch), (later, other, next)) = (pair[0], pair[1]);
@@ -176,8 +203,7 @@
             }
         }
     }
-    // The lease is held most of the time.
-    assert!(total > 200 * 600, "{total} orders");
+    total
 }
 
 /// Guards against a term that starts with the response instead of before the request: the lease
