Refuse or answer each request before a planned stop ends

What callers saw: a request whose head or body arrived late in a planned stop was passed on to a target and cut without an answer at the end of the stop, also if it may not be repeated. A request that a target still ran at that time was cut as well.

Cause: nothing limited how late in a stop a request is passed on, and nothing ended the requests that were left; the process closed their connections by ending. Targets received deadlines beyond the stop.

Evidence, with a stop of 2.8 s and targets that need 2.9 s, code before this commit: 20 of 20 requests of kinds that run once were cut whose heads arrive late, 20 of 20 whose bodies arrive late, 20 of 20 whose bodies never end, and 20 of 20 of all kinds that targets never answer; a target received a deadline of 3,899 ms where the stop had less than 2,500 ms left. After: 0 of 20 each; the late ones get 503 'not_run' with Retry-After 0 and no target sees them, those in progress get 504 'outcome_unknown'.

Why it works: core/stop computes from the time of the request of the stop when the last answers are due and how late a request may be sent: all requests until the listener is closed, later ones only if their own deadline is within the stop, or, if they may be repeated, their latency objective is. At the time of the last answers, 0.2 s before the end, each request without a response head is answered, so that the answer is sent before the process ends. The limit of the drain now counts from the end of the notice, not from the close of the listener: on the platform the stop ends 7.2 s after SIGTERM in place of 7.5 s, 0.8 s before it kills the process.

Two tests pass before as well and keep it so: late requests that can end in time are served, and a stop whose SIGTERM arrives in a pause of 1 s answers all 20 requests that were sent in the pause.

--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -35,3 +35,4 @@
 pub mod routing;
 pub mod scheduler;
 pub mod spread;
+pub mod stop;
--- a/src/jujubelink/ops/admin/handlers/state.rs
+++ b/src/jujubelink/ops/admin/handlers/state.rs
@@ -148,7 +148,7 @@
 }
 
 pub(super) fn drain_instance(state: &AdminState) -> Result<Reply, ApiError> {
-    state.context.shutdown().request();
+    state.context.request_stop();
     Ok(Reply {
         status: StatusCode::ACCEPTED,
         body: json!({ "lifecycle": lifecycle(state) }),
--- a/src/jujubelink/ops/kernel/context.rs
+++ b/src/jujubelink/ops/kernel/context.rs
@@ -1,14 +1,16 @@
 //! State and services that the plug-ins of a process share.
 
 use std::any::{Any, TypeId, type_name};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use slog::Logger;
 
 use super::{Shutdown, Timers};
 use crate::core::ids::Incarnation;
+use crate::core::stop::StopSchedule;
 use crate::ops::platform::PlatformClient;
 use crate::ops::settings::ProcessSettings;
 use crate::ops::telemetry::{Metrics, Tracer};
@@ -21,6 +23,8 @@
     tracer: Tracer,
     timers: Timers,
     shutdown: Shutdown,
+    /// Set once a planned stop is requested.
+    stop_schedule: Cell<Option<StopSchedule>>,
     /// Each value is an `Rc<T>` under the `TypeId` of `T`.
     services: RefCell<HashMap<TypeId, Box<dyn Any>>>,
 }
@@ -49,6 +53,7 @@
                 tracer,
                 timers: Timers::new(),
                 shutdown: Shutdown::new(),
+                stop_schedule: Cell::new(None),
                 services: RefCell::default(),
             }),
         };
@@ -91,6 +96,26 @@
         &self.shared.shutdown
     }
 
+    /// Requests a planned stop of the process. Further calls have no effect.
+    pub fn request_stop(&self) {
+        if self.stop_schedule().is_none() {
+            let stop = &self.settings().stop;
+            let schedule = StopSchedule::new(
+                self.timers().boot_now(),
+                Duration::from_millis(stop.balancer_notice_ms),
+                Duration::from_millis(stop.drain_limit_ms),
+            );
+            self.shared.stop_schedule.set(Some(schedule));
+        }
+        self.shutdown().request();
+    }
+
+    /// Returns the time limits of the planned stop, on the clock of [`Timers::boot_now`], once it is
+    /// requested.
+    pub fn stop_schedule(&self) -> Option<StopSchedule> {
+        self.shared.stop_schedule.get()
+    }
+
     /// Adds a service to the table.
     ///
     /// # Panics
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -10,6 +10,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::handler::{ClientHandler, Proxy};
+use crate::core::stop::HANDSHAKE_COMPLETION_TIME;
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
 use crate::util::http::{ServerOptions, serve_connection};
@@ -24,11 +25,6 @@
 /// Interval between checks for idle pooled connections.
 const POOL_CHECK_PERIOD: Duration = Duration::from_secs(5);
 
-/// Time between ignoring handshakes and closing the listener, in which the handshakes that have begun
-/// complete. The kernels of both sides complete them, so a busy process does not delay them. Shorter
-/// than the 1 s after which clients repeat a handshake, so that the repetition is refused.
-const HANDSHAKE_COMPLETION_TIME: Duration = Duration::from_millis(500);
-
 /// Interval between checks whether the connections have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -88,8 +84,7 @@
                     if let Some(accepting) = accepting {
                         let _ = accepting.await;
                     }
-                    let limit = Duration::from_millis(stop.drain_limit_ms);
-                    wait_for_connections(&proxy, limit).await;
+                    wait_for_connections(&proxy).await;
                 }
                 DrainPhase::HandOver | DrainPhase::Close => {}
             }
@@ -100,11 +95,11 @@
 
 /// Waits until all connections are closed. A connection that has no running request may still have to
 /// send the end of its last response, or may have received a part of a request.
-async fn wait_for_connections(proxy: &Proxy, limit: Duration) {
+async fn wait_for_connections(proxy: &Proxy) {
     let timers = proxy.context.timers();
-    let deadline = timers.now() + limit;
+    let schedule = proxy.context.stop_schedule();
     while proxy.load.connections() > 0 {
-        if timers.now() >= deadline {
+        if schedule.is_some_and(|schedule| timers.boot_now() >= schedule.end()) {
             slog::error!(proxy.context.log(), "drain time limit reached before all connections were closed";
                 "running_requests" => proxy.load.requests());
             return;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -11,10 +11,12 @@
 use super::admission::{Admission, admit, quota_units};
 use super::body::TargetResponse;
 use super::send::{SendFailure, SendOutcome};
+use super::stop::Progress;
 use crate::core::fleet::{TargetAddress, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, RelayHead};
+use crate::core::stop::RequestTimes;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -69,6 +71,7 @@
     /// Weights version that the last send required.
     pub(super) weights: Option<u64>,
     queue_time: Duration,
+    pub(super) progress: Rc<Progress>,
     /// Whether the end of the request was logged.
     is_ended: bool,
 }
@@ -95,6 +98,7 @@
             may_have_run: false,
             weights: None,
             queue_time: Duration::ZERO,
+            progress: Rc::default(),
             is_ended: false,
         }
     }
@@ -122,6 +126,11 @@
         let route = Rc::clone(&admission.route);
         let client_timeout = self.head.client_timeout.unwrap_or(route.timeout);
         self.deadline = self.arrived + client_timeout.min(route.timeout);
+        self.progress.set_times(RequestTimes {
+            kind: route.kind,
+            deadline: self.deadline,
+            latency_objective: route.latency_objective,
+        });
         let body_limit = admission.policy.max_body_bytes;
         let service = admission.service.clone();
         self.admission = Some(admission);
@@ -206,6 +215,7 @@
 
     /// Obtains a placement from the scheduler.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
+        self.check_stop()?;
         let started = self.now();
         let result = match &self.head.prompt {
             Some(_) if self.is_engine_service()? => self.place_model().await,
@@ -367,7 +377,7 @@
             )
             .with_retry_after(Duration::ZERO));
         }
-        let remaining = self.remaining();
+        let remaining = self.remaining().min(self.check_stop()?);
         if remaining < MIN_SEND_TIME {
             return Err(Refusal::not_run(
                 RefusalCode::DeadlineExceeded,
@@ -382,6 +392,7 @@
             self.runs += 1;
             self.may_have_run = true;
         }
+        self.progress.set_passed_on(self.may_have_run);
         slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -11,17 +11,21 @@
 mod ready;
 mod resend;
 mod send;
+mod stop;
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 
 use self::exchange::Exchange;
+use self::stop::no_time_left;
 use super::handler::Proxy;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use crate::core::fleet::model_key;
@@ -133,7 +137,16 @@
     let result = match decode_request(&head) {
         Ok(relayed) => {
             let mut exchange = Exchange::new(&proxy, &relay, head, relayed);
-            match exchange.run(&mut body).await {
+            let stopped = no_time_left(proxy.context.clone(), Rc::clone(&exchange.progress));
+            let ran = {
+                let mut run = pin!(exchange.run(&mut body).fuse());
+                let mut stopped = pin!(stopped.fuse());
+                futures_util::select_biased! {
+                    ran = run => ran,
+                    refusal = stopped => Err(refusal),
+                }
+            };
+            match ran {
                 Ok(response) => Ok(response.into_response(exchange)),
                 Err(refusal) => {
                     exchange.log_refusal(&refusal);
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -26,7 +26,7 @@
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
         self.check_resend(failure, self.runs, self.sends)?;
-        if self.remaining() < MIN_SEND_TIME {
+        if self.remaining() < MIN_SEND_TIME || self.check_stop().is_err() {
             return Err(NoResend::DeadlineNear);
         }
         // The budget limits the requests that arrive at targets. A failed send may not have
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -139,6 +139,7 @@
         let options = self.request_options(&record);
         let timeout = self.head_timeout(remaining);
         self.sends += 1;
+        self.progress.set_passed_on(true);
         // The target may leave or ask for a pause while the connection is opened.
         let may_send = || self.check_target(&record).is_ok();
         let sending = self
--- a/src/jujubelink/ops/serve.rs
+++ b/src/jujubelink/ops/serve.rs
@@ -43,10 +43,10 @@
 fn stop_on_signal(context: &Context) -> Result<()> {
     let mut signals =
         signal::Signals::new(&[SIGTERM, SIGINT]).context("install signal handlers")?;
-    let shutdown = context.shutdown().clone();
+    let context = context.clone();
     compio::runtime::spawn(async move {
         while signals.next().await.is_ok() {
-            shutdown.request();
+            context.request_stop();
         }
     })
     .detach();
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -210,7 +210,7 @@
     /// Time for which connections are still accepted after the instance reports that it is not
     /// ready, so that load balancers can react; in milliseconds.
     pub balancer_notice_ms: u64,
-    /// Maximum time to wait for running requests to finish, in milliseconds.
+    /// Time after that by which all requests have ended, in milliseconds.
     pub drain_limit_ms: u64,
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod sessions;
 mod settings;
 mod spread;
+mod stop_schedule;
 mod streams;
 mod telemetry;
 mod tls;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -2,6 +2,7 @@
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
 mod faulty_responses;
+mod planned_stop;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
