--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -50,7 +50,7 @@
         is_allowed: impl FnOnce(&mut ResendBudget, usize, Timestamp) -> bool,
     ) -> Result<(), NoResend> {
         let admission = self.admission.as_ref().ok_or(NoResend::NotRepeatable)?;
-        if self.remaining() < MIN_SEND_TIME {
+        if self.remaining() < MIN_SEND_TIME || self.check_stop().is_err() {
             return Err(NoResend::DeadlineNear);
         }
         let instances = self.relay.peers.fleet_size();
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -204,6 +204,7 @@
         let request = self.request_for(&record, remaining, weights)?;
         let options = self.request_options(&record);
         self.sends += 1;
+        self.progress.set_passed_on(true);
         let sent_at = Rc::new(Cell::new(None));
         // The target may leave or ask for a pause while the connection is opened.
         let may_send = {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod settings;
 mod soak;
 mod spread;
+mod stop_schedule;
 mod streams;
 mod telemetry;
 mod tls;
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -336,7 +336,7 @@
     script: impl Fn(&ReceivedRequest, usize) -> Reply + Copy + Send + Sync + 'static,
 ) -> Vec<(&'static str, TestResponse)> {
     let with_services = |keys: &[&str]| {
-        let mut config = Deployment::configuration(6, keys);
+        let mut config = Deployment::configuration(6, keys, &[]);
         let mut other = config["services"][1].clone();
         other["name"] = json!("other");
         config["services"].as_array_mut().unwrap().push(other);
