Count only new events as the end of a target's silence

With the takeover from silent targets, a stream whose engine sent bytes but no new event was not resumed: any byte of the silent engine ended the attempt to replace it, again and again, also beyond the deadline. A connection of the silent engine that broke meanwhile ended the attempt at the other one as well, which used up the attempts of the request.

A silent stream now goes on by a new event or its end, and a silent request by a response that is a success. What fails at a silent target is kept, and read only if no other target takes the request over.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -14,7 +14,7 @@
 
 use super::exchange::Exchange;
 use super::send::{SendFailure, SendOutcome};
-use super::takeover::{Expected, Takeover};
+use super::takeover::{SilentTarget, Takeover};
 use crate::core::ids::Timestamp;
 use crate::core::relay::{Failure, NoResend};
 use crate::ops::services::AttemptOutcome;
@@ -24,6 +24,12 @@
 /// A larger event is treated as a failed connection.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Bytes of a silent stream that are buffered while another target is asked to continue it.
+const MAX_BUFFERED_SILENT_BYTES: usize = MAX_EVENT_BYTES / 2;
+
+/// Frames of a silent stream that are read at once.
+const MAX_FRAMES_PER_POLL: u32 = 16;
+
 /// A resumable stream without a new event for this many times the route's maximum event gap is continued
 /// by another target, if one can take it over. Clients give up after eight times the gap.
 const MAX_SILENT_GAPS: u32 = 4;
@@ -54,12 +60,9 @@
     pub(super) fn unread(&mut self, frame: BodyFrame) {
         self.unread = Some(frame);
     }
-}
-
-impl Expected for StreamedBody {
-    type Output = BodyFrame;
 
-    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<BodyFrame> {
+    /// Polls for the next frame.
+    pub(super) fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<BodyFrame> {
         match self.unread.take() {
             Some(frame) => Poll::Ready(frame),
             None => Pin::new(&mut self.incoming).poll_frame(cx),
@@ -67,6 +70,62 @@
     }
 }
 
+/// The stream of a silent target. Only a new event, or the end of the stream, continues it.
+struct SilentStream<'a> {
+    body: &'a mut StreamedBody,
+    buffer: &'a mut BytesMut,
+    /// Length of the events at the start of `buffer` that are not new.
+    scanned_bytes: usize,
+    /// Last event that the client has received.
+    last_event: Option<u64>,
+    has_failed: bool,
+}
+
+impl SilentStream<'_> {
+    fn has_new_event(&mut self) -> bool {
+        while let Some(length) = event_end(&self.buffer[self.scanned_bytes..]) {
+            let end = self.scanned_bytes + length;
+            let id = event_id(&self.buffer[self.scanned_bytes..end]);
+            if id.is_some_and(|id| self.last_event.is_none_or(|last| id > last)) {
+                return true;
+            }
+            self.scanned_bytes = end;
+        }
+        false
+    }
+}
+
+impl SilentTarget for SilentStream<'_> {
+    /// Whether the stream goes on. If not, it has ended.
+    type Output = bool;
+
+    fn poll_continued(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        for _ in 0..MAX_FRAMES_PER_POLL {
+            if self.has_failed || self.buffer.len() > MAX_BUFFERED_SILENT_BYTES {
+                return Poll::Pending;
+            }
+            match std::task::ready!(self.body.poll_frame(cx)) {
+                None if self.buffer.is_empty() => return Poll::Ready(false),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                    if self.has_new_event() {
+                        return Poll::Ready(true);
+                    }
+                }
+                failure => {
+                    self.body.unread(failure);
+                    self.has_failed = true;
+                }
+            }
+        }
+        // Bytes that arrive without a pause must not keep the event loop.
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
 impl TargetResponse {
     pub(super) fn buffered(head: Parts, body: Bytes) -> Self {
         Self {
@@ -245,7 +304,7 @@
         loop {
             let ends_at = self.silence_ends_at.map_or(deadline, |at| at.min(deadline));
             let remaining = ends_at.saturating_sub(self.exchange.now());
-            let frame = std::future::poll_fn(|cx| self.body.poll_output(cx));
+            let frame = std::future::poll_fn(|cx| self.body.poll_frame(cx));
             let timers = *self.exchange.proxy.context.timers();
             // Bytes that arrive without a pause must not put off the end.
             let frame = match remaining.is_zero() {
@@ -255,10 +314,10 @@
             let frame = match frame {
                 Some(frame) => frame,
                 None if ends_at >= deadline => return Err(ReadError::DeadlinePassed),
-                None => match self.replace_silent_target().await? {
-                    Some(frame) => frame,
-                    None => continue,
-                },
+                None => {
+                    let goes_on = self.replace_silent_target().await?;
+                    return Ok(goes_on.then(Bytes::new));
+                }
             };
             match frame {
                 None => return Ok(None),
@@ -272,22 +331,29 @@
         }
     }
 
-    /// Has another target continue the stream, if that is possible. Returns a frame of the silent target
-    /// if it goes on meanwhile.
-    async fn replace_silent_target(&mut self) -> Result<Option<BodyFrame>, ReadError> {
+    /// Has another target continue the stream, if that is possible. Returns whether the stream goes on;
+    /// if not, the silent target has ended it meanwhile.
+    async fn replace_silent_target(&mut self) -> Result<bool, ReadError> {
         let media_type = self.media_type.as_deref();
         let continues = |response: &TargetResponse| response.continues_stream(media_type);
-        let result = match self.exchange.take_over(&mut self.body, continues).await {
-            Takeover::Continued(frame) => return Ok(Some(frame)),
+        let mut silent = SilentStream {
+            body: &mut self.body,
+            buffer: &mut self.buffer,
+            scanned_bytes: 0,
+            last_event: self.exchange.last_event,
+            has_failed: false,
+        };
+        let result = match self.exchange.take_over(&mut silent, continues).await {
+            Takeover::Continued(goes_on) => return Ok(goes_on),
             Takeover::Rejected => {
                 self.restart_silence();
-                return Ok(None);
+                return Ok(true);
             }
             Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
-            Takeover::Sent(pending) => self.exchange.await_response(pending).await,
+            Takeover::Sent(pending) => self.exchange.await_response(*pending).await,
         };
         match self.continue_stream(result) {
-            Ok(()) => Ok(None),
+            Ok(()) => Ok(true),
             Err(failure) => {
                 self.exchange.record_failure(&failure);
                 Err(ReadError::NotContinued)
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -13,7 +13,7 @@
 use super::Relay;
 use super::body::TargetResponse;
 use super::exchange::Exchange;
-use super::takeover::Expected;
+use super::takeover::SilentTarget;
 use crate::core::fleet::{RequestKind, TargetRecord, model_key};
 use crate::core::ids::Timestamp;
 use crate::core::relay::{AttemptHead, Failure, ResponseHead, ResponseVerdict, classify_response};
@@ -148,6 +148,8 @@
 pub(super) struct PendingResponse {
     record: Rc<TargetRecord>,
     response: LocalBoxFuture<'static, SendResult>,
+    /// Result that has arrived and is read next.
+    result: Option<SendResult>,
     sent_at: Rc<Cell<Option<Timestamp>>>,
 }
 
@@ -163,13 +165,32 @@
     pub(super) fn sent_at(&self) -> Option<Timestamp> {
         self.sent_at.get()
     }
+
+    /// Polls for the response head.
+    pub(super) fn poll_result(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
+        match self.result.take() {
+            Some(result) => Poll::Ready(result),
+            None => self.response.as_mut().poll(cx),
+        }
+    }
 }
 
-impl Expected for PendingResponse {
+impl SilentTarget for PendingResponse {
     type Output = SendResult;
 
-    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
-        self.response.as_mut().poll(cx)
+    fn poll_continued(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
+        if self.result.is_some() {
+            return Poll::Pending;
+        }
+        let result = std::task::ready!(self.response.as_mut().poll(cx));
+        if result
+            .as_ref()
+            .is_ok_and(|response| response.status().is_success())
+        {
+            return Poll::Ready(result);
+        }
+        self.result = Some(result);
+        Poll::Pending
     }
 }
 
@@ -221,6 +242,7 @@
         Ok(PendingResponse {
             record,
             response: response.boxed_local(),
+            result: None,
             sent_at,
         })
     }
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -16,13 +16,14 @@
 /// would count as silent after a stall.
 const STALL_RECOVERY: Duration = Duration::from_millis(5);
 
-/// What a target is expected to send next.
-pub(super) trait Expected: Unpin {
-    /// The outcome of the wait.
+/// What a silent target is expected to send.
+pub(super) trait SilentTarget: Unpin {
+    /// What it has sent.
     type Output;
 
-    /// Polls for the outcome.
-    fn poll_output(&mut self, cx: &mut Context<'_>) -> Poll<Self::Output>;
+    /// Polls until the target goes on. A failure of the target completes nothing, but is kept for the
+    /// next read, as another target may take the request over.
+    fn poll_continued(&mut self, cx: &mut Context<'_>) -> Poll<Self::Output>;
 }
 
 /// Result of an attempt to replace a silent target.
@@ -32,24 +33,24 @@
     /// Another target responded. The silent one was given up.
     Responded(Box<TargetResponse>),
     /// Another target has the request and has not responded yet. The silent one was given up.
-    Sent(PendingResponse),
+    Sent(Box<PendingResponse>),
     /// No other target has taken the request over. The silent one is still awaited.
     Rejected,
 }
 
 enum Race<T, U> {
-    Expected(T),
+    Continued(T),
     Other(U),
 }
 
-/// Waits for a target or another future, whichever completes first.
-async fn race<E: Expected, F: Future>(
-    expected: &mut E,
+/// Waits until a silent target goes on or another future completes.
+async fn race<S: SilentTarget, F: Future>(
+    silent: &mut S,
     mut other: Pin<&mut F>,
-) -> Race<E::Output, F::Output> {
+) -> Race<S::Output, F::Output> {
     std::future::poll_fn(|cx| {
-        if let Poll::Ready(output) = expected.poll_output(cx) {
-            return Poll::Ready(Race::Expected(output));
+        if let Poll::Ready(output) = silent.poll_continued(cx) {
+            return Poll::Ready(Race::Continued(output));
         }
         other.as_mut().poll(cx).map(Race::Other)
     })
@@ -66,7 +67,7 @@
         loop {
             let remaining = self.remaining();
             let timeout = self.head_timeout(remaining);
-            let response = std::future::poll_fn(|cx| pending.poll_output(cx));
+            let response = std::future::poll_fn(|cx| pending.poll_result(cx));
             let result = match timers.timeout(timeout, response).await {
                 Some(result) => result,
                 None if timeout >= remaining => return Err(SendFailure::timed_out()),
@@ -74,7 +75,7 @@
                     Takeover::Continued(result) => result,
                     Takeover::Responded(response) => return Ok(SendOutcome::Response(*response)),
                     Takeover::Sent(replacement) => {
-                        pending = replacement;
+                        pending = *replacement;
                         continue;
                     }
                     Takeover::Rejected => continue,
@@ -87,13 +88,13 @@
     /// Sends the request to another target while a silent one is still awaited. The silent target is
     /// given up once the other one has started a response that `accepts` holds for, or has had the
     /// request for [`TAKEOVER_OVERLAP`].
-    pub(super) async fn take_over<E: Expected>(
+    pub(super) async fn take_over<S: SilentTarget>(
         &mut self,
-        silent: &mut E,
+        silent: &mut S,
         accepts: impl Fn(&TargetResponse) -> bool,
-    ) -> Takeover<E::Output> {
+    ) -> Takeover<S::Output> {
         let placement = match race(silent, pin!(self.place_replacement())).await {
-            Race::Expected(output) => return Takeover::Continued(output),
+            Race::Continued(output) => return Takeover::Continued(output),
             Race::Other(Ok(placement)) => placement,
             Race::Other(Err(reason)) => {
                 self.log_silent_target("silent target still awaited", &reason);
@@ -125,11 +126,11 @@
         Ok(placement)
     }
 
-    async fn send_replacement<E: Expected>(
+    async fn send_replacement<S: SilentTarget>(
         &mut self,
-        silent: &mut E,
+        silent: &mut S,
         accepts: impl Fn(&TargetResponse) -> bool,
-    ) -> Takeover<E::Output> {
+    ) -> Takeover<S::Output> {
         let mut pending = match self.begin_send() {
             Ok(pending) => pending,
             Err(failure) => return self.reject_replacement(&failure),
@@ -138,12 +139,12 @@
         loop {
             let arrived = {
                 let wait = self.overlap_left(&pending);
-                let response = std::future::poll_fn(|cx| pending.poll_output(cx));
+                let response = std::future::poll_fn(|cx| pending.poll_result(cx));
                 let response = timers.timeout(wait, response);
                 race(silent, pin!(response)).await
             };
             match arrived {
-                Race::Expected(output) => {
+                Race::Continued(output) => {
                     self.cancel_replacement(&pending);
                     return Takeover::Continued(output);
                 }
@@ -153,7 +154,7 @@
                         race(silent, pin!(evaluation)).await
                     };
                     return match evaluated {
-                        Race::Expected(output) => {
+                        Race::Continued(output) => {
                             self.cancel_replacement(&pending);
                             Takeover::Continued(output)
                         }
@@ -170,7 +171,7 @@
                 }
                 Race::Other(None) if self.overlap_left(&pending).is_zero() => {
                     self.give_up_silent_target();
-                    return Takeover::Sent(pending);
+                    return Takeover::Sent(Box::new(pending));
                 }
                 // The connection to the other target is not open yet.
                 Race::Other(None) => {}
@@ -180,20 +181,20 @@
 
     /// Waits until the other target has sent the start of a body that is forwarded as it arrives. A sound
     /// target may send the head of a response and then be silent as well.
-    async fn await_first_frame<E: Expected>(
+    async fn await_first_frame<S: SilentTarget>(
         &mut self,
-        silent: &mut E,
+        silent: &mut S,
         pending: &PendingResponse,
         mut response: TargetResponse,
-    ) -> Takeover<E::Output> {
+    ) -> Takeover<S::Output> {
         let first = match response.streamed_body() {
             None => None,
             Some(body) => {
                 let timers = *self.proxy.context.timers();
-                let frame = std::future::poll_fn(|cx| body.poll_output(cx));
+                let frame = std::future::poll_fn(|cx| body.poll_frame(cx));
                 let frame = timers.timeout(self.overlap_left(pending), frame);
                 match race(silent, pin!(frame)).await {
-                    Race::Expected(output) => {
+                    Race::Continued(output) => {
                         self.cancel_replacement(pending);
                         return Takeover::Continued(output);
                     }
