Answer requests that engines still run when a planned stop ends

What callers saw: without a fleet store too, a request that had no response yet when the drain limit was reached was cut without an answer.

With a drain limit of 1.5 s, 4 of 4 chat completions that engines still ran were cut. After: 4 of 4 get 504 'outcome_unknown'.

Why it works: the handler of these requests waits for the time of the last answers as well, and then answers. As it may not know whether a target has begun, the outcome is unknown in each case.

--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -1,8 +1,10 @@
 //! Routes client requests to the model, plain and relay handlers.
 
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 
+use futures_util::FutureExt;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
@@ -93,6 +95,20 @@
         }
     }
 
+    /// Completes when a planned stop has no more time for requests that have no response yet.
+    async fn stop_ends(&self) -> Refusal {
+        self.context.shutdown().requested().await;
+        if let Some(schedule) = self.context.stop_schedule() {
+            let now = self.context.timers().boot_now();
+            let remaining = schedule.answer_by().saturating_sub(now);
+            self.context.timers().sleep(remaining).await;
+        }
+        Refusal::outcome_unknown(
+            RefusalCode::DeadlineExceeded,
+            "the instance stops before the request has ended",
+        )
+    }
+
     async fn handle_request(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         match request.uri().path() {
             "/healthz" => return status(StatusCode::OK),
@@ -108,7 +124,15 @@
         let mut span = self.context.tracer().start_span("request", parent);
         span.set_attribute("request_id", &*id);
         span.context().apply(&mut head.headers);
-        let mut response = match self.route_request(head, &mut body, &id).await {
+        let routed = {
+            let mut routed = pin!(self.route_request(head, &mut body, &id).fuse());
+            let mut stopped = pin!(self.stop_ends().fuse());
+            futures_util::select_biased! {
+                routed = routed => routed,
+                refusal = stopped => Err(refusal),
+            }
+        };
+        let mut response = match routed {
             Ok(response) => response,
             Err(refusal) => {
                 if let Some(unread_body) = body {
--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -438,3 +438,47 @@
         }
     });
 }
+
+/// Guards against a connection that is closed without a response to a request that an engine still runs
+/// when the stop ends.
+#[test]
+fn a_stop_answers_requests_that_engines_still_run() {
+    run(async {
+        const CLIENTS: u64 = 4;
+        let fleet = Fleet::new(2);
+        let stop = "[stop]\nbalancer_notice_ms = 100\ndrain_limit_ms = 1500\n";
+        let mut instance = fleet.start_instance_with(stop, Stdio::inherit()).await;
+        let address = instance.client_address;
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                compio::runtime::spawn(async move {
+                    let prompt = format!("verse of {client}");
+                    let body = full(chat_body(&prompt, 60_000, false));
+                    let request = chat_request().header("host", "shop").body(body).unwrap();
+                    let options = RequestOptions::default();
+                    let response = Client::new().send(address, request, options).await;
+                    response.map_or(0, |response| response.status().as_u16())
+                })
+            })
+            .collect();
+        eventually("all requests run", || async {
+            (fleet.started_requests() == CLIENTS).then_some(())
+        })
+        .await;
+        instance.terminate();
+        let mut statuses = Vec::new();
+        for client in clients {
+            statuses.push(client.await.unwrap());
+        }
+        assert_eq!(
+            statuses, [504; CLIENTS as usize],
+            "0 stands for no response"
+        );
+        let status = eventually("the instance stops", || {
+            let status = instance.exit_status();
+            async move { status }
+        })
+        .await;
+        assert!(status.success());
+    });
+}
