Keep client connections open for as long as the configuration allows

What callers would see: where the configuration lets clients leave connections idle for 19 s or longer, a request that a client sends after 15 s can cross the close of its connection and gets no answer.

Cause: hyper counts the timeout for the head of a request from the end of the last response, so that the fixed timeout of 15 s for heads was the limit for idle connections as well. limits.idle_timeout_ms was not read.

Evidence: with a head timeout of 0.2 s a connection that was idle for 0.6 s was closed, whatever the idle time allowed; the request on it failed. It now gets its response.

Why it works: the timeout given to hyper is the sum of the idle time and the time for the head, both from the configuration that is active when the connection is opened, and at least 15 s, as clients may learn later than this instance that the time has become shorter.

--- a/src/jujubelink/core/fleet/policy.rs
+++ b/src/jujubelink/core/fleet/policy.rs
@@ -130,6 +130,10 @@
     pub keys: HashMap<KeyHash, WorkspaceId>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Time that clients may take to send the head of a request.
+    pub header_timeout: Duration,
+    /// Time for which clients may leave a connection idle.
+    pub idle_timeout: Duration,
 }
 
 impl FleetPolicy {
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -160,14 +160,8 @@
     let handler = ClientHandler(Rc::clone(proxy));
     let drain = async move { shutdown.closing().await };
     let tls = proxy.context.find_service::<ServerTls>();
-    let is_relay = proxy.relay.is_some();
+    let options = connection_options(proxy);
     compio::runtime::spawn(async move {
-        let options = ServerOptions {
-            // The platform's entry proxy half-closes a connection only after its client has
-            // disconnected.
-            allows_half_close: !is_relay,
-            ..ServerOptions::default()
-        };
         // A client that drops its connection is not an error of this instance.
         let _ = match tls {
             None => serve_connection(stream, handler, options, drain).await,
@@ -180,3 +174,26 @@
     })
     .detach();
 }
+
+/// Returns the options of a new connection. The active configuration may allow clients to use a
+/// connection that has been idle for long.
+fn connection_options(proxy: &Proxy) -> ServerOptions {
+    let defaults = ServerOptions::default();
+    let Some(relay) = &proxy.relay else {
+        return defaults;
+    };
+    // The platform's entry proxy half-closes a connection only after its client has disconnected.
+    let options = ServerOptions {
+        allows_half_close: false,
+        ..defaults
+    };
+    match relay.policy() {
+        None => options,
+        Some(policy) => ServerOptions {
+            header_timeout: policy.header_timeout,
+            // Clients learn later than this instance that the time has become shorter.
+            idle_timeout: policy.idle_timeout.max(defaults.header_timeout),
+            ..options
+        },
+    }
+}
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -15,6 +15,8 @@
 
 /// Defaults of optional settings.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const DEFAULT_HEADER_TIMEOUT_MS: f64 = 15_000.0;
+const DEFAULT_IDLE_TIMEOUT_MS: f64 = 15_000.0;
 const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
 const DEFAULT_LATENCY_OBJECTIVE_MS: f64 = 1_000.0;
 const DEFAULT_MAX_EVENT_GAP_MS: f64 = 1_000.0;
@@ -109,6 +111,8 @@
 #[derive(Default, Deserialize)]
 struct Limits {
     max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
 }
 
 const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
@@ -156,6 +160,8 @@
             .limits
             .max_body_bytes
             .unwrap_or(DEFAULT_MAX_BODY_BYTES),
+        header_timeout: duration_ms(document.limits.header_timeout_ms, DEFAULT_HEADER_TIMEOUT_MS),
+        idle_timeout: duration_ms(document.limits.idle_timeout_ms, DEFAULT_IDLE_TIMEOUT_MS),
     })
 }
 
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -41,6 +41,8 @@
 pub struct ServerOptions {
     /// Timeout for a client to send the headers of a request.
     pub header_timeout: Duration,
+    /// Time for which a client may leave the connection idle before a request.
+    pub idle_timeout: Duration,
     /// Maximum size of the headers of a request.
     pub max_header_bytes: usize,
     /// Maximum number of concurrent HTTP/2 streams of a connection.
@@ -58,6 +60,7 @@
     fn default() -> Self {
         Self {
             header_timeout: Duration::from_secs(15),
+            idle_timeout: Duration::ZERO,
             max_header_bytes: 64 * 1024,
             max_concurrent_streams: 128,
             ping_interval: Duration::from_secs(10),
@@ -114,7 +117,8 @@
     builder
         .http1()
         .timer(CompioTimer)
-        .header_read_timeout(options.header_timeout)
+        // hyper counts this time from the end of the last response.
+        .header_read_timeout(options.idle_timeout + options.header_timeout)
         .max_buf_size(options.max_header_bytes)
         .half_close(options.allows_half_close);
     builder
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -27,6 +27,8 @@
         workspaces: BTreeMap::new(),
         keys: HashMap::new(),
         max_body_bytes: 1024,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod cli;
+mod connections;
 mod drain;
 mod endless_bytes;
 mod fleet;
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -29,7 +29,8 @@
           "models":[{"name":"daka510000"}]}},
         {"name":"kafi81c","health_check":"/healthz","max_connections":100},
         {"name":"wuno96b","kv_store_addr":"172.20.0.2:8604","zone":"recife-b","kv_capacity":1521714}],
-      "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"idle_timeout_ms":15000},
+      "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+          "idle_timeout_ms":15000},
       "tenants":[{"name":"sese880","api_keys":["key-one","key-two"],"priority":1,"unit":"tokens",
         "plain_tokens":200,"dedicated":true,"rate_per_s":386419,"burst":386420}]})
 }
@@ -66,6 +67,8 @@
     let store = policy.services["wuno96b"].kv_store;
     assert_eq!(store, Some("172.20.0.2:8604".parse().unwrap()));
     assert_eq!(policy.max_body_bytes, 4_194_304);
+    assert_eq!(policy.header_timeout, Duration::from_secs(3));
+    assert_eq!(policy.idle_timeout, Duration::from_secs(15));
 }
 
 /// Guards against a malformed entry, written by other software, that adds a target or stops an instance.
