Serve requests whose heads arrive slowly on kept connections in a stop

What callers saw: a client that was sending the head of a request on a kept connection 0.8 s after the end of the notice of a planned stop lost its connection without an answer. No target got the request.

Cause: hyper's graceful shutdown takes a connection whose next head has arrived in part for an idle one. On a new connection it waits for the rest of the head.

After: 10 of 10 are served.

Why it works: the connection notes that bytes have arrived since its last response. If so, it is not shut down before the time for a head has passed; the response then closes it. The end of the stop limits this wait too.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -3,15 +3,17 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::pin;
+use std::io::{self, IoSlice};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use cyper_core::CompioTimer;
 use futures_util::FutureExt;
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
-use hyper::rt::{Read, Write};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
 
@@ -102,7 +104,8 @@
 ///
 /// HTTP/2 has a handshake for this. Under HTTP/1.1 a request that is sent while the connection closes
 /// is lost, so responses announce the end with `connection: close`, and a connection without it is
-/// closed only after [`CLOSE_WAITS`].
+/// closed only after [`CLOSE_WAITS`], or, while its client sends the head of a request, after the time
+/// for it.
 pub async fn serve_connection<I, H>(
     io: I,
     handler: H,
@@ -134,9 +137,11 @@
         let state = Rc::clone(&service_state);
         let version = request.version();
         state.is_http2.set(version == Version::HTTP_2);
+        state.may_have_begun_head.set(false);
         let response = handler.clone().handle(request);
         async move {
             let mut response = response.await;
+            state.may_have_begun_head.set(false);
             if state.is_draining.get() && version <= Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -144,6 +149,10 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let io = ObservedIo {
+        io,
+        state: Rc::clone(&state),
+    };
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut drain = pin!(drain.fuse());
     futures_util::select_biased! {
@@ -160,6 +169,12 @@
             return result;
         }
     }
+    if state.may_have_begun_head.get() && !state.is_http2.get() {
+        let wait = compio::time::timeout(options.header_timeout, connection.as_mut());
+        if let Ok(result) = wait.await {
+            return result;
+        }
+    }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
@@ -170,4 +185,54 @@
     is_draining: Cell<bool>,
     /// Whether a request has come over HTTP/2.
     is_http2: Cell<bool>,
+    /// Whether bytes have arrived since the last response, which may be the start of a request.
+    may_have_begun_head: Cell<bool>,
+}
+
+/// Sets in the state of a connection that bytes have arrived.
+struct ObservedIo<I> {
+    io: I,
+    state: Rc<ConnectionState>,
+}
+
+impl<I: Read + Unpin> Read for ObservedIo<I> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.io).poll_read(cx, buffer))?;
+        self.state.may_have_begun_head.set(true);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<I: Write + Unpin> Write for ObservedIo<I> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, slices)
+    }
 }
--- a/tests/testsuite/platform_path/planned_stop.rs
+++ b/tests/testsuite/platform_path/planned_stop.rs
@@ -339,3 +339,26 @@
         instance.wait_stopped().await;
     });
 }
+
+/// Guards against closing a kept connection while its client sends the head of a request.
+#[test]
+fn a_stop_serves_requests_whose_heads_arrive_slowly_on_kept_connections() {
+    run(async {
+        let (_deployment, mut instance) = Deployment::start_ready(STOP).await;
+        let address = instance.process.client_address;
+        let requests = ["/pay/x", "/tell/x"].map(|path| request("slow", path, 500));
+        let clients = join_all((0..10).map(|_| Client::connect_kept(address))).await;
+        for (number, client) in clients.iter().enumerate() {
+            client.write(split_head(&requests[number % 2]).0);
+        }
+        instance.begin_stop().await;
+        // Longer than idle connections take requests after the listener has closed.
+        compio::time::sleep(LATE).await;
+        for (number, client) in clients.iter().enumerate() {
+            client.write(split_head(&requests[number % 2]).1);
+        }
+        let responses = join_all(clients.into_iter().map(Client::read_to_close)).await;
+        check_statuses(&responses, &[200]);
+        instance.wait_stopped().await;
+    });
+}
