Tell an undecodable configuration from a store that does not answer

A configuration in the store that could not be decoded counted as a failed call to the store. Announced weights are not read after a failed call, so while such a configuration lay there, engines stayed on old weights and requests ran on weights older than the bound allows. The log line repeated at each read. A configuration was also rejected for a field that is not needed, if that was nested deeply or held a number that is too large.

A read now returns the fault of the configuration as a result of its own. The last configuration stays in force, its proof ages, so that keys still stop at the revocation bound, and weights are read as usual. The fault is logged once per revision, at a new instance too, which answers 503 until there is a configuration. Reads are repeated after the usual age instead of every 250 ms. Errors name the position and the expected type but not the value, which may be a key.

--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -7,7 +7,7 @@
 use crate::core::fleet::MAX_RELAYED_AGE;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
-use crate::ops::store::{StoreError, StoreResult, StoredPolicy};
+use crate::ops::store::{StoreError, StoredPolicy};
 use crate::util::duration::ms;
 
 /// Maximum duration of a watch request. A hanging watch is detected after this time plus the
@@ -126,6 +126,7 @@
     let timers = *context.timers();
     let mut failed_at = None;
     let mut failed_request_at = None;
+    let mut undecodable_at = None;
     loop {
         let peers = context.service::<Peers>();
         let now = timers.boot_now();
@@ -135,14 +136,19 @@
             rank => SECOND_INSTANCE_READ_AGE + READ_AGE_STEP * (rank - 1).min(MAX_READ_AGE_STEPS),
         };
         let is_behind = peers.newest_config_version() > fleet.state().config_version();
-        let is_config_due = is_behind || fleet.config_age().is_none_or(|age| age >= max_age);
+        let is_old = fleet.config_age().is_none_or(|age| age >= max_age);
+        // No read proves a configuration that cannot be decoded to be the newest one.
+        let is_repeated = undecodable_at.is_some_and(|at| {
+            let period = if is_behind { RETRY_DELAY } else { max_age };
+            now.saturating_sub(at) < period
+        });
         let is_backing_off = failed_at.is_some_and(|at| now.saturating_sub(at) < RETRY_DELAY);
-        if is_config_due && !is_backing_off {
-            failed_at = read_policy(&context, &fleet, &peers)
-                .await
-                .is_err()
-                .then(|| timers.boot_now());
+        if (is_behind || is_old) && !is_repeated && !is_backing_off {
+            let outcome = read_policy(&context, &fleet, &peers).await;
+            let read_at = Some(timers.boot_now());
+            failed_at = read_at.filter(|_| outcome == PolicyRead::Failed);
             failed_request_at = failed_at.map(|_| now).or(failed_request_at);
+            undecodable_at = read_at.filter(|_| outcome == PolicyRead::Undecodable);
         }
         let weights_age = peers
             .weights_confirmed_at()
@@ -180,25 +186,46 @@
     Duration::from_millis(fleet.settings().config_ms).mul_f64(FOLLOWER_READ_RATIO)
 }
 
-async fn read_policy(context: &Context, fleet: &Fleet, peers: &Peers) -> StoreResult<()> {
+/// Outcome of a read of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PolicyRead {
+    /// The store answered with a configuration, or has none yet.
+    Done,
+    /// The store answered with a configuration that cannot be decoded.
+    Undecodable,
+    /// The store did not answer, or refused.
+    Failed,
+}
+
+async fn read_policy(context: &Context, fleet: &Fleet, peers: &Peers) -> PolicyRead {
     let requested_at = context.timers().boot_now();
-    let error = match fleet.store().read_policy().await {
-        Ok(stored) => {
+    let outcome = match fleet.store().read_policy().await {
+        Ok(Some(Ok(stored))) => {
             fleet.on_store_answer(requested_at);
-            // The store has no configuration until the operator writes the first one.
-            if let Some(stored) = stored {
-                fleet.on_policy(stored, requested_at, "store");
-            }
-            return Ok(());
+            fleet.on_policy(stored, requested_at, "store");
+            PolicyRead::Done
+        }
+        // The store has no configuration until the operator writes the first one.
+        Ok(None) => {
+            fleet.on_store_answer(requested_at);
+            PolicyRead::Done
+        }
+        Ok(Some(Err(fault))) => {
+            fleet.on_store_answer(requested_at);
+            fleet.log_entry_faults(&[fault]);
+            PolicyRead::Undecodable
+        }
+        Err(error) => {
+            slog::warn!(context.log(), "cannot read the configuration"; "error" => %error,
+                "age_ms" => fleet.config_age().map(ms));
+            PolicyRead::Failed
         }
-        Err(error) => error,
     };
-    slog::warn!(context.log(), "cannot read the configuration"; "error" => %error,
-        "age_ms" => fleet.config_age().map(ms));
-    if peers.newest_config_version() > fleet.state().config_version() {
+    if outcome != PolicyRead::Done && peers.newest_config_version() > fleet.state().config_version()
+    {
         fetch_from_peer(context, fleet, peers).await;
     }
-    Err(error)
+    outcome
 }
 
 /// Fetches the configuration from a peer that has a newer version than this instance can read from
@@ -215,9 +242,9 @@
             fleet.on_policy(stored, Duration::ZERO, &name);
             peers.apply_peer_proofs(version);
         }
-        Err(error) => {
+        Err(fault) => {
             slog::warn!(context.log(), "cannot decode the configuration of a peer";
-                "peer" => name, "error" => %error);
+                "peer" => name, "fault" => fault.reason);
         }
     }
 }
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -145,12 +145,12 @@
 
 /// Client of the store.
 pub trait FleetStore {
-    /// Reads the newest configuration. The read is linearizable: it returns a configuration at
-    /// least as new as any whose write was acknowledged before the call.
-    fn read_policy(&self) -> StoreFuture<Option<StoredPolicy>>;
+    /// Reads the newest configuration, or why it cannot be decoded. The read is linearizable: it
+    /// returns a configuration at least as new as any whose write was acknowledged before the call.
+    fn read_policy(&self) -> StoreFuture<Option<Result<StoredPolicy, EntryFault>>>;
 
-    /// Parses the serialized form of a configuration that was received from a peer.
-    fn decode_policy(&self, raw: &Bytes) -> StoreResult<StoredPolicy>;
+    /// Decodes the serialized form of a configuration, as received from a peer.
+    fn decode_policy(&self, raw: &Bytes) -> Result<StoredPolicy, EntryFault>;
 
     /// Lists all targets.
     fn list_targets(&self) -> StoreFuture<TargetChanges>;
--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -217,7 +217,20 @@
     if !json.trim_ascii_start().starts_with('{') {
         return Err("not a JSON object".to_owned());
     }
-    serde_json::from_str(json).map_err(|error| error.to_string())
+    serde_json::from_str(json).map_err(|error| describe(&error))
+}
+
+/// Describes an error without the value that caused it, which may be a key.
+fn describe(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let without_value = ["invalid type", "invalid value", "invalid length"]
+        .into_iter()
+        .find(|kind| text.starts_with(kind))
+        .zip(text.rfind(", expected "));
+    match without_value {
+        Some((kind, expected)) => format!("{kind}{}", &text[expected..]),
+        None => text,
+    }
 }
 
 /// [`decode`] for types that borrow nothing.
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -260,22 +260,20 @@
 }
 
 impl FleetStore for ObjectStoreClient {
-    fn read_policy(&self) -> StoreFuture<Option<StoredPolicy>> {
+    fn read_policy(&self) -> StoreFuture<Option<Result<StoredPolicy, EntryFault>>> {
         let client = self.clone();
         async move {
             let path = format!("{OBJECTS_PATH}/{KIND_CONFIG}/{CONFIG_NAME}");
-            match client.get(&path, RESPONSE_TIMEOUT).await? {
-                Some(raw) => client.decode_policy(&raw).map(Some),
-                None => Ok(None),
-            }
+            let raw = client.get(&path, RESPONSE_TIMEOUT).await?;
+            Ok(raw.map(|raw| client.decode_policy(&raw)))
         }
         .boxed_local()
     }
 
-    fn decode_policy(&self, raw: &Bytes) -> StoreResult<StoredPolicy> {
+    fn decode_policy(&self, raw: &Bytes) -> Result<StoredPolicy, EntryFault> {
         let policy = Object::from_response(raw)
             .and_then(|object| object.decode(decode_configuration))
-            .map_err(|unreadable| invalid_response(unreadable.into_fault(KIND_CONFIG).reason))?;
+            .map_err(|unreadable| unreadable.into_fault(KIND_CONFIG))?;
         Ok(StoredPolicy {
             policy,
             raw: raw.clone(),
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -71,6 +71,22 @@
     assert_eq!(policy.max_body_bytes, 4_194_304);
 }
 
+/// Guards against an error that contains a key, as errors are logged.
+#[test]
+fn errors_of_a_configuration_contain_no_key() {
+    for keys in [
+        json!("key-one, expected or not"),
+        json!({"key-one": 1}),
+        json!([["key-one"]]),
+    ] {
+        let mut invalid = configuration();
+        invalid["tenants"][0]["api_keys"] = keys;
+        let error = decode_configuration(&invalid.to_string()).unwrap_err();
+        assert!(!error.contains("key-one"), "{error}");
+        assert!(error.contains("expected"), "{error}");
+    }
+}
+
 /// Guards against a malformed entry, written by other software, that adds a target or stops an instance.
 #[test]
 fn rejects_invalid_target_entries() {
--- a/tests/testsuite/platform_path/odd_entries.rs
+++ b/tests/testsuite/platform_path/odd_entries.rs
@@ -272,3 +272,72 @@
         }
     });
 }
+
+/// Guards against an undecodable configuration that ends the use of the last one, delays the next one
+/// or announced weights, or leaves no trace in the log.
+#[test]
+fn an_odd_configuration_leaves_the_last_one_in_force() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let valid = deployment.spec("config", "main");
+        let mut version = 5;
+        for odd in odd_entries(&valid, "version") {
+            println!("configuration: {}", odd.what);
+            deployment.store.put_raw("config", "main", &odd.spec);
+            compio::time::sleep(Duration::from_secs(1)).await;
+            assert_eq!(
+                instance.send_request("r", "GET", "/read/x").await.status,
+                200
+            );
+            version += 1;
+            deployment.put_configuration(version, &["another key"]);
+            instance
+                .wait_status("the next configuration is used", 401)
+                .await;
+            version += 1;
+            deployment.put_configuration(version, &[KEY]);
+            instance
+                .wait_status("the next configuration is used", 200)
+                .await;
+        }
+        // Keys stop at the revocation bound, and announced weights are still followed.
+        deployment.store.put_raw("config", "main", b"{}");
+        deployment.announce_weights(2);
+        eventually("the engines load the announced weights", || async {
+            let mut engines = deployment.engines.iter();
+            engines.all(|engine| engine.version() == 2).then_some(())
+        })
+        .await;
+        instance
+            .wait_status("keys are refused at the bound", 503)
+            .await;
+        let new = deployment.start_with_log("n2", "", StoreMode::Up, Stdio::piped());
+        let mut new = new.await;
+        let log = read_lines(new.process.take_log());
+        assert_eq!(new.send_request("r", "GET", "/read/x").await.status, 503);
+        eventually("the log names the entry", || async {
+            let mut lines = log.try_iter();
+            lines
+                .any(|line| line.contains("entry of the store ignored") && line.contains("config"))
+                .then_some(())
+        })
+        .await;
+        deployment.put_configuration(version + 1, &[KEY]);
+        new.wait_status("the configuration is used", 200).await;
+    });
+}
+
+/// Guards against a configuration that is rejected because of a field that is not needed.
+#[test]
+fn unknown_fields_of_a_configuration_are_skipped() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        deployment.put_configuration(6, &["another key"]);
+        let text = deployment.spec("config", "main").to_string();
+        let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+        let further = format!("{{\"further\":{nested},\"size\":1e400,");
+        let text = text.replacen('{', &further, 1);
+        deployment.store.put_raw("config", "main", text.as_bytes());
+        instance.wait_status("the configuration is used", 401).await;
+    });
+}
