Bound the work for a prompt part of any stated size

A client states the size of each part of a prompt in a header, with any number of up to 64 bits. The instance computed one block per 1,000 tokens and went on counting after it had the blocks that it keeps: a part of 1.8e19 tokens kept its only thread busy for good, so that all of its requests ended without an answer. Sums of such sizes overflowed.

The loop now ends with the last block that is kept, and stated sizes are reduced to 2^32 tokens.

--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -47,12 +47,10 @@
         let mut blocks = Vec::new();
         for (name, tokens) in self.shared_parts() {
             chained = combine(chained, *name);
-            let count = (tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS;
-            for block in 0..count.max(1) {
-                if blocks.len() < MAX_BLOCKS {
-                    blocks.push(combine(chained, block));
-                }
-            }
+            let count = tokens.saturating_add(BLOCK_TOKENS / 2) / BLOCK_TOKENS;
+            let free = MAX_BLOCKS - blocks.len();
+            let numbers = (0..count.max(1)).take(free);
+            blocks.extend(numbers.map(|block| combine(chained, block)));
         }
         let whole = self
             .parts
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -21,6 +21,10 @@
 /// a malformed value does not take the target out of service for good.
 const MAX_RETRY_AFTER_S: f64 = 3_600.0;
 
+/// Maximum number of tokens of a prompt, a part of it or an answer; a larger one is reduced to it, so that
+/// sums cannot overflow.
+pub(super) const MAX_TOKENS: u64 = 1 << 32;
+
 /// Maximum number of prompt parts that are used for the placement; further ones are ignored.
 const MAX_PARTS: usize = 64;
 
@@ -94,14 +98,17 @@
     };
     let malformed = || format!("the header {TOKEN_COUNT} is not two numbers");
     let (prompt, output) = counts.split_once(',').ok_or_else(malformed)?;
-    let number = |text: &str| text.trim().parse::<u64>().map_err(|_| malformed());
+    let number = |text: &str| match text.trim().parse::<u64>() {
+        Ok(tokens) => Ok(tokens.min(MAX_TOKENS)),
+        Err(_) => Err(malformed()),
+    };
     let mut parts = Vec::new();
     for part in text(headers, PROMPT_PARTS).unwrap_or_default().split(',') {
         let Some((name, tokens)) = part.trim().split_once(':') else {
             continue;
         };
-        if let (Ok(tokens), true) = (tokens.parse(), parts.len() < MAX_PARTS) {
-            parts.push((part_hash(name), tokens));
+        if let (Ok(tokens), true) = (tokens.parse::<u64>(), parts.len() < MAX_PARTS) {
+            parts.push((part_hash(name), tokens.min(MAX_TOKENS)));
         }
     }
     Ok(Some(PromptHead {
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -3,6 +3,7 @@
 
 mod faulty_responses;
 mod odd_entries;
+mod odd_numbers;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
