Decode each event of a KV cache store on its own

One event that cannot be decoded made the response to a poll invalid. The store counted as lost, and as the next poll asked for the same events, it stayed lost: engines computed prompts again that it held.

Each event is now decoded on its own, and an invalid one is left out like one that never arrived. The number of tokens in an event is bounded like that of a prompt.

On the code before, the new test timed out after 30 s without a fetch from the store. It passes now.

--- a/src/jujubelink/core/kvcache/mod.rs
+++ b/src/jujubelink/core/kvcache/mod.rs
@@ -166,7 +166,7 @@
                 .entries
                 .get(part)
                 .filter(|entry| now < entry.expires_at);
-            if entry.is_none_or(|entry| entry.tokens + STORE_BLOCK_TOKENS < *tokens) {
+            if entry.is_none_or(|entry| entry.tokens.saturating_add(STORE_BLOCK_TOKENS) < *tokens) {
                 is_needed = true;
                 self.insert(*part, *tokens, now);
             }
--- a/src/jujubelink/platform/cache_events.rs
+++ b/src/jujubelink/platform/cache_events.rs
@@ -5,9 +5,11 @@
 
 use http::{Request, StatusCode};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::names::{CACHE_EVENTS_PATH, WAIT_MS};
-use super::request::part_hash;
+use super::objects::decode_text;
+use super::request::{MAX_TOKENS, part_hash};
 use crate::core::kvcache::{PartChange, StoreChanges, StoredPart};
 use crate::util::http::{Client, empty};
 
@@ -18,15 +20,16 @@
 /// its tokens stored now, model.
 type Event = (u64, String, String, String, u64, String);
 
-/// Response to a poll.
+/// Response to a poll. Events are decoded each on its own, so that one that is invalid does not affect
+/// the others.
 #[derive(Deserialize)]
-struct Events {
+struct Events<'a> {
     /// Incarnation of the store; changes with each start.
     boot_epoch: u64,
     /// Sequence number from which to continue with the next poll.
     next: u64,
-    #[serde(default)]
-    events: Vec<Event>,
+    #[serde(borrow, default)]
+    events: Vec<&'a RawValue>,
 }
 
 /// Outcome of a poll for changes.
@@ -66,10 +69,15 @@
     }
 }
 
-/// Decodes a response to a poll. Returns `None` if it is invalid.
+/// Decodes a response to a poll. Returns `None` if it is invalid. Invalid events are left out, as if
+/// they had never arrived.
 pub fn decode_cache_events(body: &[u8]) -> Option<StoreChanges> {
-    let events: Events = serde_json::from_slice(body).ok()?;
-    let changes = events.events.into_iter().map(decode_event);
+    let text = decode_text(body);
+    let events: Events<'_> = serde_json::from_str(&text).ok()?;
+    let events_read = events.events.into_iter();
+    let changes = events_read
+        .filter_map(|event| serde_json::from_str(event.get()).ok())
+        .map(decode_event);
     Some(StoreChanges {
         run: events.boot_epoch,
         next: events.next,
@@ -83,6 +91,10 @@
     PartChange {
         number,
         part: StoredPart::new(&salt, &model, part_hash(&part)),
-        tokens: if sign == "+" { tokens } else { 0 },
+        tokens: if sign == "+" {
+            tokens.min(MAX_TOKENS)
+        } else {
+            0
+        },
     }
 }
--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -115,7 +115,7 @@
 
 impl<'a> ResponseText<'a> {
     fn new(body: &'a [u8]) -> Self {
-        let text = replace_control_characters(String::from_utf8_lossy(body));
+        let text = decode_text(body);
         Self {
             is_changed: matches!(text, Cow::Owned(_)),
             text,
@@ -238,6 +238,11 @@
     decode(json)
 }
 
+/// Returns a response with the bytes replaced that JSON does not allow in a string.
+pub(super) fn decode_text(body: &[u8]) -> Cow<'_, str> {
+    replace_control_characters(String::from_utf8_lossy(body))
+}
+
 /// Replaces the control characters in strings, where JSON allows none.
 fn replace_control_characters(text: Cow<'_, str>) -> Cow<'_, str> {
     let is_control = |character: char| character < ' ';
--- a/tests/testsuite/platform_path/odd_entries.rs
+++ b/tests/testsuite/platform_path/odd_entries.rs
@@ -341,3 +341,44 @@
         instance.wait_status("the configuration is used", 401).await;
     });
 }
+
+/// Guards against one undecodable event of a KV cache store after which the store counts as lost.
+#[test]
+fn odd_cache_events_do_not_hide_other_events() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let cache = CacheStore::new();
+        let handle = StandInHandle::start(Rc::clone(&cache)).unwrap();
+        let address = handle.address().to_string();
+        let service = json!({ "name": "kv", "kv_store_addr": address, "zone": "a" });
+        deployment.put_configuration_with_services(6, &[KEY], &[service]);
+        let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+        let odd = [
+            "[1e400,\"+\",\"1/\",\"a1\",800,\"m\"]",
+            "null",
+            &nested,
+            "[2,\"+\",7]",
+        ];
+        for event in odd {
+            cache.raw_event(event);
+        }
+        cache.raw_event("[18446744073709551615,\"+\",\"1/\",\"c3\",18446744073709551615,\"m\"]");
+        cache.event("+", "1/", "a1", 800, "m");
+        let number = std::cell::Cell::new(0);
+        eventually("the shared part is fetched and not saved", || async {
+            number.set(number.get() + 1);
+            let id = format!("r{}", number.get());
+            instance.send_prompt(&id, "/ask/x").await;
+            let mut seen = deployment.engines.iter().flat_map(|target| target.seen());
+            let (headers, _) =
+                seen.find(|(headers, _)| header(headers, "jujubelink-attempt-id") == id)?;
+            let is_fetched = header(&headers, "jujubelink-kv-fetch") == address;
+            (is_fetched && !headers.contains_key("jujubelink-kv-save")).then_some(())
+        })
+        .await;
+        let response = instance
+            .send_prompt_of_parts("last", "/ask/x", "c3:800,d4:400")
+            .await;
+        assert_eq!(response.status, 200);
+    });
+}
