Accept any number in a response or a configuration

Numbers that decode but are far too large ended a task of the instance. A timeout or latency objective of 1e308 ms cannot be converted to a duration; the task that reads the configuration ended, so that no later configuration was used. A reported load near the largest number overflowed in the handling of the response. A weights version of 2^64-1 overflowed in each decision that compares it with announced weights. In builds without overflow checks, the last two compared wrong numbers instead: weights newer than all announced ones counted as superseded.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -1,6 +1,7 @@
 //! Merged state of the fleet.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -354,7 +355,8 @@
     /// Returns when the first version after `version` of a model's weights was announced, actual or
     /// assumed.
     pub fn superseded_at(&self, model: &str, version: u64) -> Option<Timestamp> {
-        let newer = self.announced.get(model)?.range(version + 1..);
+        let after = (Bound::Excluded(version), Bound::Unbounded);
+        let newer = self.announced.get(model)?.range(after);
         newer.map(|(_, announcement)| announcement.at).min()
     }
 
--- a/src/jujubelink/core/routing/load.rs
+++ b/src/jujubelink/core/routing/load.rs
@@ -163,7 +163,8 @@
 
     /// Applies a load report.
     pub fn on_report(&mut self, report: &LoadReport, now: Timestamp) {
-        self.peer_requests = (report.running + report.waiting).saturating_sub(self.local_requests);
+        let reported = report.running.saturating_add(report.waiting);
+        self.peer_requests = reported.saturating_sub(self.local_requests);
         self.peer_waiting = report.waiting.saturating_sub(self.local_waiting);
         self.reported_at = Some(now);
         self.sent_since_report = 0;
@@ -184,7 +185,8 @@
         } else {
             0
         };
-        f64::from(self.local_requests + peer_requests)
+        f64::from(self.local_requests)
+            + f64::from(peer_requests)
             + f64::from(self.sent_since_report) * unreported
     }
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -333,7 +333,8 @@
     /// Whether an engine refuses although it has free slots, which means that it is loading
     /// weights.
     fn is_loading_weights(&self, head: &ResponseHead) -> bool {
-        let has_free_slots = |(running, waiting, slots)| running + waiting < slots;
+        let has_free_slots =
+            |(running, waiting, slots): (u32, u32, u32)| running.saturating_add(waiting) < slots;
         self.head.prompt.is_some() && head.load.is_none_or(has_free_slots)
     }
 
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -397,7 +397,7 @@
             OrderResult::Accepted => {
                 self.accepted_by_engine
                     .borrow_mut()
-                    .insert(engine, accepted_orders + 1);
+                    .insert(engine, accepted_orders.saturating_add(1));
             }
             OrderResult::Holds => self.record_weights(&target, record.incarnation, &model, version),
             OrderResult::Busy | OrderResult::Failed => {
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use super::objects::decode_owned;
+use super::request::MAX_TOKENS;
 use crate::core::fleet::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
     WeightedService,
@@ -112,6 +113,12 @@
     max_body_bytes: Option<usize>,
 }
 
+/// Longest duration; a longer one is reduced to it, so that sums of times cannot overflow.
+const MAX_DURATION_MS: f64 = 24.0 * 3_600_000.0;
+
+/// Largest rate or amount; a larger one is reduced to it, so that products stay finite.
+const MAX_AMOUNT: f64 = 1e15;
+
 const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
 
 /// Decodes a configuration.
@@ -134,7 +141,7 @@
             kv_store: service.kv_store_addr,
             kv_link_bytes_per_s: service
                 .link_mbps
-                .map_or(f64::INFINITY, |mbps| mbps * BYTES_PER_MEGABIT),
+                .map_or(f64::INFINITY, |mbps| amount(mbps) * BYTES_PER_MEGABIT),
         };
         (service.name.into(), decoded)
     });
@@ -204,7 +211,7 @@
     let models = engine.models.into_iter().map(|model| model.name.into());
     EngineTraits {
         models: models.collect(),
-        kv_bytes_per_token: engine.kv_token_bytes,
+        kv_bytes_per_token: amount(engine.kv_token_bytes),
     }
 }
 
@@ -214,14 +221,19 @@
             "tokens" => QuotaUnit::Tokens,
             _ => QuotaUnit::Requests,
         },
-        rate_per_s: tenant.rate_per_s,
-        burst: tenant.burst,
-        default_tokens: tenant.plain_tokens,
+        rate_per_s: amount(tenant.rate_per_s),
+        burst: amount(tenant.burst),
+        default_tokens: tenant.plain_tokens.min(MAX_TOKENS),
         priority: tenant.priority,
         is_cache_isolated: tenant.dedicated,
     }
 }
 
+/// Returns an amount within the range that the rest of the program computes with.
+fn amount(value: f64) -> f64 {
+    value.clamp(0.0, MAX_AMOUNT)
+}
+
 fn duration_ms(value: Option<f64>, default: f64) -> Duration {
-    Duration::from_secs_f64(value.unwrap_or(default).max(0.0) / 1000.0)
+    Duration::from_secs_f64(value.unwrap_or(default).clamp(0.0, MAX_DURATION_MS) / 1000.0)
 }
