Give up a silent target only once another one has started its response

Callers still lost streams when the target that was asked to take over had the request for 300 ms and then refused it or failed: the silent target had been given up by then, although it would have gone on.

The 300 ms kept two targets from working on a stream for 400 ms. But a request starts to run at a target with its first token, and until then the other target has not continued it. The silent target is now awaited until the first bytes of the other response, or, where the route allows a third attempt, as long as any first attempt.

The log states how long the other target was awaited.

--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -9,6 +9,5 @@
 
 pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, RelayHead};
 pub use response::{
-    Failure, NoResend, ResponseHead, ResponseVerdict, TAKEOVER_OVERLAP, check_resend,
-    classify_response,
+    Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
 };
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -148,9 +148,5 @@
     Ok(())
 }
 
-/// Time for which a silent target is awaited after another one was sent the request. The platform allows
-/// two targets to work on a stream for 400 ms, of which the rest is for closing the connection.
-pub const TAKEOVER_OVERLAP: Duration = Duration::from_millis(300);
-
 /// Maximum number of sends of one request, including those that no target ran.
 const MAX_SENDS: u32 = 4;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -515,8 +515,15 @@
             "remaining_ms" => ms(self.remaining()));
     }
 
-    /// Logs what happens with a target that has not responded in time.
-    pub(super) fn log_silent_target(&self, message: &'static str, reason: &str) {
+    /// Logs what happens with a target that has not responded in time. `sent_at` is when the request
+    /// was sent to another one.
+    pub(super) fn log_silent_target(
+        &self,
+        message: &'static str,
+        reason: &str,
+        sent_at: Option<Timestamp>,
+    ) {
+        let awaited = sent_at.map(|at| self.now().saturating_sub(at));
         let target = |placement: &Option<Placement>| {
             placement
                 .as_ref()
@@ -524,8 +531,8 @@
         };
         slog::info!(self.proxy.context.log(), "{}", message; "request" => &*self.head.id,
             "target" => target(&self.placement), "silent_target" => target(&self.silent_placement),
-            "reason" => reason, "last_event" => self.last_event, "sends" => self.sends,
-            "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
+            "reason" => reason, "awaited_ms" => awaited.map(ms), "last_event" => self.last_event,
+            "sends" => self.sends, "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
     }
 
     /// Logs that a response stopped before it was complete.
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -17,6 +17,16 @@
         }
     }
 
+    /// Returns how long the response of a target that is to take the request over is awaited before a
+    /// third one may be tried. If none may, this is all remaining time.
+    pub(super) fn replacement_timeout(&self) -> Duration {
+        let remaining = self.remaining();
+        match self.check_resend(Failure::MayHaveRun, self.runs + 2, self.sends) {
+            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+            Err(_) => remaining,
+        }
+    }
+
     fn check_resend(&self, failure: Failure, runs: u32, sends: u32) -> Result<(), NoResend> {
         let Some(admission) = &self.admission else {
             return Err(NoResend::NotRepeatable);
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -1,5 +1,8 @@
 //! Takeover from a silent target: another one gets the request while the silent one is still awaited,
 //! because it may go on.
+//!
+//! A request runs at one target: it starts to run at the other one with the first bytes of the response,
+//! and the connection to the silent target is closed then.
 
 use std::future::Future;
 use std::pin::{Pin, pin};
@@ -9,7 +12,6 @@
 use super::body::TargetResponse;
 use super::exchange::Exchange;
 use super::send::{PendingResponse, SendFailure, SendOutcome};
-use crate::core::relay::TAKEOVER_OVERLAP;
 use crate::ops::services::{AttemptOutcome, Placement};
 
 /// Time in which bytes are read that arrived while this process stood still. Without it, every target
@@ -86,8 +88,8 @@
     }
 
     /// Sends the request to another target while a silent one is still awaited. The silent target is
-    /// given up once the other one has started a response that `accepts` holds for, or has had the
-    /// request for [`TAKEOVER_OVERLAP`].
+    /// given up once the other one has started a response that `accepts` holds for, or after a while if
+    /// a third target may be tried.
     pub(super) async fn take_over<S: SilentTarget>(
         &mut self,
         silent: &mut S,
@@ -97,7 +99,7 @@
             Race::Continued(output) => return Takeover::Continued(output),
             Race::Other(Ok(placement)) => placement,
             Race::Other(Err(reason)) => {
-                self.log_silent_target("silent target still awaited", &reason);
+                self.log_silent_target("silent target still awaited", &reason, None);
                 return Takeover::Rejected;
             }
         };
@@ -136,46 +138,40 @@
             Err(failure) => return self.reject_replacement(&failure),
         };
         let timers = *self.proxy.context.timers();
-        loop {
-            let arrived = {
-                let wait = self.overlap_left(&pending);
-                let response = std::future::poll_fn(|cx| pending.poll_result(cx));
-                let response = timers.timeout(wait, response);
-                race(silent, pin!(response)).await
-            };
-            match arrived {
-                Race::Continued(output) => {
-                    self.cancel_replacement(&pending);
-                    return Takeover::Continued(output);
-                }
-                Race::Other(Some(result)) => {
-                    let evaluated = {
-                        let evaluation = self.evaluate(pending.record(), result);
-                        race(silent, pin!(evaluation)).await
-                    };
-                    return match evaluated {
-                        Race::Continued(output) => {
-                            self.cancel_replacement(&pending);
-                            Takeover::Continued(output)
-                        }
-                        Race::Other(Ok(SendOutcome::Response(response))) if accepts(&response) => {
-                            self.await_first_frame(silent, &pending, response).await
-                        }
-                        Race::Other(Ok(_)) => self.reject_replacement(&SendFailure::unusable()),
-                        Race::Other(Err(failure)) => self.reject_replacement(&failure),
-                    };
-                }
-                Race::Other(None) if self.remaining().is_zero() => {
-                    self.cancel_replacement(&pending);
-                    return Takeover::Rejected;
-                }
-                Race::Other(None) if self.overlap_left(&pending).is_zero() => {
-                    self.give_up_silent_target();
-                    return Takeover::Sent(Box::new(pending));
-                }
-                // The connection to the other target is not open yet.
-                Race::Other(None) => {}
+        let arrived = {
+            let timeout = self.replacement_timeout();
+            let response = std::future::poll_fn(|cx| pending.poll_result(cx));
+            race(silent, pin!(timers.timeout(timeout, response))).await
+        };
+        let result = match arrived {
+            Race::Other(Some(result)) => result,
+            Race::Continued(output) => {
+                self.cancel_replacement(&pending);
+                return Takeover::Continued(output);
+            }
+            Race::Other(None) if self.remaining().is_zero() => {
+                self.cancel_replacement(&pending);
+                return Takeover::Rejected;
             }
+            Race::Other(None) => {
+                self.give_up_silent_target(&pending);
+                return Takeover::Sent(Box::new(pending));
+            }
+        };
+        let evaluated = {
+            let evaluation = self.evaluate(pending.record(), result);
+            race(silent, pin!(evaluation)).await
+        };
+        match evaluated {
+            Race::Continued(output) => {
+                self.cancel_replacement(&pending);
+                Takeover::Continued(output)
+            }
+            Race::Other(Ok(SendOutcome::Response(response))) if accepts(&response) => {
+                self.await_first_frame(silent, &pending, response).await
+            }
+            Race::Other(Ok(_)) => self.reject_replacement(&SendFailure::unusable()),
+            Race::Other(Err(failure)) => self.reject_replacement(&failure),
         }
     }
 
@@ -192,7 +188,7 @@
             Some(body) => {
                 let timers = *self.proxy.context.timers();
                 let frame = std::future::poll_fn(|cx| body.poll_frame(cx));
-                let frame = timers.timeout(self.overlap_left(pending), frame);
+                let frame = timers.timeout(self.replacement_timeout(), frame);
                 match race(silent, pin!(frame)).await {
                     Race::Continued(output) => {
                         self.cancel_replacement(pending);
@@ -201,6 +197,10 @@
                     Race::Other(Some(None | Some(Err(_)))) => {
                         return self.reject_replacement(&SendFailure::connection_lost());
                     }
+                    Race::Other(None) if self.remaining().is_zero() => {
+                        self.cancel_replacement(pending);
+                        return Takeover::Rejected;
+                    }
                     Race::Other(frame) => frame,
                 }
             }
@@ -208,20 +208,13 @@
         if let (Some(body), Some(frame)) = (response.streamed_body(), first) {
             body.unread(frame);
         }
-        self.give_up_silent_target();
+        self.give_up_silent_target(pending);
         Takeover::Responded(Box::new(response))
     }
 
-    /// Returns how long the silent target may still be awaited.
-    fn overlap_left(&self, pending: &PendingResponse) -> Duration {
-        let sent_at = pending.sent_at().unwrap_or(self.now());
-        let overlap_ends_at = (sent_at + TAKEOVER_OVERLAP).min(self.deadline);
-        overlap_ends_at.saturating_sub(self.now())
-    }
-
     /// Ends the run at the silent target.
-    fn give_up_silent_target(&mut self) {
-        self.log_silent_target("silent target replaced", "");
+    fn give_up_silent_target(&mut self, pending: &PendingResponse) {
+        self.log_silent_target("silent target replaced", "", pending.sent_at());
         if let Some(silent) = self.silent_placement.take() {
             self.excluded.push(silent.target.clone());
             self.release(silent, AttemptOutcome::TimedOut);
@@ -231,6 +224,7 @@
 
     /// Ends the run at the other target, as the silent one went on or the deadline has passed.
     fn cancel_replacement(&mut self, pending: &PendingResponse) {
+        self.log_silent_target("silent target not replaced", "", pending.sent_at());
         if pending.sent_at().is_some() {
             self.record_run();
         }
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -451,7 +451,7 @@
                 let setup =
                     ScriptedDeployment::start(&["e1", "e2"], "", move |request, attempt| {
                         match attempt {
-                            0 => stream(request, &[(2, 1_200)]),
+                            0 => stream(request, &[(2, 2_500)]),
                             _ if sends_head => silent_stream(request, 0),
                             _ => stream(request, &[]).with_delay(SILENCE),
                         }
