Keep the lists of the own deployment readable beside an odd object

A list of the own deployment's object API was decoded as one JSON value, so that one object nested more than 128 levels deep made it unreadable: the administration API showed no leases and no history, and neither expired claims nor the holders of limits were found.

Each object is decoded on its own; one whose value cannot be decoded has the value null, which every reader already treats as undecodable. The history leaves such a version out and logs it. Plans of orders still fail as a whole, as ignoring one could leave an order half-finished.

--- a/src/jujubelink/ops/admin/handlers/config.rs
+++ b/src/jujubelink/ops/admin/handlers/config.rs
@@ -186,7 +186,14 @@
         .await?;
     let mut earlier = Vec::new();
     for object in objects {
-        let stored: StoredConfig = object.parse()?;
+        let stored: StoredConfig = match object.parse() {
+            Ok(stored) => stored,
+            Err(error) => {
+                slog::warn!(state.context.log(), "version of the history left out";
+                    "error" => %error);
+                continue;
+            }
+        };
         if stored.version < last {
             earlier.push(history_entry(&stored));
         }
--- a/src/jujubelink/ops/platform/client.rs
+++ b/src/jujubelink/ops/platform/client.rs
@@ -8,6 +8,7 @@
 use http::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::core::ids::ObjectVersion;
 use crate::util::http::{CallError, Client, ClientError, empty, full};
@@ -65,7 +66,7 @@
     pub key: String,
     /// Version; increases with each write.
     pub version: ObjectVersion,
-    /// Value.
+    /// Value; null in a list if it cannot be decoded.
     pub value: serde_json::Value,
 }
 
@@ -99,8 +100,36 @@
 }
 
 #[derive(Deserialize)]
-struct ListResponse {
-    objects: Vec<StoredObject>,
+struct ListResponse<'a> {
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
+}
+
+/// The fields of an object without which it cannot be named.
+#[derive(Deserialize)]
+struct ObjectHead {
+    key: String,
+    version: ObjectVersion,
+}
+
+/// Decodes a list. An object whose value cannot be decoded stays in it, so that it counts as part of
+/// its page. One whose key or version cannot be decoded is left out.
+fn decode_list(body: &[u8]) -> Result<Vec<StoredObject>, PlatformError> {
+    let text = String::from_utf8_lossy(body);
+    let list: ListResponse<'_> =
+        serde_json::from_str(&text).map_err(|error| invalid_response(error.to_string()))?;
+    let decode = |raw: &RawValue| {
+        serde_json::from_str(raw.get()).or_else(|_| {
+            let head: ObjectHead = serde_json::from_str(raw.get())?;
+            Ok::<_, serde_json::Error>(StoredObject {
+                key: head.key,
+                version: head.version,
+                value: serde_json::Value::Null,
+            })
+        })
+    };
+    let objects = list.objects.into_iter();
+    Ok(objects.filter_map(|raw| decode(raw).ok()).collect())
 }
 
 #[derive(Serialize)]
@@ -185,7 +214,7 @@
         ));
         let (status, body) = self.send(request, REQUEST_TIMEOUT).await?;
         match status {
-            StatusCode::OK => Ok(parse::<ListResponse>(&body)?.objects),
+            StatusCode::OK => decode_list(&body),
             _ => Err(refused(status)),
         }
     }
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -408,6 +408,38 @@
     });
 }
 
+/// Guards against one odd object of the platform that hides the others of its list.
+#[test]
+fn an_odd_object_does_not_hide_others_of_its_list() {
+    run(async {
+        let deployment = Deployment::start().await;
+        let stored =
+            json!({ "version": 2, "nonce": "m", "author": "y", "config": initial_config() });
+        deployment
+            .platform
+            .put(&history_key(1), deployment.stored_config());
+        deployment.platform.put("config/current", stored);
+        let mut odd = json!(1);
+        for _ in 0..200 {
+            odd = json!([odd]);
+        }
+        let odd_key = format!("{}-odd", history_key(1));
+        deployment.platform.put(&odd_key, odd.clone());
+        deployment.platform.put("sessions/odd", odd);
+        deployment.platform.put("sessions/valid", json!({ "a": 1 }));
+        eventually("the history contains both versions", || async {
+            let response = deployment.send_request("GET", "/v1/config/history", None);
+            let history = parse_json(&response.await);
+            (history["versions"].as_array()?.len() == 2).then_some(())
+        })
+        .await;
+        let response = deployment.send_request("GET", "/v1/leases", None).await;
+        let leases = parse_json(&response);
+        let mut leases = leases["leases"].as_array().expect("a list").iter();
+        assert!(leases.any(|lease| lease["key"] == "sessions/valid"));
+    });
+}
+
 /// Guards against leases that stay with a destroyed instance although an operator breaks its session, and
 /// against a running instance that loses its leases because an operator named it by mistake.
 #[test]
