--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -6,7 +6,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use super::{Deployment, RunningInstance, expected_events, wait_until_unused};
+use jujubelink_standins::fleet::TargetFault;
+
+use super::{Deployment, RunningInstance, expected_events, schedule_faults, wait_until_unused};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
 
 impl Deployment {
@@ -264,3 +266,22 @@
         }
     });
 }
+
+/// Guards against requests that are refused because failures have taken all targets of a plain service out
+/// of service.
+#[test]
+fn failures_do_not_take_all_targets_of_a_service_out() {
+    run(async {
+        const REQUESTS: usize = 20;
+        let (deployment, instance) = Deployment::start_ready("").await;
+        // Each request is tried at two targets.
+        let failures = [Some(TargetFault::Fail); 2 * REQUESTS];
+        schedule_faults(&deployment.service_faults, &failures);
+        for _ in 0..REQUESTS {
+            let response = instance.send_request("r", "GET", "/read/x").await;
+            assert_eq!(response.status, 500, "{}", response.body);
+        }
+        let response = instance.send_request("r", "GET", "/read/x").await;
+        assert_eq!(response.status, 200, "{}", response.body);
+    });
+}
