--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -115,7 +115,7 @@
 
 impl<'a> ResponseText<'a> {
     fn new(body: &'a [u8]) -> Self {
-        let text = replace_control_characters(String::from_utf8_lossy(body));
+        let text = decode_text(body);
         Self {
             is_changed: matches!(text, Cow::Owned(_)),
             text,
@@ -217,7 +217,20 @@
     if !json.trim_ascii_start().starts_with('{') {
         return Err("not a JSON object".to_owned());
     }
-    serde_json::from_str(json).map_err(|error| error.to_string())
+    serde_json::from_str(json).map_err(|error| describe(&error))
+}
+
+/// Describes an error without the value that caused it, which may be a key.
+fn describe(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let without_value = ["invalid type", "invalid value", "invalid length"]
+        .into_iter()
+        .find(|kind| text.starts_with(kind))
+        .zip(text.rfind(", expected "));
+    match without_value {
+        Some((kind, expected)) => format!("{kind}{}", &text[expected..]),
+        None => text,
+    }
 }
 
 /// [`decode`] for types that borrow nothing.
@@ -225,6 +238,11 @@
     decode(json)
 }
 
+/// Returns a response with the bytes replaced that JSON does not allow in a string.
+pub(super) fn decode_text(body: &[u8]) -> Cow<'_, str> {
+    replace_control_characters(String::from_utf8_lossy(body))
+}
+
 /// Replaces the control characters in strings, where JSON allows none.
 fn replace_control_characters(text: Cow<'_, str>) -> Cow<'_, str> {
     let is_control = |character: char| character < ' ';
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -3,6 +3,7 @@
 
 mod faulty_responses;
 mod odd_entries;
+mod odd_numbers;
 mod planned_stop;
 mod reload;
 mod silent_targets;
