Close the connection to a silent target once it is given up

Found by the review, not by a run: with a third attempt on the route, the connection to a silent target stayed open until the next target had responded, although the target had been given up; and any successful response on the connection of a silent target ended the other run, also one that belongs to another request and is then rejected.

The connection is closed when the target is given up, and only a response that is delivered continues a request. A test plays three attempts, which none did: two engines that are silent for good, and a third that completes the stream. It passes, and passed on the code before as well.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -47,7 +47,8 @@
 
 /// A body that is read as it arrives.
 pub(super) struct StreamedBody {
-    incoming: Incoming,
+    /// `None` once the connection is closed.
+    incoming: Option<Incoming>,
     /// Frame that was read and is read again first.
     unread: Option<BodyFrame>,
 }
@@ -63,11 +64,17 @@
 
     /// Polls for the next frame.
     pub(super) fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<BodyFrame> {
-        match self.unread.take() {
-            Some(frame) => Poll::Ready(frame),
-            None => Pin::new(&mut self.incoming).poll_frame(cx),
+        match (self.unread.take(), &mut self.incoming) {
+            (Some(frame), _) => Poll::Ready(frame),
+            (None, Some(incoming)) => Pin::new(incoming).poll_frame(cx),
+            (None, None) => Poll::Ready(None),
         }
     }
+
+    /// Closes the connection, so that the target stops working.
+    fn close(&mut self) {
+        self.incoming = None;
+    }
 }
 
 /// The stream of a silent target. Only a new event, or the end of the stream, continues it.
@@ -138,7 +145,7 @@
         Self {
             head,
             body: TargetBody::Streamed(StreamedBody {
-                incoming: body,
+                incoming: Some(body),
                 unread: None,
             }),
         }
@@ -350,7 +357,10 @@
                 return Ok(true);
             }
             Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
-            Takeover::Sent(pending) => self.exchange.await_response(*pending).await,
+            Takeover::Sent(pending) => {
+                self.body.close();
+                self.exchange.await_response(*pending).await
+            }
         };
         match self.continue_stream(result) {
             Ok(()) => Ok(true),
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -15,7 +15,7 @@
 use super::exchange::Exchange;
 use super::takeover::SilentTarget;
 use crate::core::fleet::{RequestKind, TargetRecord, model_key};
-use crate::core::ids::Timestamp;
+use crate::core::ids::{RequestId, TargetId, Timestamp};
 use crate::core::relay::{AttemptHead, Failure, ResponseHead, ResponseVerdict, classify_response};
 use crate::core::routing::LoadReport;
 use crate::ops::proxy::handler::Proxy;
@@ -146,6 +146,7 @@
 /// A request for which a connection to its target is opened, or that was sent there and not answered yet.
 /// Dropping it closes the connection.
 pub(super) struct PendingResponse {
+    id: RequestId,
     record: Rc<TargetRecord>,
     response: LocalBoxFuture<'static, SendResult>,
     /// Result that has arrived and is read next.
@@ -183,9 +184,8 @@
             return Poll::Pending;
         }
         let result = std::task::ready!(self.response.as_mut().poll(cx));
-        if result
-            .as_ref()
-            .is_ok_and(|response| response.status().is_success())
+        if let Ok(response) = &result
+            && classify(response, &self.id, &self.record.id).1 == ResponseVerdict::Deliver
         {
             return Poll::Ready(result);
         }
@@ -240,6 +240,7 @@
         let (client, address) = (self.proxy.client.clone(), record.address);
         let response = async move { client.send_if(address, request, options, may_send).await };
         Ok(PendingResponse {
+            id: self.head.id.clone(),
             record,
             response: response.boxed_local(),
             result: None,
@@ -341,10 +342,7 @@
         record: &TargetRecord,
         response: Response<Incoming>,
     ) -> Result<SendOutcome, SendFailure> {
-        let head = decode_response_head(response.status().as_u16(), response.headers());
-        let reuse = response.extensions().get::<ConnectionReuse>();
-        let is_new_connection = reuse.is_some_and(ConnectionReuse::is_new_connection);
-        let verdict = classify_response(&head, &self.head.id, &record.id, is_new_connection);
+        let (head, verdict) = classify(&response, &self.head.id, &record.id);
         let is_from_target = !matches!(
             verdict,
             ResponseVerdict::Foreign
@@ -518,6 +516,19 @@
     }
 }
 
+/// Decodes and classifies the response of a target to the request `id`.
+fn classify(
+    response: &Response<Incoming>,
+    id: &RequestId,
+    target: &TargetId,
+) -> (ResponseHead, ResponseVerdict) {
+    let head = decode_response_head(response.status().as_u16(), response.headers());
+    let reuse = response.extensions().get::<ConnectionReuse>();
+    let is_new_connection = reuse.is_some_and(ConnectionReuse::is_new_connection);
+    let verdict = classify_response(&head, id, target, is_new_connection);
+    (head, verdict)
+}
+
 /// Fails if the target is shutting down or has asked for a pause.
 fn check_target(proxy: &Proxy, relay: &Relay, record: &TargetRecord) -> Result<(), SendFailure> {
     if relay.fleet.state().is_leaving(record) {
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -465,6 +465,38 @@
     });
 }
 
+/// Guards against a stream that stays at two engines that are silent for good, although its route allows a
+/// third attempt, and against engines that work on after they were given up.
+#[test]
+fn a_third_engine_continues_a_stream_of_two_silent_ones() {
+    run(async {
+        let rows = [("after its head", true), ("before its head", false)];
+        let responses = join_all(rows.map(|(case, sends_head)| async move {
+            let ids = ["e1", "e2", "e3"];
+            let (deployment, targets) = deploy(&ids, move |request, attempt| match attempt {
+                0 => silent_stream(request, 2),
+                1 if sends_head => silent_stream(request, 0),
+                1 => stream(request, &[]).with_delay(SILENCE),
+                _ => stream(request, &[]),
+            });
+            let mut config = Deployment::configuration(6, &[KEY], &[]);
+            config["routes"][2]["max_attempts"] = json!(3);
+            deployment.store.put("config", "main", config);
+            let instance = deployment.start("n1", "").await;
+            wait_until_prompts_complete(&instance).await;
+            let setup = ScriptedDeployment {
+                deployment,
+                instance,
+                targets,
+            };
+            let response = setup.ask("r").await;
+            setup.assert_runs_at_one_target("r").await;
+            (case, response)
+        }));
+        assert_complete(responses.await);
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
