--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -214,6 +214,8 @@
         with_spec(b"\"\xff\xc0\""),
         with_spec(&entry(b"\xff")),
         with_spec(&entry(b"\x00")),
+        with_spec(&entry(b"\t")),
+        with_spec(&entry(b"\n")),
         with_spec(&entry(b"\\ud800")),
         b"{\"metadata\":{\"name\":\"odd\",\"revision\":12}}".to_vec(),
         b"{\"metadata\":{\"name\":\"odd\",\"revision\":1e400},\"spec\":{}}".to_vec(),
