Let a stream leave a silent target after a change of its route

Cause: whether a request has begun was read from the flag that counts ended runs, which is still unset while its first target is silent. The run at the silent target now counts. The same flag made a planned stop treat such a stream as new, so that no other target could take it over.

silent_targets::a_stream_leaves_a_silent_engine_after_a_change_of_its_route guards it.

--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -61,6 +61,8 @@
     pub(super) placement: Option<Placement>,
     /// Placement at a silent target, while another target is asked to take the request over.
     pub(super) silent_placement: Option<Placement>,
+    /// Whether another target is asked to take over from a silent one.
+    pub(super) is_taking_over: bool,
     /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
     /// Targets that have refused the request without running it.
@@ -96,6 +98,7 @@
             charge: None,
             placement: None,
             silent_placement: None,
+            is_taking_over: false,
             excluded: Vec::new(),
             refusing: Vec::new(),
             sends: 0,
@@ -391,12 +394,17 @@
         (state.weights_of(record, model) == weights).then_some(record.address)
     }
 
+    /// Whether a target may have run the request, or runs it.
+    pub(super) fn has_begun(&self) -> bool {
+        self.may_have_run || self.is_taking_over
+    }
+
     /// Checks whether the active configuration still admits the request to its service. A request that
     /// may have run is finished as it was admitted, as long as its key is valid.
     fn check_admission(&self) -> Result<(), Refusal> {
         let admission = self.admission()?;
         let fleet = &self.relay.fleet;
-        let is_unchanged = if self.may_have_run {
+        let is_unchanged = if self.has_begun() {
             let is_key_checked = admission.workspace.is_some();
             !is_key_checked || admission.workspace == Some(check_key(fleet, &self.head)?)
         } else {
--- a/src/jujubelink/ops/proxy/relay/stop.rs
+++ b/src/jujubelink/ops/proxy/relay/stop.rs
@@ -85,7 +85,7 @@
             return Ok(Duration::MAX);
         };
         let now = self.now();
-        if now >= self.progress.latest_send(&schedule, self.may_have_run) {
+        if now >= self.progress.latest_send(&schedule, self.has_begun()) {
             return Err(self.with_outcome(too_late()));
         }
         Ok(schedule.answer_by().saturating_sub(now))
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -94,6 +94,17 @@
         &mut self,
         silent: &mut S,
         accepts: impl Fn(&TargetResponse) -> bool,
+    ) -> Takeover<S::Output> {
+        self.is_taking_over = true;
+        let takeover = self.try_take_over(silent, accepts).await;
+        self.is_taking_over = false;
+        takeover
+    }
+
+    async fn try_take_over<S: SilentTarget>(
+        &mut self,
+        silent: &mut S,
+        accepts: impl Fn(&TargetResponse) -> bool,
     ) -> Takeover<S::Output> {
         let placement = match race(silent, pin!(self.place_replacement())).await {
             Race::Continued(output) => return Takeover::Continued(output),
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -497,6 +497,23 @@
     });
 }
 
+/// Guards against a stream that stays at an engine that is silent for good because its route has changed
+/// since it began, and against one that is taken over although its key was withdrawn.
+#[test]
+fn a_stream_leaves_a_silent_engine_after_a_change_of_its_route() {
+    run(async {
+        let responses = ask_beside_changes(|request, attempt| match attempt {
+            0 => silent_stream(request, 2),
+            _ => stream(request, &[]),
+        });
+        let mut responses = responses.await;
+        let (_, withdrawn) = responses.pop().unwrap();
+        assert_complete(responses);
+        assert_eq!(withdrawn.status, 0, "{}", withdrawn.body);
+        assert_eq!(withdrawn.body, expected_events(1..=2));
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
