Accept an empty response of a target that takes a request over

The end of the body before any data counted as a broken connection. That holds only where a part of the response has arrived and has to be continued.

silent_targets::an_empty_response_replaces_a_silent_target guards it.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -103,6 +103,8 @@
 }
 
 impl SilentTarget for SilentStream<'_> {
+    const HAS_RESPONDED: bool = true;
+
     /// Whether the stream goes on. If not, it has ended.
     type Output = bool;
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -177,6 +177,8 @@
 }
 
 impl SilentTarget for PendingResponse {
+    const HAS_RESPONDED: bool = false;
+
     type Output = SendResult;
 
     fn poll_continued(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -20,6 +20,9 @@
 
 /// What a silent target is expected to send.
 pub(super) trait SilentTarget: Unpin {
+    /// Whether a part of the response has arrived, so that another target has to continue it.
+    const HAS_RESPONDED: bool;
+
     /// What it has sent.
     type Output;
 
@@ -205,7 +208,10 @@
                         self.cancel_replacement(pending);
                         return Takeover::Continued(output);
                     }
-                    Race::Other(Some(None | Some(Err(_)))) => {
+                    Race::Other(Some(Some(Err(_)))) => {
+                        return self.reject_replacement(&SendFailure::connection_lost());
+                    }
+                    Race::Other(Some(None)) if S::HAS_RESPONDED => {
                         return self.reject_replacement(&SendFailure::connection_lost());
                     }
                     Race::Other(None) if self.remaining().is_zero() => {
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -514,6 +514,28 @@
     });
 }
 
+/// Guards against an empty response that counts as a broken connection.
+#[test]
+fn an_empty_response_replaces_a_silent_target() {
+    run(async {
+        let ids = ["s1", "s2", "e1"];
+        let setup = ScriptedDeployment::start(&ids, "", |request, attempt| match attempt {
+            0 => Reply::kept(success(request, "ok")).with_delay(SILENCE),
+            _ => {
+                let head = response_head("200 OK", &request.id, 0);
+                let head = head.replace("content-length: 0", "transfer-encoding: chunked");
+                Reply::kept(head + "0\r\n\r\n")
+            }
+        });
+        let response = setup
+            .await
+            .instance
+            .send_request("p", "GET", "/read/x")
+            .await;
+        assert_eq!((response.status, &*response.body), (200, ""));
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
