Keep a pending run until another target continues the stream

What makes a response usable was known only to the first takeover of a stream. It is now passed to each wait for a response.

silent_targets::a_response_of_another_type_does_not_end_a_pending_run guards it.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -352,7 +352,7 @@
             last_event: self.exchange.last_event,
             has_failed: false,
         };
-        let result = match self.exchange.take_over(&mut silent, continues).await {
+        let result = match self.exchange.take_over(&mut silent, &continues).await {
             Takeover::Continued(goes_on) => return Ok(goes_on),
             Takeover::Rejected => {
                 self.restart_silence();
@@ -361,7 +361,7 @@
             Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
             Takeover::Sent(pending) => {
                 self.body.close();
-                self.exchange.await_response(*pending).await
+                self.exchange.await_response(*pending, continues).await
             }
         };
         match self.continue_stream(result) {
@@ -484,7 +484,9 @@
             is_allowed.map_err(|reason| reason.to_string())?;
             let placed = self.exchange.place().await;
             placed.map_err(|refusal| refusal.message)?;
-            let result = self.exchange.send().await;
+            let media_type = self.media_type.as_deref();
+            let continues = |response: &TargetResponse| response.continues_stream(media_type);
+            let result = self.exchange.send(continues).await;
             let Err(failed) = self.continue_stream(result) else {
                 return Ok(());
             };
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -149,7 +149,7 @@
         self.acquire_charge().await?;
         loop {
             self.place().await?;
-            match self.send().await {
+            match self.send(|_| true).await {
                 Ok(SendOutcome::Response(response)) => return Ok(response),
                 Ok(SendOutcome::TargetFailure(response)) => {
                     self.runs += 1;
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -197,10 +197,14 @@
 }
 
 impl Exchange {
-    /// Sends the request to the target of its placement, and waits for the response head.
-    pub(super) async fn send(&mut self) -> Result<SendOutcome, SendFailure> {
+    /// Sends the request to the target of its placement, and waits for the response head. Another target
+    /// that takes the request over has to give a response that `accepts` holds for.
+    pub(super) async fn send(
+        &mut self,
+        accepts: impl Fn(&TargetResponse) -> bool,
+    ) -> Result<SendOutcome, SendFailure> {
         let pending = self.begin_send()?;
-        self.await_response(pending).await
+        self.await_response(pending, accepts).await
     }
 
     /// Starts to send the request to the target of its placement.
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -63,10 +63,12 @@
 }
 
 impl Exchange {
-    /// Waits for the response to a request that was sent. Other targets may take it over meanwhile.
+    /// Waits for the response to a request that was sent. Other targets may take it over meanwhile, if
+    /// `accepts` holds for their responses.
     pub(super) async fn await_response(
         &mut self,
         mut pending: PendingResponse,
+        accepts: impl Fn(&TargetResponse) -> bool,
     ) -> Result<SendOutcome, SendFailure> {
         let timers = *self.proxy.context.timers();
         loop {
@@ -76,7 +78,7 @@
             let result = match timers.timeout(timeout, response).await {
                 Some(result) => result,
                 None if timeout >= remaining => return Err(SendFailure::timed_out()),
-                None => match self.take_over(&mut pending, |_| true).await {
+                None => match self.take_over(&mut pending, &accepts).await {
                     Takeover::Continued(result) => result,
                     Takeover::Responded(response) => return Ok(SendOutcome::Response(*response)),
                     Takeover::Sent(replacement) => {
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -91,6 +91,24 @@
         }
     }
 
+    /// Starts an instance with so many attempts for streams that may be resumed.
+    async fn start_with_attempts(
+        deployment: Deployment,
+        targets: Vec<ScriptedTarget>,
+        max_attempts: u32,
+    ) -> Self {
+        let mut config = Deployment::configuration(6, &[KEY], &[]);
+        config["routes"][2]["max_attempts"] = json!(max_attempts);
+        deployment.store.put("config", "main", config);
+        let instance = deployment.start("n1", "").await;
+        wait_until_prompts_complete(&instance).await;
+        Self {
+            deployment,
+            instance,
+            targets,
+        }
+    }
+
     /// Sends a request for a stream that may be resumed.
     async fn ask(&self, id: &str) -> TestResponse {
         send_prompt(&self.instance, id, "/ask/x").await
@@ -479,16 +497,7 @@
                 1 => stream(request, &[]).with_delay(SILENCE),
                 _ => stream(request, &[]),
             });
-            let mut config = Deployment::configuration(6, &[KEY], &[]);
-            config["routes"][2]["max_attempts"] = json!(3);
-            deployment.store.put("config", "main", config);
-            let instance = deployment.start("n1", "").await;
-            wait_until_prompts_complete(&instance).await;
-            let setup = ScriptedDeployment {
-                deployment,
-                instance,
-                targets,
-            };
+            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
             let response = setup.ask("r").await;
             setup.assert_runs_at_one_target("r").await;
             (case, response)
@@ -536,6 +545,21 @@
     });
 }
 
+/// Guards against a response that does not continue the stream and ends the run of an engine that would.
+#[test]
+fn a_response_of_another_type_does_not_end_a_pending_run() {
+    run(async {
+        let ids = ["e1", "e2", "e3"];
+        let (deployment, targets) = deploy(&ids, |request, attempt| match attempt {
+            0 => silent_stream(request, 2),
+            1 => stream(request, &[]).with_delay(Duration::from_millis(2_200)),
+            _ => Reply::kept(success(request, "ok")).with_delay(Duration::from_millis(300)),
+        });
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
