Record what a replaced target reported in its late refusal

Found by the review, by reading: a silent target that refuses while another one takes the request over may state that it is shutting down, or ask for a pause. That was dropped with the response once the other target had responded. It is now recorded like that of any response. No test plays it.

--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -254,6 +254,16 @@
         })
     }
 
+    /// Records what the response of a silent target reports, if it has arrived and is not used.
+    pub(super) fn record_kept_response(&self, pending: &PendingResponse) {
+        if let Some(Ok(response)) = &pending.result {
+            let (head, verdict) = classify(response, &pending.id, &pending.record.id);
+            if is_from_target(verdict) {
+                self.record_target_state(&pending.record, &head);
+            }
+        }
+    }
+
     /// Evaluates the result of a send.
     pub(super) async fn evaluate(
         &mut self,
@@ -349,14 +359,7 @@
         response: Response<Incoming>,
     ) -> Result<SendOutcome, SendFailure> {
         let (head, verdict) = classify(&response, &self.head.id, &record.id);
-        let is_from_target = !matches!(
-            verdict,
-            ResponseVerdict::Foreign
-                | ResponseVerdict::Misdirected {
-                    is_expected_target: false
-                }
-        );
-        if is_from_target {
+        if is_from_target(verdict) {
             self.record_target_state(record, &head);
         }
         match verdict {
@@ -522,6 +525,17 @@
     }
 }
 
+/// Whether the expected target has sent the response.
+fn is_from_target(verdict: ResponseVerdict) -> bool {
+    !matches!(
+        verdict,
+        ResponseVerdict::Foreign
+            | ResponseVerdict::Misdirected {
+                is_expected_target: false
+            }
+    )
+}
+
 /// Decodes and classifies the response of a target to the request `id`.
 fn classify(
     response: &Response<Incoming>,
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -80,8 +80,12 @@
                 None if timeout >= remaining => return Err(SendFailure::timed_out()),
                 None => match self.take_over(&mut pending, &accepts).await {
                     Takeover::Continued(result) => result,
-                    Takeover::Responded(response) => return Ok(SendOutcome::Response(*response)),
+                    Takeover::Responded(response) => {
+                        self.record_kept_response(&pending);
+                        return Ok(SendOutcome::Response(*response));
+                    }
                     Takeover::Sent(replacement) => {
+                        self.record_kept_response(&pending);
                         pending = *replacement;
                         continue;
                     }
