Record the first token of each target that continues a stream

Found by the review, by reading: after a stream was resumed, its new target counted as computing the prompt until the stream ended, as the first token was recorded for the first target only; and the time to its first event was limited like a gap between events. Both follow the current target now. A route that states a gap of 0 counted each event as preceded by silence; the shortest silence is 100 ms. No test plays these.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -24,6 +24,9 @@
 /// A larger event is treated as a failed connection.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Shortest silence, also of a route that states a very short gap.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+
 /// Bytes of a silent stream that are buffered while another target is asked to continue it.
 const MAX_BUFFERED_SILENT_BYTES: usize = MAX_EVENT_BYTES / 2;
 
@@ -387,6 +390,7 @@
             return Err(SendFailure::unusable());
         };
         self.exchange.log_resumed();
+        self.has_data = false;
         self.buffer.clear();
         self.body = body;
         self.restart_silence();
@@ -407,7 +411,7 @@
         }
         let route = &self.exchange.admission.as_ref()?.route;
         let timeout = match self.has_data {
-            true => route.max_event_gap * MAX_SILENT_GAPS,
+            true => (route.max_event_gap * MAX_SILENT_GAPS).max(MIN_SILENCE),
             false => self
                 .exchange
                 .head_timeout(self.exchange.deadline.saturating_sub(self.exchange.now())),
