Test two cases in which a stream still ends early (known red)

With three attempts on the route, a silent engine is given up before it is known whether a third one is there: a pause of 2.9 s of 4 s beside an engine that does not respond ends the stream after 2 of 5 events.

Whether attempts are counted by targets or by runs has to be settled first.

--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -560,6 +560,41 @@
     });
 }
 
+/// Guards against a stream that ends early because a third attempt is allowed but no third engine is there.
+#[test]
+fn a_paused_stream_is_complete_with_three_attempts() {
+    run(async {
+        let (deployment, targets) = deploy(&["e1", "e2"], |request, attempt| match attempt {
+            0 => stream(request, &[(2, 2_900)]),
+            _ => stream(request, &[]).with_delay(SILENCE),
+        });
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
+
+/// Guards against a stream that is not resumed because a target that was asked to take it over, and was not
+/// needed, counts as an attempt.
+#[test]
+fn a_stream_is_resumed_after_a_takeover_that_was_not_needed() {
+    run(async {
+        let script = |request: &ReceivedRequest, attempt| match attempt {
+            0 => Reply {
+                steps: vec![
+                    Step::Send(stream_head(request) + &stream_part(1..=2)),
+                    Step::Pause(Duration::from_millis(1_200)),
+                    Step::Send(stream_part(3..=3)),
+                    Step::Pause(Duration::from_millis(100)),
+                ],
+                closes: true,
+            },
+            _ => stream(request, &[]).with_delay(Duration::from_millis(500)),
+        };
+        let setup = ScriptedDeployment::start(&["e1", "e2", "e3"], "", script).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
+
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
