--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -552,8 +552,8 @@
         let ids = ["e1", "e2", "e3"];
         let (deployment, targets) = deploy(&ids, |request, attempt| match attempt {
             0 => silent_stream(request, 2),
-            1 => stream(request, &[]).with_delay(Duration::from_millis(2_200)),
-            _ => Reply::kept(success(request, "ok")).with_delay(Duration::from_millis(300)),
+            1 => stream(request, &[]).with_delay(Duration::from_millis(2_400)),
+            _ => Reply::kept(success(request, "ok")),
         });
         let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
         assert_complete([("r", setup.ask("r").await)]);
