Log the shared parts of the prompts of failed sends

The lines `send failed` and `response interrupted` now name the shared parts, shortened to 256 bytes.

--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -1,5 +1,6 @@
 //! Metadata of relayed requests: what the client sends, and what is added for the target.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::core::fleet::TargetAddress;
@@ -13,6 +14,20 @@
 /// Maximum number of blocks of one prompt. Longer prompts are represented by their first blocks.
 const MAX_BLOCKS: usize = 256;
 
+/// Maximum length of the names of a prompt's parts in a log line.
+const MAX_LOGGED_NAMES_BYTES: usize = 256;
+
+/// A part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Name, which identifies the contents.
+    pub name: Arc<str>,
+    /// Hash of the name.
+    pub hash: u64,
+    /// Number of tokens.
+    pub tokens: Tokens,
+}
+
 /// Description of the prompt in the request headers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptHead {
@@ -22,22 +37,29 @@
     pub prompt_tokens: Tokens,
     /// Maximum number of output tokens.
     pub max_output_tokens: Tokens,
-    /// Parts of the prompt in order, each as a hash of its name and its number of tokens. All parts
-    /// except the last one are shared between requests; the last one belongs to the request or its
-    /// session.
-    pub parts: Vec<(u64, Tokens)>,
+    /// Parts of the prompt in order. All parts except the last one are shared between requests; the last
+    /// one belongs to the request or its session.
+    pub parts: Vec<PromptPart>,
 }
 
 impl PromptHead {
     /// Returns the parts that other requests may share. A prompt of a single part may be shared
     /// completely.
-    pub fn shared_parts(&self) -> &[(u64, Tokens)] {
+    pub fn shared_parts(&self) -> &[PromptPart] {
         match self.parts.len() {
             0 | 1 => &self.parts,
             parts => &self.parts[..parts - 1],
         }
     }
 
+    /// Returns the names of the shared parts for the log, shortened to [`MAX_LOGGED_NAMES_BYTES`].
+    pub fn shared_part_names(&self) -> String {
+        let names = self.shared_parts().iter().map(|part| &*part.name);
+        let names = names.collect::<Vec<_>>().join(",");
+        let end = names.floor_char_boundary(MAX_LOGGED_NAMES_BYTES);
+        names[..end].to_owned()
+    }
+
     /// Computes the fingerprints of the shared parts within `scope`. Each part yields one block per
     /// [`BLOCK_TOKENS`] tokens, and at least one, so that targets are compared by their cached
     /// tokens.
@@ -45,9 +67,9 @@
         let seed = stable_hash(0, scope.as_bytes());
         let mut chained = seed;
         let mut blocks = Vec::new();
-        for (name, tokens) in self.shared_parts() {
-            chained = combine(chained, *name);
-            let count = tokens.saturating_add(BLOCK_TOKENS / 2) / BLOCK_TOKENS;
+        for part in self.shared_parts() {
+            chained = combine(chained, part.hash);
+            let count = part.tokens.saturating_add(BLOCK_TOKENS / 2) / BLOCK_TOKENS;
             let free = MAX_BLOCKS - blocks.len();
             let numbers = (0..count.max(1)).take(free);
             blocks.extend(numbers.map(|block| combine(chained, block)));
@@ -55,7 +77,7 @@
         let whole = self
             .parts
             .iter()
-            .fold(seed, |hash, (name, _)| combine(hash, *name));
+            .fold(seed, |hash, part| combine(hash, part.hash));
         PromptFingerprints {
             blocks,
             whole,
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -7,7 +7,7 @@
 mod head;
 mod response;
 
-pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, RelayHead};
+pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, PromptPart, RelayHead};
 pub use response::{
     Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
 };
--- a/src/jujubelink/ops/kvcache/watch.rs
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -71,7 +71,10 @@
         let parts: Vec<(StoredPart, u64)> = prompt
             .shared_parts()
             .iter()
-            .map(|(part, tokens)| (StoredPart::new(salt, &prompt.model, *part), *tokens))
+            .map(|part| {
+                let stored = StoredPart::new(salt, &prompt.model, part.hash);
+                (stored, part.tokens)
+            })
             .collect();
         let mut stores = self.stores.borrow_mut();
         let available = stores
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -15,7 +15,7 @@
 use crate::core::fleet::{TargetAddress, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
-use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, RelayHead};
+use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
 use crate::core::stop::RequestTimes;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
@@ -458,7 +458,7 @@
         slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
-            "sends" => self.sends);
+            "parts" => self.shared_part_names(), "sends" => self.sends);
         if let Some(placement) = &self.placement
             && failure.exclude_target
         {
@@ -547,11 +547,18 @@
     pub(super) fn log_interruption(&self, reason: &str) {
         slog::info!(self.proxy.context.log(), "response interrupted"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
-            "reason" => reason, "last_event" => self.last_event, "sends" => self.sends,
+            "parts" => self.shared_part_names(), "reason" => reason,
+            "last_event" => self.last_event, "sends" => self.sends,
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
     }
 
+    /// Returns the names of the shared parts of the prompt for the log.
+    fn shared_part_names(&self) -> Option<String> {
+        let prompt = self.head.prompt.as_ref();
+        prompt.map(PromptHead::shared_part_names)
+    }
+
     /// Logs that another target continues a stream.
     pub(super) fn log_resumed(&self) {
         slog::info!(self.proxy.context.log(), "stream resumed"; "request" => &*self.head.id,
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -11,7 +11,7 @@
     LAST_EVENT_ID, LEAVING, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, RESPONSE_SIGNATURE,
     TARGET_ID, TARGET_LOAD, TOKEN_COUNT, WEIGHTS, WORKSPACE,
 };
-use crate::core::relay::{AttemptHead, PromptHead, RelayHead, ResponseHead};
+use crate::core::relay::{AttemptHead, PromptHead, PromptPart, RelayHead, ResponseHead};
 use crate::util::hash::{sha256_hex, stable_hash};
 
 /// Maximum timeout that a client may request; a longer one is reduced to it.
@@ -108,7 +108,11 @@
             continue;
         };
         if let (Ok(tokens), true) = (tokens.parse::<u64>(), parts.len() < MAX_PARTS) {
-            parts.push((part_hash(name), tokens.min(MAX_TOKENS)));
+            parts.push(PromptPart {
+                name: name.into(),
+                hash: part_hash(name),
+                tokens: tokens.min(MAX_TOKENS),
+            });
         }
     }
     Ok(Some(PromptHead {
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -318,7 +318,7 @@
     );
     let prompt = head.prompt.unwrap();
     assert_eq!((prompt.prompt_tokens, prompt.max_output_tokens), (1460, 80));
-    let tokens: Vec<u64> = prompt.parts.iter().map(|(_, tokens)| *tokens).collect();
+    let tokens: Vec<u64> = prompt.parts.iter().map(|part| part.tokens).collect();
     assert_eq!(tokens, [800, 2410, 250]);
     // The last part belongs to this request alone and has no blocks. The other parts have a number of
     // blocks that follows from their tokens.
@@ -358,7 +358,7 @@
     let parts = head.prompt.unwrap().parts;
     let change = |number, part: usize, tokens| PartChange {
         number,
-        part: StoredPart::new("s1", "daka510000", parts[part].0),
+        part: StoredPart::new("s1", "daka510000", parts[part].hash),
         tokens,
     };
     // After a removal the part counts as empty, whatever number of tokens the event has.
