--- a/crates/jujubelink-standins/src/fleet/mod.rs
+++ b/crates/jujubelink-standins/src/fleet/mod.rs
@@ -7,4 +7,4 @@
 
 pub use cache::CacheStore;
 pub use store::{ObjectStore, StoreEndpoint, StoreMode};
-pub use target::{FaultPlan, FleetTarget, TargetFault};
+pub use target::{CrashingPart, FaultPlan, FleetTarget, TargetFault};
--- a/crates/jujubelink-standins/src/fleet/target.rs
+++ b/crates/jujubelink-standins/src/fleet/target.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use jujubelink::platform::names::{
     ATTEMPT_ID, EXPECT_TARGET, EXPECT_WEIGHTS, LAST_EVENT_ID, LEAVING, MODEL, NOT_RUN, ORDER_PATH,
-    REPORT_PATH, RESPONSE_SIGNATURE, TARGET_ID, TARGET_LOAD, WEIGHTS,
+    PROMPT_PARTS, REPORT_PATH, RESPONSE_SIGNATURE, TARGET_ID, TARGET_LOAD, WEIGHTS,
 };
 use jujubelink::util::http::{Body, BodyError, collect_limited, empty, full};
 use serde_json::{Value, json};
@@ -29,9 +29,12 @@
 /// Number of events in a complete stream.
 const EVENTS: u64 = 5;
 
-/// Time between events.
+/// Time between events, unless it is set.
 const EVENT_GAP: Duration = Duration::from_millis(2);
 
+/// Time from the start of a response to the crash that its prompt causes.
+const CRASH_DELAY: Duration = Duration::from_millis(75);
+
 /// A fault that a target injects into one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetFault {
@@ -53,6 +56,16 @@
     PauseAfter(u64, Duration),
 }
 
+/// A part of a prompt under which a target crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashingPart {
+    /// Name of the part.
+    pub name: String,
+    /// Number of events of the response that are sent before the crash. Without any, the target crashes
+    /// before the response head.
+    pub events: u64,
+}
+
 /// Faults of the upcoming requests, in order of arrival over all targets that share the plan.
 /// `None` stands for a request without a fault.
 pub type FaultPlan = Rc<RefCell<VecDeque<Option<TargetFault>>>>;
@@ -69,6 +82,9 @@
     seen: RefCell<Vec<(HeaderMap, Bytes)>>,
     runs: Cell<u64>,
     orders: RefCell<Vec<Value>>,
+    event_gap: Cell<Duration>,
+    crashing_part: RefCell<Option<CrashingPart>>,
+    has_crashed: Rc<Cell<bool>>,
 }
 
 impl FleetTarget {
@@ -84,9 +100,45 @@
             seen: RefCell::default(),
             runs: Cell::new(0),
             orders: RefCell::default(),
+            event_gap: Cell::new(EVENT_GAP),
+            crashing_part: RefCell::default(),
+            has_crashed: Rc::default(),
         })
     }
 
+    /// Returns the name of the target.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Sets the time between the events of a stream.
+    pub fn set_event_gap(&self, gap: Duration) {
+        self.event_gap.set(gap);
+    }
+
+    /// Sets the part of prompts under which the target crashes.
+    pub fn set_crashing_part(&self, part: Option<&CrashingPart>) {
+        self.crashing_part.replace(part.cloned());
+    }
+
+    /// Whether the target has crashed. Its owner then has to drop the [`StandInHandle`], which closes the
+    /// connections.
+    ///
+    /// [`StandInHandle`]: crate::StandInHandle
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.get()
+    }
+
+    /// Returns the part in the prompt of a request under which the target crashes.
+    fn crashing_part_of(&self, headers: &HeaderMap) -> Option<CrashingPart> {
+        let prompt = headers.get(PROMPT_PARTS)?.to_str().ok()?;
+        let mut names = prompt.split(',').map(|part| part.split(':').next());
+        let crashing = self.crashing_part.borrow().clone()?;
+        names
+            .any(|name| name == Some(&*crashing.name))
+            .then_some(crashing)
+    }
+
     /// Returns headers and body of each request so far.
     pub fn seen(&self) -> Vec<(HeaderMap, Bytes)> {
         self.seen.borrow().clone()
@@ -175,8 +227,12 @@
             .and_then(|last| last.parse::<u64>().ok())
             .map_or(1, |last| last + 1);
         let mut frames: Vec<(Duration, Result<Frame<Bytes>, BodyError>)> = Vec::new();
+        let crash = self.crashing_part_of(headers);
         for event in first..=EVENTS {
             let sent = event - first;
+            if crash.as_ref().is_some_and(|crash| crash.events <= sent) {
+                break;
+            }
             if fault == Some(TargetFault::BreakAfter(sent)) {
                 let part = Bytes::from(format!("id: {event}\nda"));
                 frames.push((EVENT_GAP, Ok(Frame::data(part))));
@@ -185,7 +241,7 @@
             }
             let gap = match fault {
                 Some(TargetFault::PauseAfter(events, pause)) if events == sent => pause,
-                _ => EVENT_GAP,
+                _ => self.event_gap.get(),
             };
             let text = format!("id: {event}\ndata: piece {event}\n\n");
             frames.push((gap, Ok(Frame::data(Bytes::from(text)))));
@@ -195,7 +251,16 @@
             compio::time::sleep(gap).await;
             frame
         });
-        let body = Box::pin(StreamBody::new(frames));
+        let has_crashed = Rc::clone(&self.has_crashed);
+        let end = futures_util::stream::iter(crash).then(move |_| {
+            let has_crashed = Rc::clone(&has_crashed);
+            async move {
+                compio::time::sleep(CRASH_DELAY).await;
+                has_crashed.set(true);
+                pending().await
+            }
+        });
+        let body = Box::pin(StreamBody::new(frames.chain(end)));
         let mut response = self.head(id, StatusCode::OK, body);
         let version = self.version.get().to_string();
         let headers = response.headers_mut();
@@ -253,6 +318,13 @@
             );
             full(text)
         };
+        if let Some(part) = self.crashing_part_of(&head.headers)
+            && part.events == 0
+        {
+            compio::time::sleep(CRASH_DELAY).await;
+            self.has_crashed.set(true);
+            pending::<()>().await;
+        }
         match fault {
             Some(TargetFault::Hang) => pending().await,
             Some(TargetFault::Fail) => {
--- /dev/null
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -0,0 +1,454 @@
+//! Prompts that crash the engines that run them, engines that crash for reasons of their own, and
+//! engines that break responses off and live on.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use jujubelink_standins::StandInHandle;
+use jujubelink_standins::fleet::{CrashingPart, FleetTarget};
+
+use jujubelink_standins::fleet::TargetFault;
+
+use super::{Deployment, RunningInstance, expected_events, schedule_faults};
+use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
+
+/// Name of the part under which engines crash.
+const CRASHING: &str = "dead";
+
+/// Crashes after which requests with the part may reach engines only in rare trials.
+const CRASHES: usize = 5;
+
+/// Time after the fifth crash within which all instances have to refuse the part.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Requests with the part that may reach engines later.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Time between a crash and the return of the engine under a new name.
+const RESTART: Duration = Duration::from_secs(2);
+
+/// Time for which the entry of a crashed engine stays in the store.
+const ENTRY_LAPSE: Duration = Duration::from_millis(1_200);
+
+/// Time between the events of a stream, of which there are five.
+const EVENT_GAP: Duration = Duration::from_millis(15);
+
+/// Engines that return under new names after crashes.
+struct EnginePool {
+    deployment: Rc<Deployment>,
+    part: CrashingPart,
+    running: RefCell<Vec<(Rc<FleetTarget>, StandInHandle)>>,
+    /// All engines so far.
+    all: RefCell<Vec<Rc<FleetTarget>>>,
+    crashed_at: RefCell<Vec<Instant>>,
+    is_stopped: Cell<bool>,
+}
+
+impl EnginePool {
+    /// Starts engines as the only ones of the deployment.
+    fn start(size: usize, events_before_crash: u64) -> Rc<Self> {
+        let deployment = Deployment::new();
+        for id in ["e1", "e2"] {
+            deployment.store.remove("servers", id);
+        }
+        let pool = Rc::new(Self {
+            deployment: Rc::new(deployment),
+            part: CrashingPart {
+                name: CRASHING.to_owned(),
+                events: events_before_crash,
+            },
+            running: RefCell::default(),
+            all: RefCell::default(),
+            crashed_at: RefCell::default(),
+            is_stopped: Cell::new(false),
+        });
+        for _ in 0..size {
+            pool.add();
+        }
+        compio::runtime::spawn(Rc::clone(&pool).supervise()).detach();
+        pool
+    }
+
+    fn add(&self) {
+        let number = self.all.borrow().len();
+        let engine = FleetTarget::new(&format!("e-{number}"), &Rc::default());
+        engine.set_event_gap(EVENT_GAP);
+        engine.set_crashing_part(Some(&self.part));
+        let handle = StandInHandle::start(Rc::clone(&engine)).unwrap();
+        let deployment = &self.deployment;
+        deployment.put_target_at(engine.id(), handle.address(), "ready", 1, 1);
+        self.all.borrow_mut().push(Rc::clone(&engine));
+        self.running.borrow_mut().push((engine, handle));
+    }
+
+    /// Ends an engine and has another one start after a while.
+    fn crash(self: &Rc<Self>, index: usize) {
+        let (engine, handle) = self.running.borrow_mut().remove(index);
+        drop(handle);
+        self.crashed_at.borrow_mut().push(Instant::now());
+        let pool = Rc::clone(self);
+        compio::runtime::spawn(async move {
+            compio::time::sleep(ENTRY_LAPSE).await;
+            pool.deployment.store.remove("servers", engine.id());
+            compio::time::sleep(RESTART - ENTRY_LAPSE).await;
+            pool.add();
+        })
+        .detach();
+    }
+
+    async fn supervise(self: Rc<Self>) {
+        while !self.is_stopped.get() {
+            let crashed = {
+                let running = self.running.borrow();
+                running.iter().position(|(engine, _)| engine.has_crashed())
+            };
+            match crashed {
+                Some(index) => self.crash(index),
+                None => compio::time::sleep(Duration::from_millis(2)).await,
+            }
+        }
+    }
+
+    /// Number of requests with the crashing part that reached engines.
+    fn arrivals(&self) -> usize {
+        let all = self.all.borrow();
+        let seen = all.iter().flat_map(|engine| engine.seen());
+        let prompt = |(headers, _): &(http::HeaderMap, _)| {
+            super::header(headers, "jujubelink-prompt-prefix").to_owned()
+        };
+        seen.filter(|request| prompt(request).contains(CRASHING))
+            .count()
+    }
+
+    /// Waits until the fifth crash and then for [`CONTACT`]. Returns the arrivals until then.
+    async fn arrivals_in_time(&self) -> usize {
+        eventually("five engines crash", || async {
+            (self.crashed_at.borrow().len() >= CRASHES).then_some(())
+        })
+        .await;
+        let fifth = self.crashed_at.borrow()[CRASHES - 1];
+        compio::time::sleep((fifth + CONTACT).saturating_duration_since(Instant::now())).await;
+        self.arrivals()
+    }
+
+    async fn start_instances(&self, count: usize) -> Rc<Vec<RunningInstance>> {
+        let mut instances = Vec::new();
+        for number in 0..count {
+            instances.push(self.deployment.start(&format!("n{number}"), "").await);
+        }
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        for instance in &instances {
+            eventually("the instance serves prompts", || async {
+                let response = instance
+                    .send_prompt_of_parts("warm-up", "/ask/x", "c0:800,f0:400")
+                    .await;
+                (response.status == 200).then_some(())
+            })
+            .await;
+        }
+        Rc::new(instances)
+    }
+}
+
+impl Drop for EnginePool {
+    fn drop(&mut self) {
+        self.is_stopped.set(true);
+    }
+}
+
+/// Prompts that are sent to instances in turn at an interval.
+struct Load {
+    interval: Duration,
+    /// Returns the parts of the prompt with a number.
+    prompt: fn(usize) -> String,
+}
+
+impl Load {
+    /// Sends prompts for a time. Returns the time of each since the start, and its response.
+    async fn play(
+        self,
+        instances: Rc<Vec<RunningInstance>>,
+        time: Duration,
+    ) -> Vec<(Duration, TestResponse)> {
+        let started = Instant::now();
+        let mut responses = Vec::new();
+        for number in 0.. {
+            let due = self.interval * number as u32;
+            if due >= time {
+                break;
+            }
+            compio::time::sleep((started + due).saturating_duration_since(Instant::now())).await;
+            let (instances, parts) = (Rc::clone(&instances), (self.prompt)(number));
+            responses.push(compio::runtime::spawn(async move {
+                let instance = &instances[number % instances.len()];
+                let id = format!("{}-{number}", parts.len());
+                (
+                    due,
+                    instance.send_prompt_of_parts(&id, "/ask/x", &parts).await,
+                )
+            }));
+        }
+        let responses = join_all(responses).await;
+        responses.into_iter().map(|sent| sent.unwrap()).collect()
+    }
+}
+
+/// Prompts with the crashing part, which have nothing else in common.
+fn crashing_prompts(position: Position) -> Load {
+    Load {
+        interval: Duration::from_millis(100),
+        prompt: match position {
+            Position::First => |number| format!("{CRASHING}:800,b{number}:300,c{number}:400"),
+            Position::Later => |number| {
+                let shared = format!("a{}:800", number % 4);
+                format!("{shared},{CRASHING}:300,c{number}:400")
+            },
+        },
+    }
+}
+
+/// Prompts that share all parts but the crashing one with the crashing ones, or each other.
+fn sound_prompts() -> Load {
+    Load {
+        interval: Duration::from_millis(50),
+        prompt: |number| {
+            let shared = format!("a{}:800,b{}:300", number % 4, number % 8);
+            format!("{shared},d{number}:400")
+        },
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Position {
+    First,
+    Later,
+}
+
+/// Plays crashing and sound prompts, and checks how many crashing ones reach engines and how many sound
+/// ones are served.
+async fn check_refusals(instance_count: usize, position: Position, events_before_crash: u64) {
+    const TIME: Duration = Duration::from_secs(10);
+    let pool = EnginePool::start(12, events_before_crash);
+    let instances = pool.start_instances(instance_count).await;
+    let crashing = crashing_prompts(position).play(Rc::clone(&instances), TIME);
+    let sound = sound_prompts().play(instances, TIME);
+    let (in_time, _, sound) = futures_util::join!(pool.arrivals_in_time(), crashing, sound);
+    let late = pool.arrivals() - in_time;
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} prompts reached engines later, {} engines crashed",
+        pool.crashed_at.borrow().len()
+    );
+    // At most a few engines crash in this time.
+    let late_sound: Vec<_> = sound
+        .iter()
+        .filter(|(due, _)| *due >= TIME - CONTACT)
+        .collect();
+    let served = late_sound
+        .iter()
+        .filter(|(_, response)| response.status == 200);
+    let served = served.count();
+    assert!(
+        served * 10 >= late_sound.len() * 9,
+        "{served} of {} sound prompts were served",
+        late_sound.len()
+    );
+}
+
+/// Guards against engine after engine that crashes under one part of prompts which differ in all others.
+#[test]
+fn a_part_that_crashes_engines_is_refused() {
+    run(check_refusals(1, Position::Later, 1));
+}
+
+/// Guards against a part that is recognized only as the start of a prompt, or only within a response.
+#[test]
+fn the_first_part_is_refused_when_engines_crash_before_the_head() {
+    run(check_refusals(1, Position::First, 0));
+}
+
+/// Guards against crashes that are counted for each instance on its own.
+#[test]
+fn crashes_at_several_instances_add_up() {
+    run(check_refusals(3, Position::Later, 1));
+}
+
+/// Sends 30 prompts with the crashing part and checks how many of them reach engines.
+async fn assert_refused(pool: &EnginePool, instances: Vec<RunningInstance>) {
+    let before = pool.arrivals();
+    let prompts = crashing_prompts(Position::Later);
+    prompts
+        .play(Rc::new(instances), Duration::from_secs(3))
+        .await;
+    let arrivals = pool.arrivals() - before;
+    assert!(
+        arrivals <= MAX_LATE_ARRIVALS,
+        "{arrivals} prompts reached engines"
+    );
+}
+
+/// Plays prompts with the crashing part until all instances have to refuse it.
+async fn play_crashes(pool: &EnginePool, instances: &Rc<Vec<RunningInstance>>) {
+    let prompts = crashing_prompts(Position::Later);
+    let played = prompts.play(Rc::clone(instances), Duration::from_secs(4));
+    futures_util::join!(pool.arrivals_in_time(), played);
+}
+
+/// Guards against a new instance that knows nothing of the crashes before its start.
+#[test]
+fn an_instance_that_starts_after_the_crashes_refuses_the_part() {
+    run(async {
+        let pool = EnginePool::start(12, 1);
+        let instances = pool.start_instances(2).await;
+        play_crashes(&pool, &instances).await;
+        let started = pool.deployment.start("n9", "").await;
+        started.wait_ready().await;
+        assert_refused(&pool, vec![started]).await;
+    });
+}
+
+/// Guards against crashes that are forgotten when all instances restart.
+#[test]
+fn the_refusal_outlasts_a_restart_of_all_instances() {
+    run(async {
+        let pool = EnginePool::start(12, 1);
+        let instances = pool.start_instances(2).await;
+        play_crashes(&pool, &instances).await;
+        drop(instances);
+        let mut started = Vec::new();
+        for number in 0..2 {
+            started.push(pool.deployment.start(&format!("n{number}"), "").await);
+        }
+        for instance in &started {
+            instance.wait_ready().await;
+        }
+        assert_refused(&pool, started).await;
+    });
+}
+
+/// Guards against a refusal that goes on for long after the engines stopped to crash.
+#[test]
+fn a_part_is_served_again_once_engines_no_longer_crash() {
+    run(async {
+        let pool = EnginePool::start(12, 1);
+        let instances = pool.start_instances(2).await;
+        play_crashes(&pool, &instances).await;
+        eventually("all engines are back", || async {
+            (pool.running.borrow().len() == 12).then_some(())
+        })
+        .await;
+        for (engine, _) in pool.running.borrow().iter() {
+            engine.set_crashing_part(None);
+        }
+        let number = Cell::new(0);
+        eventually("both instances serve the part", || async {
+            number.set(number.get() + 1);
+            let parts = format!("a0:800,{CRASHING}:300,e{}:400", number.get());
+            let sent = instances
+                .iter()
+                .map(|instance| instance.send_prompt_of_parts("again", "/ask/x", &parts));
+            let responses = join_all(sent).await;
+            let is_served = responses.iter().all(|response| response.status == 200);
+            is_served.then_some(())
+        })
+        .await;
+    });
+}
+
+/// Guards against sound prompts that are refused because all of them share a part and engines crash for
+/// another reason.
+#[test]
+fn a_part_of_all_prompts_is_served_while_engines_crash_for_another_reason() {
+    run(async {
+        const CRASHES: usize = 14;
+        let pool = EnginePool::start(12, 1);
+        let instances = pool.start_instances(2).await;
+        let crash_engines = async {
+            for _ in 0..CRASHES {
+                compio::time::sleep(Duration::from_millis(250)).await;
+                pool.crash(0);
+            }
+        };
+        let load = Load {
+            interval: Duration::from_millis(50),
+            prompt: |number| format!("a1:800,d{number}:400"),
+        };
+        let played = load.play(instances, Duration::from_millis(4_500));
+        let (_, responses) = futures_util::join!(crash_engines, played);
+        // Some prompts run at two engines that crash, which is as often as the route allows.
+        let refused: Vec<_> = responses
+            .iter()
+            .filter(|(_, response)| response.status == 503)
+            .map(|(due, response)| (due, &response.body))
+            .collect();
+        assert!(refused.is_empty(), "{refused:?}");
+        let served = responses
+            .iter()
+            .filter(|(_, response)| response.status == 200);
+        assert!(served.count() * 10 >= responses.len() * 9);
+    });
+}
+
+/// Guards against prompts that are refused because engines which live on break streams off.
+#[test]
+fn prompts_are_served_while_engines_break_streams_off() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let faults = [None, None, None, Some(TargetFault::BreakAfter(1))];
+        schedule_faults(&deployment.engine_faults, &faults.repeat(40));
+        for number in 0..80 {
+            let parts = match number < 40 {
+                true => format!("a1:800,d{number}:400"),
+                false => format!("a1:800,d{}:400", number % 6),
+            };
+            let response = instance.send_prompt_of_parts("r", "/ask/x", &parts).await;
+            assert_eq!(response.status, 200, "{number}: {}", response.body);
+        }
+    });
+}
+
+/// Guards against prompts that are refused because streams without a length ended within an event while
+/// their engines live.
+#[test]
+fn a_stream_without_length_that_ends_early_is_no_crash() {
+    run(async {
+        let deployment = Deployment::new();
+        let script = |request: &ReceivedRequest| {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {}\r\njujubelink-server-stamp: s\r\n\
+                 content-type: text/event-stream\r\n\r\n",
+                request.id
+            );
+            let body = match request.id.starts_with("cut") {
+                true => expected_events(1..=2) + "id: 3\nda",
+                false => expected_events(1..=5),
+            };
+            Reply::closed(head + &body)
+        };
+        let targets = ["e1", "e2"].map(|id| {
+            let target = ScriptedTarget::start(script);
+            deployment.put_target_at(id, target.address(), "ready", 2, 1);
+            target
+        });
+        let instance = deployment.start("n1", "").await;
+        instance.wait_ready().await;
+        let sent = |id: &'static str| instance.send_prompt(id, "/tell/x");
+        eventually("an engine serves prompts", || async {
+            (sent("warm-up").await.status == 200).then_some(())
+        })
+        .await;
+        for id in ["cut-1", "cut-2", "cut-3"] {
+            let response = sent(id).await;
+            assert_eq!(response.status, 0, "{id}: {}", response.body);
+            assert_eq!(response.body, expected_events(1..=2), "{id}");
+        }
+        let response = sent("whole").await;
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert_eq!(response.body, expected_events(1..=5));
+        drop(targets);
+    });
+}
