Attribute crashes of targets to parts of prompts

What callers saw: requests with one part in their prompts crashed engine after engine, 48 more after the fifth; sound requests found no engine in service meanwhile.

Cause: the quarantine identified a request by its whole prompt, so that requests which share one part only had identities of their own. Each instance counted for itself, and of two counts the larger one won. Any interrupted response counted as a crash, and nothing outlasted a restart.

Change: each crash is recorded once for the fleet, by target and incarnation, with the requests that were running. An interruption counts as a crash only if the target is known to have ended. What requests under crashes have in common, and nobody has seen to survive since, is refused from four crashes on (equal requests from two). A crash that has a cause raises no suspicion against the others that were running. A request that runs to its end clears its parts on all instances. Three trials find out whether the cause is gone. The causes are kept in the store; an instance that starts gets them from another one or from there before it takes prompts.

--- /dev/null
+++ b/src/jujubelink/core/crash/cause.rs
@@ -0,0 +1,164 @@
+//! Derivation of causes from crashes.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::evidence::Crash;
+use super::{CauseId, CrashId, CrashedRun, Features};
+use crate::core::ids::{Fingerprint, Timestamp};
+use crate::util::hash::combine;
+
+/// Number of crashes from which on a part is refused. The platform allows five, some of which may not be
+/// reported in time.
+pub const PART_CRASHES: usize = 4;
+
+/// Number of crashes from which on equal requests are refused.
+pub const REQUEST_CRASHES: usize = 2;
+
+/// Time from the last crash to each trial. A first trial soon after ends the refusal of an innocent part.
+/// As the platform allows three requests with a part that crashes targets, there are no further trials.
+pub const TRIAL_DELAYS: [Duration; 3] = [
+    Duration::from_millis(2_500),
+    Duration::from_secs(20),
+    Duration::from_secs(300),
+];
+
+/// Time by which each instance leaves a trial to the one before it in the order for the cause. It covers
+/// the time that a message on a trial takes.
+pub const TRIAL_STAGGER: Duration = Duration::from_secs(2);
+
+/// Features that were common to the requests under which targets crashed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cause {
+    /// Requests that have all of these are refused.
+    pub features: Features,
+    /// Crashes that are attributed to the cause.
+    pub crashes: BTreeSet<CrashId>,
+    /// When the last of these crashes was observed.
+    pub last_crash_at: Timestamp,
+    /// Number of these crashes that happened under a trial.
+    pub failed_trials: usize,
+}
+
+impl Cause {
+    /// Identifier, which is the same on all instances.
+    pub fn id(&self) -> CauseId {
+        self.features.iter().fold(0, combine)
+    }
+
+    /// Returns when the next trial is due at the instance at `position` in the order for the cause. `None`
+    /// if there are no more trials.
+    pub fn trial_at(&self, position: u32) -> Option<Timestamp> {
+        let delay = *TRIAL_DELAYS.get(self.failed_trials)?;
+        Some(self.last_crash_at + delay + TRIAL_STAGGER * position)
+    }
+}
+
+/// The crashes in which one feature is suspected.
+struct Suspicion {
+    crashes: BTreeSet<CrashId>,
+    /// Sum over these crashes of the shortest time for which a request with the feature was running. The
+    /// request under which a target crashes tends to be one of the last that it got.
+    ran_for: Duration,
+    /// Features of all requests with this one that were running.
+    common: Features,
+    is_request: bool,
+}
+
+impl Suspicion {
+    fn is_sufficient(&self) -> bool {
+        let required = match self.is_request {
+            true => REQUEST_CRASHES,
+            false => PART_CRASHES,
+        };
+        self.crashes.len() >= required
+    }
+}
+
+/// Derives the causes, the best supported one first. A crash is attributed to one cause only: the other
+/// requests that were running then are not suspected because of it.
+pub(super) fn derive_causes(
+    crashes: &BTreeMap<CrashId, Crash>,
+    is_suspected: impl Fn(Fingerprint, &Crash) -> bool,
+) -> Vec<Cause> {
+    let mut unexplained: BTreeSet<CrashId> = crashes.keys().copied().collect();
+    let mut causes = Vec::new();
+    loop {
+        let suspicions = suspicions(crashes, &unexplained, &is_suspected);
+        let strongest = suspicions
+            .into_iter()
+            .filter(|(_, suspicion)| suspicion.is_sufficient())
+            .max_by_key(|(fingerprint, suspicion)| {
+                let (count, ran_for) = (suspicion.crashes.len(), suspicion.ran_for);
+                (count, Reverse(ran_for), Reverse(*fingerprint))
+            });
+        let Some((_, suspicion)) = strongest else {
+            return causes;
+        };
+        let features = suspicion.common;
+        unexplained.retain(|id| !crashes[id].has_run_with(&features));
+        let explained = crashes
+            .iter()
+            .filter(|(id, _)| suspicion.crashes.contains(id));
+        let failed_trials = explained.clone().filter(|(_, crash)| {
+            let mut runs = crash.runs.iter();
+            runs.any(|run| run.is_trial && run.features.contains_all(&features))
+        });
+        causes.push(Cause {
+            failed_trials: failed_trials.count(),
+            last_crash_at: explained
+                .map(|(_, crash)| crash.at)
+                .max()
+                .unwrap_or_default(),
+            crashes: suspicion.crashes,
+            features,
+        });
+    }
+}
+
+fn suspicions(
+    crashes: &BTreeMap<CrashId, Crash>,
+    unexplained: &BTreeSet<CrashId>,
+    is_suspected: &impl Fn(Fingerprint, &Crash) -> bool,
+) -> HashMap<Fingerprint, Suspicion> {
+    let mut suspicions: HashMap<Fingerprint, Suspicion> = HashMap::new();
+    for id in unexplained {
+        let crash = &crashes[id];
+        let mut shortest: HashMap<Fingerprint, Duration> = HashMap::new();
+        for run in &crash.runs {
+            for fingerprint in run.features.iter().filter(|f| is_suspected(*f, crash)) {
+                let ran_for = shortest.entry(fingerprint).or_insert(run.ran_for);
+                *ran_for = run.ran_for.min(*ran_for);
+                add_run(&mut suspicions, fingerprint, *id, run, |f| {
+                    is_suspected(f, crash)
+                });
+            }
+        }
+        for (fingerprint, ran_for) in shortest {
+            if let Some(suspicion) = suspicions.get_mut(&fingerprint) {
+                suspicion.ran_for += ran_for;
+            }
+        }
+    }
+    suspicions
+}
+
+fn add_run(
+    suspicions: &mut HashMap<Fingerprint, Suspicion>,
+    fingerprint: Fingerprint,
+    id: CrashId,
+    run: &CrashedRun,
+    is_suspected: impl Fn(Fingerprint) -> bool,
+) {
+    let suspicion = suspicions.entry(fingerprint).or_insert_with(|| Suspicion {
+        crashes: BTreeSet::new(),
+        ran_for: Duration::ZERO,
+        common: (*run.features).clone(),
+        is_request: run.features.request() == Some(fingerprint),
+    });
+    suspicion.crashes.insert(id);
+    suspicion
+        .common
+        .retain(|f| run.features.contains(f) && is_suspected(f));
+}
--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -9,7 +9,7 @@
 //!   platform's object API. Used only there: [`claim`], [`lease`], [`limit`], [`membership`],
 //!   [`orders`] and [`spread`].
 //! - Fleet store: configuration, targets and announced weights are read from the platform's store.
-//!   Used only there: [`fleet`], [`kvcache`], [`quota`], [`relay`] and [`rollout`].
+//!   Used only there: [`crash`], [`fleet`], [`kvcache`], [`quota`], [`relay`] and [`rollout`].
 //!
 //! So [`quota`] corresponds to [`limit`], and [`rollout`] to [`orders`]. [`config`] is used in both:
 //! with a fleet store, [`fleet`] builds its snapshots.
@@ -18,6 +18,7 @@
 
 pub mod claim;
 pub mod config;
+pub mod crash;
 pub mod fleet;
 pub mod ids;
 pub mod kvcache;
--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::core::fleet::TargetAddress;
-use crate::core::ids::{KeyHash, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
+use crate::core::ids::{Fingerprint, KeyHash, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
 use crate::core::prefix::PromptFingerprints;
 use crate::util::hash::{combine, stable_hash};
 
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Returns the fingerprint of a part for the attribution of crashes. A part has the same one wherever it
+    /// stands in a prompt, for all workspaces.
+    pub fn crash_fingerprint(&self, part: &PromptPart) -> Fingerprint {
+        combine(stable_hash(0, self.model.as_bytes()), part.hash)
+    }
+
     /// Returns the names of the shared parts for the log, shortened to [`MAX_LOGGED_NAMES_BYTES`].
     pub fn shared_part_names(&self) -> String {
         let names = self.shared_parts().iter().map(|part| &*part.name);
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -445,7 +445,7 @@
         }
         let state = self.router.targets_mut().get_mut(target);
         match end {
-            AttemptEnd::Crashed | AttemptEnd::ConnectFailed => {
+            AttemptEnd::Crashed | AttemptEnd::Interrupted | AttemptEnd::ConnectFailed => {
                 state.unreliable_until = now + UNRELIABLE_PERIOD;
                 if state.generation == attempt.generation {
                     state.invalidate_cache();
--- a/src/jujubelink/core/scheduler/types.rs
+++ b/src/jujubelink/core/scheduler/types.rs
@@ -119,6 +119,8 @@
     Failed,
     /// The connection failed or the engine restarted while the request was running.
     Crashed,
+    /// The connection failed while the request was running. It is not known whether the target crashed.
+    Interrupted,
     /// The target stopped responding.
     TimedOut,
     /// The request was cancelled.
@@ -130,7 +132,7 @@
     pub fn is_failure(&self) -> bool {
         matches!(
             self,
-            Self::ConnectFailed | Self::Failed | Self::Crashed | Self::TimedOut
+            Self::ConnectFailed | Self::Failed | Self::Crashed | Self::Interrupted | Self::TimedOut
         )
     }
 
--- a/src/jujubelink/ops/mod.rs
+++ b/src/jujubelink/ops/mod.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod platform;
 pub mod proxy;
+pub mod quarantine;
 pub mod rollout;
 pub mod scheduler;
 pub mod serve;
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Response};
 use http_body::{Body as _, Frame};
@@ -37,6 +37,10 @@
 /// by another target, if one can take it over. Clients give up after eight times the gap.
 const MAX_SILENT_GAPS: u32 = 4;
 
+/// Time for which a target has to send a response for its request to count as harmless. A request that
+/// crashes targets does so soon after they begin to answer it.
+const HARMLESS_RUN: Duration = Duration::from_secs(2);
+
 /// A target's response, with its body buffered or not yet read.
 pub(super) struct TargetResponse {
     head: Parts,
@@ -189,12 +193,15 @@
         let body = match self.body {
             TargetBody::Buffered(body) => {
                 exchange.record_first_token();
+                exchange.record_complete_response(status);
                 exchange.log_response("complete", status);
                 exchange.end_placement(completed_outcome(&exchange, status));
                 full(body)
             }
             TargetBody::Streamed(body) => {
                 let mut relayed = RelayedBody {
+                    is_delimited: is_delimited(&head.headers),
+                    first_data_at: None,
                     media_type: media_type(&head.headers),
                     is_event_stream: exchange.is_stream() && (200..300).contains(&status),
                     exchange,
@@ -243,9 +250,13 @@
     media_type: Option<String>,
     is_event_stream: bool,
     body: StreamedBody,
+    /// Whether the end of the body can be told from the end of the connection.
+    is_delimited: bool,
     /// Start of an event that has not arrived completely.
     buffer: BytesMut,
     has_data: bool,
+    /// When the first data of the present target arrived, until the request counts as harmless.
+    first_data_at: Option<Timestamp>,
     /// Time at which the target counts as silent unless a new event arrives before.
     silence_ends_at: Option<Timestamp>,
     /// When the last bytes were handed over, until the client has room for more.
@@ -391,6 +402,8 @@
         };
         self.exchange.log_resumed();
         self.has_data = false;
+        self.first_data_at = None;
+        self.is_delimited = is_delimited(&response.head.headers);
         self.buffer.clear();
         self.body = body;
         self.restart_silence();
@@ -443,11 +456,23 @@
     fn record_first_data(&mut self) {
         if !self.has_data {
             self.has_data = true;
+            self.first_data_at = Some(self.exchange.now());
             self.exchange.record_first_token();
         }
+        if let Some(at) = self.first_data_at
+            && self.exchange.now().saturating_sub(at) >= HARMLESS_RUN
+        {
+            self.first_data_at = None;
+            self.exchange.record_survival();
+        }
     }
 
     fn finish(&mut self) {
+        match self.is_delimited {
+            true => self.exchange.record_complete_response(self.status),
+            // A crash at the end of an event looks like the end of the response.
+            false => self.exchange.record_interruption(),
+        }
         self.exchange.log_response("complete", self.status);
         let outcome = completed_outcome(&self.exchange, self.status);
         self.exchange.end_placement(outcome);
@@ -457,11 +482,14 @@
     /// the body so that the client can tell that it is incomplete.
     async fn recover(&mut self, error: ReadError) -> Result<(), BodyError> {
         let (reason, outcome) = match error {
-            ReadError::ConnectionLost => ("the target broke off", AttemptOutcome::Crashed),
+            ReadError::ConnectionLost => ("the target broke off", AttemptOutcome::Interrupted),
             ReadError::DeadlinePassed => ("the deadline passed", AttemptOutcome::Cancelled),
             ReadError::NotContinued => ("the target fell silent", AttemptOutcome::TimedOut),
         };
         self.exchange.log_interruption(reason);
+        if outcome == AttemptOutcome::Interrupted {
+            self.exchange.record_interruption();
+        }
         if let Some(placement) = &self.exchange.placement {
             self.exchange.excluded.push(placement.target.clone());
             self.exchange.end_placement(outcome);
@@ -503,6 +531,11 @@
     }
 }
 
+/// Whether a body has a length or consists of chunks. Otherwise it ends with its connection.
+fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the media type of a body, without parameters such as the character set.
 fn media_type(headers: &HeaderMap) -> Option<String> {
     let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
--- /dev/null
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -0,0 +1,146 @@
+//! What a relayed request tells the quarantine, and when the quarantine refuses it.
+
+use std::cell::{Cell, OnceCell};
+use std::rc::Rc;
+
+use super::exchange::{Exchange, NO_TARGET_RETRY_AFTER};
+use crate::core::crash::{Admission, Features};
+use crate::core::ids::Fingerprint;
+use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::ops::quarantine::InterruptedRun;
+use crate::util::hash::{combine, stable_hash};
+
+/// State of a request for the quarantine.
+#[derive(Default)]
+pub(super) struct CrashCheck {
+    features: OnceCell<Rc<Features>>,
+    /// Whether the request is sent to find out whether the cause of crashes is gone.
+    is_trial: Cell<bool>,
+}
+
+impl Exchange {
+    /// Returns what the request has in common with others. Its body must have been read.
+    fn crash_features(&self) -> &Rc<Features> {
+        self.crash_check.features.get_or_init(|| {
+            let parts = self.suspect_parts();
+            let fingerprints = parts.iter().map(|(fingerprint, _)| *fingerprint);
+            Rc::new(Features::new(
+                fingerprints,
+                Some(self.request_fingerprint()),
+            ))
+        })
+    }
+
+    /// Returns the fingerprint and the name of each part of the prompt that may be the cause of crashes.
+    fn suspect_parts(&self) -> Vec<(Fingerprint, &str)> {
+        let prompt = self
+            .head
+            .prompt
+            .as_ref()
+            .filter(|_| self.is_model_request());
+        let parts = prompt.map(|prompt| {
+            let shared = prompt.shared_parts().iter();
+            shared.map(|part| (prompt.crash_fingerprint(part), &*part.name))
+        });
+        parts.into_iter().flatten().collect()
+    }
+
+    /// Returns a fingerprint that equal requests of a workspace have in common.
+    fn request_fingerprint(&self) -> Fingerprint {
+        let admission = self.admission.as_ref();
+        let workspace = admission.and_then(|admission| admission.workspace.as_deref());
+        let path = self.parts.uri.path_and_query();
+        let strings = [
+            workspace.unwrap_or_default(),
+            &self.head.host,
+            self.parts.method.as_str(),
+            path.map_or("", |path| path.as_str()),
+        ];
+        let head = strings
+            .iter()
+            .fold(0, |hash, text| stable_hash(hash, text.as_bytes()));
+        let parts = self.head.prompt.iter().flat_map(|prompt| &prompt.parts);
+        let prompt = parts.fold(head, |hash, part| combine(hash, part.hash));
+        stable_hash(prompt, &self.body)
+    }
+
+    /// Fails if the request has everything in common with others that makes targets crash.
+    pub(super) fn check_crashes(&self) -> Result<(), Refusal> {
+        let quarantine = &self.relay.quarantine;
+        if self.is_model_request() && !quarantine.is_loaded() {
+            let message = "earlier crashes of targets are not known yet";
+            return Err(Refusal::not_run(RefusalCode::NotReady, message)
+                .with_retry_after(NO_TARGET_RETRY_AFTER));
+        }
+        // A trial runs at one target only.
+        let may_try = !self.has_begun();
+        if self.crash_check.is_trial.get() && may_try {
+            return Ok(());
+        }
+        let admission = quarantine.admit(self.crash_features(), may_try);
+        let is_trial = matches!(admission, Admission::Trial(_));
+        self.crash_check.is_trial.set(is_trial);
+        let Admission::Refused {
+            features,
+            crashes,
+            retry_after,
+        } = admission
+        else {
+            return Ok(());
+        };
+        let common = self.suspect_parts().into_iter();
+        let names: Vec<_> = common
+            .filter(|(fingerprint, _)| features.contains(*fingerprint))
+            .map(|(_, name)| name)
+            .collect();
+        let message = match (features.request(), &*names) {
+            (None, names) => format!(
+                "{crashes} targets crashed under prompts with the part {}",
+                names.join(",")
+            ),
+            (Some(_), _) => format!("{crashes} targets crashed under the request"),
+        };
+        Err(Refusal::not_run(RefusalCode::Quarantined, message).with_retry_after(retry_after))
+    }
+
+    /// Returns a check whether the request is refused by now.
+    pub(super) fn crash_refusal(&self) -> impl Fn() -> bool + 'static {
+        let quarantine = Rc::clone(&self.relay.quarantine);
+        let features = Rc::clone(self.crash_features());
+        let is_trial = self.crash_check.is_trial.get();
+        move || !is_trial && quarantine.is_refused(&features)
+    }
+
+    /// Records that the request does not crash targets.
+    pub(super) fn record_survival(&self) {
+        self.relay.quarantine.on_survival(self.crash_features());
+    }
+
+    /// Records a complete response with a length or chunks. An error need not come from the code that runs
+    /// requests, and proves nothing.
+    pub(super) fn record_complete_response(&self, status: u16) {
+        if (200..300).contains(&status) {
+            self.record_survival();
+        }
+    }
+
+    /// Records that the target of the present placement interrupted its response, or may have.
+    pub(super) fn record_interruption(&self) {
+        let Some(placement) = &self.placement else {
+            return;
+        };
+        let mut sends = self.sent_to.iter().rev();
+        let Some((target, sent_at)) = sends.find(|(target, _)| target.id == placement.target)
+        else {
+            return;
+        };
+        let run = InterruptedRun {
+            request: self.head.id.clone(),
+            features: Rc::clone(self.crash_features()),
+            part_names: self.shared_part_names().unwrap_or_default(),
+            ran_for: self.now().saturating_sub(*sent_at),
+            is_trial: self.crash_check.is_trial.get(),
+        };
+        self.relay.quarantine.on_interruption(target, run);
+    }
+}
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -10,9 +10,10 @@
 use super::Relay;
 use super::admission::{Admission, admit, check_key, quota_units};
 use super::body::TargetResponse;
+use super::crashes::CrashCheck;
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
-use crate::core::fleet::{TargetAddress, model_key};
+use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
@@ -41,7 +42,7 @@
 pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
 
 /// Retry delay for clients if no target is available.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Priorities sent to engines range from 0, the most urgent, to this value. Larger priorities of
 /// routes and workspaces are clamped.
@@ -78,6 +79,9 @@
     pub(super) weights: Option<u64>,
     queue_time: Duration,
     pub(super) progress: Rc<Progress>,
+    /// Targets to which the request was sent, and when.
+    pub(super) sent_to: Vec<(Rc<TargetRecord>, Timestamp)>,
+    pub(super) crash_check: CrashCheck,
     /// Whether the end of the request was logged.
     is_ended: bool,
 }
@@ -107,6 +111,8 @@
             weights: None,
             queue_time: Duration::ZERO,
             progress: Rc::default(),
+            sent_to: Vec::new(),
+            crash_check: CrashCheck::default(),
             is_ended: false,
         }
     }
@@ -224,6 +230,7 @@
     /// Obtains a placement from the scheduler.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
         self.check_stop()?;
+        self.check_crashes()?;
         let started = self.now();
         let result = self.choose_target().await;
         self.queue_time += self.now().saturating_sub(started);
@@ -249,7 +256,7 @@
         }
     }
 
-    fn is_model_request(&self) -> bool {
+    pub(super) fn is_model_request(&self) -> bool {
         let Some(admission) = &self.admission else {
             return false;
         };
@@ -425,6 +432,7 @@
     /// queued, and the machine may have been suspended. Returns the remaining time.
     pub(super) fn check_send(&self) -> Result<Duration, Refusal> {
         self.check_admission()?;
+        self.check_crashes()?;
         let remaining = self.remaining().min(self.check_stop()?);
         if remaining < MIN_SEND_TIME {
             return Err(Refusal::not_run(
@@ -469,6 +477,9 @@
                 }
             }
         }
+        if failure.outcome == AttemptOutcome::Interrupted {
+            self.record_interruption();
+        }
         self.end_placement(failure.outcome.clone());
     }
 
@@ -554,7 +565,7 @@
     }
 
     /// Returns the names of the shared parts of the prompt for the log.
-    fn shared_part_names(&self) -> Option<String> {
+    pub(super) fn shared_part_names(&self) -> Option<String> {
         let prompt = self.head.prompt.as_ref();
         prompt.map(PromptHead::shared_part_names)
     }
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod body;
+mod crashes;
 mod exchange;
 mod ready;
 mod resend;
@@ -36,6 +37,7 @@
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
 use crate::ops::kvcache::CacheStores;
+use crate::ops::quarantine::Quarantine;
 use crate::ops::services::{ConfigService, SchedulerService};
 use crate::ops::share::Peers;
 use crate::platform::decode_request;
@@ -49,6 +51,7 @@
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
     cache_stores: Rc<CacheStores>,
+    quarantine: Rc<Quarantine>,
     /// Resend budgets by service.
     resend_budgets: RefCell<HashMap<Arc<str>, ResendBudget>>,
     /// Targets that are being polled for their weights version.
@@ -63,6 +66,7 @@
             fleet: context.service(),
             peers: context.service(),
             cache_stores: context.service(),
+            quarantine: context.service(),
             resend_budgets: RefCell::default(),
             targets_being_polled: RefCell::default(),
         }))
--- a/src/jujubelink/ops/proxy/relay/ready.rs
+++ b/src/jujubelink/ops/proxy/relay/ready.rs
@@ -9,6 +9,7 @@
 
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle, Plugin, PluginEntry, PluginScope};
+use crate::ops::quarantine::Quarantine;
 use crate::ops::share::Peers;
 use crate::platform::READY_PATH;
 use crate::util::http::{Body, Handler, empty, serve_listener};
@@ -34,6 +35,7 @@
             context: context.clone(),
             fleet,
             peers: context.service(),
+            quarantine: context.service(),
         };
         let log = context.log().clone();
         let served = serve_listener(listener, handler, move |error| {
@@ -49,16 +51,19 @@
     context: Context,
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
+    quarantine: Rc<Quarantine>,
 }
 
 impl ReadyHandler {
     /// Whether this instance can serve requests: it is running, listed at the platform, has a
-    /// configuration recent enough to check keys, and has at least one target.
+    /// configuration recent enough to check keys, knows which requests crash targets, and has at least one
+    /// target.
     fn is_ready(&self) -> bool {
         self.context.shutdown().lifecycle() == Lifecycle::Running
             && self.fleet.policy().is_some()
             && self.fleet.check_config_fresh().is_ok()
             && self.peers.has_instance_list()
+            && self.quarantine.is_loaded()
             && self.fleet.state().targets().next().is_some()
     }
 }
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -138,7 +138,7 @@
             Failure::MayHaveRun,
             RefusalCode::UpstreamFailed,
             "the connection to the target broke",
-            AttemptOutcome::Crashed,
+            AttemptOutcome::Interrupted,
         )
     }
 }
@@ -231,14 +231,16 @@
         let request = self.request_for(&record, remaining, weights)?;
         let options = self.request_options(&record);
         self.sends += 1;
+        self.sent_to.push((Rc::clone(&record), self.now()));
         self.progress.set_passed_on(true);
         let sent_at = Rc::new(Cell::new(None));
         // The target may leave or ask for a pause while the connection is opened.
         let may_send = {
             let (proxy, relay) = (Rc::clone(&self.proxy), Rc::clone(&self.relay));
             let (record, sent_at) = (record.clone(), Rc::clone(&sent_at));
+            let is_refused = self.crash_refusal();
             move || {
-                let is_allowed = check_target(&proxy, &relay, &record).is_ok();
+                let is_allowed = check_target(&proxy, &relay, &record).is_ok() && !is_refused();
                 sent_at.set(is_allowed.then(|| proxy.context.timers().boot_now()));
                 is_allowed
             }
@@ -274,6 +276,9 @@
             Ok(response) => return self.evaluate_response(record, response).await,
             Err(failure) => failure.error,
         };
+        if error.is_connection_refused() {
+            self.relay.quarantine.on_connection_refused(record);
+        }
         Err(match error {
             ClientError::Connect { .. } => SendFailure::new(
                 Failure::NotSent,
--- /dev/null
+++ b/src/jujubelink/ops/quarantine/probe.rs
@@ -0,0 +1,81 @@
+//! Interrupted responses whose targets may have crashed.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::core::crash::{CrashId, CrashedRun, crash_id};
+use crate::core::fleet::{FleetState, TargetRecord};
+use crate::core::ids::Timestamp;
+
+/// Time within which the end of a target has to be known after an interruption. The entry of a target that
+/// crashed is removed after three heartbeats, and a new target has its address later.
+pub(super) const CONFIRMATION_TIME: Duration = Duration::from_secs(5);
+
+/// Maximum number of targets with interruptions; those at further ones do not count as crashes.
+const MAX_INTERRUPTIONS: usize = 256;
+
+/// Requests that were interrupted at one incarnation of a target.
+pub(super) struct Interruption {
+    pub(super) target: Rc<TargetRecord>,
+    pub(super) at: Timestamp,
+    pub(super) runs: Vec<CrashedRun>,
+    /// Names of the shared parts of the prompts, for the log.
+    pub(super) part_names: Vec<String>,
+}
+
+/// Interruptions by the identifier that the crash of the target would have.
+#[derive(Default)]
+pub(super) struct Interruptions(HashMap<CrashId, Interruption>);
+
+impl Interruptions {
+    /// Records an interruption. Returns whether it is the first one of the target.
+    pub(super) fn add(
+        &mut self,
+        target: &Rc<TargetRecord>,
+        run: CrashedRun,
+        part_names: String,
+        now: Timestamp,
+    ) -> bool {
+        let id = crash_id(&target.id, target.incarnation);
+        if self.0.len() >= MAX_INTERRUPTIONS && !self.0.contains_key(&id) {
+            return false;
+        }
+        let interruption = self.0.entry(id).or_insert_with(|| Interruption {
+            target: Rc::clone(target),
+            at: now,
+            runs: Vec::new(),
+            part_names: Vec::new(),
+        });
+        interruption.runs.push(run);
+        interruption.part_names.push(part_names);
+        interruption.runs.len() == 1
+    }
+
+    pub(super) fn take(&mut self, id: CrashId) -> Option<Interruption> {
+        self.0.remove(&id)
+    }
+
+    pub(super) fn contains(&self, id: CrashId) -> bool {
+        self.0.contains_key(&id)
+    }
+
+    /// Returns the crashes of the targets that have been replaced, and removes the interruptions that are
+    /// too old.
+    pub(super) fn sweep(&mut self, state: &FleetState, now: Timestamp) -> Vec<CrashId> {
+        self.0
+            .retain(|_, interruption| now.saturating_sub(interruption.at) < CONFIRMATION_TIME);
+        let ended = self.0.iter().filter(|(_, interruption)| {
+            state
+                .targets()
+                .any(|other| replaces(other, &interruption.target))
+        });
+        ended.map(|(id, _)| *id).collect()
+    }
+}
+
+/// Whether a target is a later incarnation of another one, or a later one at its address.
+fn replaces(target: &TargetRecord, former: &TargetRecord) -> bool {
+    let has_its_place = target.id == former.id || target.address == former.address;
+    has_its_place && target.incarnation > former.incarnation
+}
--- a/src/jujubelink/ops/scheduler/convert.rs
+++ b/src/jujubelink/ops/scheduler/convert.rs
@@ -36,6 +36,7 @@
             AttemptOutcome::Refused => Self::Refused,
             AttemptOutcome::Failed => Self::Failed,
             AttemptOutcome::Crashed => Self::Crashed,
+            AttemptOutcome::Interrupted => Self::Interrupted,
             AttemptOutcome::TimedOut => Self::TimedOut,
             AttemptOutcome::Cancelled => Self::Cancelled,
         }
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -270,6 +270,7 @@
         AttemptOutcome::Refused => "refused",
         AttemptOutcome::Failed => "failed",
         AttemptOutcome::Crashed => "crashed",
+        AttemptOutcome::Interrupted => "interrupted",
         AttemptOutcome::TimedOut => "timed_out",
         AttemptOutcome::Cancelled => "cancelled",
     }
--- a/src/jujubelink/ops/services.rs
+++ b/src/jujubelink/ops/services.rs
@@ -163,6 +163,8 @@
     Failed,
     /// The connection failed or the target's incarnation changed while the request was running.
     Crashed,
+    /// The connection failed while the request was running. It is not known whether the target crashed.
+    Interrupted,
     /// The target stopped responding.
     TimedOut,
     /// The client disconnected or the request was cancelled.
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -10,9 +10,10 @@
 use prost::Message;
 
 use super::message::PeerMessage;
-use super::peers::{POLICY_PATH, Peers, TARGETS_PATH};
+use super::peers::{EVIDENCE_PATH, POLICY_PATH, Peers, TARGETS_PATH};
 use super::updates::{CACHE_UPDATES_PATH, UPDATES_PATH};
 use crate::core::fleet::MIN_SEND_INTERVAL;
+use crate::ops::quarantine::Quarantine;
 use crate::ops::services::ConfigService;
 use crate::ops::store::InstanceRecord;
 use crate::util::http::{Body, Handler, empty, full, serve_listener};
@@ -153,6 +154,11 @@
         let body = match request.uri().path() {
             POLICY_PATH => self.0.fleet.raw_policy(),
             TARGETS_PATH => self.0.encode(&self.0.fleet.target_update_since(0)),
+            EVIDENCE_PATH => {
+                let quarantine = self.0.context.service::<Quarantine>();
+                let evidence = quarantine.stored_evidence();
+                evidence.and_then(|evidence| self.0.encode(&evidence))
+            }
             UPDATES_PATH => {
                 let query = request.uri().query().unwrap_or_default();
                 self.0.wait_for_update(query).await
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -1,5 +1,7 @@
 //! Protobuf messages that instances send to each other.
 
+use crate::ops::quarantine::EvidenceMessage;
+
 /// Usage of the rate limit of one workspace.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct WorkspaceUsage {
@@ -49,20 +51,7 @@
     pub(super) incarnation: u64,
 }
 
-/// A request that crashed targets.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct Suspect {
-    #[prost(fixed64, tag = "1")]
-    pub(super) fingerprint: u64,
-    /// Number of crashes so far; 0 removes the request from the suspects.
-    #[prost(uint32, tag = "2")]
-    pub(super) crashes: u32,
-    /// Time until the entry expires, in milliseconds.
-    #[prost(uint64, tag = "3")]
-    pub(super) remaining_ms: u64,
-}
-
-/// Content of one datagram.
+/// Content of one datagram. Earlier versions send requests that crashed targets under tag 11.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct PeerMessage {
     /// Name of the sending instance.
@@ -95,9 +84,6 @@
     /// Weights observed on targets recently.
     #[prost(message, repeated, tag = "10")]
     pub(super) observed: Vec<ModelWeights>,
-    /// Requests that crashed targets.
-    #[prost(message, repeated, tag = "11")]
-    pub(super) suspects: Vec<Suspect>,
     /// Engines that are executing a weight-loading order of the sender.
     #[prost(message, repeated, tag = "13")]
     pub(super) loading: Vec<LoadingEngine>,
@@ -111,6 +97,9 @@
     /// are not passed on, because the delay of each message would make them look more recent.
     #[prost(uint64, optional, tag = "17")]
     pub(super) store_age_ms: Option<u64>,
+    /// Recent crashes of targets, and what is known about their causes.
+    #[prost(message, optional, tag = "18")]
+    pub(super) evidence: Option<EvidenceMessage>,
     /// Digest of the set of instances that the sender is in contact with, including itself; 0 in a
     /// short report.
     #[prost(fixed64, tag = "15")]
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -11,9 +11,7 @@
 use serde::Serialize;
 
 use super::limits::Buckets;
-use super::message::{
-    LastReceived, LoadingEngine, ModelWeights, PeerMessage, Suspect, WorkspaceUsage,
-};
+use super::message::{LastReceived, LoadingEngine, ModelWeights, PeerMessage, WorkspaceUsage};
 use crate::core::fleet::{Announcement, FreshnessProof, InstancePosition, MessageSchedule};
 use crate::core::ids::{
     ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
@@ -21,6 +19,7 @@
 use crate::core::quota::{PeerUsage, contact_digest};
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::quarantine::{Quarantine, StoredEvidence};
 use crate::ops::services::{
     GossipHandler, GossipItem, GossipService, Member, MemberService, MemberState, SchedulerService,
 };
@@ -33,7 +32,7 @@
 /// any freeze or partition from which machines recover.
 const PEER_RETENTION: Duration = Duration::from_secs(30);
 
-/// Maximum number of observations, and of suspects, in a message; the oldest is dropped first.
+/// Maximum number of observations in a message; the oldest is dropped first.
 const MAX_REBROADCAST_ITEMS: usize = 32;
 
 /// Fraction of a limit's tolerance that the initial levels of all instances' buckets may use. The
@@ -47,9 +46,10 @@
 /// Maximum number of peers. Messages of further instances are ignored.
 const MAX_PEERS: usize = 1_024;
 
-/// HTTP paths at which a peer serves the configuration and the target list.
+/// HTTP paths at which a peer serves the configuration, the target list and the causes of crashes.
 pub(super) const POLICY_PATH: &str = "/configuration";
 pub(super) const TARGETS_PATH: &str = "/targets";
+pub(super) const EVIDENCE_PATH: &str = "/crashes";
 
 /// Timeout of a request for the configuration or the target list.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -95,10 +95,7 @@
     weights_confirmed_at: Cell<Option<Timestamp>>,
     /// Observed weights, each with the time until which it is included in messages.
     observed: RefCell<VecDeque<(Timestamp, ModelWeights)>>,
-    /// Suspects, each with the time until which it is included in messages.
-    suspects: RefCell<VecDeque<(Timestamp, Suspect)>>,
     loading: RefCell<Vec<LoadingEngine>>,
-    handlers: RefCell<Vec<GossipHandler>>,
     client: Client,
 }
 
@@ -116,9 +113,7 @@
             buckets: Buckets::default(),
             weights_confirmed_at: Cell::new(None),
             observed: RefCell::default(),
-            suspects: RefCell::default(),
             loading: RefCell::default(),
-            handlers: RefCell::default(),
             client: Client::new(),
         }
     }
@@ -137,8 +132,8 @@
         MessageSchedule::new(self.table.borrow().len())
     }
 
-    /// Time until which an observation or a suspect of now is included in messages.
-    fn rebroadcast_until(&self) -> Timestamp {
+    /// Time until which an observation of now is included in messages.
+    pub(crate) fn rebroadcast_until(&self) -> Timestamp {
         self.now() + self.schedule().rebroadcast_duration
     }
 
@@ -206,6 +201,21 @@
         preceding.count() as u32
     }
 
+    /// Position of this instance among the reachable ones in an order that depends on `seed`.
+    pub(crate) fn order_position(&self, seed: u64) -> u32 {
+        let now = self.now();
+        let table = self.table.borrow();
+        let local = stable_hash(seed, self.name.as_bytes());
+        let preceding = table.iter().filter(|(name, peer)| {
+            self.is_in_contact(peer, now) && stable_hash(seed, name.as_bytes()) < local
+        });
+        preceding.count() as u32
+    }
+
+    fn quarantine(&self) -> Rc<Quarantine> {
+        self.context.service()
+    }
+
     /// Whether this instance is in contact with the named one.
     pub fn is_reachable(&self, name: &str) -> bool {
         let now = self.now();
@@ -378,7 +388,7 @@
         due: &BTreeSet<SocketAddr>,
         round: u64,
     ) -> Vec<SocketAddr> {
-        let addresses = if self.has_loading_engines() {
+        let addresses = if self.has_loading_engines() || self.quarantine().is_urgent() {
             let table = self.table.borrow();
             table.values().map(|peer| peer.address).collect()
         } else if !self.buckets.nearly_exhausted(self.now()).is_empty() {
@@ -415,6 +425,7 @@
                 .fleet
                 .store_answered_at()
                 .map(|at| ms(now.saturating_sub(at))),
+            evidence: self.quarantine().outgoing(),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
             ..PeerMessage::default()
         }
@@ -448,7 +459,6 @@
                 })
                 .collect(),
             named_age_ms: self.weights_confirmed_at.get().map(age),
-            suspects: pending_rebroadcasts(&self.suspects, now),
             contact_digest: self.contact_digest(now),
             ..self.base_message()
         }
@@ -532,15 +542,8 @@
         }
         self.mark_engines_busy(&message.loading);
         self.apply_weights(&message, &name, previously_confirmed_at);
-        for suspect in &message.suspects {
-            let item = GossipItem::Quarantine {
-                fingerprint: suspect.fingerprint,
-                crashes: suspect.crashes,
-                remaining: Duration::from_millis(suspect.remaining_ms),
-            };
-            for handler in self.handlers.borrow().iter() {
-                handler(&item);
-            }
+        if let Some(evidence) = &message.evidence {
+            self.quarantine().on_message(evidence);
         }
     }
 
@@ -596,6 +599,20 @@
             .await
     }
 
+    /// Fetches the causes of earlier crashes of targets from a peer that knows them. Returns the name of the
+    /// peer and the evidence.
+    pub(crate) async fn fetch_evidence(&self) -> Option<(String, StoredEvidence)> {
+        let (peer, raw) = self.fetch(EVIDENCE_PATH, |_| true).await?;
+        match serde_json::from_slice(&raw) {
+            Ok(evidence) => Some((peer, evidence)),
+            Err(error) => {
+                slog::warn!(self.context.log(), "cannot decode the crashes of targets of a peer";
+                    "peer" => &peer, "error" => %error);
+                None
+            }
+        }
+    }
+
     /// Sends a request to up to [`MAX_FETCH_ATTEMPTS`] random peers that satisfy `is_candidate`,
     /// one after the other.
     async fn fetch(
@@ -743,27 +760,11 @@
 }
 
 impl GossipService for Peers {
-    fn publish(&self, item: GossipItem) {
-        // Digests of cached prefixes are not exchanged: placement by rendezvous hashing does not
-        // need them in fleets of this size.
-        if let GossipItem::Quarantine {
-            fingerprint,
-            crashes,
-            remaining,
-        } = item
-        {
-            let suspect = Suspect {
-                fingerprint,
-                crashes,
-                remaining_ms: ms(remaining),
-            };
-            queue_rebroadcast(&self.suspects, self.rebroadcast_until(), suspect);
-        }
-    }
+    /// Digests of cached prefixes are not exchanged: placement by rendezvous hashing does not need them in
+    /// fleets of this size. Crashes of targets are exchanged by the quarantine.
+    fn publish(&self, _item: GossipItem) {}
 
-    fn subscribe(&self, handler: GossipHandler) {
-        self.handlers.borrow_mut().push(handler);
-    }
+    fn subscribe(&self, _handler: GossipHandler) {}
 }
 
 /// Creates the usage entry of a workspace.
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -1,8 +1,8 @@
 //! Interface to the platform's store.
 //!
 //! The store holds the configuration, the list of targets and the announced weights, all of which
-//! this program only reads, and two kinds of objects that this program writes: instance entries and
-//! the lease for orders. It is the only state that outlives all processes. An absent object and an
+//! this program only reads, and three kinds of objects that this program writes: instance entries,
+//! the lease for orders and the causes of crashes of targets. It is the only state that outlives all processes. An absent object and an
 //! unavailable store are different results.
 
 use std::net::SocketAddr;
@@ -16,6 +16,7 @@
 use crate::core::fleet::{FleetPolicy, TargetRecord};
 use crate::core::ids::{ModelId, ObjectVersion, TargetId};
 use crate::core::rollout::LeaseRecord;
+use crate::ops::quarantine::StoredEvidence;
 
 /// Failure of a call to the store.
 #[derive(Debug, Clone, Display, Error)]
@@ -180,6 +181,12 @@
 
     /// Removes the entry of an instance that no longer exists.
     fn remove_instance(&self, name: &str) -> StoreFuture<()>;
+
+    /// Reads the causes of crashes of targets; empty if none were ever written.
+    fn read_evidence(&self) -> StoreFuture<StoredEvidence>;
+
+    /// Replaces the causes of crashes of targets.
+    fn write_evidence(&self, evidence: StoredEvidence) -> StoreFuture<ObjectVersion>;
 }
 
 /// The store as registered with the kernel.
--- a/src/jujubelink/platform/engine.rs
+++ b/src/jujubelink/platform/engine.rs
@@ -10,7 +10,7 @@
 use super::names::{EXPECT_TARGET, ORDER_PATH, REPORT_PATH};
 use crate::core::ids::{Epoch, Incarnation, ModelId, TargetId};
 use crate::core::rollout::OrderResult;
-use crate::util::http::{Body, Client, empty, full};
+use crate::util::http::{Body, Client, ClientError, RequestOptions, collect_limited, empty, full};
 
 /// Timeout of the response to an order or a status poll. Engines respond to both without delay.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -118,6 +118,47 @@
     })
 }
 
+/// What is known about a target from a new connection to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetStatus {
+    /// Nothing accepts connections at the address.
+    Refused,
+    /// Something responded.
+    Responded {
+        /// Incarnation of the target that responded, if it states one.
+        incarnation: Option<Incarnation>,
+    },
+    /// There was no response in time, or the connection failed in another way.
+    Unknown,
+}
+
+/// Asks on a new connection whether a target lives.
+pub async fn read_status(client: &Client, address: SocketAddr) -> TargetStatus {
+    let request = Request::builder()
+        .uri(REPORT_PATH)
+        .header("host", address.to_string())
+        .body(empty());
+    let Ok(request) = request else {
+        return TargetStatus::Unknown;
+    };
+    let options = RequestOptions::default().with_new_connection();
+    let exchange = async {
+        let response = client.send(address, request, options).await?;
+        Ok(collect_limited(response.into_body(), MAX_RESPONSE_BYTES).await)
+    };
+    match compio::time::timeout(RESPONSE_TIMEOUT, exchange).await {
+        Ok(Ok(body)) => {
+            let body = body.ok().flatten().unwrap_or_default();
+            let report: Option<Report> = serde_json::from_slice(&body).ok();
+            TargetStatus::Responded {
+                incarnation: report.map(|report| report.born).filter(|born| *born > 0),
+            }
+        }
+        Ok(Err(error)) if ClientError::is_connection_refused(&error) => TargetStatus::Refused,
+        _ => TargetStatus::Unknown,
+    }
+}
+
 /// Sends a control call. Returns `None` if there is no complete response in time.
 async fn call(
     client: &Client,
--- a/src/jujubelink/platform/mod.rs
+++ b/src/jujubelink/platform/mod.rs
@@ -22,7 +22,9 @@
 
 pub use cache_events::{CacheEventsResponse, decode_cache_events, read_cache_events};
 pub use configuration::decode_configuration;
-pub use engine::{EngineReport, WeightsOrder, read_report, send_weights_order};
+pub use engine::{
+    EngineReport, TargetStatus, WeightsOrder, read_report, read_status, send_weights_order,
+};
 pub use names::READY_PATH;
 pub use request::{decode_request, decode_response_head, encode_request, is_connection_header};
 pub use store::{ObjectStoreClient, decode_target_events};
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -76,6 +76,10 @@
 pub const KIND_LEASES: &str = "jujubelink-leases";
 /// Name of the lease whose holder sends orders to engines.
 pub const ORDER_LEASE: &str = "orders";
+/// Kind of the causes of crashes of targets.
+pub const KIND_CRASHES: &str = "jujubelink-crashes";
+/// Name of the object with the causes of crashes.
+pub const CRASH_EVIDENCE: &str = "evidence";
 
 /// Path of the changes to the contents of a KV cache store.
 pub const CACHE_EVENTS_PATH: &str = "/api/kv-events";
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -10,8 +10,8 @@
 use serde_json::{Value, json};
 
 use super::names::{
-    CONFIG_NAME, KIND_CONFIG, KIND_INSTANCES, KIND_LEASES, KIND_TARGETS, KIND_WEIGHTS,
-    OBJECTS_PATH, ORDER_LEASE,
+    CONFIG_NAME, CRASH_EVIDENCE, KIND_CONFIG, KIND_CRASHES, KIND_INSTANCES, KIND_LEASES,
+    KIND_TARGETS, KIND_WEIGHTS, OBJECTS_PATH, ORDER_LEASE,
 };
 use super::objects::{
     Object, UnreadableObject, decode_events, decode_owned, decode_page, invalid_response,
@@ -19,6 +19,7 @@
 use super::{decode_configuration, decode_target};
 use crate::core::ids::{ModelId, ObjectVersion};
 use crate::core::rollout::LeaseRecord;
+use crate::ops::quarantine::StoredEvidence;
 use crate::ops::store::{
     EntryFault, FleetStore, InstanceRecord, Listed, StoreError, StoreFuture, StoreResult,
     StoredLease, StoredPolicy, TargetChange, TargetChanges,
@@ -125,6 +126,25 @@
         }
     }
 
+    /// Writes an object, whether it exists or not.
+    async fn create_or_replace(
+        &self,
+        kind: &str,
+        name: &str,
+        spec: Value,
+    ) -> StoreResult<ObjectVersion> {
+        let path = format!("{OBJECTS_PATH}/{kind}");
+        let body = json!({ "metadata": { "name": name }, "spec": spec });
+        let created = self.write(Method::POST, &path, Some(body.clone())).await;
+        match created {
+            Err(StoreError::Conflict) => {
+                let path = format!("{path}/{}", encode_name(name));
+                self.write(Method::PUT, &path, Some(body)).await
+            }
+            other => other,
+        }
+    }
+
     /// Returns all objects of a kind, and the revision of the store at the first page.
     async fn list(
         &self,
@@ -373,17 +393,10 @@
     fn write_instance(&self, record: InstanceRecord) -> StoreFuture<ObjectVersion> {
         let client = self.clone();
         async move {
-            let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}");
-            let body = json!({ "metadata": { "name": &record.name },
-                "spec": { "address": record.address } });
-            let created = client.write(Method::POST, &path, Some(body.clone())).await;
-            match created {
-                Err(StoreError::Conflict) => {
-                    let path = format!("{path}/{}", encode_name(&record.name));
-                    client.write(Method::PUT, &path, Some(body)).await
-                }
-                other => other,
-            }
+            let spec = json!({ "address": record.address });
+            client
+                .create_or_replace(KIND_INSTANCES, &record.name, spec)
+                .await
         }
         .boxed_local()
     }
@@ -393,6 +406,31 @@
         let path = format!("{OBJECTS_PATH}/{KIND_INSTANCES}/{}", encode_name(name));
         async move { client.write(Method::DELETE, &path, None).await.map(drop) }.boxed_local()
     }
+
+    fn read_evidence(&self) -> StoreFuture<StoredEvidence> {
+        let client = self.clone();
+        async move {
+            let path = format!("{OBJECTS_PATH}/{KIND_CRASHES}/{CRASH_EVIDENCE}");
+            let Some(body) = client.get(&path, RESPONSE_TIMEOUT).await? else {
+                return Ok(StoredEvidence::default());
+            };
+            let decoded =
+                Object::from_response(&body).and_then(|object| object.decode(decode_owned));
+            decoded
+                .map_err(|unreadable| invalid_response(unreadable.into_fault(KIND_CRASHES).reason))
+        }
+        .boxed_local()
+    }
+
+    fn write_evidence(&self, evidence: StoredEvidence) -> StoreFuture<ObjectVersion> {
+        let client = self.clone();
+        async move {
+            client
+                .create_or_replace(KIND_CRASHES, CRASH_EVIDENCE, json!(evidence))
+                .await
+        }
+        .boxed_local()
+    }
 }
 
 fn unexpected_status(status: StatusCode) -> StoreError {
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -59,6 +59,14 @@
     },
 }
 
+impl ClientError {
+    /// Whether nothing accepts connections at the address.
+    pub fn is_connection_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. }
+            if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Failure of a request that returns the request if nothing of it was sent.
 pub struct SendFailure {
     /// Cause.
