Test the attribution of crashes without a network

What binds: parts that ran beside the cause or share its prompts stay served, a crash counts once, the order of reports does not matter, three trials at most, bounded tables, and the same causes after a restart. The tests found that a survival of a suspected feature was not recorded while the table was full of recent ones; it is now recorded beside the limit.

--- a/src/jujubelink/core/crash/evidence.rs
+++ b/src/jujubelink/core/crash/evidence.rs
@@ -25,8 +25,9 @@
 /// Maximum number of trials in progress that are remembered.
 const MAX_TRIALS: usize = 256;
 
-/// Maximum number of survivals that are remembered. At the limit, those are removed that are older than
-/// [`SURVIVAL_RETENTION`] and not of a recorded crash; if there are none, a further one is not recorded.
+/// Maximum number of survivals that are remembered beside those of suspected features. At the limit, those
+/// are removed that are older than [`SURVIVAL_RETENTION`] and not of a recorded crash; if there are none, a
+/// further one is not recorded.
 pub const MAX_SURVIVALS: usize = 2_048;
 
 /// Time by which a crash may be recorded after it happened.
@@ -143,14 +144,15 @@
     ) -> Vec<Fingerprint> {
         let mut cleared = Vec::new();
         for fingerprint in features {
-            if self.is_suspected(fingerprint, at) {
+            let is_suspected = self.is_suspected(fingerprint, at);
+            if is_suspected {
                 cleared.push(fingerprint);
             }
             if self.survived_at.len() >= MAX_SURVIVALS {
                 self.remove_old_survivals(at);
             }
             let has_room = self.survived_at.len() < MAX_SURVIVALS;
-            if has_room || self.survived_at.contains_key(&fingerprint) {
+            if has_room || is_suspected || self.survived_at.contains_key(&fingerprint) {
                 let survived_at = self.survived_at.entry(fingerprint).or_default();
                 *survived_at = at.max(*survived_at);
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod cli;
 mod connections;
+mod crash;
 mod drain;
 mod endless_bytes;
 mod fleet;
