Detect crashes within responses without a length

What callers saw: a response without a length or chunks, whose target crashed between two events or within a plain body, looked complete, as the connection ends in the same way in both cases.

Cause: the end of the connection was taken for the end of the response without a look at the target.

Change: at the end of such a response the target is asked on a new connection whether it lives. If it has ended, other than as announced, the response is treated as interrupted: a stream that may be resumed is resumed, any other response is aborted. Responses with a length or chunks are not affected.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -310,11 +310,11 @@
                     self.record_first_data();
                     return Ok(Some(data));
                 }
-                Ok(None) if self.buffer.is_empty() => {
+                Ok(None) if self.buffer.is_empty() && self.is_complete().await => {
                     self.finish();
                     return Ok(None);
                 }
-                // The target ended the stream in the middle of an event.
+                // The target ended the stream in the middle of an event, or has ended itself.
                 Ok(None) => ReadError::ConnectionLost,
                 Err(error) => error,
             };
@@ -467,12 +467,14 @@
         }
     }
 
+    /// Whether the end of the connection is the end of the response. The connection of a target that crashes
+    /// may end in the same way as a response without a length.
+    async fn is_complete(&self) -> bool {
+        self.is_delimited || !self.exchange.has_target_ended().await
+    }
+
     fn finish(&mut self) {
-        match self.is_delimited {
-            true => self.exchange.record_complete_response(self.status),
-            // A crash at the end of an event looks like the end of the response.
-            false => self.exchange.record_interruption(),
-        }
+        self.exchange.record_complete_response(self.status);
         self.exchange.log_response("complete", self.status);
         let outcome = completed_outcome(&self.exchange, self.status);
         self.exchange.end_placement(outcome);
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -5,7 +5,8 @@
 
 use super::exchange::{Exchange, NO_TARGET_RETRY_AFTER};
 use crate::core::crash::{Admission, Features};
-use crate::core::ids::Fingerprint;
+use crate::core::fleet::TargetRecord;
+use crate::core::ids::{Fingerprint, Timestamp};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::quarantine::InterruptedRun;
 use crate::util::hash::{combine, stable_hash};
@@ -116,22 +117,34 @@
         self.relay.quarantine.on_survival(self.crash_features());
     }
 
-    /// Records a complete response with a length or chunks. An error need not come from the code that runs
-    /// requests, and proves nothing.
+    /// Whether the target of the present placement is known to have ended, other than as announced.
+    pub(super) async fn has_target_ended(&self) -> bool {
+        let Some((target, _)) = self.last_send() else {
+            return false;
+        };
+        let check = self.relay.quarantine.has_ended(target);
+        let check = self.proxy.context.timers().timeout(self.remaining(), check);
+        check.await.unwrap_or(false)
+    }
+
+    /// Returns the target of the present placement, and when the request was sent there.
+    fn last_send(&self) -> Option<&(Rc<TargetRecord>, Timestamp)> {
+        let placement = self.placement.as_ref()?;
+        let mut sends = self.sent_to.iter().rev();
+        sends.find(|(target, _)| target.id == placement.target)
+    }
+
+    /// Records a complete response. An error need not come from the code that runs requests, and proves
+    /// nothing.
     pub(super) fn record_complete_response(&self, status: u16) {
         if (200..300).contains(&status) {
             self.record_survival();
         }
     }
 
-    /// Records that the target of the present placement interrupted its response, or may have.
+    /// Records that the target of the present placement interrupted its response.
     pub(super) fn record_interruption(&self) {
-        let Some(placement) = &self.placement else {
-            return;
-        };
-        let mut sends = self.sent_to.iter().rev();
-        let Some((target, sent_at)) = sends.find(|(target, _)| target.id == placement.target)
-        else {
+        let Some((target, sent_at)) = self.last_send() else {
             return;
         };
         let run = InterruptedRun {
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -47,6 +47,17 @@
     pub is_trial: bool,
 }
 
+/// Returns why a target is known to have ended.
+fn end_of_target(target: &TargetRecord, status: TargetStatus) -> Option<&'static str> {
+    match status {
+        TargetStatus::Refused => Some("it refuses connections"),
+        TargetStatus::Responded { incarnation } => incarnation
+            .is_some_and(|incarnation| incarnation > target.incarnation)
+            .then_some("another incarnation has its address"),
+        TargetStatus::Unknown => None,
+    }
+}
+
 /// Quarantine of requests under which targets crash.
 pub struct Quarantine {
     context: Context,
@@ -156,22 +167,23 @@
     async fn probe(self: Rc<Self>, target: Rc<TargetRecord>) {
         let id = crash_id(&target.id, target.incarnation);
         let status = read_status(&self.client, target.address).await;
-        match status {
-            TargetStatus::Refused => self.on_target_ended(id, "it refuses connections"),
-            TargetStatus::Responded { incarnation }
-                if incarnation.is_some_and(|incarnation| incarnation > target.incarnation) =>
-            {
-                self.on_target_ended(id, "another incarnation has its address");
-            }
-            TargetStatus::Responded { .. } | TargetStatus::Unknown => {
-                if self.interruptions.borrow().contains(id) {
-                    slog::info!(self.context.log(), "target not known to have ended";
-                        "target" => &*target.id, "status" => format!("{status:?}"));
-                }
-            }
+        if let Some(reason) = end_of_target(&target, status) {
+            self.on_target_ended(id, reason);
+        } else if self.interruptions.borrow().contains(id) {
+            slog::info!(self.context.log(), "target not known to have ended";
+                "target" => &*target.id, "status" => format!("{status:?}"));
         }
     }
 
+    /// Asks a target whether it has ended, other than as announced.
+    pub async fn has_ended(&self, target: &TargetRecord) -> bool {
+        if self.fleet().state().is_leaving(target) {
+            return false;
+        }
+        let status = read_status(&self.client, target.address).await;
+        end_of_target(target, status).is_some()
+    }
+
     /// Counts the interruptions at a target as a crash.
     fn on_target_ended(&self, id: CrashId, reason: &'static str) {
         let Some(interruption) = self.interruptions.borrow_mut().take(id) else {
--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -2,6 +2,8 @@
 //! engines that break responses off and live on.
 
 use std::cell::{Cell, RefCell};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -452,3 +454,64 @@
         drop(targets);
     });
 }
+
+/// Starts a target that answers the first request with a body that ends with the connection, and ends itself
+/// then.
+fn start_ending_target(content_type: &'static str, body: String) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().unwrap();
+        let mut request = String::new();
+        let mut buffer = [0; 4096];
+        while !request.contains("\r\n\r\n") {
+            let length = connection.read(&mut buffer).unwrap();
+            request += &String::from_utf8_lossy(&buffer[..length]);
+        }
+        let id = request
+            .lines()
+            .find_map(|line| line.strip_prefix("jujubelink-attempt-id: "));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {}\r\njujubelink-server-stamp: s\r\n\
+             content-type: {content_type}\r\n\r\n",
+            id.unwrap()
+        );
+        connection.write_all((head + &body).as_bytes()).unwrap();
+        // The connection is closed regularly, as the kernel does for a process that has ended.
+        std::thread::sleep(Duration::from_millis(50));
+        drop(listener);
+    });
+    address
+}
+
+/// Guards against a response without a length that looks complete although its target crashed within it.
+#[test]
+fn a_response_without_length_of_a_target_that_ends_is_not_complete() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let send = async |path| match path {
+            "/read/x" => instance.send_request("r", "GET", path).await,
+            _ => instance.send_prompt("r", path).await,
+        };
+        for (path, id, content_type, body) in [
+            ("/tell/x", "e9", "text/event-stream", expected_events(1..=2)),
+            ("/read/x", "s9", "text/plain", "the first half".to_owned()),
+        ] {
+            for other in ["e1", "e2", "s1", "s2"] {
+                deployment.store.remove("servers", other);
+            }
+            eventually("the other targets are not used", || async {
+                (send(path).await.status == 503).then_some(())
+            })
+            .await;
+            let address = start_ending_target(content_type, body.clone());
+            deployment.put_target_at(id, address, "ready", 1, 1);
+            let response = eventually("the target gets the request", || async {
+                let response = send(path).await;
+                (response.status != 503).then_some(response)
+            })
+            .await;
+            assert_eq!((response.status, response.body), (0, body), "{path}");
+        }
+    });
+}
