Do not attribute simultaneous crashes to requests

Cause: four crashes were enough, whenever they happened. Engines that fail together have a common cause, while requests crash one engine after the other.

Change: crashes within 50 ms count as one point in time; a part needs crashes at three of them, equal requests at two. The evidence in the store keeps the times between crashes; a test shows that the causes would not follow from it otherwise.

--- a/src/jujubelink/core/crash/cause.rs
+++ b/src/jujubelink/core/crash/cause.rs
@@ -16,6 +16,14 @@
 /// Number of crashes from which on equal requests are refused.
 pub const REQUEST_CRASHES: usize = 2;
 
+/// Time within which crashes count as simultaneous. Targets that lose their power or network together crash
+/// so, whatever they run; requests crash one target after the other.
+pub const SIMULTANEOUS: Duration = Duration::from_millis(50);
+
+/// Number of crashes at different times from which on a part is refused: one less than
+/// [`PART_CRASHES`], as two crashes of a cause can fall together.
+const PART_CRASH_TIMES: usize = 3;
+
 /// Time from the last crash to each trial. A first trial soon after ends the refusal of an innocent part.
 /// As the platform allows three requests with a part that crashes targets, there are no further trials.
 pub const TRIAL_DELAYS: [Duration; 3] = [
@@ -64,15 +72,32 @@
     /// Features of all requests with this one that were running.
     common: Features,
     is_request: bool,
+    /// When the crashes were observed.
+    crashed_at: Vec<Timestamp>,
 }
 
 impl Suspicion {
     fn is_sufficient(&self) -> bool {
-        let required = match self.is_request {
-            true => REQUEST_CRASHES,
-            false => PART_CRASHES,
+        let (required, required_times) = match self.is_request {
+            true => (REQUEST_CRASHES, REQUEST_CRASHES),
+            false => (PART_CRASHES, PART_CRASH_TIMES),
         };
-        self.crashes.len() >= required
+        self.crashes.len() >= required && self.distinct_times() >= required_times
+    }
+
+    /// Number of crashes that are not simultaneous with others.
+    fn distinct_times(&self) -> usize {
+        let mut crashed_at = self.crashed_at.clone();
+        crashed_at.sort_unstable();
+        let mut times = 0;
+        let mut simultaneous_until = Timestamp::ZERO;
+        for at in crashed_at {
+            if at >= simultaneous_until {
+                times += 1;
+                simultaneous_until = at + SIMULTANEOUS;
+            }
+        }
+        times
     }
 }
 
@@ -138,6 +163,7 @@
         for (fingerprint, ran_for) in shortest {
             if let Some(suspicion) = suspicions.get_mut(&fingerprint) {
                 suspicion.ran_for += ran_for;
+                suspicion.crashed_at.push(crash.at);
             }
         }
     }
@@ -156,6 +182,7 @@
         ran_for: Duration::ZERO,
         common: (*run.features).clone(),
         is_request: run.features.request() == Some(fingerprint),
+        crashed_at: Vec::new(),
     });
     suspicion.crashes.insert(id);
     suspicion
--- a/src/jujubelink/core/crash/mod.rs
+++ b/src/jujubelink/core/crash/mod.rs
@@ -13,7 +13,7 @@
 mod cause;
 mod evidence;
 
-pub use cause::{Cause, PART_CRASHES, REQUEST_CRASHES, TRIAL_DELAYS, TRIAL_STAGGER};
+pub use cause::{Cause, PART_CRASHES, REQUEST_CRASHES, SIMULTANEOUS, TRIAL_DELAYS, TRIAL_STAGGER};
 pub use evidence::{
     Admission, CrashEvidence, EVIDENCE_RETENTION, MAX_CRASHES, MAX_RUNS_PER_CRASH, MAX_SURVIVALS,
     crash_id,
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -343,7 +343,7 @@
         loop {
             if let Some((peer, evidence)) = self.peers().fetch_evidence().await {
                 self.apply_stored(&evidence, &peer);
-                return evidence.without_ages();
+                return evidence.relative_to_last_crash();
             }
             match self.fleet().store().read_evidence().await {
                 Ok(evidence) => {
@@ -371,7 +371,8 @@
 
     /// Writes the evidence to the store if it has changed.
     async fn store(&self, stored: &mut StoredEvidence) {
-        let evidence = StoredEvidence::new(&self.evidence.borrow(), self.now()).without_ages();
+        let evidence =
+            StoredEvidence::new(&self.evidence.borrow(), self.now()).relative_to_last_crash();
         if evidence == *stored {
             return;
         }
--- a/src/jujubelink/ops/quarantine/stored.rs
+++ b/src/jujubelink/ops/quarantine/stored.rs
@@ -15,7 +15,8 @@
 pub struct StoredCrash {
     /// Hash of the target and its incarnation.
     pub crash: String,
-    /// Time since the crash, in milliseconds; 0 in the store, which cannot tell how long ago it was written.
+    /// Time since the crash, in milliseconds. In the store, which cannot tell when it was written, this is the
+    /// time from the crash to the last one.
     #[serde(default)]
     pub age_ms: u64,
     /// Identifier of the cause.
@@ -56,10 +57,12 @@
         Self { crashes }
     }
 
-    /// Removes the ages.
-    pub fn without_ages(mut self) -> Self {
+    /// Counts the ages from the last crash.
+    pub fn relative_to_last_crash(mut self) -> Self {
+        let ages = self.crashes.iter().map(|crash| crash.age_ms);
+        let last = ages.min().unwrap_or(0);
         for crash in &mut self.crashes {
-            crash.age_ms = 0;
+            crash.age_ms -= last;
         }
         self
     }
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -5,7 +5,7 @@
 
 use jujubelink::core::crash::{
     Admission, CrashEvidence, CrashedRun, EVIDENCE_RETENTION, Features, MAX_CRASHES, MAX_SURVIVALS,
-    PART_CRASHES, REQUEST_CRASHES, TRIAL_DELAYS, crash_id,
+    PART_CRASHES, REQUEST_CRASHES, SIMULTANEOUS, TRIAL_DELAYS, crash_id,
 };
 use jujubelink::core::ids::Timestamp;
 use jujubelink::ops::quarantine::StoredEvidence;
@@ -125,6 +125,24 @@
     }
 }
 
+/// Guards against the refusal of a part, or of a request, because targets lose their power together.
+#[test]
+fn simultaneous_crashes_have_another_cause() {
+    let mut evidence = CrashEvidence::new();
+    for crash in 0..12 {
+        let repeated = CrashedRun {
+            request: crash,
+            ..run(&[SHARED], 7)
+        };
+        evidence.on_crash(
+            crash,
+            vec![repeated],
+            NOW + SIMULTANEOUS * crash as u32 / 12,
+        );
+    }
+    assert!(evidence.causes().is_empty());
+}
+
 /// Guards against a refusal that the order of messages brings about: a survival is known before the crash,
 /// which is recognized late.
 #[test]
@@ -283,7 +301,7 @@
         ..run(&[CRASHING, SHARED], 60)
     };
     evidence.on_crash(60, vec![failed, run(&[SOUND], 61)], at(3_000));
-    let stored = StoredEvidence::new(&evidence, at(4_000)).without_ages();
+    let stored = StoredEvidence::new(&evidence, at(4_000)).relative_to_last_crash();
     let text = serde_json::to_string(&stored).unwrap();
     let read: StoredEvidence = serde_json::from_str(&text).unwrap();
     let mut started = CrashEvidence::new();
