Learn of crashes that no probe shows, and of earlier ones after a late start

By reading, without a failing test. An engine that ends but whose address goes on accepting connections was not recognized before another one had its place; a target that loses its entry in the store within 5 s of an interruption now counts as ended. An instance that knew no other instance for its first 3 s, as the store did not answer, gave up learning the causes of earlier crashes for good; it now goes on, and tells others only what it has learned itself. A line on a crash names the parts of at most eight prompts.

--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -68,7 +68,7 @@
     /// Fails if the request has everything in common with others that makes targets crash.
     pub(super) fn check_crashes(&self) -> Result<(), Refusal> {
         let quarantine = &self.relay.quarantine;
-        if self.is_model_request() && !quarantine.is_loaded() {
+        if self.is_model_request() && !quarantine.is_ready() {
             let message = "earlier crashes of targets are not known yet";
             return Err(Refusal::not_run(RefusalCode::NotReady, message)
                 .with_retry_after(NO_TARGET_RETRY_AFTER));
--- a/src/jujubelink/ops/proxy/relay/ready.rs
+++ b/src/jujubelink/ops/proxy/relay/ready.rs
@@ -63,7 +63,7 @@
             && self.fleet.policy().is_some()
             && self.fleet.check_config_fresh().is_ok()
             && self.peers.has_instance_list()
-            && self.quarantine.is_loaded()
+            && self.quarantine.is_ready()
             && self.fleet.state().targets().next().is_some()
     }
 }
--- a/src/jujubelink/ops/quarantine/probe.rs
+++ b/src/jujubelink/ops/quarantine/probe.rs
@@ -15,6 +15,9 @@
 /// Maximum number of targets with interruptions; those at further ones do not count as crashes.
 const MAX_INTERRUPTIONS: usize = 256;
 
+/// Maximum number of prompts whose parts the log names for a crash.
+const MAX_LOGGED_PROMPTS: usize = 8;
+
 /// Requests that were interrupted at one incarnation of a target.
 pub(super) struct Interruption {
     pub(super) target: Rc<TargetRecord>,
@@ -22,6 +25,8 @@
     pub(super) runs: Vec<CrashedRun>,
     /// Names of the shared parts of the prompts, for the log.
     pub(super) part_names: Vec<String>,
+    /// Whether the store listed the target when its response was interrupted.
+    was_listed: bool,
 }
 
 /// Interruptions by the identifier that the crash of the target would have.
@@ -35,6 +40,7 @@
         target: &Rc<TargetRecord>,
         run: CrashedRun,
         part_names: String,
+        state: &FleetState,
         now: Timestamp,
     ) -> bool {
         let id = crash_id(&target.id, target.incarnation);
@@ -46,9 +52,12 @@
             at: now,
             runs: Vec::new(),
             part_names: Vec::new(),
+            was_listed: state.is_current_incarnation(&target.id, target.incarnation),
         });
         interruption.runs.push(run);
-        interruption.part_names.push(part_names);
+        if interruption.part_names.len() < MAX_LOGGED_PROMPTS {
+            interruption.part_names.push(part_names);
+        }
         interruption.runs.len() == 1
     }
 
@@ -60,15 +69,16 @@
         self.0.contains_key(&id)
     }
 
-    /// Returns the crashes of the targets that have been replaced, and removes the interruptions that are
-    /// too old.
+    /// Returns the crashes of the targets that have been replaced or have lost their entry in the store, and
+    /// removes the interruptions that are too old.
     pub(super) fn sweep(&mut self, state: &FleetState, now: Timestamp) -> Vec<CrashId> {
         self.0
             .retain(|_, interruption| now.saturating_sub(interruption.at) < CONFIRMATION_TIME);
         let ended = self.0.iter().filter(|(_, interruption)| {
-            state
-                .targets()
-                .any(|other| replaces(other, &interruption.target))
+            let target = &interruption.target;
+            let is_listed = state.target(&target.id).is_some();
+            let has_lost_entry = interruption.was_listed && !is_listed;
+            has_lost_entry || state.targets().any(|other| replaces(other, target))
         });
         ended.map(|(id, _)| *id).collect()
     }
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// serves without them if neither another instance nor the store answers.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Interval at which an instance that starts checks whether the other instances are known.
+const INSTANCE_LIST_POLL: Duration = Duration::from_millis(20);
+
 /// Delay before the next attempt to read or write the evidence in the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -64,8 +68,10 @@
     evidence: RefCell<CrashEvidence>,
     interruptions: RefCell<Interruptions>,
     outbox: RefCell<Outbox>,
-    /// Whether the evidence from before the start of this instance is known, or cannot be had.
+    /// Whether the evidence from before the start of this instance is known.
     is_loaded: Cell<bool>,
+    /// Whether that evidence could not be had in time.
+    has_waited: Cell<bool>,
     client: Client,
 }
 
@@ -77,6 +83,7 @@
             interruptions: RefCell::default(),
             outbox: RefCell::default(),
             is_loaded: Cell::new(false),
+            has_waited: Cell::new(false),
             client: Client::new(),
         }
     }
@@ -98,10 +105,10 @@
         [self.now(), self.peers().rebroadcast_until()]
     }
 
-    /// Whether requests can be checked. An instance that has just started does not know yet which ones crash
+    /// Whether prompts are taken. An instance that has just started does not know yet which ones crash
     /// targets.
-    pub fn is_loaded(&self) -> bool {
-        self.is_loaded.get()
+    pub fn is_ready(&self) -> bool {
+        self.is_loaded.get() || self.has_waited.get()
     }
 
     /// Decides whether a request may be sent. `may_try` tells whether it can be sent to find out whether a
@@ -145,10 +152,12 @@
             ran_for: run.ran_for,
             is_trial: run.is_trial,
         };
-        let now = self.now();
-        let mut interruptions = self.interruptions.borrow_mut();
-        let is_first = interruptions.add(target, crashed_run, run.part_names, now);
-        drop(interruptions);
+        let is_first = {
+            let fleet = self.fleet();
+            let mut interruptions = self.interruptions.borrow_mut();
+            let (state, now) = (fleet.state(), self.now());
+            interruptions.add(target, crashed_run, run.part_names, &state, now)
+        };
         let id = crash_id(&target.id, target.incarnation);
         if self.evidence.borrow().contains(id) {
             self.on_target_ended(id, "it has ended before");
@@ -288,20 +297,24 @@
 
     /// Returns the evidence for an instance that starts; `None` while this one does not know it either.
     pub fn stored_evidence(&self) -> Option<StoredEvidence> {
-        let is_loaded = self.is_loaded();
+        let is_loaded = self.is_loaded.get();
         is_loaded.then(|| StoredEvidence::new(&self.evidence.borrow(), self.now()))
     }
 
     /// Learns the evidence of earlier crashes, then keeps it in the store.
     pub(super) async fn keep_stored(self: Rc<Self>) {
-        let load = self.load();
         let timers = *self.context.timers();
-        let mut stored = match timers.timeout(LOAD_TIMEOUT, load).await {
+        while !self.peers().has_instance_list() {
+            timers.sleep(INSTANCE_LIST_POLL).await;
+        }
+        let mut load = pin!(self.load());
+        let mut stored = match timers.timeout(LOAD_TIMEOUT, load.as_mut()).await {
             Some(stored) => stored,
             None => {
                 slog::warn!(self.context.log(), "earlier crashes of targets are not known";
                     "waited_ms" => ms(LOAD_TIMEOUT));
-                StoredEvidence::default()
+                self.has_waited.set(true);
+                load.await
             }
         };
         self.is_loaded.set(true);
@@ -324,7 +337,7 @@
                 interruptions.sweep(&fleet.state(), self.now())
             };
             for id in ended {
-                self.on_target_ended(id, "another incarnation has its place");
+                self.on_target_ended(id, "its entry is gone or another one has its place");
             }
             self.change_evidence(|evidence, now| {
                 evidence.expire(now);
@@ -336,10 +349,6 @@
     /// Obtains the evidence from another instance or from the store. Returns what the store holds, as far as
     /// it is known.
     async fn load(&self) -> StoredEvidence {
-        let timers = *self.context.timers();
-        while !self.peers().has_instance_list() {
-            timers.sleep(MAINTENANCE_INTERVAL / 10).await;
-        }
         loop {
             if let Some((peer, evidence)) = self.peers().fetch_evidence().await {
                 self.apply_stored(&evidence, &peer);
@@ -353,7 +362,7 @@
                 Err(error) => {
                     slog::warn!(self.context.log(), "cannot read the crashes of targets from the store";
                         "error" => %error);
-                    timers.sleep(STORE_RETRY_DELAY).await;
+                    self.context.timers().sleep(STORE_RETRY_DELAY).await;
                 }
             }
         }
