--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -31,6 +31,10 @@
 /// Time between a crash and the return of the engine under a new name.
 const RESTART: Duration = Duration::from_secs(2);
 
+/// Intervals between prompts with the part.
+const FREQUENT: Duration = Duration::from_millis(100);
+const RARE: Duration = Duration::from_millis(700);
+
 /// Time for which the entry of a crashed engine stays in the store.
 const ENTRY_LAPSE: Duration = Duration::from_millis(1_200);
 
@@ -202,7 +206,7 @@
 /// Prompts with the crashing part, which have nothing else in common.
 fn crashing_prompts(position: Position) -> Load {
     Load {
-        interval: Duration::from_millis(100),
+        interval: FREQUENT,
         prompt: match position {
             Position::First => |number| format!("{CRASHING}:800,b{number}:300,c{number}:400"),
             Position::Later => |number| {
@@ -232,11 +236,20 @@
 
 /// Plays crashing and sound prompts, and checks how many crashing ones reach engines and how many sound
 /// ones are served.
-async fn check_refusals(instance_count: usize, position: Position, events_before_crash: u64) {
+async fn check_refusals(
+    instance_count: usize,
+    position: Position,
+    interval: Duration,
+    events_before_crash: u64,
+) {
     const TIME: Duration = Duration::from_secs(10);
     let pool = EnginePool::start(12, events_before_crash);
     let instances = pool.start_instances(instance_count).await;
-    let crashing = crashing_prompts(position).play(Rc::clone(&instances), TIME);
+    let crashing = Load {
+        interval,
+        ..crashing_prompts(position)
+    };
+    let crashing = crashing.play(Rc::clone(&instances), TIME);
     let sound = sound_prompts().play(instances, TIME);
     let (in_time, _, sound) = futures_util::join!(pool.arrivals_in_time(), crashing, sound);
     let late = pool.arrivals() - in_time;
@@ -264,19 +277,25 @@
 /// Guards against engine after engine that crashes under one part of prompts which differ in all others.
 #[test]
 fn a_part_that_crashes_engines_is_refused() {
-    run(check_refusals(1, Position::Later, 1));
+    run(check_refusals(1, Position::Later, FREQUENT, 1));
 }
 
 /// Guards against a part that is recognized only as the start of a prompt, or only within a response.
 #[test]
 fn the_first_part_is_refused_when_engines_crash_before_the_head() {
-    run(check_refusals(1, Position::First, 0));
+    run(check_refusals(1, Position::First, FREQUENT, 0));
 }
 
 /// Guards against crashes that are counted for each instance on its own.
 #[test]
 fn crashes_at_several_instances_add_up() {
-    run(check_refusals(3, Position::Later, 1));
+    run(check_refusals(3, Position::Later, FREQUENT, 1));
+}
+
+/// Guards against a part that is served again and again because it comes rarely.
+#[test]
+fn a_rare_part_is_refused() {
+    run(check_refusals(6, Position::Later, RARE, 1));
 }
 
 /// Sends 30 prompts with the crashing part and checks how many of them reach engines.
@@ -455,6 +474,31 @@
     });
 }
 
+/// Guards against a whole response without a length that is aborted, or delivered without its end.
+#[test]
+fn a_response_without_length_of_a_target_that_lives_is_complete() {
+    run(async {
+        let deployment = Deployment::new();
+        for other in ["s1", "s2"] {
+            deployment.store.remove("servers", other);
+        }
+        let target = ScriptedTarget::start(|request| {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {}\r\njujubelink-server-stamp: s\r\n\r\n",
+                request.id
+            );
+            Reply::closed(head + "the whole body")
+        });
+        deployment.put_target_at("s9", target.address(), "ready", 1, 1);
+        let instance = deployment.start("n1", "").await;
+        instance.wait_ready().await;
+        for _ in 0..10 {
+            let response = instance.send_request("r", "GET", "/read/x").await;
+            assert_eq!((response.status, &*response.body), (200, "the whole body"));
+        }
+    });
+}
+
 /// Starts a target that answers the first request with a body that ends with the connection, and ends itself
 /// then.
 fn start_ending_target(content_type: &'static str, body: String) -> SocketAddr {
