Let the instances try a cause of crashes in turn

Each instance waited 2 s for each one before it, so that after a pause in the requests with a part all instances were entitled to a trial, and several requests that arrived within the 0.2 to 0.4 s that a message takes crashed one target each, beyond the three that may. Each instance now has turns of 2 s, in whose last 0.5 s it starts no trial.

--- a/src/jujubelink/core/crash/cause.rs
+++ b/src/jujubelink/core/crash/cause.rs
@@ -32,9 +32,21 @@
     Duration::from_secs(300),
 ];
 
-/// Time by which each instance leaves a trial to the one before it in the order for the cause. It covers
-/// the time that a message on a trial takes.
-pub const TRIAL_STAGGER: Duration = Duration::from_secs(2);
+/// Time for which one instance may start a trial, before it is the turn of the next one in the order for the
+/// cause.
+pub const TRIAL_TURN: Duration = Duration::from_secs(2);
+
+/// Time at the end of a turn in which no trial is started, so that the next instance hears of the last one.
+const TURN_MARGIN: Duration = Duration::from_millis(500);
+
+/// Place of an instance in the order in which the reachable instances try a cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InstancePlace {
+    /// Number of instances that come before it.
+    pub position: u32,
+    /// Number of instances.
+    pub instances: u32,
+}
 
 /// Features that were common to the requests under which targets crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,11 +67,21 @@
         self.features.iter().fold(0, combine)
     }
 
-    /// Returns when the next trial is due at the instance at `position` in the order for the cause. `None`
-    /// if there are no more trials.
-    pub fn trial_at(&self, position: u32) -> Option<Timestamp> {
+    /// Returns when the next trial is due. `None` if there are no more trials.
+    pub fn trial_at(&self) -> Option<Timestamp> {
         let delay = *TRIAL_DELAYS.get(self.failed_trials)?;
-        Some(self.last_crash_at + delay + TRIAL_STAGGER * position)
+        Some(self.last_crash_at + delay)
+    }
+
+    /// Whether an instance may start a trial now.
+    pub fn is_turn_of(&self, place: InstancePlace, now: Timestamp) -> bool {
+        let due_for = self.trial_at().and_then(|at| now.checked_sub(at));
+        due_for.is_some_and(|due_for| {
+            let turns = due_for.as_nanos() / TRIAL_TURN.as_nanos();
+            let in_turn = due_for.as_nanos() % TRIAL_TURN.as_nanos();
+            turns % u128::from(place.instances.max(1)) == u128::from(place.position)
+                && in_turn < (TRIAL_TURN - TURN_MARGIN).as_nanos()
+        })
     }
 }
 
--- a/src/jujubelink/core/crash/evidence.rs
+++ b/src/jujubelink/core/crash/evidence.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::cause::{Cause, TRIAL_STAGGER, derive_causes};
+use super::cause::{Cause, InstancePlace, TRIAL_TURN, derive_causes};
 use super::{CauseId, CrashId, CrashedRun, Features};
 use crate::core::ids::{Fingerprint, Incarnation, TargetId, Timestamp};
 use crate::util::hash::{combine, stable_hash};
@@ -175,13 +175,12 @@
             })
     }
 
-    /// Decides whether a request may be sent, and records the trial if it is one. `position` returns the
-    /// position of this instance in the order in which the instances try a cause, or `None` if the request
-    /// cannot be a trial.
+    /// Decides whether a request may be sent, and records the trial if it is one. `place` returns the place of
+    /// this instance in the order for a cause, or `None` if the request cannot be a trial.
     pub fn admit(
         &mut self,
         features: &Features,
-        position: impl Fn(CauseId) -> Option<u32>,
+        place: impl Fn(CauseId) -> Option<InstancePlace>,
         now: Timestamp,
     ) -> Admission {
         self.expire(now);
@@ -193,20 +192,20 @@
             .trials
             .get(&id)
             .is_some_and(|started| now.saturating_sub(*started) < TRIAL_TIMEOUT);
-        let trial_at = position(id).and_then(|position| cause.trial_at(position));
-        if !is_tried && trial_at.is_some_and(|at| at <= now) {
+        let is_turn = place(id).is_some_and(|place| cause.is_turn_of(place, now));
+        if !is_tried && is_turn {
             self.on_trial(id, now);
             return Admission::Trial(id);
         }
         self.renew(&cause, now);
         // The result of a trial is known soon after it is due.
         let retry_after = cause
-            .trial_at(0)
+            .trial_at()
             .map_or(EVIDENCE_RETENTION, |at| at.saturating_sub(now));
         Admission::Refused {
             features: cause.features,
             crashes: cause.crashes.len(),
-            retry_after: retry_after.max(TRIAL_STAGGER),
+            retry_after: retry_after.max(TRIAL_TURN),
         }
     }
 
--- a/src/jujubelink/core/crash/mod.rs
+++ b/src/jujubelink/core/crash/mod.rs
@@ -13,7 +13,9 @@
 mod cause;
 mod evidence;
 
-pub use cause::{Cause, PART_CRASHES, REQUEST_CRASHES, SIMULTANEOUS, TRIAL_DELAYS, TRIAL_STAGGER};
+pub use cause::{
+    Cause, InstancePlace, PART_CRASHES, REQUEST_CRASHES, SIMULTANEOUS, TRIAL_DELAYS, TRIAL_TURN,
+};
 pub use evidence::{
     Admission, CrashEvidence, EVIDENCE_RETENTION, MAX_CRASHES, MAX_RUNS_PER_CRASH, MAX_SURVIVALS,
     crash_id,
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -115,11 +115,11 @@
     /// cause is gone.
     pub fn admit(&self, features: &Features, may_try: bool) -> Admission {
         let peers = self.peers();
-        let position = |cause: CauseId| may_try.then(|| peers.order_position(cause));
+        let place = |cause: CauseId| may_try.then(|| peers.place_in_order(cause));
         let admission = self
             .evidence
             .borrow_mut()
-            .admit(features, position, self.now());
+            .admit(features, place, self.now());
         if let Admission::Trial(cause) = admission {
             self.outbox
                 .borrow_mut()
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -12,6 +12,7 @@
 
 use super::limits::Buckets;
 use super::message::{LastReceived, LoadingEngine, ModelWeights, PeerMessage, WorkspaceUsage};
+use crate::core::crash::InstancePlace;
 use crate::core::fleet::{Announcement, FreshnessProof, InstancePosition, MessageSchedule};
 use crate::core::ids::{
     ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
@@ -201,15 +202,19 @@
         preceding.count() as u32
     }
 
-    /// Position of this instance among the reachable ones in an order that depends on `seed`.
-    pub(crate) fn order_position(&self, seed: u64) -> u32 {
+    /// Place of this instance among the reachable ones in an order that depends on `seed`.
+    pub(crate) fn place_in_order(&self, seed: u64) -> InstancePlace {
         let now = self.now();
         let table = self.table.borrow();
         let local = stable_hash(seed, self.name.as_bytes());
-        let preceding = table.iter().filter(|(name, peer)| {
-            self.is_in_contact(peer, now) && stable_hash(seed, name.as_bytes()) < local
-        });
-        preceding.count() as u32
+        let reachable = table
+            .iter()
+            .filter(|(_, peer)| self.is_in_contact(peer, now))
+            .map(|(name, _)| stable_hash(seed, name.as_bytes()));
+        InstancePlace {
+            position: reachable.clone().filter(|peer| *peer < local).count() as u32,
+            instances: reachable.count() as u32 + 1,
+        }
     }
 
     fn quarantine(&self) -> Rc<Quarantine> {
