Bound the work for crashes that have no cause yet

The causes are now derived only if a feature of one survives, only features with enough crashes are examined further, and most survivals are recognized as irrelevant by one look-up.

--- a/src/jujubelink/core/crash/cause.rs
+++ b/src/jujubelink/core/crash/cause.rs
@@ -1,7 +1,7 @@
 //! Derivation of causes from crashes.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use super::evidence::Crash;
@@ -169,12 +169,17 @@
     unexplained: &BTreeSet<CrashId>,
     is_suspected: &impl Fn(Fingerprint, &Crash) -> bool,
 ) -> HashMap<Fingerprint, Suspicion> {
+    let frequent = frequent_features(crashes, unexplained, is_suspected);
     let mut suspicions: HashMap<Fingerprint, Suspicion> = HashMap::new();
+    if frequent.is_empty() {
+        return suspicions;
+    }
     for id in unexplained {
         let crash = &crashes[id];
         let mut shortest: HashMap<Fingerprint, Duration> = HashMap::new();
         for run in &crash.runs {
-            for fingerprint in run.features.iter().filter(|f| is_suspected(*f, crash)) {
+            let suspects = run.features.iter().filter(|f| is_suspected(*f, crash));
+            for fingerprint in suspects.filter(|f| frequent.contains(f)) {
                 let ran_for = shortest.entry(fingerprint).or_insert(run.ran_for);
                 *ran_for = run.ran_for.min(*ran_for);
                 add_run(&mut suspicions, fingerprint, *id, run, |f| {
@@ -192,6 +197,38 @@
     suspicions
 }
 
+/// Returns the features that are suspected in enough crashes to be a cause. With many crashes that have other
+/// reasons, few are.
+fn frequent_features(
+    crashes: &BTreeMap<CrashId, Crash>,
+    unexplained: &BTreeSet<CrashId>,
+    is_suspected: &impl Fn(Fingerprint, &Crash) -> bool,
+) -> HashSet<Fingerprint> {
+    // Number of crashes with the feature, the last of these, and the number that is required.
+    let mut counts: HashMap<Fingerprint, (usize, CrashId, usize)> = HashMap::new();
+    for id in unexplained {
+        let crash = &crashes[id];
+        for run in &crash.runs {
+            for fingerprint in run.features.iter().filter(|f| is_suspected(*f, crash)) {
+                let required = match run.features.request() == Some(fingerprint) {
+                    true => REQUEST_CRASHES,
+                    false => PART_CRASHES,
+                };
+                let (count, last, _) = counts.entry(fingerprint).or_insert((1, *id, required));
+                if last != id {
+                    *count += 1;
+                    *last = *id;
+                }
+            }
+        }
+    }
+    let frequent = counts.into_iter();
+    frequent
+        .filter(|(_, (count, _, required))| count >= required)
+        .map(|(fingerprint, _)| fingerprint)
+        .collect()
+}
+
 fn add_run(
     suspicions: &mut HashMap<Fingerprint, Suspicion>,
     fingerprint: Fingerprint,
--- a/src/jujubelink/core/crash/evidence.rs
+++ b/src/jujubelink/core/crash/evidence.rs
@@ -1,6 +1,6 @@
 //! Crashes and survivals that the fleet has observed.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,6 +79,8 @@
     crashes: BTreeMap<CrashId, Crash>,
     /// When a request with a feature last ran to its end.
     survived_at: HashMap<Fingerprint, Timestamp>,
+    /// When the last crash with a feature was observed.
+    last_crash_at: HashMap<Fingerprint, Timestamp>,
     /// Derived from `crashes` and `survived_at`.
     causes: Vec<Cause>,
     trials: HashMap<CauseId, Timestamp>,
@@ -126,6 +128,10 @@
             .collect();
         survived.sort_unstable();
         survived.dedup();
+        for fingerprint in crash.runs.iter().flat_map(|run| run.features.iter()) {
+            let last_crash_at = self.last_crash_at.entry(fingerprint).or_default();
+            *last_crash_at = crash_at.max(*last_crash_at);
+        }
         self.derive();
         survived
     }
@@ -157,7 +163,12 @@
                 *survived_at = at.max(*survived_at);
             }
         }
-        if !cleared.is_empty() {
+        // The survival of any other feature neither adds nor removes a cause.
+        let is_of_cause = |fingerprint: &Fingerprint| {
+            let mut causes = self.causes.iter();
+            causes.any(|cause| cause.features.contains(*fingerprint))
+        };
+        if cleared.iter().any(is_of_cause) {
             self.derive();
         }
         cleared
@@ -166,6 +177,14 @@
     /// Whether a feature is suspected in a crash up to `at`.
     fn is_suspected(&self, fingerprint: Fingerprint, at: Timestamp) -> bool {
         let survived_at = self.survived_at.get(&fingerprint).copied();
+        // Most requests have features that are in no crash, or survived since.
+        match self.last_crash_at.get(&fingerprint) {
+            None => return false,
+            Some(last) if survived_at.is_some_and(|survived_at| survived_at >= *last) => {
+                return false;
+            }
+            Some(_) => {}
+        }
         let crashes = self.crashes.values().filter(|crash| crash.at <= at);
         crashes
             .filter(|crash| survived_at.is_none_or(|survived_at| survived_at < crash.at))
@@ -267,10 +286,22 @@
         let before = self.crashes.len();
         self.crashes.retain(|_, crash| crash.expires_at > now);
         if self.crashes.len() < before {
+            self.index_crashes();
             self.derive();
         }
     }
 
+    /// Rebuilds `last_crash_at`.
+    fn index_crashes(&mut self) {
+        self.last_crash_at.clear();
+        for crash in self.crashes.values() {
+            for fingerprint in crash.runs.iter().flat_map(|run| run.features.iter()) {
+                let last_crash_at = self.last_crash_at.entry(fingerprint).or_default();
+                *last_crash_at = crash.at.max(*last_crash_at);
+            }
+        }
+    }
+
     /// Keeps the crashes behind a cause, as requests with its features still arrive.
     fn renew(&mut self, cause: &Cause, now: Timestamp) {
         for id in &cause.crashes {
@@ -289,6 +320,7 @@
             .map(|(id, _)| *id);
         if let Some(oldest) = oldest {
             self.crashes.remove(&oldest);
+            self.index_crashes();
         }
     }
 
@@ -302,11 +334,10 @@
     }
 
     fn remove_old_survivals(&mut self, now: Timestamp) {
-        let runs = self.crashes.values().flat_map(|crash| &crash.runs);
-        let in_crashes: HashSet<Fingerprint> = runs.flat_map(|run| run.features.iter()).collect();
+        let last_crash_at = &self.last_crash_at;
         self.survived_at.retain(|fingerprint, at| {
             let is_recent = now.saturating_sub(*at) < SURVIVAL_RETENTION;
-            is_recent || in_crashes.contains(fingerprint)
+            is_recent || last_crash_at.contains_key(fingerprint)
         });
     }
 }
