Reduce the cost of exchanging crashes and survivals in a large fleet

Survivals are applied together, old ones are removed once a second, and crashes are sent for 1 s, several times to all instances.

--- a/src/jujubelink/core/crash/evidence.rs
+++ b/src/jujubelink/core/crash/evidence.rs
@@ -30,6 +30,9 @@
 /// further one is not recorded.
 pub const MAX_SURVIVALS: usize = 2_048;
 
+/// Minimum time between two removals of old survivals, each of which looks at all of them.
+const SURVIVAL_REMOVAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time by which a crash may be recorded after it happened.
 const SURVIVAL_RETENTION: Duration = Duration::from_secs(10);
 
@@ -79,6 +82,8 @@
     crashes: BTreeMap<CrashId, Crash>,
     /// When a request with a feature last ran to its end.
     survived_at: HashMap<Fingerprint, Timestamp>,
+    /// When old survivals were last removed.
+    survivals_removed_at: Timestamp,
     /// When the last crash with a feature was observed.
     last_crash_at: HashMap<Fingerprint, Timestamp>,
     /// Derived from `crashes` and `survived_at`.
@@ -154,7 +159,8 @@
             if is_suspected {
                 cleared.push(fingerprint);
             }
-            if self.survived_at.len() >= MAX_SURVIVALS {
+            let is_full = self.survived_at.len() >= MAX_SURVIVALS;
+            if is_full && at >= self.survivals_removed_at + SURVIVAL_REMOVAL_INTERVAL {
                 self.remove_old_survivals(at);
             }
             let has_room = self.survived_at.len() < MAX_SURVIVALS;
@@ -334,6 +340,7 @@
     }
 
     fn remove_old_survivals(&mut self, now: Timestamp) {
+        self.survivals_removed_at = now;
         let last_crash_at = &self.last_crash_at;
         self.survived_at.retain(|fingerprint, at| {
             let is_recent = now.saturating_sub(*at) < SURVIVAL_RETENTION;
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -37,6 +37,10 @@
 /// Delay before the next attempt to read or write the evidence in the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum time for which a crash or a trial is included in messages. It is sent to all instances several
+/// times in it, also in a large fleet.
+const MAX_PUBLICATION: Duration = Duration::from_secs(1);
+
 /// A request whose response was interrupted.
 pub struct InterruptedRun {
     /// Identifier of the client's attempt.
@@ -100,9 +104,11 @@
         self.context.service()
     }
 
-    /// Now, and the time until which an observation of now is sent to other instances.
+    /// Now, and the time until which a crash or a trial of now is sent to other instances.
     fn publication_times(&self) -> [Timestamp; 2] {
-        [self.now(), self.peers().rebroadcast_until()]
+        let now = self.now();
+        let until = self.peers().rebroadcast_until();
+        [now, until.min(now + MAX_PUBLICATION)]
     }
 
     /// Whether prompts are taken. An instance that has just started does not know yet which ones crash
@@ -229,7 +235,7 @@
         let survived = change(&mut evidence, self.now());
         let after = ids(&evidence);
         if !survived.is_empty() {
-            let [now, until] = self.publication_times();
+            let (now, until) = (self.now(), self.peers().rebroadcast_until());
             let mut outbox = self.outbox.borrow_mut();
             for fingerprint in survived {
                 outbox.add_survival(fingerprint, now, until);
@@ -281,11 +287,12 @@
             let (runs, at) = (runs.collect(), time_of(crash.age_ms));
             self.change_evidence(|evidence, _| evidence.on_crash(crash.crash, runs, at));
         }
-        for survival in &message.survivals {
-            let at = time_of(survival.age_ms);
+        if !message.survivals.is_empty() {
             self.change_evidence(|evidence, _| {
-                evidence.on_survival([survival.fingerprint], at);
-                // The other instance reports it itself.
+                for survival in &message.survivals {
+                    evidence.on_survival([survival.fingerprint], time_of(survival.age_ms));
+                }
+                // The other instance reports them itself.
                 Vec::new()
             });
         }
