Let open connections follow the limits of the configuration

A client that used a connection which had been idle for longer than the limit at its opening, but within the limit that had been raised since, found it closed, with neither a response nor a refusal. The head timeout of hyper is fixed when a connection is opened, and counted from the end of the last response, so that a head without end also held a connection for the whole idle time.

A wait for a client now has its limits asked for when it begins and again when it is over. Raised limits apply at once, and lowered ones neither shorten a wait nor apply before all clients can know them. A wait ends only if the configuration is proved to have been the newest when it was over; otherwise the limit may have been raised. Connections that stay open for that reason are bounded by TCP keepalive and, from half of the maximum number on, by the last known limit. A head has its own time, counted from its first byte. Before a connection is closed it is read once more, as bytes may have arrived while the process was stalled.

Connections that end within a head, and those over the limit, are logged.

--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -18,6 +18,7 @@
 
 pub mod claim;
 pub mod config;
+pub mod connection;
 pub mod crash;
 pub mod fleet;
 pub mod ids;
--- a/src/jujubelink/ops/peer/server.rs
+++ b/src/jujubelink/ops/peer/server.rs
@@ -16,8 +16,11 @@
 use tower_service::Service;
 
 use super::{PeerChannels, PeerToken};
+use crate::core::connection::{KnownLimits, WaitLimits};
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry, PluginScope, Shutdown};
-use crate::util::http::{Body, Handler, ServerOptions, empty, serve_connection};
+use crate::util::http::{
+    Body, DEFAULT_WAIT_LIMITS, Handler, ServerOptions, empty, serve_connection,
+};
 use crate::util::net::{Listener, Stream};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -111,6 +114,13 @@
             }
         }
     }
+
+    fn known_limits(&self) -> KnownLimits {
+        KnownLimits::fixed(WaitLimits {
+            header_timeout: AUTHENTICATION_TIMEOUT,
+            ..DEFAULT_WAIT_LIMITS
+        })
+    }
 }
 
 fn status_response(status: StatusCode) -> Response<Body> {
@@ -236,7 +246,6 @@
 
 async fn serve(context: Context, stream: Stream, handler: PeerHandler, guard: ConnectionGuard) {
     let options = ServerOptions {
-        header_timeout: AUTHENTICATION_TIMEOUT,
         max_header_bytes: MAX_HEADER_BYTES,
         max_concurrent_streams: MAX_CALLS_PER_CONNECTION,
         ..ServerOptions::default()
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -9,6 +9,10 @@
 /// process's file descriptors.
 const MAX_CONNECTIONS: usize = 16_384;
 
+/// From this number on, connections that have been idle for too long are closed also if the limit may
+/// have been raised meanwhile.
+const CROWDED_CONNECTIONS: usize = MAX_CONNECTIONS / 2;
+
 /// Limit on the total size of buffered model request bodies; requests beyond it are refused as
 /// overloaded. A body stays buffered until its response has ended, because it may be needed to
 /// continue the response on another target.
@@ -70,6 +74,11 @@
         LoadGuard::new(&self.requests)
     }
 
+    /// Whether room is needed for further connections.
+    pub(super) fn is_crowded(&self) -> bool {
+        self.connections.get() >= CROWDED_CONNECTIONS
+    }
+
     /// Number of open connections.
     pub(super) fn connections(&self) -> usize {
         self.connections.get()
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -9,6 +9,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 
+use super::client_limits::ClientLimits;
 use super::connections::Load;
 use super::key_revocation::KeyRevocations;
 use super::model::{Endpoint, handle_model_list, handle_model_request};
@@ -17,12 +18,15 @@
 use super::relay::{Relay, handle_relayed_request};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
 use crate::core::config::ConfigSnapshot;
+use crate::core::connection::KnownLimits;
 use crate::core::ids::RequestId;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::services::ConfigService;
 use crate::ops::telemetry::{TraceContext, attach_span};
 use crate::ops::upstream::EngineClient;
-use crate::util::http::{Body, Client, Handler, discard, empty};
+use crate::util::http::{
+    Body, Client, ConnectionEnd, DEFAULT_WAIT_LIMITS, Handler, discard, empty,
+};
 
 /// State shared by all client requests.
 pub(super) struct Proxy {
@@ -33,18 +37,22 @@
     pub(super) load: Load,
     /// Set if the configuration comes from the platform's store.
     pub(super) relay: Option<Rc<Relay>>,
+    /// Set together with `relay`.
+    pub(super) client_limits: Option<ClientLimits>,
 }
 
 impl Proxy {
     pub(super) fn new(context: &Context) -> Rc<Self> {
         let client = Client::new();
+        let relay = Relay::new(context);
         Rc::new(Self {
             context: context.clone(),
             engines: EngineClient::new(client.clone()),
             client,
             key_revocations: KeyRevocations::default(),
             load: Load::default(),
-            relay: Relay::new(context),
+            client_limits: relay.as_ref().map(|_| ClientLimits::new(context)),
+            relay,
         })
     }
 
@@ -174,6 +182,29 @@
             }
         })
     }
+
+    fn known_limits(&self) -> KnownLimits {
+        let proxy = &self.0;
+        match &proxy.client_limits {
+            Some(limits) => limits.known(proxy.load.is_crowded()),
+            None => KnownLimits::fixed(DEFAULT_WAIT_LIMITS),
+        }
+    }
+
+    fn on_end(&self, end: &ConnectionEnd<'_>) {
+        let context = &self.0.context;
+        match end {
+            ConnectionEnd::Idle { .. } => {
+                slog::debug!(context.log(), "idle client connection closed"; "reason" => %end);
+                context.metrics().count("connections_idle", 1);
+            }
+            ConnectionEnd::SlowHead { .. } | ConnectionEnd::FailedHead { .. } => {
+                slog::info!(context.log(), "client connection ended within a head";
+                    "reason" => %end, "connections" => self.0.load.connections());
+                context.metrics().count("connections_failed", 1);
+            }
+        }
+    }
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -14,11 +14,20 @@
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
 use crate::util::http::{ServerOptions, serve_connection};
-use crate::util::net::{Listener, Stream};
+use crate::util::net::{KeepaliveSettings, Listener, Stream};
 
 /// Accepting a connection fails mostly because the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Closes connections whose client has disappeared, which may otherwise stay open for as long as the
+/// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
+const CLIENT_KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
+    idle: Duration::from_secs(60),
+    interval: Duration::from_secs(10),
+    probes: 6,
+    user_timeout: Duration::from_secs(120),
+};
+
 /// Idle time after which a pooled connection to a target is closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -54,6 +63,13 @@
             let relay = Rc::clone(relay);
             compio::runtime::spawn(relay.watch_engine_states(context.clone())).detach();
         }
+        let limits_watcher = Rc::clone(proxy);
+        compio::runtime::spawn(async move {
+            if let Some(limits) = &limits_watcher.client_limits {
+                limits.watch_config().await;
+            }
+        })
+        .detach();
         let watcher = Rc::clone(proxy);
         compio::runtime::spawn(async move {
             watcher.key_revocations.watch_config(&watcher.context).await
@@ -154,8 +170,14 @@
 fn serve(proxy: &Rc<Proxy>, stream: Stream) {
     let Some(guard) = proxy.load.begin_connection() else {
         proxy.context.metrics().count("connections_refused", 1);
+        slog::warn!(proxy.context.log(), "client connection refused";
+            "connections" => proxy.load.connections());
         return;
     };
+    if let Err(error) = stream.set_keepalive(CLIENT_KEEPALIVE) {
+        slog::warn!(proxy.context.log(), "cannot set keepalive of a client connection";
+            "error" => %error);
+    }
     let shutdown = proxy.context.shutdown().clone();
     let handler = ClientHandler(Rc::clone(proxy));
     let drain = async move { shutdown.closing().await };
@@ -175,25 +197,10 @@
     .detach();
 }
 
-/// Returns the options of a new connection. The active configuration may allow clients to use a
-/// connection that has been idle for long.
 fn connection_options(proxy: &Proxy) -> ServerOptions {
-    let defaults = ServerOptions::default();
-    let Some(relay) = &proxy.relay else {
-        return defaults;
-    };
-    // The platform's entry proxy half-closes a connection only after its client has disconnected.
-    let options = ServerOptions {
-        allows_half_close: false,
-        ..defaults
-    };
-    match relay.policy() {
-        None => options,
-        Some(policy) => ServerOptions {
-            header_timeout: policy.header_timeout,
-            // Clients learn later than this instance that the time has become shorter.
-            idle_timeout: policy.idle_timeout.max(defaults.header_timeout),
-            ..options
-        },
+    ServerOptions {
+        // The platform's entry proxy half-closes a connection only after its client has disconnected.
+        allows_half_close: proxy.relay.is_none(),
+        ..ServerOptions::default()
     }
 }
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -30,7 +30,7 @@
 use self::stop::no_time_left;
 use super::handler::Proxy;
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use crate::core::fleet::{FleetPolicy, model_key};
+use crate::core::fleet::model_key;
 use crate::core::ids::{RequestId, TargetId};
 use crate::core::quota::{ResendBudget, ResendPolicy};
 use crate::core::routing::LoadReport;
@@ -72,11 +72,6 @@
         }))
     }
 
-    /// Returns the active configuration, once one is known.
-    pub(super) fn policy(&self) -> Option<Rc<FleetPolicy>> {
-        self.fleet.policy()
-    }
-
     /// Reports the incarnations and weights of all targets to the scheduler after each
     /// configuration change.
     pub(super) async fn watch_engine_states(self: Rc<Self>, context: Context) {
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -12,4 +12,6 @@
 pub use buffered_call::CallError;
 pub use client::{Client, ClientError, ConnectionReuse, RequestOptions, SendFailure};
 pub use executor::LocalExecutor;
-pub use server::{Handler, ServerOptions, serve_connection, serve_listener};
+pub use server::{
+    ConnectionEnd, DEFAULT_WAIT_LIMITS, Handler, ServerOptions, serve_connection, serve_listener,
+};
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -2,22 +2,26 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cyper_core::CompioTimer;
+use derive_more::Display;
 use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
 
-use super::{Body, LocalExecutor};
+use super::{Body, BodyError, LocalExecutor, attach_guard};
+use crate::core::connection::{KnownLimits, Wait, WaitDecision, WaitKind, WaitLimits};
+use crate::util::duration::ms;
 use crate::util::net::Listener;
 
 /// Number of waits before a draining HTTP/1.1 connection is closed. A stall of the process, in which
@@ -32,19 +36,61 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which a connection is read once more before it is closed, as bytes may have arrived while
+/// the process was stalled.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
+
+/// First bytes of a client that uses HTTP/2.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
+
+/// Limits of connections whose handler states none.
+pub const DEFAULT_WAIT_LIMITS: WaitLimits = WaitLimits {
+    header_timeout: Duration::from_secs(15),
+    idle_timeout: Duration::ZERO,
+};
+
 /// Handles the requests of a connection.
 pub trait Handler: Clone + 'static {
     /// Handles one request and returns its response.
     fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static;
+
+    /// Returns the limits of the time that a client may take. They are asked for whenever the client
+    /// begins to take time, and again when it is over.
+    fn known_limits(&self) -> KnownLimits {
+        KnownLimits::fixed(DEFAULT_WAIT_LIMITS)
+    }
+
+    /// Called when a connection ends while it waits for a client, other than by the client's close
+    /// between two requests.
+    fn on_end(&self, _end: &ConnectionEnd<'_>) {}
+}
+
+/// Why a connection ends while it waits for its client.
+#[derive(Debug, Display)]
+pub enum ConnectionEnd<'a> {
+    /// The client has sent no request for longer than it may.
+    #[display("idle for more than {} ms", ms(*allowed))]
+    Idle {
+        /// How long the client could be idle.
+        allowed: Duration,
+    },
+    /// The client has not sent the whole head of a request in time.
+    #[display("no whole head after {} ms", ms(*allowed))]
+    SlowHead {
+        /// How long the head could take.
+        allowed: Duration,
+    },
+    /// The head of a request is malformed or too large, or the connection has failed within it.
+    #[display("{error}")]
+    FailedHead {
+        /// The error.
+        error: &'a BodyError,
+    },
 }
 
 /// Limits of a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerOptions {
-    /// Timeout for a client to send the headers of a request.
-    pub header_timeout: Duration,
-    /// Time for which a client may leave the connection idle before a request.
-    pub idle_timeout: Duration,
     /// Maximum size of the headers of a request.
     pub max_header_bytes: usize,
     /// Maximum number of concurrent HTTP/2 streams of a connection.
@@ -61,8 +107,6 @@
 impl Default for ServerOptions {
     fn default() -> Self {
         Self {
-            header_timeout: Duration::from_secs(15),
-            idle_timeout: Duration::ZERO,
             max_header_bytes: 64 * 1024,
             max_concurrent_streams: 128,
             ping_interval: Duration::from_secs(10),
@@ -102,16 +146,19 @@
 /// Serves one connection until it ends. Once `drain` completes, the requests in progress are finished
 /// and the connection is closed.
 ///
-/// HTTP/2 has a handshake for this. Under HTTP/1.1 a request that is sent while the connection closes
-/// is lost, so responses announce the end with `connection: close`, and a connection without it is
-/// closed only after [`CLOSE_WAITS`], or, while its client sends the head of a request, after the time
-/// for it.
+/// An HTTP/1.1 connection whose client takes longer than the handler's limits is closed. HTTP/2
+/// connections have pings instead.
+///
+/// HTTP/2 has a handshake for the end of a connection. Under HTTP/1.1 a request that is sent while the
+/// connection closes is lost, so responses announce the end with `connection: close`, and a connection
+/// without it is closed only after [`CLOSE_WAITS`], or, while its client sends the head of a request,
+/// after the time for it.
 pub async fn serve_connection<I, H>(
     io: I,
     handler: H,
     options: ServerOptions,
     drain: impl Future<Output = ()>,
-) -> Result<(), super::BodyError>
+) -> Result<(), BodyError>
 where
     I: Read + Write + Unpin + 'static,
     H: Handler,
@@ -120,8 +167,8 @@
     builder
         .http1()
         .timer(CompioTimer)
-        // hyper counts this time from the end of the last response.
-        .header_read_timeout(options.idle_timeout + options.header_timeout)
+        // The limits of hyper cannot change while a connection is open.
+        .header_read_timeout(None)
         .max_buf_size(options.max_header_bytes)
         .half_close(options.allows_half_close);
     builder
@@ -131,22 +178,22 @@
         .max_concurrent_streams(options.max_concurrent_streams)
         .keep_alive_interval(options.ping_interval)
         .keep_alive_timeout(options.ping_timeout);
-    let state = Rc::new(ConnectionState::default());
+    let state = Rc::new(ConnectionState::new(handler));
+    state.begin_wait(WaitKind::Request);
     let service_state = Rc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = Rc::clone(&service_state);
         let version = request.version();
-        state.is_http2.set(version == Version::HTTP_2);
-        state.may_have_begun_head.set(false);
-        let response = handler.clone().handle(request);
+        let exchange = OpenExchange::new(&service_state, version);
+        let response = service_state.handler.clone().handle(request);
         async move {
             let mut response = response.await;
+            let state = &exchange.state;
             state.may_have_begun_head.set(false);
             if state.is_draining.get() && version <= Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| attach_guard(body, exchange)))
         }
     });
     let io = ObservedIo {
@@ -155,9 +202,32 @@
     };
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut drain = pin!(drain.fuse());
-    futures_util::select_biased! {
-        result = connection.as_mut().fuse() => return result,
-        () = drain => {}
+    let mut timer = CheckTimer::default();
+    loop {
+        let event = poll_fn(|cx| {
+            // Bytes that have arrived take precedence over the end of a wait for them.
+            if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+                return Poll::Ready(ConnectionEvent::Ended(result));
+            }
+            if drain.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(ConnectionEvent::DrainBegan);
+            }
+            let check = state.check_at.get();
+            timer.poll(cx, check).map(|()| ConnectionEvent::CheckDue)
+        });
+        match event.await {
+            ConnectionEvent::Ended(result) => return state.end(result),
+            ConnectionEvent::DrainBegan => break,
+            ConnectionEvent::CheckDue => {}
+        }
+        match state.check_wait() {
+            Some(WaitKind::Request) => {
+                connection.as_mut().graceful_shutdown();
+                return connection.await;
+            }
+            Some(WaitKind::Head) => return Ok(()),
+            None => {}
+        }
     }
     state.is_draining.set(true);
     for _ in 0..CLOSE_WAITS {
@@ -166,48 +236,219 @@
         }
         let wait = compio::time::timeout(CLOSE_WAIT, connection.as_mut());
         if let Ok(result) = wait.await {
-            return result;
+            return state.end(result);
         }
     }
     if state.may_have_begun_head.get() && !state.is_http2.get() {
-        let wait = compio::time::timeout(options.header_timeout, connection.as_mut());
+        let limit = state.handler.known_limits().limits.header_timeout;
+        let wait = compio::time::timeout(limit, connection.as_mut());
         if let Ok(result) = wait.await {
-            return result;
+            return state.end(result);
+        }
+        if let Some(allowed) = state.head_wait() {
+            state.handler.on_end(&ConnectionEnd::SlowHead { allowed });
+            return Ok(());
         }
     }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
 
-/// State that a connection shares with its requests.
+/// What a connection is served for next.
+enum ConnectionEvent {
+    Ended(Result<(), BodyError>),
+    DrainBegan,
+    /// The connection may have waited for its client for too long.
+    CheckDue,
+}
+
+/// Wakes a connection for the check of its wait. The timer is set anew only if the check is due earlier
+/// than before, so that requests in quick succession set none.
 #[derive(Default)]
-struct ConnectionState {
+struct CheckTimer {
+    sleep: Option<(Instant, LocalBoxFuture<'static, ()>)>,
+}
+
+impl CheckTimer {
+    /// Completes once the check is due. Without a check it never does.
+    fn poll(&mut self, cx: &mut Context<'_>, check_at: Option<Instant>) -> Poll<()> {
+        let Some(check_at) = check_at else {
+            return Poll::Pending;
+        };
+        loop {
+            let now = Instant::now();
+            if check_at <= now {
+                self.sleep = None;
+                return Poll::Ready(());
+            }
+            let sleep = self.sleep.take().filter(|(at, _)| *at <= check_at);
+            let (at, mut sleep) =
+                sleep.unwrap_or_else(|| (check_at, Box::pin(compio::time::sleep_until(check_at))));
+            if sleep.as_mut().poll(cx).is_pending() {
+                self.sleep = Some((at, sleep));
+                return Poll::Pending;
+            }
+        }
+    }
+}
+
+/// State that a connection shares with its requests.
+struct ConnectionState<H> {
+    handler: H,
     is_draining: Cell<bool>,
-    /// Whether a request has come over HTTP/2.
+    /// Whether the client uses HTTP/2.
     is_http2: Cell<bool>,
+    has_received: Cell<bool>,
     /// Whether bytes have arrived since the last response, which may be the start of a request.
     may_have_begun_head: Cell<bool>,
+    /// Number of requests in progress.
+    exchanges: Cell<usize>,
+    /// The wait for the client and when it began. `None` while a request is in progress.
+    wait: Cell<Option<(Wait, Instant)>>,
+    /// When the wait is checked next.
+    check_at: Cell<Option<Instant>>,
+    /// Whether the wait is over and the connection is read for the last time.
+    is_last_read: Cell<bool>,
+}
+
+impl<H: Handler> ConnectionState<H> {
+    fn new(handler: H) -> Self {
+        Self {
+            handler,
+            is_draining: Cell::default(),
+            is_http2: Cell::default(),
+            has_received: Cell::default(),
+            may_have_begun_head: Cell::default(),
+            exchanges: Cell::default(),
+            wait: Cell::default(),
+            check_at: Cell::default(),
+            is_last_read: Cell::default(),
+        }
+    }
+
+    fn begin_wait(&self, kind: WaitKind) {
+        let wait = Wait::new(kind, &self.handler.known_limits().limits);
+        let now = Instant::now();
+        self.wait.set(Some((wait, now)));
+        self.check_at.set(Some(now + wait.allowed()));
+        self.is_last_read.set(false);
+    }
+
+    fn end_wait(&self) {
+        self.wait.set(None);
+        self.check_at.set(None);
+    }
+
+    fn on_bytes(&self, bytes: &[u8]) {
+        // Empty lines before a request are no part of its head.
+        if bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n')) {
+            return;
+        }
+        if !self.has_received.replace(true) && bytes.starts_with(HTTP2_PREFACE) {
+            self.is_http2.set(true);
+            self.end_wait();
+        }
+        self.may_have_begun_head.set(true);
+        if matches!(self.wait.get(), Some((wait, _)) if wait.kind() == WaitKind::Request) {
+            self.begin_wait(WaitKind::Head);
+        }
+    }
+
+    /// Checks the wait for the client. Returns what the connection waits for if it has to be closed.
+    fn check_wait(&self) -> Option<WaitKind> {
+        let (mut wait, began_at) = self.wait.get()?;
+        let now = Instant::now();
+        let decision = wait.check(now - began_at, &self.handler.known_limits());
+        self.wait.set(Some((wait, began_at)));
+        match decision {
+            WaitDecision::Wait(time) => {
+                self.check_at.set(Some(now + time));
+                self.is_last_read.set(false);
+                None
+            }
+            WaitDecision::Close if !self.is_last_read.replace(true) => {
+                self.check_at.set(Some(now + LAST_READ_TIME));
+                None
+            }
+            WaitDecision::Close => {
+                let allowed = wait.allowed();
+                self.handler.on_end(&match wait.kind() {
+                    WaitKind::Request => ConnectionEnd::Idle { allowed },
+                    WaitKind::Head => ConnectionEnd::SlowHead { allowed },
+                });
+                Some(wait.kind())
+            }
+        }
+    }
+
+    /// Returns how long the rest of a head may take, if the connection waits for it.
+    fn head_wait(&self) -> Option<Duration> {
+        let (wait, _) = self.wait.get()?;
+        (wait.kind() == WaitKind::Head).then(|| wait.allowed())
+    }
+
+    /// Reports an error within the head of a request, and returns the result.
+    fn end(&self, result: Result<(), BodyError>) -> Result<(), BodyError> {
+        if let (Err(error), Some(_)) = (&result, self.head_wait()) {
+            self.handler.on_end(&ConnectionEnd::FailedHead { error });
+        }
+        result
+    }
+}
+
+/// A request in progress, up to the end of its response. Dropping it ends the exchange.
+struct OpenExchange<H: Handler> {
+    state: Rc<ConnectionState<H>>,
 }
 
-/// Sets in the state of a connection that bytes have arrived.
-struct ObservedIo<I> {
+impl<H: Handler> OpenExchange<H> {
+    fn new(state: &Rc<ConnectionState<H>>, version: Version) -> Self {
+        state.is_http2.set(version == Version::HTTP_2);
+        state.may_have_begun_head.set(false);
+        state.exchanges.set(state.exchanges.get() + 1);
+        state.end_wait();
+        Self {
+            state: Rc::clone(state),
+        }
+    }
+}
+
+impl<H: Handler> Drop for OpenExchange<H> {
+    fn drop(&mut self) {
+        let state = &self.state;
+        state.exchanges.set(state.exchanges.get() - 1);
+        if state.exchanges.get() == 0 && !state.is_http2.get() {
+            state.begin_wait(WaitKind::Request);
+        }
+    }
+}
+
+/// Reports the bytes that arrive to the state of a connection.
+struct ObservedIo<I, H> {
     io: I,
-    state: Rc<ConnectionState>,
+    state: Rc<ConnectionState<H>>,
 }
 
-impl<I: Read + Unpin> Read for ObservedIo<I> {
+impl<I: Read + Unpin, H: Handler> Read for ObservedIo<I, H> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_read(cx, buffer))?;
-        self.state.may_have_begun_head.set(true);
+        // SAFETY: the slice is only written to, through a `ReadBuf` that takes it as uninitialized.
+        let mut received = ReadBuf::uninit(unsafe { buffer.as_mut() });
+        ready!(Pin::new(&mut self.io).poll_read(cx, received.unfilled()))?;
+        let count = received.filled().len();
+        if count > 0 {
+            self.state.on_bytes(received.filled());
+        }
+        // SAFETY: the first `count` bytes have been filled.
+        unsafe { buffer.advance(count) };
         Poll::Ready(Ok(()))
     }
 }
 
-impl<I: Write + Unpin> Write for ObservedIo<I> {
+impl<I: Write + Unpin, H: Handler> Write for ObservedIo<I, H> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
