Check the size of a head against the active configuration

The configured `max_header_bytes` was not read at all: heads of up to 64 KB were passed on whatever it said, and larger ones refused although it allowed them.

A connection accepts heads of up to 128 KB, and the active configuration decides for each request, so that a connection opened before the limit was raised accepts the larger head. A larger one gets 431. A body whose stated length is too large is refused before it is read. While the configuration may be outdated, both are refused with 503, as a newer one may allow them.

--- a/src/jujubelink/core/fleet/policy.rs
+++ b/src/jujubelink/core/fleet/policy.rs
@@ -128,6 +128,8 @@
     pub workspaces: BTreeMap<WorkspaceId, PolicyWorkspace>,
     /// Workspaces by the SHA-256 of their keys.
     pub keys: HashMap<KeyHash, WorkspaceId>,
+    /// Maximum size of the head of a request, in bytes.
+    pub max_header_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
     /// Time that clients may take to send the head of a request.
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -19,6 +19,9 @@
 /// Accepting a connection fails mostly because the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Largest head of a request that a connection accepts, also if the configuration allows more.
+const MAX_HEADER_BYTES: usize = 128 * 1024;
+
 /// Closes connections whose client has disappeared, which may otherwise stay open for as long as the
 /// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
 const CLIENT_KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
@@ -198,9 +201,16 @@
 }
 
 fn connection_options(proxy: &Proxy) -> ServerOptions {
+    let defaults = ServerOptions::default();
     ServerOptions {
+        // The limit of the configuration is checked for each request, as it may be raised while the
+        // connection is open.
+        max_header_bytes: match proxy.relay {
+            Some(_) => MAX_HEADER_BYTES,
+            None => defaults.max_header_bytes,
+        },
         // The platform's entry proxy half-closes a connection only after its client has disconnected.
         allows_half_close: proxy.relay.is_none(),
-        ..ServerOptions::default()
+        ..defaults
     }
 }
--- a/src/jujubelink/ops/proxy/refusal.rs
+++ b/src/jujubelink/ops/proxy/refusal.rs
@@ -15,6 +15,8 @@
 pub enum RefusalCode {
     /// Malformed request.
     InvalidRequest,
+    /// The head of the request exceeds its limit.
+    HeadTooLarge,
     /// The body or the prompt exceeds its limit.
     RequestTooLarge,
     /// The key is missing or unknown.
@@ -58,6 +60,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::InvalidRequest => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::InvalidKey | Self::KeyRevoked => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
--- a/src/jujubelink/ops/proxy/relay/admission.rs
+++ b/src/jujubelink/ops/proxy/relay/admission.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::request::Parts;
+
 use crate::core::fleet::{FleetPolicy, PolicyRoute, QuotaUnit};
 use crate::core::ids::{Tokens, WorkspaceId};
 use crate::core::relay::RelayHead;
@@ -52,6 +54,49 @@
     authenticate(fleet, &*active_policy(fleet)?, head)
 }
 
+/// Checks the sizes of a request against the active configuration. `body_bytes` is what is known of
+/// the body's size. If the configuration may be outdated, the refusal is temporary, because a newer
+/// version may allow more.
+pub(super) fn check_size(
+    fleet: &Fleet,
+    policy: &FleetPolicy,
+    parts: &Parts,
+    body_bytes: u64,
+) -> Result<(), Refusal> {
+    let (header_limit, body_limit) = (policy.max_header_bytes, policy.max_body_bytes);
+    if head_bytes(parts) > header_limit {
+        let message = format!("the head is larger than {header_limit} bytes");
+        return Err(deny(fleet, RefusalCode::HeadTooLarge, &message));
+    }
+    if body_bytes > body_limit as u64 {
+        return Err(body_too_large(fleet, body_limit));
+    }
+    Ok(())
+}
+
+/// Refuses a body that is larger than `limit`.
+pub(super) fn body_too_large(fleet: &Fleet, limit: usize) -> Refusal {
+    let message = format!("the body is larger than {limit} bytes");
+    deny(fleet, RefusalCode::RequestTooLarge, &message)
+}
+
+/// Returns the size of the head as it is sent over HTTP/1.1, without optional white space.
+fn head_bytes(parts: &Parts) -> usize {
+    /// Spaces, version and line end.
+    const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_LINE_BYTES: usize = ": \r\n".len();
+    let uri = &parts.uri;
+    let uri_bytes = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let headers = parts.headers.iter();
+    let header_bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
+    parts.method.as_str().len()
+        + uri_bytes
+        + REQUEST_LINE_BYTES
+        + header_bytes.sum::<usize>()
+        + "\r\n".len()
+}
+
 fn active_policy(fleet: &Fleet) -> Result<Rc<FleetPolicy>, Refusal> {
     let policy = fleet.policy();
     policy.ok_or_else(|| not_ready("the instance has no configuration yet"))
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use http_body::Body as _;
 use hyper::body::Incoming;
 
 use super::Relay;
-use super::admission::{Admission, admit, check_key, quota_units};
+use super::admission::{Admission, admit, body_too_large, check_key, check_size, quota_units};
 use super::body::TargetResponse;
 use super::crashes::CrashCheck;
 use super::send::{SendFailure, SendOutcome};
@@ -137,6 +138,9 @@
         body: &mut Option<Incoming>,
     ) -> Result<TargetResponse, Refusal> {
         let admission = admit(&self.relay.fleet, &self.head, self.parts.uri.path())?;
+        let body_bytes = body.as_ref().map_or(0, |body| body.size_hint().lower());
+        let policy = &admission.policy;
+        check_size(&self.relay.fleet, policy, &self.parts, body_bytes)?;
         let route = Rc::clone(&admission.route);
         let client_timeout = self.head.client_timeout.unwrap_or(route.timeout);
         self.deadline = self.arrived + client_timeout.min(route.timeout);
@@ -187,10 +191,7 @@
                 self.body = body;
                 Ok(())
             }
-            Some(Ok(None)) => Err(Refusal::not_run(
-                RefusalCode::RequestTooLarge,
-                format!("the body is larger than {limit} bytes"),
-            )),
+            Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
             Some(Err(_)) => Err(Refusal::not_run(
                 RefusalCode::InvalidRequest,
                 "the body broke off",
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -16,6 +16,7 @@
 use crate::util::hash::sha256_hex;
 
 /// Defaults of optional settings.
+const DEFAULT_MAX_HEADER_BYTES: usize = 64 * 1024;
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 const DEFAULT_HEADER_TIMEOUT_MS: f64 = 15_000.0;
 const DEFAULT_IDLE_TIMEOUT_MS: f64 = 15_000.0;
@@ -112,6 +113,7 @@
 
 #[derive(Default, Deserialize)]
 struct Limits {
+    max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
     header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
@@ -164,6 +166,10 @@
         services: services.collect(),
         workspaces,
         keys,
+        max_header_bytes: document
+            .limits
+            .max_header_bytes
+            .unwrap_or(DEFAULT_MAX_HEADER_BYTES),
         max_body_bytes: document
             .limits
             .max_body_bytes
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -26,6 +26,7 @@
         services: BTreeMap::new(),
         workspaces: BTreeMap::new(),
         keys: HashMap::new(),
+        max_header_bytes: 8192,
         max_body_bytes: 1024,
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -69,6 +69,7 @@
     assert_eq!(&*policy.keys[hash.as_str()], "sese880");
     let store = policy.services["wuno96b"].kv_store;
     assert_eq!(store, Some("172.20.0.2:8604".parse().unwrap()));
+    assert_eq!(policy.max_header_bytes, 16_384);
     assert_eq!(policy.max_body_bytes, 4_194_304);
     assert_eq!(policy.header_timeout, Duration::from_secs(3));
     assert_eq!(policy.idle_timeout, Duration::from_secs(15));
--- a/tests/testsuite/platform_path/kept_connections.rs
+++ b/tests/testsuite/platform_path/kept_connections.rs
@@ -155,3 +155,34 @@
         assert!(closed.is_ok(), "the connections are still open");
     });
 }
+
+/// Guards against a head that is refused for a limit which has been raised since its connection was
+/// opened, and against one beyond the limit that is passed on.
+#[test]
+fn the_size_of_a_head_is_checked_against_the_active_configuration() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let address = instance.process.client_address;
+        let limits = |max_header_bytes: u64, max_body_bytes: u64| {
+            json!({ "max_header_bytes": max_header_bytes, "max_body_bytes": max_body_bytes,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 })
+        };
+        let clients = join_all((0..4).map(|_| Client::connect_kept(address))).await;
+        let padded = |bytes: usize| {
+            let padding = format!("\r\nx-padding: {}\r\n", "x".repeat(bytes));
+            last_request("large").replacen("\r\n", &padding, 1)
+        };
+        deployment.put_limits(6, limits(8_192, 2));
+        wait_body_status(&instance, 413).await;
+        let refused = Client::connect(address);
+        refused.write(&padded(20_000));
+        check_statuses(&[refused.read_to_close().await], &[431]);
+        deployment.put_limits(7, limits(100_000, 1_000));
+        wait_body_status(&instance, 200).await;
+        clients
+            .iter()
+            .for_each(|client| client.write(&padded(90_000)));
+        let responses = join_all(clients.into_iter().map(Client::read_to_close)).await;
+        check_statuses(&responses, &[200]);
+    });
+}
