Send refusals at once and read the rest of their bodies beside them

A client whose body arrived slowly was refused at its head only after up to 1 s of reading, and then its connection was reset while it still sent, long before its deadline. For a body that was refused while it was read (413, a stop) nothing was read beside the refusal at all.

A refusal now carries the unread body with it. The server sends the refusal and discards the rest beside it, bounded by 8 MB and by the time that the client has left, and the connection takes the next request afterwards. The end of the discarding wakes the connection, as hyper does not notice that a body has no reader any more while its client is silent. A client that sent `Expect: 100-continue` gets `Connection: close`.

A body without end still ends its connection, and a route that is dropped meanwhile resets none; both held before.

Refusals of plain requests of the own deployment whose body was to be streamed to a target still wait for up to 1 s.

--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -25,7 +25,7 @@
 use crate::ops::telemetry::{TraceContext, attach_span};
 use crate::ops::upstream::EngineClient;
 use crate::util::http::{
-    Body, Client, ConnectionEnd, DEFAULT_WAIT_LIMITS, Handler, discard, empty,
+    Body, Client, ConnectionEnd, DEFAULT_SEND_TIME, DEFAULT_WAIT_LIMITS, Handler, UnreadBody, empty,
 };
 
 /// State shared by all client requests.
@@ -143,16 +143,17 @@
         let mut response = match routed {
             Ok(response) => response,
             Err(refusal) => {
-                if let Some(unread_body) = body {
-                    discard(unread_body).await;
-                }
                 let name = format!("refused.{}", refusal.code);
                 self.context.metrics().count(&name, 1);
                 slog::debug!(self.context.log(), "request refused"; "request" => &*id,
                     "trace" => format!("{:032x}", span.context().trace_id),
                     "code" => refusal.code.to_string(), "outcome" => refusal.outcome.to_string());
                 span.set_error(&refusal.code.to_string());
-                refusal.to_response(&id)
+                let mut response = refusal.to_response(&id);
+                if let Some(unread_body) = body {
+                    UnreadBody::attach(&mut response, unread_body, DEFAULT_SEND_TIME);
+                }
+                response
             }
         };
         if let Ok(value) = HeaderValue::from_str(&id) {
@@ -203,6 +204,11 @@
                     "reason" => %end, "connections" => self.0.load.connections());
                 context.metrics().count("connections_failed", 1);
             }
+            ConnectionEnd::EndlessBody => {
+                slog::info!(context.log(), "client connection closed within a refused body";
+                    "connections" => self.0.load.connections());
+                context.metrics().count("connections_failed", 1);
+            }
         }
     }
 }
--- a/src/jujubelink/ops/proxy/plain/prepare.rs
+++ b/src/jujubelink/ops/proxy/plain/prepare.rs
@@ -20,6 +20,9 @@
 /// fingerprint of a claim.
 const MAX_CLAIM_BODY_BYTES: usize = 1024 * 1024;
 
+/// Maximum time for which a body that was not sent to any target is read before the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Limit on the size of a body that is buffered so that an idempotent request can be retried.
 const MAX_REPEATABLE_BYTES: usize = 64 * 1024;
 
@@ -73,7 +76,7 @@
     /// Discards a body that was not sent to any target.
     pub(super) async fn discard_body(&mut self) {
         if let PlainBody::Streamed(body) = &mut self.body {
-            discard(body.as_mut()).await;
+            discard(body.as_mut(), DISCARD_TIME).await;
         }
     }
 
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -26,7 +26,7 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
-use crate::util::http::collect_limited;
+use crate::util::http::{DEFAULT_SEND_TIME, collect_limited};
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -175,20 +175,33 @@
         }
     }
 
+    /// Time for which the client may go on sending the body.
+    pub(super) fn send_time(&self) -> Duration {
+        let route_timeout = self
+            .admission
+            .as_ref()
+            .map(|admission| admission.route.timeout);
+        let client_timeout = self.head.client_timeout.or(route_timeout);
+        let elapsed = self.now().saturating_sub(self.arrived);
+        client_timeout.map_or(DEFAULT_SEND_TIME, |timeout| timeout.saturating_sub(elapsed))
+    }
+
+    /// Reads the whole body. On an error, the rest of it stays in `body`.
     async fn read_body(
         &mut self,
         body: &mut Option<Incoming>,
         limit: usize,
     ) -> Result<(), Refusal> {
-        let Some(incoming) = body.take() else {
+        let Some(incoming) = body.as_mut() else {
             return Ok(());
         };
         let remaining = self.remaining();
         let read = collect_limited(incoming, limit);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
-            Some(Ok(Some(body))) => {
-                self.body = body;
+            Some(Ok(Some(bytes))) => {
+                self.body = bytes;
+                body.take();
                 Ok(())
             }
             Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -41,7 +41,7 @@
 use crate::ops::services::{ConfigService, SchedulerService};
 use crate::ops::share::Peers;
 use crate::platform::decode_request;
-use crate::util::http::{Body, discard};
+use crate::util::http::{Body, DEFAULT_SEND_TIME, UnreadBody};
 
 /// Time after a configuration change by which the scheduler has applied it.
 const SCHEDULER_UPDATE_DELAY: Duration = Duration::from_millis(5);
@@ -155,23 +155,24 @@
                 Ok(response) => Ok(response.into_response(exchange)),
                 Err(refusal) => {
                     exchange.log_refusal(&refusal);
-                    Err((refusal, exchange.head.id.clone()))
+                    Err((refusal, exchange.head.id.clone(), exchange.send_time()))
                 }
             }
         }
         Err(fault) => {
             slog::info!(proxy.context.log(), "request malformed"; "fault" => &fault);
             let refusal = Refusal::not_run(RefusalCode::InvalidRequest, fault);
-            Err((refusal, "".into()))
+            Err((refusal, "".into(), DEFAULT_SEND_TIME))
         }
     };
     let mut response = match result {
         Ok(response) => response,
-        Err((refusal, id)) => {
+        Err((refusal, id, send_time)) => {
+            let mut response = refusal_response(&refusal, &id);
             if let Some(unread_body) = body {
-                discard(unread_body).await;
+                UnreadBody::attach(&mut response, unread_body, send_time);
             }
-            refusal_response(&refusal, &id)
+            response
         }
     };
     if !proxy.is_running() && version <= Version::HTTP_11 {
--- a/src/jujubelink/util/http/body.rs
+++ b/src/jujubelink/util/http/body.rs
@@ -2,12 +2,15 @@
 
 use std::error::Error;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::Response;
 use http_body::{Frame, SizeHint};
 use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::Incoming;
 
 /// Error of a request or response body.
 pub type BodyError = Box<dyn Error + Send + Sync>;
@@ -28,12 +31,20 @@
 /// Maximum number of bytes read of an unwanted body.
 const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
 
-/// Maximum time for which an unwanted body is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest time for which the rest of a body is read beside its response, so that the client gets the
+/// response before the connection is closed.
+const MIN_DISCARD_TIME: Duration = Duration::from_secs(1);
 
-/// Reads and discards a body, up to a limit. Closing a connection with unread data would reset it, and
-/// the client might lose the response.
-pub async fn discard<B>(mut body: B)
+/// Longest such time.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(60);
+
+/// Time for which a client is expected to send a body if it states no deadline.
+pub const DEFAULT_SEND_TIME: Duration = Duration::from_secs(30);
+
+/// Reads and discards a body, within bounds of bytes and time. Returns whether it has ended.
+///
+/// Closing a connection with unread data would reset it, and the client might lose the response.
+pub async fn discard<B>(mut body: B, time_limit: Duration) -> bool
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
@@ -42,11 +53,45 @@
         while let Some(Ok(frame)) = body.frame().await {
             bytes += frame.data_ref().map_or(0, Bytes::len);
             if bytes > MAX_DISCARDED_BYTES {
-                return;
+                return false;
             }
         }
+        true
     };
-    let _ = compio::time::timeout(DISCARD_TIMEOUT, read).await;
+    compio::time::timeout(time_limit, read)
+        .await
+        .unwrap_or(false)
+}
+
+/// The rest of a request's body, attached to a response that does not depend on it. The server sends
+/// the response at once and discards the rest beside it.
+#[derive(Clone)]
+pub struct UnreadBody {
+    /// Shared because extensions of responses have to be `Clone`.
+    body: Arc<Mutex<Option<Incoming>>>,
+    time_limit: Duration,
+}
+
+impl UnreadBody {
+    /// Attaches the rest of a body that the client sends for `send_time` at most.
+    pub fn attach<B>(response: &mut Response<B>, body: Incoming, send_time: Duration) {
+        if http_body::Body::is_end_stream(&body) {
+            return;
+        }
+        response.extensions_mut().insert(Self {
+            body: Arc::new(Mutex::new(Some(body))),
+            time_limit: send_time.clamp(MIN_DISCARD_TIME, MAX_DISCARD_TIME),
+        });
+    }
+
+    /// Discards the rest. Returns whether it has ended within its bounds.
+    pub(super) async fn discard(self) -> bool {
+        let body = self.body.lock().ok().and_then(|mut body| body.take());
+        match body {
+            Some(body) => discard(body, self.time_limit).await,
+            None => true,
+        }
+    }
 }
 
 /// Reads a complete body of at most `limit_bytes`. Returns `None` if it is larger.
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -1,12 +1,12 @@
 //! Server side of HTTP/1.1 and HTTP/2 connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
 use cyper_core::CompioTimer;
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
 
-use super::{Body, BodyError, LocalExecutor, attach_guard};
+use super::{Body, BodyError, LocalExecutor, UnreadBody, attach_guard};
 use crate::core::connection::{KnownLimits, Wait, WaitDecision, WaitKind, WaitLimits};
 use crate::util::duration::ms;
 use crate::util::net::Listener;
@@ -86,6 +86,9 @@
         /// The error.
         error: &'a BodyError,
     },
+    /// The rest of a body that was refused did not end within the bounds for it.
+    #[display("the refused body does not end")]
+    EndlessBody,
 }
 
 /// Limits of a connection.
@@ -183,16 +186,23 @@
     let service_state = Rc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
         let version = request.version();
-        let exchange = OpenExchange::new(&service_state, version);
+        let expects_continue = request.headers().contains_key(header::EXPECT);
+        let exchange = Rc::new(OpenExchange::new(&service_state, version));
         let response = service_state.handler.clone().handle(request);
         async move {
             let mut response = response.await;
             let state = &exchange.state;
             state.may_have_begun_head.set(false);
-            if state.is_draining.get() && version <= Version::HTTP_11 {
+            let unread = response.extensions_mut().remove::<UnreadBody>();
+            // A client that waits for permission to send its body may not send it any more.
+            let is_body_uncertain = unread.is_some() && expects_continue;
+            if (state.is_draining.get() || is_body_uncertain) && version <= Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
+            if let Some(unread) = unread {
+                compio::runtime::spawn(discard_unread(unread, Rc::clone(&exchange))).detach();
+            }
             Ok::<_, Infallible>(response.map(|body| attach_guard(body, exchange)))
         }
     });
@@ -205,8 +215,12 @@
     let mut timer = CheckTimer::default();
     loop {
         let event = poll_fn(|cx| {
+            state.set_waker(cx.waker());
             // Bytes that have arrived take precedence over the end of a wait for them.
-            if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+            state.is_polled.set(true);
+            let polled = connection.as_mut().poll(cx);
+            state.is_polled.set(false);
+            if let Poll::Ready(result) = polled {
                 return Poll::Ready(ConnectionEvent::Ended(result));
             }
             if drain.as_mut().poll(cx).is_ready() {
@@ -254,6 +268,15 @@
     connection.await
 }
 
+/// Discards the rest of a request's body beside its response.
+async fn discard_unread<H: Handler>(unread: UnreadBody, exchange: Rc<OpenExchange<H>>) {
+    let state = &exchange.state;
+    if !unread.discard().await {
+        state.handler.on_end(&ConnectionEnd::EndlessBody);
+    }
+    state.may_have_begun_head.set(false);
+}
+
 /// What a connection is served for next.
 enum ConnectionEvent {
     Ended(Result<(), BodyError>),
@@ -309,6 +332,10 @@
     check_at: Cell<Option<Instant>>,
     /// Whether the wait is over and the connection is read for the last time.
     is_last_read: Cell<bool>,
+    /// Whether the connection is polled now, so that it need not be woken.
+    is_polled: Cell<bool>,
+    /// Wakes the task of the connection.
+    waker: RefCell<Option<Waker>>,
 }
 
 impl<H: Handler> ConnectionState<H> {
@@ -323,6 +350,18 @@
             wait: Cell::default(),
             check_at: Cell::default(),
             is_last_read: Cell::default(),
+            is_polled: Cell::default(),
+            waker: RefCell::default(),
+        }
+    }
+
+    fn set_waker(&self, waker: &Waker) {
+        let mut current = self.waker.borrow_mut();
+        if !current
+            .as_ref()
+            .is_some_and(|current| current.will_wake(waker))
+        {
+            *current = Some(waker.clone());
         }
     }
 
@@ -396,7 +435,7 @@
     }
 }
 
-/// A request in progress, up to the end of its response. Dropping it ends the exchange.
+/// A request in progress, up to the end of its response and of its body. Dropping it ends the exchange.
 struct OpenExchange<H: Handler> {
     state: Rc<ConnectionState<H>>,
 }
@@ -420,6 +459,12 @@
         if state.exchanges.get() == 0 && !state.is_http2.get() {
             state.begin_wait(WaitKind::Request);
         }
+        // hyper does not notice by itself that nobody reads the body any more.
+        if !state.is_polled.get()
+            && let Some(waker) = &*state.waker.borrow()
+        {
+            waker.wake_by_ref();
+        }
     }
 }
 
