--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use http_body::Body as _;
 use hyper::body::Incoming;
 
 use super::Relay;
-use super::admission::{Admission, admit, check_key, quota_units};
+use super::admission::{Admission, admit, body_too_large, check_key, check_size, quota_units};
 use super::body::TargetResponse;
 use super::crashes::CrashCheck;
 use super::send::{SendFailure, SendOutcome};
@@ -25,7 +26,7 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
-use crate::util::http::collect_limited;
+use crate::util::http::{DEFAULT_SEND_TIME, collect_limited};
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -137,6 +138,9 @@
         body: &mut Option<Incoming>,
     ) -> Result<TargetResponse, Refusal> {
         let admission = admit(&self.relay.fleet, &self.head, self.parts.uri.path())?;
+        let body_bytes = body.as_ref().map_or(0, |body| body.size_hint().lower());
+        let policy = &admission.policy;
+        check_size(&self.relay.fleet, policy, &self.parts, body_bytes)?;
         let route = Rc::clone(&admission.route);
         let client_timeout = self.head.client_timeout.unwrap_or(route.timeout);
         self.deadline = self.arrived + client_timeout.min(route.timeout);
@@ -171,26 +175,36 @@
         }
     }
 
+    /// Time for which the client may go on sending the body.
+    pub(super) fn send_time(&self) -> Duration {
+        let route_timeout = self
+            .admission
+            .as_ref()
+            .map(|admission| admission.route.timeout);
+        let client_timeout = self.head.client_timeout.or(route_timeout);
+        let elapsed = self.now().saturating_sub(self.arrived);
+        client_timeout.map_or(DEFAULT_SEND_TIME, |timeout| timeout.saturating_sub(elapsed))
+    }
+
+    /// Reads the whole body. On an error, the rest of it stays in `body`.
     async fn read_body(
         &mut self,
         body: &mut Option<Incoming>,
         limit: usize,
     ) -> Result<(), Refusal> {
-        let Some(incoming) = body.take() else {
+        let Some(incoming) = body.as_mut() else {
             return Ok(());
         };
         let remaining = self.remaining();
         let read = collect_limited(incoming, limit);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
-            Some(Ok(Some(body))) => {
-                self.body = body;
+            Some(Ok(Some(bytes))) => {
+                self.body = bytes;
+                body.take();
                 Ok(())
             }
-            Some(Ok(None)) => Err(Refusal::not_run(
-                RefusalCode::RequestTooLarge,
-                format!("the body is larger than {limit} bytes"),
-            )),
+            Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
             Some(Err(_)) => Err(Refusal::not_run(
                 RefusalCode::InvalidRequest,
                 "the body broke off",
