--- a/tests/testsuite/support/flood.rs
+++ b/tests/testsuite/support/flood.rs
@@ -26,6 +26,8 @@
     block: Vec<u8>,
     /// Pause after each block.
     pause: Duration,
+    /// Time in which nothing is sent after the start.
+    silence: Duration,
 }
 
 impl Flood {
@@ -38,6 +40,7 @@
             start: start.to_owned(),
             block: unit.repeat(BLOCK_BYTES.div_ceil(unit.len())),
             pause: Duration::ZERO,
+            silence: Duration::ZERO,
         }
     }
 
@@ -50,6 +53,12 @@
         }
     }
 
+    /// Sends nothing for this time after the start.
+    pub(crate) fn with_silence(mut self, silence: Duration) -> Self {
+        self.silence = silence;
+        self
+    }
+
     /// Restricts the flood to requests whose path begins with `path_prefix`.
     pub(crate) fn with_path_prefix(mut self, path_prefix: &'static str) -> Self {
         self.path_prefix = path_prefix;
@@ -175,11 +184,13 @@
     /// Returns once the peer has closed the connection.
     fn send_without_end(&self, mut client: &TcpStream, start: &[u8], flood: &Flood) {
         let mut next = start;
+        let mut pause = flood.silence.max(flood.pause);
         while client.write_all(next).is_ok() {
             self.sent_bytes
                 .fetch_add(next.len() as u64, Ordering::Relaxed);
             next = &flood.block;
-            std::thread::sleep(flood.pause);
+            std::thread::sleep(pause);
+            pause = flood.pause;
         }
     }
 }
@@ -193,3 +204,51 @@
     let id = lines.find_map(|line| line.strip_prefix("jujubelink-attempt-id: "));
     Some((path.to_owned(), id.unwrap_or_default().to_owned()))
 }
+
+/// A client that sends bytes without end and reads nothing.
+pub(crate) struct FloodClient {
+    socket: TcpStream,
+    shared: Arc<ClientShared>,
+}
+
+#[derive(Default)]
+struct ClientShared {
+    sent_bytes: AtomicU64,
+    is_ended: AtomicBool,
+}
+
+impl FloodClient {
+    /// Connects and sends `start` once and then `unit` without end, unless it is empty.
+    pub(crate) fn start(address: SocketAddr, start: &[u8], unit: &[u8]) -> Self {
+        let socket = TcpStream::connect(address).expect("connect to the instance");
+        let shared = Arc::<ClientShared>::default();
+        let mut sender = socket.try_clone().expect("clone the socket");
+        let sending = Arc::clone(&shared);
+        let start = start.to_vec();
+        let block = unit.repeat(BLOCK_BYTES.checked_div(unit.len()).unwrap_or(0) + 1);
+        std::thread::spawn(move || {
+            let mut next = &start[..];
+            while sender.write_all(next).is_ok() {
+                let sent = next.len() as u64;
+                sending.sent_bytes.fetch_add(sent, Ordering::Relaxed);
+                if block.is_empty() {
+                    return;
+                }
+                next = &block;
+            }
+            sending.is_ended.store(true, Ordering::SeqCst);
+        });
+        Self { socket, shared }
+    }
+
+    /// Number of bytes that were sent so far.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.shared.sent_bytes.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for FloodClient {
+    fn drop(&mut self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+    }
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use fleet::{
     Fleet, KEY, canonical_chat_prompt, chat_body, chat_request, event_data, stream_text,
 };
-pub(crate) use flood::{Flood, FloodProxy, ID};
+pub(crate) use flood::{Flood, FloodClient, FloodProxy, ID};
 pub(crate) use instance::{ADMIN_KEY, Instance};
 pub(crate) use jujubelink_standins::ports::free_address;
 pub(crate) use scripted::{ReceivedRequest, Reply, ScriptedTarget, Step};
