End responses at their deadline also while the client reads nothing

Callers saw: a client that stops reading and stays connected keeps its target at work, and its slot taken, until it leaves by itself. Enough of them take all slots of a service (by reading: the placement is released with the body).

Cause: the deadline of a response is checked when its body is read. While the write buffer of the client's connection is full, hyper does not poll the body, so that no deadline is noticed.

A task per streamed response now drops the body 100 ms after the deadline, with the connection to the target and the placement. A response that the client reads ends at the deadline by itself, as before.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 
 use super::exchange::Exchange;
+use super::expiry::with_expiry;
 use super::send::{SendFailure, SendOutcome};
 use super::takeover::{SilentTarget, Takeover};
 use crate::core::ids::Timestamp;
@@ -199,6 +200,8 @@
                 full(body)
             }
             TargetBody::Streamed(body) => {
+                let context = exchange.proxy.context.clone();
+                let (id, deadline) = (exchange.head.id.clone(), exchange.deadline);
                 let mut relayed = RelayedBody {
                     is_delimited: is_delimited(&head.headers),
                     first_data_at: None,
@@ -213,7 +216,7 @@
                     forwarded_at: None,
                 };
                 relayed.restart_silence();
-                relayed.into_body()
+                with_expiry(relayed.into_body(), &context, id, deadline)
             }
         };
         Response::from_parts(head, body)
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod crashes;
 mod exchange;
+mod expiry;
 mod ready;
 mod resend;
 mod send;
--- a/tests/testsuite/endless_bytes/mod.rs
+++ b/tests/testsuite/endless_bytes/mod.rs
@@ -8,5 +8,6 @@
 mod clients;
 mod floods;
 mod site;
+mod slow_clients;
 mod sockets;
 mod targets;
--- a/tests/testsuite/support/flood.rs
+++ b/tests/testsuite/support/flood.rs
@@ -245,6 +245,16 @@
     pub(crate) fn sent_bytes(&self) -> u64 {
         self.shared.sent_bytes.load(Ordering::Relaxed)
     }
+
+    /// Reads until the instance closes the connection. Fails if it stays open for `limit` without bytes.
+    pub(crate) fn read_to_end(&self, limit: Duration) -> std::io::Result<Vec<u8>> {
+        self.socket.set_read_timeout(Some(limit))?;
+        let mut read = Vec::new();
+        match (&self.socket).read_to_end(&mut read) {
+            Err(error) if error.kind() != std::io::ErrorKind::ConnectionReset => Err(error),
+            _ => Ok(read),
+        }
+    }
 }
 
 impl Drop for FloodClient {
