Close connections whose peer accepts no data for 20 s

Callers saw: a client that sends requests and reads no response stays connected for good. Its responses, up to 256 KiB and a full write buffer, stay in memory and its descriptor in use. That enough of them keep others out is by reading.

Cause: nothing limits the time of a write. The limits of idle connections count from the end of the last response, which is never sent.

Accepted connections now get TCP_USER_TIMEOUT, which also covers a peer whose receive window stays empty.

--- a/src/jujubelink/util/net/listener.rs
+++ b/src/jujubelink/util/net/listener.rs
@@ -2,7 +2,8 @@
 
 use std::future::poll_fn;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 use compio::runtime::fd::PollFd;
 use socket2::{SockFilter, SockRef};
@@ -27,6 +28,11 @@
 
 const TCP_FLAG_SYN: u32 = 0x02;
 
+/// Time after which the kernel closes an accepted connection whose peer accepts no data, be it because it
+/// does not read or because it is gone. Responses would otherwise stay in memory for as long as the peer
+/// keeps its connection open.
+const MAX_STALL: Duration = Duration::from_secs(20);
+
 /// A listening TCP socket.
 #[derive(Debug)]
 pub struct Listener {
@@ -47,7 +53,7 @@
     pub async fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
         let (socket, peer) =
             poll_fn(|cx| self.fd.poll_accept_with(cx, |listener| listener.accept())).await?;
-        Ok((Stream::new(socket)?, peer))
+        Ok((accepted(socket)?, peer))
     }
 
     /// Makes the kernel ignore new handshakes. Clients repeat them and are refused once the listener
@@ -76,8 +82,8 @@
     /// close.
     pub fn stop(&self) -> io::Result<Vec<Stream>> {
         let mut waiting = Vec::new();
-        while let Ok((accepted, _)) = self.fd.accept() {
-            waiting.push(Stream::new(accepted)?);
+        while let Ok((socket, _)) = self.fd.accept() {
+            waiting.push(accepted(socket)?);
         }
         SockRef::from(&*self.fd).shutdown(Shutdown::Read)?;
         Ok(waiting)
@@ -88,3 +94,8 @@
         self.fd.local_addr()
     }
 }
+
+fn accepted(socket: TcpStream) -> io::Result<Stream> {
+    SockRef::from(&socket).set_tcp_user_timeout(Some(MAX_STALL))?;
+    Stream::new(socket)
+}
--- a/tests/testsuite/endless_bytes/slow_clients.rs
+++ b/tests/testsuite/endless_bytes/slow_clients.rs
@@ -6,7 +6,8 @@
 
 use super::floods::{chunk, chunked, success};
 use super::site::{
-    BASE_GROWTH_BYTES, CONCURRENT, FLOODED_DEADLINE_MS, LONG_DEADLINE_MS, REQUEST_BYTES, Site, is_stream,
+    BASE_GROWTH_BYTES, CONCURRENT, FLOODED_DEADLINE_MS, LONG_DEADLINE_MS, OTHER_DEADLINE_MS,
+    REQUEST_BYTES, Site, is_stream,
 };
 use crate::support::{Flood, FloodClient, FloodProxy, WAIT_TIMEOUT, eventually, run};
 
@@ -148,3 +149,33 @@
         });
     }
 }
+
+/// Guards against a client that sends requests without end and reads no response: its responses fill the
+/// memory, or its connection stays open for good.
+#[test]
+fn pipelined_requests_of_clients_that_read_nothing() {
+    run(async {
+        let site = Site::start().await;
+        let resident = site.memory_bytes("VmRSS");
+        let body = "b".repeat(128 * 1024);
+        let request = request_bytes("/read/x", "pipelined", OTHER_DEADLINE_MS, &body);
+        let address = site.instance.client_address;
+        let clients: Vec<_> = (0..CONCURRENT)
+            .map(|_| FloodClient::start(address, &request, &request))
+            .collect();
+        let sent_bytes = || clients.iter().map(FloodClient::sent_bytes).sum::<u64>();
+        eventually("the clients are held back", || async {
+            let sent = sent_bytes();
+            compio::time::sleep(Duration::from_millis(300)).await;
+            (sent > 0 && sent_bytes() == sent).then_some(())
+        })
+        .await;
+        site.check_others_served("pipelined requests").await;
+        let limit = CONCURRENT as u64 * REQUEST_BYTES + BASE_GROWTH_BYTES;
+        site.check_memory(resident, limit, "pipelined requests", sent_bytes());
+        eventually("the connections are closed", || async {
+            clients.iter().all(FloodClient::is_ended).then_some(())
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/support/flood.rs
+++ b/tests/testsuite/support/flood.rs
@@ -246,6 +246,11 @@
         self.shared.sent_bytes.load(Ordering::Relaxed)
     }
 
+    /// Whether a write has failed because the instance has closed the connection.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.shared.is_ended.load(Ordering::SeqCst)
+    }
+
     /// Reads until the instance closes the connection. Fails if it stays open for `limit` without bytes.
     pub(crate) fn read_to_end(&self, limit: Duration) -> std::io::Result<Vec<u8>> {
         self.socket.set_read_timeout(Some(limit))?;
