Limit the memory of all request bodies together on the relay path

Callers saw: clients that each send a body within max_body_bytes (4 MiB by default) but not its end make the instance hold all of them until their deadline. 1,000 such clients need 4 GiB, and the requests of all others end with the process.

Cause: only bodies of model requests reserved memory (MAX_BUFFERED_BODY_BYTES). Relayed requests had a limit per body and none for all together.

Relayed bodies now reserve their memory as they arrive. One that no memory is left for is refused with 503 and Retry-After, before it was passed on.

incomplete_bodies_of_many_clients: 96 clients that send 4 MiB without the last byte.

--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -9,7 +9,7 @@
 /// process's file descriptors.
 const MAX_CONNECTIONS: usize = 16_384;
 
-/// Limit on the total size of buffered model request bodies; requests beyond it are refused as
+/// Limit on the total size of buffered request bodies; requests beyond it are refused as
 /// overloaded. A body stays buffered until its response has ended, because it may be needed to
 /// continue the response on another target.
 const MAX_BUFFERED_BODY_BYTES: usize = 128 * 1024 * 1024;
@@ -29,6 +29,17 @@
 }
 
 impl BodyReservation {
+    /// Reserves further memory. Returns whether that is within the limit.
+    pub(super) fn grow(&mut self, bytes: usize) -> bool {
+        let reserved = self.reserved_bytes.get() + bytes;
+        if reserved > MAX_BUFFERED_BODY_BYTES {
+            return false;
+        }
+        self.reserved_bytes.set(reserved);
+        self.bytes += bytes;
+        true
+    }
+
     /// Releases what exceeds `bytes`.
     pub(super) fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
@@ -53,6 +64,14 @@
         (self.connections.get() < MAX_CONNECTIONS).then(|| LoadGuard::new(&self.connections))
     }
 
+    /// Starts the reservation for a request body of unknown size.
+    pub(super) fn begin_body(&self) -> BodyReservation {
+        BodyReservation {
+            reserved_bytes: Rc::clone(&self.reserved_body_bytes),
+            bytes: 0,
+        }
+    }
+
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
     pub(super) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation> {
         let reserved = self.reserved_body_bytes.get() + bytes;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -11,6 +11,7 @@
 use super::admission::{Admission, admit, check_key, quota_units};
 use super::body::TargetResponse;
 use super::crashes::CrashCheck;
+use super::request_body::{BodyFailure, read_request_body};
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
 use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
@@ -18,6 +19,7 @@
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
 use crate::core::stop::RequestTimes;
+use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -25,7 +27,6 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
-use crate::util::http::collect_limited;
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -55,6 +56,7 @@
     pub(super) parts: Parts,
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
+    body_reservation: BodyReservation,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
@@ -96,6 +98,7 @@
             last_event: head.last_event,
             head,
             body: Bytes::new(),
+            body_reservation: proxy.load.begin_body(),
             arrived,
             deadline: Timestamp::MAX,
             admission: None,
@@ -176,13 +179,21 @@
         body: &mut Option<Incoming>,
         limit: usize,
     ) -> Result<(), Refusal> {
-        let Some(incoming) = body.take() else {
+        let Some(mut incoming) = body.take() else {
             return Ok(());
         };
         let remaining = self.remaining();
-        let read = collect_limited(incoming, limit);
+        let read = read_request_body(&mut incoming, limit, &mut self.body_reservation);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
+            Some(Err(BodyFailure::NoMemory)) => {
+                // The rest is discarded, so that the client gets the refusal.
+                *body = Some(incoming);
+                Err(
+                    Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the body")
+                        .with_retry_after(NO_TARGET_RETRY_AFTER),
+                )
+            }
             Some(Ok(Some(body))) => {
                 self.body = body;
                 Ok(())
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod expiry;
 mod ready;
+mod request_body;
 mod resend;
 mod send;
 mod stop;
--- a/tests/testsuite/endless_bytes/clients.rs
+++ b/tests/testsuite/endless_bytes/clients.rs
@@ -139,3 +139,38 @@
         check_listener(&site, "readiness", site.ready_address).await;
     });
 }
+
+/// Guards against bodies that are each within their limit but fill the memory together, because their
+/// clients send all but the end.
+#[test]
+fn incomplete_bodies_of_many_clients() {
+    const CLIENTS: usize = 96;
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    // Bodies of all clients, each of which may be in a buffer of twice its size.
+    const BODIES_BYTES: u64 = 2 * 128 * 1024 * 1024;
+    const CLIENT_BYTES: u64 = 2 * (64 + 64 + 64) * 1024;
+    run(async {
+        let site = Site::start().await;
+        let resident = site.memory_bytes("VmRSS");
+        let head = format!(
+            "POST /read/x HTTP/1.1\r\nhost: shop.example\r\njujubelink-attempt-id: f\r\n\
+             jujubelink-deadline-ms: 10000\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+        );
+        let mut start = head.into_bytes();
+        start.resize(start.len() + BODY_BYTES - 1, b'b');
+        let address = site.instance.client_address;
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|_| FloodClient::start(address, &start, &[]))
+            .collect();
+        let sent_bytes = || clients.iter().map(FloodClient::sent_bytes).sum::<u64>();
+        let expected_bytes = 48 * start.len() as u64;
+        eventually("half of the bodies are sent", || async {
+            (sent_bytes() >= expected_bytes).then_some(())
+        })
+        .await;
+        compio::time::sleep(Duration::from_secs(2)).await;
+        site.check_others_served("incomplete bodies").await;
+        let limit = BODIES_BYTES + CLIENTS as u64 * CLIENT_BYTES + BASE_GROWTH_BYTES;
+        site.check_memory(resident, limit, "incomplete bodies", sent_bytes());
+    });
+}
