Close connections that never carry a request

Callers saw: connections that send nothing, or only a start of the preface of HTTP/2, stay open for good at the client, peer and readiness listeners. That nobody is accepted once the descriptors are used up is by reading.

Cause: hyper's limit for the time of a head counts from the moment at which the version of HTTP is known, that is after the first bytes. For HTTP/2 it does not apply at all.

A connection now has to carry its first request within the idle time and the time for a head together.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -137,6 +137,7 @@
         let state = Rc::clone(&service_state);
         let version = request.version();
         state.is_http2.set(version == Version::HTTP_2);
+        state.has_request.set(true);
         state.may_have_begun_head.set(false);
         let response = handler.clone().handle(request);
         async move {
@@ -155,8 +156,18 @@
     };
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut drain = pin!(drain.fuse());
+    let first_request_state = Rc::clone(&state);
+    // hyper limits the time for a head only once it knows the version of HTTP.
+    let no_request = async move {
+        compio::time::sleep(options.idle_timeout + options.header_timeout).await;
+        if first_request_state.has_request.get() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let mut no_request = pin!(no_request.fuse());
     futures_util::select_biased! {
         result = connection.as_mut().fuse() => return result,
+        () = no_request => return Err("no request has arrived in time".into()),
         () = drain => {}
     }
     state.is_draining.set(true);
@@ -183,6 +194,7 @@
 #[derive(Default)]
 struct ConnectionState {
     is_draining: Cell<bool>,
+    has_request: Cell<bool>,
     /// Whether a request has come over HTTP/2.
     is_http2: Cell<bool>,
     /// Whether bytes have arrived since the last response, which may be the start of a request.
--- a/tests/testsuite/endless_bytes/clients.rs
+++ b/tests/testsuite/endless_bytes/clients.rs
@@ -5,7 +5,7 @@
 
 use super::floods::{chunk, random_bytes};
 use super::site::{BASE_GROWTH_BYTES, CONCURRENT, Site};
-use crate::support::{FloodClient, eventually, run};
+use crate::support::{FloodClient, WAIT_TIMEOUT, eventually, run};
 
 /// Start of every HTTP/2 connection, with an empty SETTINGS frame.
 const HTTP2_START: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
@@ -174,3 +174,42 @@
         site.check_memory(resident, limit, "incomplete bodies", sent_bytes());
     });
 }
+
+/// Guards against connections that never carry a request and stay open for good, until the process has no
+/// descriptors left and accepts nobody.
+#[test]
+fn connections_without_a_request_are_closed() {
+    run(async {
+        let site = Site::start().await;
+        let listeners = [
+            ("client", site.instance.client_address),
+            ("peer", site.instance.peer_address),
+            ("readiness", site.ready_address),
+        ];
+        let starts: [&[u8]; 4] = [b"", b"PRI * HT", HTTP2_START, b"GET /x HT"];
+        let mut clients = Vec::new();
+        for (listener, address) in listeners {
+            for start in starts {
+                let client = FloodClient::start(address, start, &[]);
+                clients.push((listener, start, client));
+            }
+        }
+        let (sender, receiver) = std::sync::mpsc::channel();
+        for (listener, start, client) in clients {
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                let result = client.read_to_end(2 * WAIT_TIMEOUT);
+                let start = String::from_utf8_lossy(start);
+                let _ = sender.send((format!("{listener} listener after {start:?}"), result));
+            });
+        }
+        drop(sender);
+        let results: Vec<_> = receiver.into_iter().collect();
+        let open: Vec<_> = results
+            .iter()
+            .filter(|(_, result)| result.is_err())
+            .map(|(name, _)| name)
+            .collect();
+        assert!(open.is_empty(), "still open: {open:?}");
+    });
+}
