--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -14,7 +14,7 @@
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
 use crate::util::http::{ServerOptions, serve_connection};
-use crate::util::net::{KeepaliveSettings, Listener, Stream};
+use crate::util::net::{KeepaliveSettings, Listener, MAX_STALL, Stream};
 
 /// Accepting a connection fails mostly because the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -26,9 +26,9 @@
 /// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
 const CLIENT_KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
     idle: Duration::from_secs(60),
-    interval: Duration::from_secs(10),
-    probes: 6,
-    user_timeout: Duration::from_secs(120),
+    interval: Duration::from_secs(5),
+    probes: 4,
+    user_timeout: MAX_STALL,
 };
 
 /// Idle time after which a pooled connection to a target is closed.
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -12,6 +12,7 @@
 use super::admission::{Admission, admit, body_too_large, check_key, check_size, quota_units};
 use super::body::TargetResponse;
 use super::crashes::CrashCheck;
+use super::request_body::{BodyFailure, read_request_body};
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
 use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
@@ -19,6 +20,7 @@
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
 use crate::core::stop::RequestTimes;
+use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -26,7 +28,7 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
-use crate::util::http::{DEFAULT_SEND_TIME, collect_limited};
+use crate::util::http::DEFAULT_SEND_TIME;
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -56,6 +58,7 @@
     pub(super) parts: Parts,
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
+    body_reservation: BodyReservation,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
@@ -97,6 +100,7 @@
             last_event: head.last_event,
             head,
             body: Bytes::new(),
+            body_reservation: proxy.load.begin_body(),
             arrived,
             deadline: Timestamp::MAX,
             admission: None,
@@ -196,7 +200,7 @@
             return Ok(());
         };
         let remaining = self.remaining();
-        let read = collect_limited(incoming, limit);
+        let read = read_request_body(incoming, limit, &mut self.body_reservation);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
             Some(Ok(Some(bytes))) => {
@@ -205,7 +209,12 @@
                 Ok(())
             }
             Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
-            Some(Err(_)) => Err(Refusal::not_run(
+            Some(Err(BodyFailure::NoMemory)) => Err(Refusal::not_run(
+                RefusalCode::Overloaded,
+                "no memory is left for the body",
+            )
+            .with_retry_after(NO_TARGET_RETRY_AFTER)),
+            Some(Err(BodyFailure::Broken)) => Err(Refusal::not_run(
                 RefusalCode::InvalidRequest,
                 "the body broke off",
             )),
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -150,7 +150,7 @@
 /// and the connection is closed.
 ///
 /// An HTTP/1.1 connection whose client takes longer than the handler's limits is closed. HTTP/2
-/// connections have pings instead.
+/// connections have pings instead, after the first request.
 ///
 /// HTTP/2 has a handshake for the end of a connection. Under HTTP/1.1 a request that is sent while the
 /// connection closes is lost, so responses announce the end with `connection: close`, and a connection
@@ -235,6 +235,8 @@
             ConnectionEvent::CheckDue => {}
         }
         match state.check_wait() {
+            // A client that has sent no request may not take part in the end of an HTTP/2 connection.
+            Some(WaitKind::Request) if state.is_http2.get() => return Ok(()),
             Some(WaitKind::Request) => {
                 connection.as_mut().graceful_shutdown();
                 return connection.await;
@@ -385,9 +387,12 @@
         }
         if !self.has_received.replace(true) && bytes.starts_with(HTTP2_PREFACE) {
             self.is_http2.set(true);
-            self.end_wait();
         }
         self.may_have_begun_head.set(true);
+        if self.is_http2.get() {
+            // The wait for the first request goes on. Pings replace the other ones.
+            return;
+        }
         if matches!(self.wait.get(), Some((wait, _)) if wait.kind() == WaitKind::Request) {
             self.begin_wait(WaitKind::Head);
         }
--- a/src/jujubelink/util/net/mod.rs
+++ b/src/jujubelink/util/net/mod.rs
@@ -10,6 +10,6 @@
 mod traffic;
 
 pub use datagram::{Datagram, MAX_DATAGRAMS_PER_WAIT};
-pub use listener::Listener;
+pub use listener::{Listener, MAX_STALL};
 pub use stream::{KeepaliveSettings, MAX_BYTES_PER_WAIT, Stream};
 pub use traffic::{Traffic, traffic};
