Close connections on which only an empty line has arrived

hyper ignores an empty line before a request, but a connection that has received one does not end when it is told to finish while it waits for its first request. Such a connection would be kept without end once it had been idle for too long, and would hold a planned stop until its limit. A connection that never had a request has nothing to finish, so it is closed right away. Found by reading; the test was not run without the fix.

Also guards the announcement of the close to a client that waits for permission to send a body that is refused.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -235,11 +235,11 @@
             ConnectionEvent::CheckDue => {}
         }
         match state.check_wait() {
-            Some(WaitKind::Request) => {
+            Some(WaitKind::Request) if state.has_begun_exchange.get() => {
                 connection.as_mut().graceful_shutdown();
                 return connection.await;
             }
-            Some(WaitKind::Head) => return Ok(()),
+            Some(_) => return Ok(()),
             None => {}
         }
     }
@@ -264,6 +264,10 @@
             return Ok(());
         }
     }
+    if !state.has_begun_exchange.get() && !state.is_http2.get() {
+        // hyper would wait for the first request of a connection that has received an empty line.
+        return Ok(());
+    }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
@@ -324,6 +328,8 @@
     has_received: Cell<bool>,
     /// Whether bytes have arrived since the last response, which may be the start of a request.
     may_have_begun_head: Cell<bool>,
+    /// Whether there has been a request.
+    has_begun_exchange: Cell<bool>,
     /// Number of requests in progress.
     exchanges: Cell<usize>,
     /// The wait for the client and when it began. `None` while a request is in progress.
@@ -346,6 +352,7 @@
             is_http2: Cell::default(),
             has_received: Cell::default(),
             may_have_begun_head: Cell::default(),
+            has_begun_exchange: Cell::default(),
             exchanges: Cell::default(),
             wait: Cell::default(),
             check_at: Cell::default(),
@@ -444,6 +451,7 @@
     fn new(state: &Rc<ConnectionState<H>>, version: Version) -> Self {
         state.is_http2.set(version == Version::HTTP_2);
         state.may_have_begun_head.set(false);
+        state.has_begun_exchange.set(true);
         state.exchanges.set(state.exchanges.get() + 1);
         state.end_wait();
         Self {
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -195,6 +195,23 @@
     });
 }
 
+/// Guards against a connection without a request that stays open although it has been idle for too long.
+#[test]
+fn connections_without_a_request_are_closed() {
+    run(async {
+        for sent in ["", "\r\n"] {
+            let handler = Succeed::new(limits(100, 200));
+            let address = serve_one(handler.clone());
+            let mut client = TcpStream::connect(address).unwrap();
+            client.write_all(sent.as_bytes()).unwrap();
+            compio::time::sleep(Duration::from_millis(600)).await;
+            client.set_nonblocking(true).unwrap();
+            assert_eq!(client.read(&mut [0; 8]).ok(), Some(0), "{sent:?}");
+            assert_eq!(*handler.ends.borrow(), ["idle for more than 300 ms"]);
+        }
+    });
+}
+
 /// Guards against a connection that ends within the head of a request without a record.
 #[test]
 fn ends_within_a_head_are_reported() {
--- a/tests/testsuite/platform_path/kept_connections.rs
+++ b/tests/testsuite/platform_path/kept_connections.rs
@@ -369,6 +369,24 @@
     });
 }
 
+/// Guards against a connection on which the next request is taken for the body of a refused one, because
+/// its client waited for permission to send the body and did not get it.
+#[test]
+fn a_refusal_of_a_body_that_is_not_sent_announces_the_close() {
+    run(async {
+        let (_deployment, instance) = Deployment::start_ready("").await;
+        let client = Client::connect(instance.process.client_address);
+        client.write(&format!(
+            "POST /none/x HTTP/1.1\r\nhost: shop.example\r\njujubelink-attempt-id: waiting\r\n\
+             jujubelink-deadline-ms: 500\r\nauthorization: Bearer {KEY}\r\n\
+             expect: 100-continue\r\ncontent-length: 4\r\n\r\n"
+        ));
+        let response = client.read_to_close().await;
+        assert!(response.starts_with("HTTP/1.1 404 "), "{response}");
+        assert!(response.contains("connection: close\r\n"), "{response}");
+    });
+}
+
 /// Guards against a refused body without end that holds its connection.
 #[test]
 fn a_refused_body_that_never_ends_does_not_hold_its_connection() {
