--- a/src/jujubelink/core/connection/mod.rs
+++ b/src/jujubelink/core/connection/mod.rs
@@ -115,6 +115,7 @@
     ///
     /// Raised limits apply at once, and lowered ones do not shorten the wait. If the limits are not
     /// proved to be the newest at the time at which the wait is over, they may have been raised.
+    /// `elapsed` may leave out the time of a suspension, as that only prolongs the wait.
     pub fn check(&mut self, elapsed: Duration, known: &KnownLimits) -> WaitDecision {
         self.allowed = self.allowed.max(known.limits.wait_time(self.kind));
         let Some(overdue) = elapsed.checked_sub(self.allowed) else {
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -25,10 +25,10 @@
 /// Closes connections whose client has disappeared, which may otherwise stay open for as long as the
 /// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
 const CLIENT_KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
-    idle: Duration::from_secs(60),
-    interval: Duration::from_secs(10),
-    probes: 6,
-    user_timeout: Duration::from_secs(120),
+    idle: Duration::from_secs(120),
+    interval: Duration::from_secs(15),
+    probes: 4,
+    user_timeout: Duration::from_secs(180),
 };
 
 /// Idle time after which a pooled connection to a target is closed.
