Do not take a pause of a target for a queue

Callers saw `overloaded` refusals, some on arrival and some after 2.2 s of waiting, while about half of the slots of sound engines were free. The engines fell silent for 0.9 to 1.4 s in 20% of cases before the head and before each event, and went on.

Cause: the scheduler estimates the load of other instances from the waits of its own requests. A pause before the first event counted as such a wait. One of them added up to 0.3 s to the expected wait at its target, which is above the limit of 0.2 s, so the target counted as full until the estimate had decayed. The queue grew, and the low dispatch rate made further requests be refused on arrival.

The wait of a request now counts as a queue only if the next request in the order of sending waited as well, and not if a later request has overtaken it. What does not count as a queue does not count as prefill time either. A real queue delays successive requests and does not let later ones pass, so it is noticed one request later than before.

--- a/src/jujubelink/core/routing/load.rs
+++ b/src/jujubelink/core/routing/load.rs
@@ -112,6 +112,10 @@
     /// was last observed.
     observed_wait_s: f64,
     observed_at: Timestamp,
+    /// The last of this instance's requests in the order of sending that has had its first token, and
+    /// its wait that its own load doesn't explain, in seconds.
+    last_started: u64,
+    last_wait_s: f64,
 }
 
 impl TargetLoad {
@@ -142,11 +146,18 @@
     }
 
     /// Records the time that a request waited for its prefill, minus the time that this instance's
-    /// own requests account for.
-    pub fn on_observed_wait(&mut self, wait_s: f64, now: Timestamp) {
+    /// own requests account for. Returns the part of it that is attributed to a queue. A queue delays
+    /// successive requests, while a target that falls silent for a moment delays single ones.
+    pub fn on_observed_wait(&mut self, placement: u64, wait_s: f64, now: Timestamp) -> f64 {
+        if placement < self.last_started {
+            return 0.0;
+        }
+        self.last_started = placement;
+        let queue_wait_s = wait_s.min(std::mem::replace(&mut self.last_wait_s, wait_s));
         let earlier = self.expected_peer_wait_s(now);
-        self.observed_wait_s = earlier + OBSERVED_WAIT_SMOOTHING * (wait_s - earlier);
+        self.observed_wait_s = earlier + OBSERVED_WAIT_SMOOTHING * (queue_wait_s - earlier);
         self.observed_at = now;
+        queue_wait_s
     }
 
     /// Returns the expected wait caused by other instances' requests. It decays from the last
--- a/src/jujubelink/core/scheduler/running.rs
+++ b/src/jujubelink/core/scheduler/running.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::core::ids::{Incarnation, ModelId, Timestamp, WorkspaceId};
 use crate::core::prefix::PromptFingerprints;
@@ -27,6 +28,8 @@
     /// Deadline of a retry before the first token.
     pub(super) retry_deadline: Timestamp,
     pub(super) first_token_at: Option<Timestamp>,
+    /// Part of the time to the first token that neither the prefill nor a queue at the target explains.
+    pub(super) silence: Duration,
 }
 
 /// One attempt of a request at a target.
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -338,6 +338,7 @@
                 is_suspect: request.is_suspect,
                 retry_deadline: request.deadline + prefill_allowance(request.cost_tokens),
                 first_token_at: None,
+                silence: Duration::ZERO,
                 workspace: request.workspace,
                 model: request.model,
                 prompt: request.prompt,
@@ -374,10 +375,9 @@
             let took_s = now.saturating_sub(sent_at).as_secs_f64();
             let load = &mut self.router.targets_mut().get_mut(target).load;
             load.on_prefilled(now);
-            load.on_observed_wait(
-                (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0),
-                now,
-            );
+            let wait_s = (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0);
+            let queue_wait_s = load.on_observed_wait(placement, wait_s, now);
+            model.silence = Duration::from_secs_f64(wait_s - queue_wait_s);
         }
     }
 
@@ -515,8 +515,9 @@
             }
         }
         if let Some(first) = model.first_token_at {
+            let prefill = (first - attempt.sent_at).saturating_sub(model.silence);
             self.router
-                .on_completed(&model.model, now - attempt.sent_at, first - attempt.sent_at);
+                .on_completed(&model.model, now - attempt.sent_at, prefill);
         }
         let fingerprint = model.prompt.whole;
         if self.suspects.clear(fingerprint, now) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod openai_client;
 mod orders;
 mod path;
+mod pausing_targets;
 mod peer;
 mod plain;
 mod platform_format;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -5,6 +5,7 @@
 mod faulty_responses;
 mod odd_entries;
 mod odd_numbers;
+mod pausing_engines;
 mod planned_stop;
 mod reload;
 mod silent_targets;
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -110,6 +110,24 @@
     assert_eq!(scheduler.queued(), 0);
 }
 
+/// Guards against a queue of other instances' requests that goes unnoticed, so that further requests join it.
+#[test]
+fn waits_of_successive_requests_show_a_queue_at_their_target() {
+    let mut scheduler = new_scheduler(1);
+    let second = Duration::from_secs(1);
+    let placements: Vec<_> = (0..3)
+        .map(|index| {
+            let request = new_request("small", &format!("short {index}"), NOW);
+            only_dispatch(&submit(&mut scheduler, request, NOW)).placement
+        })
+        .collect();
+    for placement in &placements {
+        scheduler.on_first_token(*placement, NOW + second);
+    }
+    let request = new_request("small", "queued", NOW + second);
+    assert_eq!(submit(&mut scheduler, request, NOW + second), []);
+}
+
 /// Guards against requests to a target that announced its shutdown while they were queued.
 #[test]
 fn a_queued_request_is_not_sent_to_a_target_that_leaves_meanwhile() {
