Limit the ejected targets of plain services

Callers got 503 "no target is in service" for 5 s and longer although all targets of a plain service were sound: five failed responses of each were enough. With a fleet store the configuration of the scheduler has no routes, so plain targets were in no group to which the limit on ejected targets applies.

The targets from which one is chosen for a plain request are now a group of their own, of which at most half may be ejected. If the others have left or shut down, the ejected ones get requests again, as a request that may fail is better than one that is refused.

The two new tests of the scheduler were not run on the earlier code.

--- a/src/jujubelink/core/retry/ejection.rs
+++ b/src/jujubelink/core/retry/ejection.rs
@@ -26,6 +26,9 @@
 /// Maximum percentage of the targets of a model or route that may be ejected at the same time.
 pub const MAX_EJECTED_PERCENT: usize = 30;
 
+/// The same for the targets of a plain service, which may have only two.
+pub const MAX_EJECTED_SERVICE_PERCENT: usize = 50;
+
 /// Ejection state of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ejection {
--- a/src/jujubelink/core/routing/table.rs
+++ b/src/jujubelink/core/routing/table.rs
@@ -99,9 +99,17 @@
 
     /// Whether the target takes new work.
     pub fn is_in_service(&self) -> bool {
+        self.is_ready() && self.traffic_fraction > 0.0
+    }
+
+    /// Whether only its failures keep the target from taking new work.
+    pub fn is_ejected(&self) -> bool {
+        self.is_ready() && self.traffic_fraction <= 0.0
+    }
+
+    fn is_ready(&self) -> bool {
         let is_enabled = self.settings.is_some_and(|settings| !settings.is_draining);
-        let is_ready = !self.is_leaving && !self.reported.is_leaving && !self.reported.is_loading;
-        is_enabled && is_ready && self.traffic_fraction > 0.0
+        is_enabled && !self.is_leaving && !self.reported.is_leaving && !self.reported.is_loading
     }
 
     /// Whether requests may be sent to the target: it takes new work and has not asked for a pause.
--- a/src/jujubelink/core/scheduler/running.rs
+++ b/src/jujubelink/core/scheduler/running.rs
@@ -40,6 +40,8 @@
     pub(super) generation: u32,
     pub(super) incarnation: Incarnation,
     pub(super) sent_at: Timestamp,
+    /// All targets of the plain service; empty for a model request.
+    pub(super) service: Rc<[TargetIndex]>,
     /// `None` for a request to a plain service.
     pub(super) model: Option<ModelAttempt>,
 }
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -1,6 +1,7 @@
 //! The scheduler: queues model requests, dispatches them to targets and evaluates the outcomes.
 
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::running::{Attempt, ModelAttempt, RunningTable};
@@ -9,7 +10,8 @@
 use crate::core::ids::{Fingerprint, TargetId, Timestamp, Tokens, WorkspaceId};
 use crate::core::queue::{FairQueue, JobId, QueuedJob};
 use crate::core::retry::{
-    MAX_EJECTED_PERCENT, RetryBudgets, SuspectState, SuspectTable, TargetHealth, backoff,
+    MAX_EJECTED_PERCENT, MAX_EJECTED_SERVICE_PERCENT, RetryBudgets, SuspectState, SuspectTable,
+    TargetHealth, backoff,
 };
 use crate::core::routing::{
     Choice, LoadReport, RouteRequest, Router, TargetIndex, rendezvous_score,
@@ -58,7 +60,7 @@
     /// estimated.
     workspace_rates: HashMap<WorkspaceId, Tokens>,
     /// Targets of each model and each route to a plain service; the limit on ejected targets
-    /// applies to each group.
+    /// applies to each group. Plain services without a route have their group in their attempts.
     ejection_groups: Vec<Vec<TargetIndex>>,
 }
 
@@ -330,6 +332,7 @@
             generation: state.generation,
             incarnation,
             sent_at: now,
+            service: Rc::default(),
             model: Some(ModelAttempt {
                 earlier_attempts: request.excluded.len() as u32,
                 choice,
@@ -440,7 +443,7 @@
             .entry(target)
             .or_default()
             .on_outcome(end.is_failure(), now);
-        if should_eject && self.may_eject(target) {
+        if should_eject && self.may_eject(attempt) {
             self.health.entry(target).or_default().eject(now);
         }
         let state = self.router.targets_mut().get_mut(target);
@@ -458,17 +461,21 @@
     }
 
     /// Whether the limit on ejected targets allows another one in each group of the target.
-    fn may_eject(&self, target: TargetIndex) -> bool {
-        let is_ejected =
-            |other: &&TargetIndex| self.health.get(other).is_some_and(TargetHealth::is_ejected);
-        let ejection_groups = self
+    fn may_eject(&self, attempt: &Attempt) -> bool {
+        let count_ejected = |group: &[TargetIndex]| {
+            let health = group.iter().filter_map(|target| self.health.get(target));
+            health.filter(|health| health.is_ejected()).count()
+        };
+        let is_allowed = |group: &[TargetIndex], max_percent: usize| {
+            (count_ejected(group) + 1) * 100 <= group.len() * max_percent
+        };
+        let mut groups = self
             .ejection_groups
             .iter()
-            .filter(|group| group.contains(&target));
-        ejection_groups.into_iter().all(|group| {
-            let ejected = group.iter().filter(is_ejected).count();
-            (ejected + 1) * 100 <= group.len() * MAX_EJECTED_PERCENT
-        })
+            .filter(|group| group.contains(&attempt.target));
+        let service = &attempt.service;
+        (service.is_empty() || is_allowed(service, MAX_EJECTED_SERVICE_PERCENT))
+            && groups.all(|group| is_allowed(group, MAX_EJECTED_PERCENT))
     }
 
     fn refresh_traffic_fraction(&mut self, target: TargetIndex, now: Timestamp) {
@@ -654,7 +661,8 @@
     }
 
     /// Selects the least loaded target that accepts requests for a request to a plain service, and
-    /// records the attempt. Returns the identifier of the attempt and the target.
+    /// records the attempt. `targets` are all targets of the service that take new work, as the limit on
+    /// ejected targets applies to them. Returns the identifier of the attempt and the target.
     pub fn place_plain(
         &mut self,
         targets: &[TargetId],
@@ -666,11 +674,22 @@
             return None;
         }
         let table = self.router.targets();
-        let target = targets
+        let service: Rc<[TargetIndex]> = targets.iter().filter_map(|id| table.index(id)).collect();
+        // If the only ones left are ejected, a request may as well try them.
+        let are_all_out = !service
             .iter()
-            .filter(|id| !excluded.contains(id))
-            .filter_map(|id| table.index(id))
-            .filter(|index| table.get(*index).accepts_requests(now))
+            .any(|index| table.get(*index).is_in_service());
+        let target = service
+            .iter()
+            .copied()
+            .filter(|index| {
+                let state = table.get(*index);
+                let accepts_requests = match are_all_out {
+                    true => state.is_ejected() && state.paused_until <= now,
+                    false => state.accepts_requests(now),
+                };
+                accepts_requests && !excluded.contains(&state.id)
+            })
             .min_by(|a, b| {
                 let (a, b) = (table.get(*a), table.get(*b));
                 let load = |state: &crate::core::routing::TargetState| {
@@ -695,6 +714,7 @@
             generation: state.generation,
             incarnation: state.incarnation,
             sent_at: now,
+            service,
             model: None,
         };
         Some((self.running.add(attempt), id))
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Request;
+use jujubelink::core::config::{ConfigSnapshot, TargetKind};
 use jujubelink::core::ids::{TargetId, Timestamp};
 use jujubelink::core::routing::LoadReport;
 use jujubelink::core::scheduler::{
@@ -27,6 +28,16 @@
     scheduler
 }
 
+/// A configuration with targets of a plain service that no route names.
+fn config_of_a_service(targets: usize) -> ConfigSnapshot {
+    let mut config = config_with_engines(targets);
+    for target in config.fleet.targets.values_mut() {
+        target.kind = TargetKind::Service;
+        target.models.clear();
+    }
+    config
+}
+
 /// Submits a request, dispatches what can be dispatched, and returns the effects.
 fn submit(scheduler: &mut Scheduler, request: NewRequest, now: Timestamp) -> Vec<Effect> {
     let mut effects = Vec::new();
@@ -360,6 +371,53 @@
     assert_eq!(ejected, 3);
 }
 
+/// Guards against plain requests that are refused because failures have taken all targets of their service out,
+/// and against a failing target that gets requests while others are sound.
+#[test]
+fn at_most_half_of_the_targets_of_a_plain_service_are_ejected() {
+    for (targets, expected) in [(1, 0), (2, 1), (3, 1), (10, 5)] {
+        let mut scheduler = Scheduler::new();
+        let all: Vec<_> = (0..targets)
+            .map(|index| engine_name(index).into())
+            .collect();
+        scheduler.on_config(&config_of_a_service(targets));
+        let mut fail = |times: usize| {
+            for random in 0..times as u64 {
+                let (placement, _) = scheduler.place_plain(&all, &[], random, NOW).unwrap();
+                end_attempt(&mut scheduler, placement, AttemptEnd::Failed);
+            }
+            let table = scheduler.router().targets();
+            let ejected = table.iter().filter(|(_, state)| state.is_ejected());
+            ejected.count()
+        };
+        assert_eq!(fail(200), expected, "of {targets}");
+    }
+}
+
+/// Guards against requests that are refused because the targets that are not ejected have left.
+#[test]
+fn ejected_targets_are_used_if_no_others_are_left() {
+    let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+    let mut scheduler = Scheduler::new();
+    scheduler.on_config(&config_of_a_service(2));
+    for random in 0..20 {
+        let (placement, target) = scheduler.place_plain(&names, &[], random, NOW).unwrap();
+        let end = match target == names[0] {
+            true => AttemptEnd::Failed,
+            false => COMPLETED,
+        };
+        end_attempt(&mut scheduler, placement, end);
+    }
+    let place = |scheduler: &mut Scheduler, excluded: &[TargetId]| {
+        let placed = scheduler.place_plain(&names, excluded, 7, NOW);
+        placed.map(|(_, target)| target)
+    };
+    assert_eq!(place(&mut scheduler, &[]), Some(names[1].clone()));
+    assert_eq!(place(&mut scheduler, &names[1..]), None);
+    scheduler.set_leaving(&names[1], true);
+    assert_eq!(place(&mut scheduler, &[]), Some(names[0].clone()));
+}
+
 /// Guards against retries of completed or cancelled requests, and against an attempt whose end is
 /// counted twice.
 #[test]
