Use ejected engines if no others are left

Callers got 503 "no target is in service" for up to 80 s if the engines of a model that are not ejected had left or shut down. After the ejection the engine counted as in service with a tenth of its traffic, so that requests waited in the queue for nothing.

Requests now go to the ejected engines if no other one is in service, and the part of traffic of a returning engine limits nothing if it is the only candidate.

scheduler::an_ejected_engine_gets_requests_if_the_others_have_left was refused with `NoTarget` before and passes now.

--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -5,7 +5,7 @@
 
 use crate::core::ids::{Fingerprint, Timestamp};
 use crate::core::routing::scan::{FirstBlockDemand, PrefixScan, ScanInput};
-use crate::core::routing::{TargetIndex, rendezvous_score};
+use crate::core::routing::{TargetIndex, TargetState, rendezvous_score};
 
 /// Random candidates in addition to the replica set, so that requests can move away from an
 /// overloaded set.
@@ -166,7 +166,8 @@
             })
     }
 
-    /// Returns the cheapest of all targets. Used when no candidate is eligible.
+    /// Returns the cheapest of all targets, whatever their part of normal traffic is. Used when no candidate
+    /// is eligible. If no target is in service, the ejected ones are the last resort.
     fn choose_among_all(
         &self,
         model: &ModelState,
@@ -174,9 +175,20 @@
         request: &RouteRequest<'_>,
         now: Timestamp,
     ) -> Option<Choice> {
-        let members = model.ranks.members().iter();
+        let members = model.ranks.members();
+        let are_all_out = !members
+            .iter()
+            .any(|target| self.targets.get(*target).is_in_service());
         members
-            .filter(|target| self.is_eligible(model, request, **target, 0, now))
+            .iter()
+            .filter(|target| {
+                let state = self.targets.get(**target);
+                let accepts_requests = match are_all_out {
+                    true => state.is_ejected() && state.paused_until <= now,
+                    false => state.accepts_requests(now),
+                };
+                accepts_requests && may_run(model, request, state)
+            })
             .map(|target| self.evaluate(model, scan, request, *target, now))
             .min_by(|a, b| a.cost_s().total_cmp(&b.cost_s()))
     }
@@ -192,15 +204,9 @@
         now: Timestamp,
     ) -> bool {
         let state = self.targets.get(target);
-        if ![0, model.model_hash].contains(&state.reported.model_hash) {
-            return false;
-        }
-        if !state.accepts_requests(now) || (request.is_suspect && state.has_suspect) {
-            return false;
-        }
         let is_sampled = state.traffic_fraction >= 1.0
             || unit_random(random, state.name_hash) < state.traffic_fraction;
-        is_sampled && !request.excluded.contains(&state.id)
+        is_sampled && state.accepts_requests(now) && may_run(model, request, state)
     }
 
     /// Estimates the wait and the prefill time of a request at a target.
@@ -306,6 +312,13 @@
     }
 }
 
+/// Whether a target that accepts requests may run this one.
+fn may_run(model: &ModelState, request: &RouteRequest<'_>, state: &TargetState) -> bool {
+    [0, model.model_hash].contains(&state.reported.model_hash)
+        && !(request.is_suspect && state.has_suspect)
+        && !request.excluded.contains(&state.id)
+}
+
 /// Returns the choice with the lower cost, or the first one if the costs are equal. An urgent
 /// request prefers a target with capacity.
 fn better_choice(
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -418,6 +418,47 @@
     assert_eq!(place(&mut scheduler, &[]), Some(names[0].clone()));
 }
 
+/// Guards against model requests that are refused because the engine that is left is ejected, or gets a part
+/// of normal traffic only.
+#[test]
+fn an_ejected_engine_gets_requests_if_the_others_have_left() {
+    let mut scheduler = new_scheduler(4);
+    let mut round = 0;
+    while scheduler
+        .router()
+        .targets()
+        .iter()
+        .all(|(_, state)| !state.is_ejected())
+    {
+        round += 1;
+        assert!(round < 1_000, "no target is ejected");
+        let request = new_request("large", &format!("{round}"), NOW);
+        let placement = only_dispatch(&submit(&mut scheduler, request, NOW)).placement;
+        end_attempt(&mut scheduler, placement, AttemptEnd::Failed);
+    }
+    let targets = scheduler.router().targets().iter();
+    let (ejected, others): (Vec<_>, Vec<_>) = targets
+        .map(|(_, state)| state)
+        .partition(|state| state.is_ejected());
+    let left = ejected[0].id.clone();
+    let others: Vec<_> = others.iter().map(|state| state.id.clone()).collect();
+    for other in &others {
+        scheduler.set_leaving(other, true);
+    }
+    for elapsed_s in [0, 6, 8] {
+        let now = NOW + Duration::from_secs(elapsed_s);
+        scheduler.on_tick(now);
+        for request in 0..5 {
+            let request = new_request("large", &format!("{elapsed_s} {request}"), now);
+            let effects = submit(&mut scheduler, request, now);
+            let placed = only_dispatch(&effects);
+            assert_eq!(placed.target, left, "after {elapsed_s} s");
+            let placement = placed.placement;
+            scheduler.on_end(placement, COMPLETED, 7, now, &mut Vec::new());
+        }
+    }
+}
+
 /// Guards against retries of completed or cancelled requests, and against an attempt whose end is
 /// counted twice.
 #[test]
