Do not eject targets that respond to other requests

A sound engine that falls silent for about a second in a part of its streams was ejected for 5 s and more, although it answered other requests all the while: each stream that another engine took over counted as a failure, and more than half of 20 outcomes in 10 s, or one after a return, were enough. A sixth of the capacity and the cached prompts of the engine were lost meanwhile.

A timeout now counts as a failure only if the target has started or ended no response for 2 s, counted from the first request that it left unanswered, so that short timeouts add up. Otherwise it makes the target unreliable for 1.5 s, which keeps requests away from a target that hangs before it can be ejected.

--- a/src/jujubelink/core/retry/ejection.rs
+++ b/src/jujubelink/core/retry/ejection.rs
@@ -23,6 +23,10 @@
 const FIRST_TRAFFIC_FRACTION: f64 = 0.1;
 const TRAFFIC_DOUBLING_PERIOD: Duration = Duration::from_secs(5);
 
+/// Time without any response of a target from which a request that timed out there counts as a failure. A
+/// sound target may be silent for about a second, for one request or for all.
+const MIN_FAILURE_SILENCE: Duration = Duration::from_secs(2);
+
 /// Maximum percentage of the targets of a model or route that may be ejected at the same time.
 pub const MAX_EJECTED_PERCENT: usize = 30;
 
@@ -53,6 +57,10 @@
     outcomes: VecDeque<(Timestamp, bool)>,
     ejection: Ejection,
     consecutive_ejections: u32,
+    /// When the target last started or ended a response.
+    last_response_at: Timestamp,
+    /// When the first request since then was sent.
+    unanswered_since: Option<Timestamp>,
 }
 
 impl Default for TargetHealth {
@@ -62,11 +70,34 @@
             outcomes: VecDeque::new(),
             ejection: Ejection::None,
             consecutive_ejections: 0,
+            last_response_at: Timestamp::ZERO,
+            unanswered_since: None,
         }
     }
 }
 
 impl TargetHealth {
+    /// Records a request that is sent to the target.
+    pub fn on_sent(&mut self, now: Timestamp) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Records that the target has started or ended a response.
+    pub fn on_response(&mut self, now: Timestamp) {
+        self.last_response_at = now;
+        self.unanswered_since = None;
+    }
+
+    /// Whether the timeout of a request that was sent at `sent_at` is a failure of the target. It is none if
+    /// the target has responded to another request a moment ago.
+    pub fn is_timeout_a_failure(&self, sent_at: Timestamp, now: Timestamp) -> bool {
+        let silent_since = match self.unanswered_since {
+            Some(since) if sent_at > self.last_response_at => since,
+            _ => self.last_response_at.max(sent_at),
+        };
+        now.saturating_sub(silent_since) >= MIN_FAILURE_SILENCE
+    }
+
     /// Records the outcome of an attempt. Returns whether the target should be ejected.
     pub fn on_outcome(&mut self, is_failure: bool, now: Timestamp) -> bool {
         if self.outcomes.len() == MAX_OUTCOMES {
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -20,7 +20,8 @@
 /// Retry delay sent to a refused client when there is no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time for which the router penalizes a target after a connection to it failed or was refused.
+/// Time for which the router penalizes a target after a connection to it failed or was refused, or after a
+/// silence that is too short for a failure.
 const UNRELIABLE_PERIOD: Duration = Duration::from_millis(1500);
 
 /// Time before its deadline from which a request takes any target with capacity instead of waiting
@@ -323,6 +324,7 @@
         self.router.on_sent(&route_request(&request), &choice, now);
         self.queue.on_dispatched(&request.workspace, job, now);
         self.target_budgets.get(&choice.target, now).on_request();
+        self.health.entry(choice.target).or_default().on_sent(now);
         let state = self.router.targets().get(choice.target);
         let (target, incarnation) = (state.id.clone(), state.incarnation);
         let source = choice.fetch_from;
@@ -381,6 +383,7 @@
             let wait_s = (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0);
             let queue_wait_s = load.on_observed_wait(placement, wait_s, now);
             model.silence = Duration::from_secs_f64(wait_s - queue_wait_s);
+            self.health.entry(target).or_default().on_response(now);
         }
     }
 
@@ -434,15 +437,22 @@
     /// Updates the health of the target: ejects it after too many failures, and after a failed
     /// connection penalizes it and invalidates its cache entries.
     fn update_target_health(&mut self, attempt: &Attempt, end: AttemptEnd, now: Timestamp) {
+        let target = attempt.target;
+        let health = self.health.entry(target).or_default();
+        if matches!(
+            end,
+            AttemptEnd::Completed { .. } | AttemptEnd::Failed | AttemptEnd::Refused
+        ) {
+            health.on_response(now);
+        }
+        if end == AttemptEnd::TimedOut && !health.is_timeout_a_failure(attempt.sent_at, now) {
+            self.router.targets_mut().get_mut(target).unreliable_until = now + UNRELIABLE_PERIOD;
+            return;
+        }
         if matches!(end, AttemptEnd::Cancelled | AttemptEnd::Refused) {
             return;
         }
-        let target = attempt.target;
-        let should_eject = self
-            .health
-            .entry(target)
-            .or_default()
-            .on_outcome(end.is_failure(), now);
+        let should_eject = health.on_outcome(end.is_failure(), now);
         if should_eject && self.may_eject(attempt) {
             self.health.entry(target).or_default().eject(now);
         }
@@ -705,6 +715,7 @@
                     .then(a_load.total_cmp(&b_load))
                     .then(tie_breaker(a.name_hash).cmp(&tie_breaker(b.name_hash)))
             })?;
+        self.health.entry(target).or_default().on_sent(now);
         let state = self.router.targets_mut().get_mut(target);
         state.load.on_sent(Duration::ZERO, now);
         state.load.on_prefilled(now);
--- a/tests/testsuite/pausing_targets.rs
+++ b/tests/testsuite/pausing_targets.rs
@@ -336,7 +336,7 @@
 }
 
 /// Guards against requests that are refused while most slots of sound targets are free, because the pauses
-/// of single requests are taken for a queue at their target.
+/// of single requests are taken for a queue or for failures of their target.
 #[test]
 fn targets_that_pause_and_go_on_are_given_requests() {
     for seed in 1..=8 {
@@ -345,6 +345,7 @@
         assert_eq!(outcome.refusals, [], "seed {seed}");
         let sent = outcome.completed + outcome.unanswered;
         assert_eq!(outcome.unanswered, 0, "of {sent}, seed {seed}");
+        assert_eq!(outcome.ejections, 0, "seed {seed}");
     }
 }
 
--- a/tests/testsuite/retry.rs
+++ b/tests/testsuite/retry.rs
@@ -78,6 +78,25 @@
     );
 }
 
+/// Guards against ejections of targets that are silent for some requests while they respond to others, and
+/// against a target that hangs and is not ejected because the timeouts of its requests are short.
+#[test]
+fn a_timeout_is_a_failure_only_if_nothing_else_is_answered() {
+    let mut health = TargetHealth::default();
+    let at = |ms| NOW + Duration::from_millis(ms);
+    health.on_sent(at(0));
+    health.on_sent(at(100));
+    health.on_response(at(2_500));
+    assert!(!health.is_timeout_a_failure(at(0), at(2_600)));
+    assert!(health.is_timeout_a_failure(at(0), at(4_500)));
+    for sent_ms in [5_000, 5_600, 6_200] {
+        health.on_sent(at(sent_ms));
+        assert!(!health.is_timeout_a_failure(at(sent_ms), at(sent_ms + 500)));
+    }
+    health.on_sent(at(6_800));
+    assert!(health.is_timeout_a_failure(at(6_800), at(7_300)));
+}
+
 /// Guards against a request that crashes engines and is retried repeatedly.
 #[test]
 fn a_second_crash_quarantines_the_request() {
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -394,6 +394,36 @@
     }
 }
 
+/// Guards against a plain target that hangs and goes on getting requests.
+#[test]
+fn a_plain_target_that_hangs_gets_few_requests() {
+    let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+    let mut scheduler = Scheduler::new();
+    scheduler.on_config(&config_of_a_service(2));
+    let timeout = Duration::from_millis(500);
+    let (mut hanging, mut sent_to_hanging) = (Vec::new(), 0);
+    for request in 0..200 {
+        let now = NOW + request * Duration::from_millis(50);
+        scheduler.on_tick(now);
+        let (late, waiting): (Vec<_>, Vec<_>) = hanging
+            .into_iter()
+            .partition(|(_, sent_at)| now - *sent_at >= timeout);
+        hanging = waiting;
+        for (placement, _) in late {
+            scheduler.on_end(placement, AttemptEnd::TimedOut, 7, now, &mut Vec::new());
+        }
+        let random = u64::from(request);
+        let (placement, target) = scheduler.place_plain(&names, &[], random, now).unwrap();
+        if target == names[0] {
+            sent_to_hanging += 1;
+            hanging.push((placement, now));
+        } else {
+            scheduler.on_end(placement, COMPLETED, 7, now, &mut Vec::new());
+        }
+    }
+    assert!(sent_to_hanging <= 8, "{sent_to_hanging} of 200");
+}
+
 /// Guards against requests that are refused because the targets that are not ejected have left.
 #[test]
 fn ejected_targets_are_used_if_no_others_are_left() {
