--- a/src/jujubelink/core/scheduler/running.rs
+++ b/src/jujubelink/core/scheduler/running.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::core::ids::{Incarnation, ModelId, Timestamp, WorkspaceId};
 use crate::core::prefix::PromptFingerprints;
@@ -27,6 +28,8 @@
     /// Deadline of a retry before the first token.
     pub(super) retry_deadline: Timestamp,
     pub(super) first_token_at: Option<Timestamp>,
+    /// Part of the time to the first token that neither the prefill nor a queue at the target explains.
+    pub(super) silence: Duration,
 }
 
 /// One attempt of a request at a target.
@@ -37,6 +40,8 @@
     pub(super) generation: u32,
     pub(super) incarnation: Incarnation,
     pub(super) sent_at: Timestamp,
+    /// All targets of the plain service; empty for a model request.
+    pub(super) service: Rc<[TargetIndex]>,
     /// `None` for a request to a plain service.
     pub(super) model: Option<ModelAttempt>,
 }
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -1,6 +1,7 @@
 //! The scheduler: queues model requests, dispatches them to targets and evaluates the outcomes.
 
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::running::{Attempt, ModelAttempt, RunningTable};
@@ -9,7 +10,8 @@
 use crate::core::ids::{Fingerprint, TargetId, Timestamp, Tokens, WorkspaceId};
 use crate::core::queue::{FairQueue, JobId, QueuedJob};
 use crate::core::retry::{
-    MAX_EJECTED_PERCENT, RetryBudgets, SuspectState, SuspectTable, TargetHealth, backoff,
+    MAX_EJECTED_PERCENT, MAX_EJECTED_SERVICE_PERCENT, RetryBudgets, SuspectState, SuspectTable,
+    TargetHealth, backoff,
 };
 use crate::core::routing::{
     Choice, LoadReport, RouteRequest, Router, TargetIndex, rendezvous_score,
@@ -18,7 +20,8 @@
 /// Retry delay sent to a refused client when there is no better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time for which the router penalizes a target after a connection to it failed or was refused.
+/// Time for which the router penalizes a target after a connection to it failed or was refused, or after a
+/// silence that is too short for a failure.
 const UNRELIABLE_PERIOD: Duration = Duration::from_millis(1500);
 
 /// Time before its deadline from which a request takes any target with capacity instead of waiting
@@ -58,7 +61,7 @@
     /// estimated.
     workspace_rates: HashMap<WorkspaceId, Tokens>,
     /// Targets of each model and each route to a plain service; the limit on ejected targets
-    /// applies to each group.
+    /// applies to each group. Plain services without a route have their group in their attempts.
     ejection_groups: Vec<Vec<TargetIndex>>,
 }
 
@@ -321,6 +324,7 @@
         self.router.on_sent(&route_request(&request), &choice, now);
         self.queue.on_dispatched(&request.workspace, job, now);
         self.target_budgets.get(&choice.target, now).on_request();
+        self.health.entry(choice.target).or_default().on_sent(now);
         let state = self.router.targets().get(choice.target);
         let (target, incarnation) = (state.id.clone(), state.incarnation);
         let source = choice.fetch_from;
@@ -330,6 +334,7 @@
             generation: state.generation,
             incarnation,
             sent_at: now,
+            service: Rc::default(),
             model: Some(ModelAttempt {
                 earlier_attempts: request.excluded.len() as u32,
                 choice,
@@ -338,6 +343,7 @@
                 is_suspect: request.is_suspect,
                 retry_deadline: request.deadline + prefill_allowance(request.cost_tokens),
                 first_token_at: None,
+                silence: Duration::ZERO,
                 workspace: request.workspace,
                 model: request.model,
                 prompt: request.prompt,
@@ -374,10 +380,10 @@
             let took_s = now.saturating_sub(sent_at).as_secs_f64();
             let load = &mut self.router.targets_mut().get_mut(target).load;
             load.on_prefilled(now);
-            load.on_observed_wait(
-                (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0),
-                now,
-            );
+            let wait_s = (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0);
+            let queue_wait_s = load.on_observed_wait(placement, wait_s, now);
+            model.silence = Duration::from_secs_f64(wait_s - queue_wait_s);
+            self.health.entry(target).or_default().on_response(now);
         }
     }
 
@@ -431,16 +437,23 @@
     /// Updates the health of the target: ejects it after too many failures, and after a failed
     /// connection penalizes it and invalidates its cache entries.
     fn update_target_health(&mut self, attempt: &Attempt, end: AttemptEnd, now: Timestamp) {
+        let target = attempt.target;
+        let health = self.health.entry(target).or_default();
+        if matches!(
+            end,
+            AttemptEnd::Completed { .. } | AttemptEnd::Failed | AttemptEnd::Refused
+        ) {
+            health.on_response(now);
+        }
+        if end == AttemptEnd::TimedOut && !health.is_timeout_a_failure(attempt.sent_at, now) {
+            self.router.targets_mut().get_mut(target).unreliable_until = now + UNRELIABLE_PERIOD;
+            return;
+        }
         if matches!(end, AttemptEnd::Cancelled | AttemptEnd::Refused) {
             return;
         }
-        let target = attempt.target;
-        let should_eject = self
-            .health
-            .entry(target)
-            .or_default()
-            .on_outcome(end.is_failure(), now);
-        if should_eject && self.may_eject(target) {
+        let should_eject = health.on_outcome(end.is_failure(), now);
+        if should_eject && self.may_eject(attempt) {
             self.health.entry(target).or_default().eject(now);
         }
         let state = self.router.targets_mut().get_mut(target);
@@ -458,17 +471,21 @@
     }
 
     /// Whether the limit on ejected targets allows another one in each group of the target.
-    fn may_eject(&self, target: TargetIndex) -> bool {
-        let is_ejected =
-            |other: &&TargetIndex| self.health.get(other).is_some_and(TargetHealth::is_ejected);
-        let ejection_groups = self
+    fn may_eject(&self, attempt: &Attempt) -> bool {
+        let count_ejected = |group: &[TargetIndex]| {
+            let health = group.iter().filter_map(|target| self.health.get(target));
+            health.filter(|health| health.is_ejected()).count()
+        };
+        let is_allowed = |group: &[TargetIndex], max_percent: usize| {
+            (count_ejected(group) + 1) * 100 <= group.len() * max_percent
+        };
+        let mut groups = self
             .ejection_groups
             .iter()
-            .filter(|group| group.contains(&target));
-        ejection_groups.into_iter().all(|group| {
-            let ejected = group.iter().filter(is_ejected).count();
-            (ejected + 1) * 100 <= group.len() * MAX_EJECTED_PERCENT
-        })
+            .filter(|group| group.contains(&attempt.target));
+        let service = &attempt.service;
+        (service.is_empty() || is_allowed(service, MAX_EJECTED_SERVICE_PERCENT))
+            && groups.all(|group| is_allowed(group, MAX_EJECTED_PERCENT))
     }
 
     fn refresh_traffic_fraction(&mut self, target: TargetIndex, now: Timestamp) {
@@ -515,8 +532,9 @@
             }
         }
         if let Some(first) = model.first_token_at {
+            let prefill = (first - attempt.sent_at).saturating_sub(model.silence);
             self.router
-                .on_completed(&model.model, now - attempt.sent_at, first - attempt.sent_at);
+                .on_completed(&model.model, now - attempt.sent_at, prefill);
         }
         let fingerprint = model.prompt.whole;
         if self.suspects.clear(fingerprint, now) {
@@ -653,7 +671,8 @@
     }
 
     /// Selects the least loaded target that accepts requests for a request to a plain service, and
-    /// records the attempt. Returns the identifier of the attempt and the target.
+    /// records the attempt. `targets` are all targets of the service that take new work, as the limit on
+    /// ejected targets applies to them. Returns the identifier of the attempt and the target.
     pub fn place_plain(
         &mut self,
         targets: &[TargetId],
@@ -665,11 +684,22 @@
             return None;
         }
         let table = self.router.targets();
-        let target = targets
+        let service: Rc<[TargetIndex]> = targets.iter().filter_map(|id| table.index(id)).collect();
+        // If the only ones left are ejected, a request may as well try them.
+        let are_all_out = !service
             .iter()
-            .filter(|id| !excluded.contains(id))
-            .filter_map(|id| table.index(id))
-            .filter(|index| table.get(*index).accepts_requests(now))
+            .any(|index| table.get(*index).is_in_service());
+        let target = service
+            .iter()
+            .copied()
+            .filter(|index| {
+                let state = table.get(*index);
+                let accepts_requests = match are_all_out {
+                    true => state.is_ejected() && state.paused_until <= now,
+                    false => state.accepts_requests(now),
+                };
+                accepts_requests && !excluded.contains(&state.id)
+            })
             .min_by(|a, b| {
                 let (a, b) = (table.get(*a), table.get(*b));
                 let load = |state: &crate::core::routing::TargetState| {
@@ -685,6 +715,7 @@
                     .then(a_load.total_cmp(&b_load))
                     .then(tie_breaker(a.name_hash).cmp(&tie_breaker(b.name_hash)))
             })?;
+        self.health.entry(target).or_default().on_sent(now);
         let state = self.router.targets_mut().get_mut(target);
         state.load.on_sent(Duration::ZERO, now);
         state.load.on_prefilled(now);
@@ -694,6 +725,7 @@
             generation: state.generation,
             incarnation: state.incarnation,
             sent_at: now,
+            service,
             model: None,
         };
         Some((self.running.add(attempt), id))
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -6,6 +6,7 @@
 mod kept_connections;
 mod odd_entries;
 mod odd_numbers;
+mod pausing_engines;
 mod planned_stop;
 mod reload;
 mod silent_targets;
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Request;
+use jujubelink::core::config::{ConfigSnapshot, TargetKind};
 use jujubelink::core::ids::{TargetId, Timestamp};
 use jujubelink::core::routing::LoadReport;
 use jujubelink::core::scheduler::{
@@ -27,6 +28,16 @@
     scheduler
 }
 
+/// A configuration with targets of a plain service that no route names.
+fn config_of_a_service(targets: usize) -> ConfigSnapshot {
+    let mut config = config_with_engines(targets);
+    for target in config.fleet.targets.values_mut() {
+        target.kind = TargetKind::Service;
+        target.models.clear();
+    }
+    config
+}
+
 /// Submits a request, dispatches what can be dispatched, and returns the effects.
 fn submit(scheduler: &mut Scheduler, request: NewRequest, now: Timestamp) -> Vec<Effect> {
     let mut effects = Vec::new();
@@ -110,6 +121,24 @@
     assert_eq!(scheduler.queued(), 0);
 }
 
+/// Guards against a queue of other instances' requests that goes unnoticed, so that further requests join it.
+#[test]
+fn waits_of_successive_requests_show_a_queue_at_their_target() {
+    let mut scheduler = new_scheduler(1);
+    let second = Duration::from_secs(1);
+    let placements: Vec<_> = (0..3)
+        .map(|index| {
+            let request = new_request("small", &format!("short {index}"), NOW);
+            only_dispatch(&submit(&mut scheduler, request, NOW)).placement
+        })
+        .collect();
+    for placement in &placements {
+        scheduler.on_first_token(*placement, NOW + second);
+    }
+    let request = new_request("small", "queued", NOW + second);
+    assert_eq!(submit(&mut scheduler, request, NOW + second), []);
+}
+
 /// Guards against requests to a target that announced its shutdown while they were queued.
 #[test]
 fn a_queued_request_is_not_sent_to_a_target_that_leaves_meanwhile() {
@@ -342,6 +371,124 @@
     assert_eq!(ejected, 3);
 }
 
+/// Guards against plain requests that are refused because failures have taken all targets of their service out,
+/// and against a failing target that gets requests while others are sound.
+#[test]
+fn at_most_half_of_the_targets_of_a_plain_service_are_ejected() {
+    for (targets, expected) in [(1, 0), (2, 1), (3, 1), (10, 5)] {
+        let mut scheduler = Scheduler::new();
+        let all: Vec<_> = (0..targets)
+            .map(|index| engine_name(index).into())
+            .collect();
+        scheduler.on_config(&config_of_a_service(targets));
+        let mut fail = |times: usize| {
+            for random in 0..times as u64 {
+                let (placement, _) = scheduler.place_plain(&all, &[], random, NOW).unwrap();
+                end_attempt(&mut scheduler, placement, AttemptEnd::Failed);
+            }
+            let table = scheduler.router().targets();
+            let ejected = table.iter().filter(|(_, state)| state.is_ejected());
+            ejected.count()
+        };
+        assert_eq!(fail(200), expected, "of {targets}");
+    }
+}
+
+/// Guards against a plain target that hangs and goes on getting requests.
+#[test]
+fn a_plain_target_that_hangs_gets_few_requests() {
+    let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+    let mut scheduler = Scheduler::new();
+    scheduler.on_config(&config_of_a_service(2));
+    let timeout = Duration::from_millis(500);
+    let (mut hanging, mut sent_to_hanging) = (Vec::new(), 0);
+    for request in 0..200 {
+        let now = NOW + request * Duration::from_millis(50);
+        scheduler.on_tick(now);
+        let (late, waiting): (Vec<_>, Vec<_>) = hanging
+            .into_iter()
+            .partition(|(_, sent_at)| now - *sent_at >= timeout);
+        hanging = waiting;
+        for (placement, _) in late {
+            scheduler.on_end(placement, AttemptEnd::TimedOut, 7, now, &mut Vec::new());
+        }
+        let random = u64::from(request);
+        let (placement, target) = scheduler.place_plain(&names, &[], random, now).unwrap();
+        if target == names[0] {
+            sent_to_hanging += 1;
+            hanging.push((placement, now));
+        } else {
+            scheduler.on_end(placement, COMPLETED, 7, now, &mut Vec::new());
+        }
+    }
+    assert!(sent_to_hanging <= 8, "{sent_to_hanging} of 200");
+}
+
+/// Guards against requests that are refused because the targets that are not ejected have left.
+#[test]
+fn ejected_targets_are_used_if_no_others_are_left() {
+    let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+    let mut scheduler = Scheduler::new();
+    scheduler.on_config(&config_of_a_service(2));
+    for random in 0..20 {
+        let (placement, target) = scheduler.place_plain(&names, &[], random, NOW).unwrap();
+        let end = match target == names[0] {
+            true => AttemptEnd::Failed,
+            false => COMPLETED,
+        };
+        end_attempt(&mut scheduler, placement, end);
+    }
+    let place = |scheduler: &mut Scheduler, excluded: &[TargetId]| {
+        let placed = scheduler.place_plain(&names, excluded, 7, NOW);
+        placed.map(|(_, target)| target)
+    };
+    assert_eq!(place(&mut scheduler, &[]), Some(names[1].clone()));
+    assert_eq!(place(&mut scheduler, &names[1..]), None);
+    scheduler.set_leaving(&names[1], true);
+    assert_eq!(place(&mut scheduler, &[]), Some(names[0].clone()));
+}
+
+/// Guards against model requests that are refused because the engine that is left is ejected, or gets a part
+/// of normal traffic only.
+#[test]
+fn an_ejected_engine_gets_requests_if_the_others_have_left() {
+    let mut scheduler = new_scheduler(4);
+    let mut round = 0;
+    while scheduler
+        .router()
+        .targets()
+        .iter()
+        .all(|(_, state)| !state.is_ejected())
+    {
+        round += 1;
+        assert!(round < 1_000, "no target is ejected");
+        let request = new_request("large", &format!("{round}"), NOW);
+        let placement = only_dispatch(&submit(&mut scheduler, request, NOW)).placement;
+        end_attempt(&mut scheduler, placement, AttemptEnd::Failed);
+    }
+    let targets = scheduler.router().targets().iter();
+    let (ejected, others): (Vec<_>, Vec<_>) = targets
+        .map(|(_, state)| state)
+        .partition(|state| state.is_ejected());
+    let left = ejected[0].id.clone();
+    let others: Vec<_> = others.iter().map(|state| state.id.clone()).collect();
+    for other in &others {
+        scheduler.set_leaving(other, true);
+    }
+    for elapsed_s in [0, 6, 8] {
+        let now = NOW + Duration::from_secs(elapsed_s);
+        scheduler.on_tick(now);
+        for request in 0..5 {
+            let request = new_request("large", &format!("{elapsed_s} {request}"), now);
+            let effects = submit(&mut scheduler, request, now);
+            let placed = only_dispatch(&effects);
+            assert_eq!(placed.target, left, "after {elapsed_s} s");
+            let placement = placed.placement;
+            scheduler.on_end(placement, COMPLETED, 7, now, &mut Vec::new());
+        }
+    }
+}
+
 /// Guards against retries of completed or cancelled requests, and against an attempt whose end is
 /// counted twice.
 #[test]
