--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -18,7 +18,7 @@
 };
 
 /// Number of events in a complete stream.
-const EVENTS: u64 = 5;
+pub(super) const EVENTS: u64 = 5;
 
 /// Deadline of the prompts; it is also the timeout of their routes.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -185,7 +185,7 @@
 type Pause = (u64, u64);
 
 /// Returns a stream that goes on after the last event of the request.
-fn stream(request: &ReceivedRequest, pauses: &[Pause]) -> Reply {
+pub(super) fn stream(request: &ReceivedRequest, pauses: &[Pause]) -> Reply {
     let first = request.last_event.map_or(1, |last| last + 1);
     let mut steps = vec![Step::Send(stream_head(request))];
     for event in first..=EVENTS {
@@ -217,7 +217,7 @@
     Reply::kept(refusal(&request.id).replacen("\r\n", load, 1))
 }
 
-fn is_complete(response: &TestResponse) -> bool {
+pub(super) fn is_complete(response: &TestResponse) -> bool {
     response.status == 200 && response.body == expected_events(1..=EVENTS)
 }
 
