--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -13,14 +13,14 @@
 use rand::rngs::StdRng;
 
 use self::client::run_client;
-use self::world::{ROUTES, World};
+use self::world::{MAX_ATTEMPTS, ROUTES, World};
 use crate::support::{eventually, run};
 
 /// Time within which requests to a target that leaves have to end.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 /// Seeds that failed once, with their causes. CI runs the first two.
-const FAILED_SEEDS: [(u64, &str); 16] = [
+const FAILED_SEEDS: [(u64, &str); 18] = [
     (1, RESEND_FAILED),
     (2, RESEND_FAILED),
     (3, RESEND_FAILED),
@@ -37,6 +37,8 @@
     (14, RESEND_FAILED),
     (15, RESEND_FAILED),
     (16, RESEND_FAILED),
+    (121, BODY_REFUSED),
+    (126, BODY_REFUSED),
 ];
 
 /// Issue 23.
@@ -45,6 +47,10 @@
 /// Issue 23, also after the cause of [`RESEND_FAILED`] was mended.
 const TAKEOVER_FAILED: &str = "silent targets were given up before the next one refused or failed";
 
+/// Issue 29.
+const BODY_REFUSED: &str =
+    "connections were closed after a refusal while the body of the request was still arriving";
+
 const MACHINES: usize = 3;
 const CLIENTS_PER_ROUTE: usize = 6;
 const CI_DURATION: Duration = Duration::from_secs(20);
@@ -106,7 +112,10 @@
             .count();
         let number: usize = id[1..].split('-').next().unwrap().parse().unwrap();
         let (name, _, _) = ROUTES[number % ROUTES.len()];
-        let limit = if matches!(name, "read" | "ask") { 2 } else { 1 };
+        let limit = match name {
+            "read" | "ask" => MAX_ATTEMPTS[number % ROUTES.len()],
+            _ => 1,
+        };
         if runs > limit {
             world.violation(format!("twice: {name} {id} ran {runs} times: {arrivals:?}"));
         }
--- a/tests/testsuite/soak/schedule.rs
+++ b/tests/testsuite/soak/schedule.rs
@@ -29,8 +29,8 @@
                 let event = drain(Rc::clone(world), random.random());
                 running.push(compio::runtime::spawn(event));
             }
-            70..82 => change_config(world, random),
-            82..89 => reload(world, random),
+            70..84 => change_config(world, random),
+            84..89 => reload(world, random),
             89..95 => {
                 let event = restarts(Rc::clone(world), random.random());
                 running.push(compio::runtime::spawn(event));
@@ -52,15 +52,35 @@
     rand::SeedableRng::seed_from_u64(seed)
 }
 
-/// Several targets fall silent, up to three times in a series.
+/// Targets fall silent: a random share of them, one of them, one after the other, or all at once.
 async fn pauses(world: Rc<World>, seed: u64) {
     let mut random = seeded(seed);
+    let targets = &world.targets;
     for _ in 0..random.random_range(1..=3) {
-        let share = random.random_range(0.2..1.0);
-        for (target, _) in &world.targets {
-            if random.random_bool(share) {
+        match random.random_range(0..4) {
+            0 => {
+                let share = random.random_range(0.2..1.0);
+                for (target, _) in targets {
+                    if random.random_bool(share) {
+                        target.pause(ms(&mut random, 200..1_600));
+                    }
+                }
+            }
+            1 => {
+                let (target, _) = targets.choose(&mut random).unwrap();
                 target.pause(ms(&mut random, 200..1_600));
             }
+            2 => {
+                for (target, _) in targets {
+                    let pause = ms(&mut random, 200..1_600);
+                    target.pause(pause);
+                    compio::time::sleep(pause / 2).await;
+                }
+            }
+            _ => {
+                let pause = ms(&mut random, 900..1_500);
+                targets.iter().for_each(|(target, _)| target.pause(pause));
+            }
         }
         compio::time::sleep(ms(&mut random, 300..2_000)).await;
     }
@@ -131,29 +151,43 @@
     }
 }
 
+/// Up to three versions at once, beside which instances may reload their settings.
 fn change_config(world: &World, random: &mut StdRng) {
-    let mut config = world.config();
-    config.version += random.random_range(1..5);
-    match random.random_range(0..6) {
-        0..3 => {
-            let route = random.random_range(0..4);
-            config.is_moved[route] = !config.is_moved[route];
+    for _ in 0..random.random_range(1..=3) {
+        let mut config = world.config();
+        config.version += random.random_range(1..5);
+        match random.random_range(0..8) {
+            0..3 => {
+                let route = random.random_range(0..4);
+                config.is_moved[route] = !config.is_moved[route];
+            }
+            3 => config.timeout = ms(random, 2_000..4_500),
+            4 => {
+                config.idle_timeout = ms(random, 2_000..16_000);
+                config.header_timeout = ms(random, 500..5_000);
+            }
+            5 => config.added_routes = 0,
+            _ => config.added_routes += random.random_range(1..20),
+        }
+        world.put_config(config);
+        if random.random_bool(0.2) {
+            reload(world, random);
         }
-        3 => config.timeout = ms(random, 2_000..4_500),
-        4 => config.idle_timeout = ms(random, 4_000..12_000),
-        _ => config.added_routes += random.random_range(1..20),
     }
-    world.put_config(config);
 }
 
-/// Up to three SIGHUP in a series.
+/// Up to three SIGHUP in a series, to one instance or to all of them.
 fn reload(world: &World, random: &mut StdRng) {
-    let machine = world.machines.choose(random).unwrap();
+    let one = random.random_range(0..world.machines.len());
+    let is_for_all = random.random_bool(0.3);
     for _ in 0..random.random_range(1..=3) {
-        if let Some(process) = &*machine.process.borrow()
-            && machine.takes_connections.get()
-        {
-            process.reload();
+        for (index, machine) in world.machines.iter().enumerate() {
+            if let Some(process) = &*machine.process.borrow()
+                && machine.takes_connections.get()
+                && (is_for_all || index == one)
+            {
+                process.reload();
+            }
         }
     }
 }
--- a/tests/testsuite/soak/world.rs
+++ b/tests/testsuite/soak/world.rs
@@ -24,6 +24,9 @@
 /// Time after SIGTERM by which a process has to end.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Attempts that each of [`ROUTES`] allows.
+pub(super) const MAX_ATTEMPTS: [usize; 4] = [3, 2, 3, 2];
+
 /// Routes: name, kind and whether streams may be resumed.
 pub(super) const ROUTES: [(&str, &str, bool); 4] = [
     ("read", "idempotent", false),
@@ -40,6 +43,8 @@
     pub(super) is_moved: [bool; 4],
     pub(super) timeout: Duration,
     pub(super) idle_timeout: Duration,
+    pub(super) header_timeout: Duration,
+    /// Number of further routes, which later versions drop.
     pub(super) added_routes: u64,
 }
 
@@ -52,6 +57,8 @@
     store_handle: StandInHandle,
     pub(super) process: RefCell<Option<Instance>>,
     pub(super) takes_connections: Cell<bool>,
+    /// Number of processes that were started.
+    pub(super) starts: Cell<u64>,
     /// End of the time in which bounds on the knowledge of the instance do not hold.
     pub(super) disturbed_until: Cell<Instant>,
     log: PathBuf,
@@ -134,7 +141,8 @@
             version: 5,
             is_moved: [false; 4],
             timeout: Duration::from_secs(4),
-            idle_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(4),
+            header_timeout: Duration::from_secs(1),
             added_routes: 0,
         });
         for machine in &world.machines {
@@ -165,27 +173,27 @@
     }
 
     pub(super) fn put_config(&self, config: Config) {
-        let route = |name: &str, kind: &str, resumable: bool, service: &str| {
+        let route = |name: &str, kind: &str, resumable: bool, service: &str, attempts: usize| {
             json!({ "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"),
                 "kind": kind, "timeout_ms": config.timeout.as_millis() as u64,
-                "target_latency_ms": 3000, "priority": 1, "service": service, "max_attempts": 2,
+                "target_latency_ms": 3000, "priority": 1, "service": service, "max_attempts": attempts,
                 "public": false, "resumable": resumable, "gap_aim_ms": 250 })
         };
-        let routes = ROUTES.iter().zip(config.is_moved);
+        let routes = ROUTES.iter().zip(config.is_moved).zip(MAX_ATTEMPTS);
         let mut routes: Vec<Value> = routes
-            .map(|((name, kind, resumable), is_moved)| {
+            .map(|(((name, kind, resumable), is_moved), attempts)| {
                 let service = match (*kind == "streaming", is_moved) {
                     (true, false) => "llm",
                     (true, true) => "llm2",
                     (false, false) => "app",
                     (false, true) => "app2",
                 };
-                route(name, kind, *resumable, service)
+                route(name, kind, *resumable, service, attempts)
             })
             .collect();
         for number in 0..config.added_routes {
             let name = format!("added{number}");
-            routes.push(route(&name, "idempotent", false, "app"));
+            routes.push(route(&name, "idempotent", false, "app", 2));
         }
         let engine = json!({ "slots": 8, "kv_capacity": 100000, "models": [{ "name": "m" }] });
         let service = |name: &str| json!({ "name": name, "max_connections": 100 });
@@ -194,7 +202,7 @@
         let spec = json!({ "version": config.version, "routes": routes,
             "services": [service("app"), service("app2"), engine_service("llm"), engine_service("llm2")],
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 4194304,
-                "header_timeout_ms": 5000,
+                "header_timeout_ms": config.header_timeout.as_millis() as u64,
                 "idle_timeout_ms": config.idle_timeout.as_millis() as u64 },
             "tenants": [{ "name": "club", "api_keys": [KEY], "unit": "tokens",
                 "plain_tokens": 10, "rate_per_s": 10000000, "burst": 10000000 }] });
@@ -218,6 +226,17 @@
             .unwrap()
     }
 
+    /// Whether a connection that has been idle since then was idle for longer than a configuration
+    /// allowed while it was the newest one.
+    pub(super) fn may_be_closed(&self, idle_since: Instant) -> bool {
+        let configs = self.configs.borrow();
+        let ends = configs.iter().skip(1).map(|(at, _)| *at);
+        let mut periods = configs.iter().zip(ends.chain([Instant::now()]));
+        periods.any(|((_, config), end)| {
+            end.saturating_duration_since(idle_since) > config.idle_timeout
+        })
+    }
+
     /// Starts the process of a machine and waits until it is ready.
     pub(super) async fn start_process(&self, machine: &Machine) {
         let settings = format!(
@@ -240,6 +259,7 @@
             (status == 200).then_some(())
         })
         .await;
+        machine.starts.set(machine.starts.get() + 1);
         machine.takes_connections.set(true);
         machine.end_disturbance();
     }
@@ -283,6 +303,7 @@
         store,
         process: RefCell::default(),
         takes_connections: Cell::new(false),
+        starts: Cell::new(0),
         disturbed_until: Cell::new(Instant::now()),
         log: std::env::temp_dir().join(log),
     }
