--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -7,7 +7,9 @@
 mod odd_numbers;
 mod planned_stop;
 mod reload;
+mod scripted_deployment;
 mod silent_targets;
+mod takeovers;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -1,248 +1,27 @@
 //! Targets that send nothing for a while and go on, or never go on.
 
-use std::cell::Cell;
-use std::collections::HashMap;
 use std::process::Stdio;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use jujubelink_standins::fleet::StoreMode;
 use serde_json::{Value, json};
 
-use super::faulty_responses::{refusal, response_head, stream_head, stream_part, success};
-use super::{Deployment, KEY, RunningInstance, expected_events, read_lines};
+use super::faulty_responses::{refusal, response_head, success};
+use super::scripted_deployment::{
+    DEADLINE, NO_RESENDS, Pause, SILENCE, ScriptedDeployment, assert_complete,
+    assert_complete_or_interrupted, broken_stream, deploy, refusal_when_full, send_prompt,
+    silent_stream, stream, wait_until_prompts_complete,
+};
+use super::{Deployment, KEY, expected_events, read_lines};
 use crate::support::{
-    ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, WAIT_TIMEOUT, eventually,
-    free_address, run,
+    ReceivedRequest, Reply, Step, TestResponse, WAIT_TIMEOUT, eventually, free_address, run,
 };
 
-/// Number of events in a complete stream.
-const EVENTS: u64 = 5;
-
-/// Deadline of the prompts; it is also the timeout of their routes.
-const DEADLINE: Duration = Duration::from_secs(4);
-
-/// Time for which two targets may run a request.
-const MAX_OVERLAP: Duration = Duration::from_millis(400);
-
-/// Pause of a target that is silent for good.
-const SILENCE: Duration = Duration::from_secs(2 * WAIT_TIMEOUT.as_secs());
-
 /// Name of a change after which the key of the client is unknown.
 const WITHDRAWN_KEY: &str = "withdrawn key";
 
-/// Settings without any budget for sending a request again.
-const NO_RESENDS: &str = "resend_ratio = 0.0\nresend_slack = 0.0";
-
-/// An instance whose targets answer according to one script.
-struct ScriptedDeployment {
-    deployment: Deployment,
-    instance: RunningInstance,
-    targets: Vec<ScriptedTarget>,
-}
-
-/// Starts the targets in `ids`, which are the only ones in service. `script` gets each request and the
-/// number of its earlier arrivals at any of them.
-fn deploy(
-    ids: &[&str],
-    script: impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static,
-) -> (Deployment, Vec<ScriptedTarget>) {
-    let deployment = Deployment::new();
-    let arrivals = Mutex::new(HashMap::<String, usize>::new());
-    let script = Arc::new(move |request: &ReceivedRequest| {
-        if request.id.starts_with("warm-up") {
-            return stream(request, &[]);
-        }
-        let attempt = {
-            let mut arrivals = arrivals.lock().unwrap();
-            let count = arrivals.entry(request.id.clone()).or_default();
-            *count += 1;
-            *count - 1
-        };
-        script(request, attempt)
-    });
-    for (id, _) in &deployment.handles {
-        deployment.store.remove("servers", id);
-    }
-    let targets = ids.iter().map(|id| {
-        let script = Arc::clone(&script);
-        let target = ScriptedTarget::start(move |request| script(request));
-        deployment.put_target_at(id, target.address(), "ready", 2, 1);
-        target
-    });
-    let targets = targets.collect();
-    (deployment, targets)
-}
-
-impl ScriptedDeployment {
-    async fn start(
-        ids: &[&str],
-        settings: &str,
-        script: impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static,
-    ) -> Self {
-        let (deployment, targets) = deploy(ids, script);
-        let instance = deployment.start("n1", settings).await;
-        wait_until_prompts_complete(&instance).await;
-        Self {
-            deployment,
-            instance,
-            targets,
-        }
-    }
-
-    /// Starts an instance with so many attempts for streams that may be resumed.
-    async fn start_with_attempts(
-        deployment: Deployment,
-        targets: Vec<ScriptedTarget>,
-        max_attempts: u32,
-    ) -> Self {
-        let mut config = Deployment::configuration(6, &[KEY], &[]);
-        config["routes"][2]["max_attempts"] = json!(max_attempts);
-        deployment.store.put("config", "main", config);
-        let instance = deployment.start("n1", "").await;
-        wait_until_prompts_complete(&instance).await;
-        Self {
-            deployment,
-            instance,
-            targets,
-        }
-    }
-
-    /// Sends a request for a stream that may be resumed.
-    async fn ask(&self, id: &str) -> TestResponse {
-        send_prompt(&self.instance, id, "/ask/x").await
-    }
-
-    /// Waits until a request has reached a target.
-    async fn wait_for_arrival(&self, id: &str) {
-        eventually("the request reaches a target", || async {
-            (!self.arrivals(id).is_empty()).then_some(())
-        })
-        .await;
-    }
-
-    /// Returns the arrivals of a request, in their order.
-    fn arrivals(&self, id: &str) -> Vec<(&ScriptedTarget, ReceivedRequest)> {
-        let all = self.targets.iter().flat_map(|target| {
-            let received = target.received().into_iter();
-            received.map(move |request| (target, request))
-        });
-        let mut arrivals: Vec<_> = all.filter(|(_, request)| request.id == id).collect();
-        arrivals.sort_by_key(|(_, request)| request.arrived_at);
-        arrivals
-    }
-
-    /// Waits until no target answers a request, and checks that none ran it for long while a later one
-    /// did. A run starts with its first event.
-    async fn assert_runs_at_one_target(&self, id: &str) {
-        let mut runs: Vec<(Instant, Instant)> = Vec::new();
-        for (target, request) in self.arrivals(id) {
-            let times = eventually("the reply ends", || async {
-                let times = target.reply_times(&request);
-                times.ended_at.map(|ended_at| (times, ended_at))
-            });
-            let (times, ended_at) = times.await;
-            if let Some(started_at) = times.parts_sent_at.get(1) {
-                runs.push((*started_at, ended_at));
-            }
-        }
-        for (index, (started_at, ended_at)) in runs.iter().enumerate() {
-            for (_, earlier_ended_at) in &runs[..index] {
-                let end = earlier_ended_at.min(ended_at);
-                let overlap = end.saturating_duration_since(*started_at);
-                assert!(
-                    overlap < MAX_OVERLAP,
-                    "{id}: at two targets for {overlap:?}"
-                );
-            }
-        }
-    }
-}
-
-/// Waits until the instance admits prompts: a new one has no tokens of the workspace's rate limit yet.
-async fn wait_until_prompts_complete(instance: &RunningInstance) {
-    instance.wait_ready().await;
-    let number = Cell::new(0);
-    eventually("a stream is complete", || async {
-        number.set(number.get() + 1);
-        let id = format!("warm-up-{}", number.get());
-        let response = send_prompt(instance, &id, "/ask/x").await;
-        is_complete(&response).then_some(())
-    })
-    .await;
-}
-
-/// Sends a prompt that has no parts in common with others.
-async fn send_prompt(instance: &RunningInstance, id: &str, path: &str) -> TestResponse {
-    let parts = format!("{id}:1200");
-    instance
-        .send_prompt_with_deadline(id, path, &parts, DEADLINE)
-        .await
-}
-
-/// Number of events that a response has sent before a pause, and the length of the pause in milliseconds.
-type Pause = (u64, u64);
-
-/// Returns a stream that goes on after the last event of the request.
-fn stream(request: &ReceivedRequest, pauses: &[Pause]) -> Reply {
-    let first = request.last_event.map_or(1, |last| last + 1);
-    let mut steps = vec![Step::Send(stream_head(request))];
-    for event in first..=EVENTS {
-        let pauses = pauses.iter().filter(|(sent, _)| *sent == event - first);
-        steps.extend(pauses.map(|(_, ms)| Step::Pause(Duration::from_millis(*ms))));
-        steps.push(Step::Send(stream_part(event..=event)));
-    }
-    steps.push(Step::Send("0\r\n\r\n".to_owned()));
-    Reply {
-        steps,
-        closes: false,
-    }
-}
-
-/// Returns the head of a stream and some events, after which the target sends nothing more.
-fn silent_stream(request: &ReceivedRequest, events: u64) -> Reply {
-    stream(request, &[(events, SILENCE.as_millis() as u64)])
-}
-
-/// Returns the head of a stream and the next two events, after which the connection closes.
-fn broken_stream(request: &ReceivedRequest) -> Reply {
-    let first = request.last_event.map_or(1, |last| last + 1);
-    Reply::closed(stream_head(request) + &stream_part(first..=first + 1))
-}
-
-/// Returns a refusal by a target that has no free slot.
-fn refusal_when_full(request: &ReceivedRequest) -> Reply {
-    let load = "\r\njujubelink-server-load: 8,4,8\r\n";
-    Reply::kept(refusal(&request.id).replacen("\r\n", load, 1))
-}
-
-fn is_complete(response: &TestResponse) -> bool {
-    response.status == 200 && response.body == expected_events(1..=EVENTS)
-}
-
-/// Checks that all responses, which are given with a name of their case, are complete.
-fn assert_complete<'a>(responses: impl IntoIterator<Item = (&'a str, TestResponse)>) {
-    let incomplete: Vec<_> = responses
-        .into_iter()
-        .filter(|(_, response)| !is_complete(response))
-        .map(|(case, response)| (case, response.status, response.body))
-        .collect();
-    assert!(incomplete.is_empty(), "{incomplete:#?}");
-}
-
-/// Checks that a response is complete, or that the client can tell that it is not.
-fn assert_complete_or_interrupted(what: &str, response: &TestResponse) {
-    let is_interrupted =
-        response.status == 0 && expected_events(1..=EVENTS).starts_with(&response.body);
-    assert!(
-        is_interrupted || is_complete(response),
-        "{what}: {} {}",
-        response.status,
-        response.body
-    );
-}
-
 /// Guards against a stream that ends early because the engine that resumes it pauses as well.
 #[test]
 fn a_stream_is_complete_although_every_engine_pauses() {
@@ -483,29 +262,6 @@
     });
 }
 
-/// Guards against a stream that stays at two engines that are silent for good, although its route allows a
-/// third attempt, and against engines that work on after they were given up.
-#[test]
-fn a_third_engine_continues_a_stream_of_two_silent_ones() {
-    run(async {
-        let rows = [("after its head", true), ("before its head", false)];
-        let responses = join_all(rows.map(|(case, sends_head)| async move {
-            let ids = ["e1", "e2", "e3"];
-            let (deployment, targets) = deploy(&ids, move |request, attempt| match attempt {
-                0 => silent_stream(request, 2),
-                1 if sends_head => silent_stream(request, 0),
-                1 => stream(request, &[]).with_delay(SILENCE),
-                _ => stream(request, &[]),
-            });
-            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
-            let response = setup.ask("r").await;
-            setup.assert_runs_at_one_target("r").await;
-            (case, response)
-        }));
-        assert_complete(responses.await);
-    });
-}
-
 /// Guards against a stream that stays at an engine that is silent for good because its route has changed
 /// since it began, and against one that is taken over although its key was withdrawn.
 #[test]
@@ -545,56 +301,6 @@
     });
 }
 
-/// Guards against a response that does not continue the stream and ends the run of an engine that would.
-#[test]
-fn a_response_of_another_type_does_not_end_a_pending_run() {
-    run(async {
-        let ids = ["e1", "e2", "e3"];
-        let (deployment, targets) = deploy(&ids, |request, attempt| match attempt {
-            0 => silent_stream(request, 2),
-            1 => stream(request, &[]).with_delay(Duration::from_millis(2_400)),
-            _ => Reply::kept(success(request, "ok")),
-        });
-        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
-        assert_complete([("r", setup.ask("r").await)]);
-    });
-}
-
-/// Guards against a stream that ends early because a third attempt is allowed but no third engine is there.
-#[test]
-fn a_paused_stream_is_complete_with_three_attempts() {
-    run(async {
-        let (deployment, targets) = deploy(&["e1", "e2"], |request, attempt| match attempt {
-            0 => stream(request, &[(2, 2_900)]),
-            _ => stream(request, &[]).with_delay(SILENCE),
-        });
-        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
-        assert_complete([("r", setup.ask("r").await)]);
-    });
-}
-
-/// Guards against a stream that is not resumed because a target that was asked to take it over, and was not
-/// needed, counts as an attempt.
-#[test]
-fn a_stream_is_resumed_after_a_takeover_that_was_not_needed() {
-    run(async {
-        let script = |request: &ReceivedRequest, attempt| match attempt {
-            0 => Reply {
-                steps: vec![
-                    Step::Send(stream_head(request) + &stream_part(1..=2)),
-                    Step::Pause(Duration::from_millis(1_200)),
-                    Step::Send(stream_part(3..=3)),
-                    Step::Pause(Duration::from_millis(100)),
-                ],
-                closes: true,
-            },
-            _ => stream(request, &[]).with_delay(Duration::from_millis(500)),
-        };
-        let setup = ScriptedDeployment::start(&["e1", "e2", "e3"], "", script).await;
-        assert_complete([("r", setup.ask("r").await)]);
-    });
-}
-
 /// Guards against responses that are given up, and requests that run twice, because of a pause where no
 /// stream can be resumed.
 #[test]
--- /dev/null
+++ b/tests/testsuite/platform_path/takeovers.rs
@@ -0,0 +1,84 @@
+//! Targets that are asked to take a request over from silent ones.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+
+use super::faulty_responses::{stream_head, stream_part, success};
+use super::scripted_deployment::{
+    SILENCE, ScriptedDeployment, assert_complete, deploy, silent_stream, stream,
+};
+use crate::support::{ReceivedRequest, Reply, Step, run};
+
+/// Guards against a stream that stays at two engines that are silent for good, although its route allows a
+/// third attempt, and against engines that work on after they were given up.
+#[test]
+fn a_third_engine_continues_a_stream_of_two_silent_ones() {
+    run(async {
+        let rows = [("after its head", true), ("before its head", false)];
+        let responses = join_all(rows.map(|(case, sends_head)| async move {
+            let ids = ["e1", "e2", "e3"];
+            let (deployment, targets) = deploy(&ids, move |request, attempt| match attempt {
+                0 => silent_stream(request, 2),
+                1 if sends_head => silent_stream(request, 0),
+                1 => stream(request, &[]).with_delay(SILENCE),
+                _ => stream(request, &[]),
+            });
+            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+            let response = setup.ask("r").await;
+            setup.assert_runs_at_one_target("r").await;
+            (case, response)
+        }));
+        assert_complete(responses.await);
+    });
+}
+
+/// Guards against a response that does not continue the stream and ends the run of an engine that would.
+#[test]
+fn a_response_of_another_type_does_not_end_a_pending_run() {
+    run(async {
+        let ids = ["e1", "e2", "e3"];
+        let (deployment, targets) = deploy(&ids, |request, attempt| match attempt {
+            0 => silent_stream(request, 2),
+            1 => stream(request, &[]).with_delay(Duration::from_millis(2_400)),
+            _ => Reply::kept(success(request, "ok")),
+        });
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
+
+/// Guards against a stream that ends early because a third attempt is allowed but no third engine is there.
+#[test]
+fn a_paused_stream_is_complete_with_three_attempts() {
+    run(async {
+        let (deployment, targets) = deploy(&["e1", "e2"], |request, attempt| match attempt {
+            0 => stream(request, &[(2, 2_900)]),
+            _ => stream(request, &[]).with_delay(SILENCE),
+        });
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
+
+/// Guards against a stream that is not resumed because a target that was asked to take it over, and was not
+/// needed, counts as an attempt.
+#[test]
+fn a_stream_is_resumed_after_a_takeover_that_was_not_needed() {
+    run(async {
+        let script = |request: &ReceivedRequest, attempt| match attempt {
+            0 => Reply {
+                steps: vec![
+                    Step::Send(stream_head(request) + &stream_part(1..=2)),
+                    Step::Pause(Duration::from_millis(1_200)),
+                    Step::Send(stream_part(3..=3)),
+                    Step::Pause(Duration::from_millis(100)),
+                ],
+                closes: true,
+            },
+            _ => stream(request, &[]).with_delay(Duration::from_millis(500)),
+        };
+        let setup = ScriptedDeployment::start(&["e1", "e2", "e3"], "", script).await;
+        assert_complete([("r", setup.ask("r").await)]);
+    });
+}
