Do not give up a silent target before another one has responded

A takeover knew one other target only, so the third one could be asked only after one of the two was given up. It now awaits a set: the third target is asked beside the two silent ones, within attempts and budget, the first that goes on or starts its response keeps the request, and the others are closed at that moment. No wait ends a run any more; only the deadline does. A placement of a target that is asked is released when it is dropped.

The wait for a response head counted its own send twice, so that no takeover was tried beside the third send.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -77,11 +77,6 @@
             (None, None) => Poll::Ready(None),
         }
     }
-
-    /// Closes the connection, so that the target stops working.
-    fn close(&mut self) {
-        self.incoming = None;
-    }
 }
 
 /// The stream of a silent target. Only a new event, or the end of the stream, continues it.
@@ -366,19 +361,15 @@
             last_event: self.exchange.last_event,
             has_failed: false,
         };
-        let result = match self.exchange.take_over(&mut silent, &continues).await {
+        let response = match self.exchange.take_over(&mut silent, &continues).await {
             Takeover::Continued(goes_on) => return Ok(goes_on),
             Takeover::Rejected => {
                 self.restart_silence();
                 return Ok(true);
             }
-            Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
-            Takeover::Sent(pending) => {
-                self.body.close();
-                self.exchange.await_response(*pending, continues).await
-            }
+            Takeover::Responded(response) => SendOutcome::Response(*response),
         };
-        match self.continue_stream(result) {
+        match self.continue_stream(Ok(response)) {
             Ok(()) => Ok(true),
             Err(failure) => {
                 self.exchange.record_failure(&failure);
@@ -489,13 +480,13 @@
             ReadError::NotContinued => ("the target fell silent", AttemptOutcome::TimedOut),
         };
         self.exchange.log_interruption(reason);
-        if outcome == AttemptOutcome::Interrupted {
-            self.exchange.record_interruption();
-        }
-        if let Some(placement) = &self.exchange.placement {
-            self.exchange.excluded.push(placement.target.clone());
+        if let Some(target) = self.exchange.current_target() {
+            if outcome == AttemptOutcome::Interrupted {
+                self.exchange.record_interruption(&target);
+            }
             self.exchange.end_placement(outcome);
             self.exchange.record_run();
+            self.exchange.excluded.push(target);
         }
         let resend = match error {
             ReadError::DeadlinePassed => NoResend::DeadlineNear.to_string(),
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -6,7 +6,7 @@
 use super::exchange::{Exchange, NO_TARGET_RETRY_AFTER};
 use crate::core::crash::{Admission, Features};
 use crate::core::fleet::TargetRecord;
-use crate::core::ids::{Fingerprint, Timestamp};
+use crate::core::ids::{Fingerprint, TargetId, Timestamp};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::quarantine::InterruptedRun;
 use crate::util::hash::{combine, stable_hash};
@@ -119,7 +119,8 @@
 
     /// Whether the target of the present placement is known to have ended, other than as announced.
     pub(super) async fn has_target_ended(&self) -> bool {
-        let Some((target, _)) = self.last_send() else {
+        let current = self.current_target();
+        let Some((target, _)) = current.and_then(|target| self.last_send(&target)) else {
             return false;
         };
         let check = self.relay.quarantine.has_ended(target);
@@ -127,11 +128,10 @@
         check.await.unwrap_or(false)
     }
 
-    /// Returns the target of the present placement, and when the request was sent there.
-    fn last_send(&self) -> Option<&(Rc<TargetRecord>, Timestamp)> {
-        let placement = self.placement.as_ref()?;
+    /// Returns a target, and when the request was last sent there.
+    fn last_send(&self, target: &TargetId) -> Option<&(Rc<TargetRecord>, Timestamp)> {
         let mut sends = self.sent_to.iter().rev();
-        sends.find(|(target, _)| target.id == placement.target)
+        sends.find(|(record, _)| record.id == *target)
     }
 
     /// Records a complete response. An error need not come from the code that runs requests, and proves
@@ -142,9 +142,9 @@
         }
     }
 
-    /// Records that the target of the present placement interrupted its response.
-    pub(super) fn record_interruption(&self) {
-        let Some((target, sent_at)) = self.last_send() else {
+    /// Records that a target interrupted its response.
+    pub(super) fn record_interruption(&self, target: &TargetId) {
+        let Some((target, sent_at)) = self.last_send(target) else {
             return;
         };
         let run = InterruptedRun {
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -60,10 +60,10 @@
     pub(super) admission: Option<Admission>,
     charge: Option<Charge>,
     pub(super) placement: Option<Placement>,
-    /// Placement at a silent target, while another target is asked to take the request over.
-    pub(super) silent_placement: Option<Placement>,
-    /// Whether another target is asked to take over from a silent one.
+    /// Whether another target is asked to take over from the silent one of `placement`.
     pub(super) is_taking_over: bool,
+    /// Targets that were asked to take the request over and may still do so.
+    pub(super) asked: Vec<TargetId>,
     /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
     /// Targets that have refused the request without running it.
@@ -101,8 +101,8 @@
             admission: None,
             charge: None,
             placement: None,
-            silent_placement: None,
             is_taking_over: false,
+            asked: Vec::new(),
             excluded: Vec::new(),
             refusing: Vec::new(),
             sends: 0,
@@ -158,13 +158,16 @@
             match self.send(|_| true).await {
                 Ok(SendOutcome::Response(response)) => return Ok(response),
                 Ok(SendOutcome::TargetFailure(response)) => {
-                    self.runs += 1;
-                    self.may_have_run = true;
+                    let placement = self.placement.take();
+                    self.record_run();
                     if let Err(reason) = self.acquire_resend(Failure::MayHaveRun) {
+                        self.placement = placement;
                         self.log_no_resend(reason);
                         return Ok(response);
                     }
-                    self.end_placement(AttemptOutcome::Failed);
+                    if let Some(placement) = placement {
+                        self.release(placement, AttemptOutcome::Failed);
+                    }
                 }
                 Err(failure) => self.handle_failure(failure)?,
             }
@@ -266,16 +269,13 @@
 
     /// Whether the request has been sent to a target before.
     pub(super) fn was_sent_to(&self, target: &TargetId) -> bool {
-        let silent = self.silent_placement.as_ref();
-        silent.is_some_and(|silent| silent.target == *target)
-            || self.excluded.contains(target)
-            || self.refusing.contains(target)
+        self.sent_to.iter().any(|(record, _)| record.id == *target)
     }
 
-    /// Returns the targets at which the request has failed, and the one that runs it.
+    /// Returns the targets at which the request has failed, and those that run it.
     fn excluded_targets(&self) -> Vec<TargetId> {
-        let current = self.placement.iter().map(|current| current.target.clone());
-        self.excluded.iter().cloned().chain(current).collect()
+        let failed = self.excluded.iter().chain(&self.asked).cloned();
+        failed.chain(self.current_target()).collect()
     }
 
     async fn place_model(&self, mut excluded: Vec<TargetId>) -> Result<Placement, Refusal> {
@@ -456,31 +456,40 @@
 
     /// Records a failed send and ends its placement.
     pub(super) fn record_failure(&mut self, failure: &SendFailure) {
+        let placement = self.placement.take();
+        self.record_failure_at(placement, failure);
+    }
+
+    /// Records a failed send at a placement, and ends it.
+    pub(super) fn record_failure_at(
+        &mut self,
+        placement: Option<Placement>,
+        failure: &SendFailure,
+    ) {
+        let target = placement.as_ref().map(|placement| placement.target.clone());
         if failure.kind == Failure::MayHaveRun {
-            self.runs += 1;
-            self.may_have_run = true;
+            self.record_run();
         }
         // A silent target may run the request while another one fails to take it over.
-        let is_passed_on = self.may_have_run || self.silent_placement.is_some();
+        let is_passed_on = self.may_have_run || self.is_taking_over;
         self.progress.set_passed_on(is_passed_on);
         slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
-            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "target" => target.as_ref().map(ToString::to_string),
             "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
             "parts" => self.shared_part_names(), "sends" => self.sends);
-        if let Some(placement) = &self.placement
-            && failure.exclude_target
-        {
+        if let Some(target) = target {
+            if failure.outcome == AttemptOutcome::Interrupted {
+                self.record_interruption(&target);
+            }
             match failure.kind {
-                Failure::NotRun => self.refusing.push(placement.target.clone()),
-                Failure::NotSent | Failure::MayHaveRun => {
-                    self.excluded.push(placement.target.clone());
-                }
+                _ if !failure.exclude_target => {}
+                Failure::NotRun => self.refusing.push(target),
+                Failure::NotSent | Failure::MayHaveRun => self.excluded.push(target),
             }
         }
-        if failure.outcome == AttemptOutcome::Interrupted {
-            self.record_interruption();
+        if let Some(placement) = placement {
+            self.release(placement, failure.outcome.clone());
         }
-        self.end_placement(failure.outcome.clone());
     }
 
     /// Sets the outcome of a refusal to that of all sends so far.
@@ -500,33 +509,6 @@
         }
     }
 
-    /// Reports the end of the send to the scheduler.
-    pub(super) fn end_placement(&mut self, outcome: AttemptOutcome) {
-        if let Some(placement) = self.placement.take() {
-            self.release(placement, outcome);
-        }
-    }
-
-    /// Reports the end of a placement to the scheduler.
-    pub(super) fn release(&self, placement: Placement, outcome: AttemptOutcome) {
-        let scheduler = self.proxy.service::<dyn SchedulerService>();
-        if !self.is_model_request() {
-            scheduler.report_plain(placement, outcome);
-            return;
-        }
-        let request = ModelRequest {
-            id: self.head.id.clone(),
-            workspace: "".into(),
-            model: "".into(),
-            prompt: Rc::default(),
-            cost_tokens: 0,
-            first_token_deadline: Timestamp::ZERO,
-            excluded: Vec::new(),
-            is_suspect: false,
-        };
-        scheduler.report(&request, placement, outcome);
-    }
-
     /// Logs why a failed request is not sent again.
     pub(super) fn log_no_resend(&self, reason: NoResend) {
         slog::info!(self.proxy.context.log(), "request not sent again"; "request" => &*self.head.id,
@@ -535,21 +517,18 @@
     }
 
     /// Logs what happens with a target that has not responded in time. `sent_at` is when the request
-    /// was sent to another one.
+    /// was sent to `other`.
     pub(super) fn log_silent_target(
         &self,
         message: &'static str,
+        other: Option<TargetId>,
         reason: &str,
         sent_at: Option<Timestamp>,
     ) {
         let awaited = sent_at.map(|at| self.now().saturating_sub(at));
-        let target = |placement: &Option<Placement>| {
-            placement
-                .as_ref()
-                .map(|placement| placement.target.to_string())
-        };
         slog::info!(self.proxy.context.log(), "{}", message; "request" => &*self.head.id,
-            "target" => target(&self.placement), "silent_target" => target(&self.silent_placement),
+            "target" => other.map(|target| target.to_string()),
+            "silent_target" => self.current_target().map(|target| target.to_string()),
             "reason" => reason, "awaited_ms" => awaited.map(ms), "last_event" => self.last_event,
             "sends" => self.sends, "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
     }
@@ -653,9 +632,6 @@
             self.log_abandoned();
         }
         self.end_placement(AttemptOutcome::Cancelled);
-        if let Some(silent) = self.silent_placement.take() {
-            self.release(silent, AttemptOutcome::Cancelled);
-        }
         if let Some(charge) = self.charge.take() {
             // A request that was never sent has used nothing.
             let used = match self.sends > 0 {
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod crashes;
 mod exchange;
+mod placement;
 mod ready;
 mod resend;
 mod send;
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -11,34 +11,27 @@
     /// Returns how long the response head is awaited before another target may take the request over.
     /// If none may, this is all remaining time.
     pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
-        match self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends + 1) {
+        match self.check_attempts(Failure::MayHaveRun) {
             Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
             Err(_) => remaining,
         }
     }
 
-    /// Returns how long the response of a target that is to take the request over is awaited before a
-    /// third one may be tried. If none may, this is all remaining time.
-    pub(super) fn replacement_timeout(&self) -> Duration {
-        let remaining = self.remaining();
-        match self.check_resend(Failure::MayHaveRun, self.runs + 2, self.sends) {
-            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
-            Err(_) => remaining,
-        }
-    }
-
-    fn check_resend(&self, failure: Failure, runs: u32, sends: u32) -> Result<(), NoResend> {
+    /// Checks whether the request may be sent after a failure, or beside the targets that run it.
+    fn check_attempts(&self, failure: Failure) -> Result<(), NoResend> {
         let Some(admission) = &self.admission else {
             return Err(NoResend::NotRepeatable);
         };
         let route = &admission.route;
-        check_resend(route.kind, failure, runs, sends, route.max_attempts)
+        let running = self.placement.iter().len() + self.asked.len();
+        let runs = self.runs + running as u32;
+        check_resend(route.kind, failure, runs, self.sends, route.max_attempts)
     }
 
     /// Takes a further send from the resend budget of the service, if the request may be sent again
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
-        self.check_resend(failure, self.runs, self.sends)?;
+        self.check_attempts(failure)?;
         // The budget limits the requests that arrive at targets. A failed send may not have
         // arrived, but the next one may, so every resend takes from the budget.
         self.with_budget(ResendBudget::try_acquire)
@@ -46,7 +39,7 @@
 
     /// Checks whether another target may take the request over from the one that runs it.
     pub(super) fn check_replacement(&self) -> Result<(), NoResend> {
-        self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends)?;
+        self.check_attempts(Failure::MayHaveRun)?;
         self.with_budget(ResendBudget::is_allowed)
     }
 
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -1,6 +1,7 @@
 //! Sending a request to one target, up to the response head.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -156,6 +157,9 @@
 
 type SendResult = Result<Response<Incoming>, ClientSendFailure>;
 
+/// Evaluation of a send's result.
+pub(super) type EvaluationFuture = LocalBoxFuture<'static, Result<SendOutcome, SendFailure>>;
+
 impl PendingResponse {
     /// The target.
     pub(super) fn record(&self) -> &TargetRecord {
@@ -266,14 +270,32 @@
         }
     }
 
-    /// Evaluates the result of a send.
-    pub(super) async fn evaluate(
-        &mut self,
+    /// Evaluates the result of a send. A short response is read completely.
+    pub(super) fn evaluate(&self, record: &TargetRecord, result: SendResult) -> EvaluationFuture {
+        match self.check_result(record, result) {
+            Ok((response, is_failure)) => {
+                let response = self.read_response(response);
+                async move {
+                    let response = response.await?;
+                    Ok(match is_failure {
+                        true => SendOutcome::TargetFailure(response),
+                        false => SendOutcome::Response(response),
+                    })
+                }
+                .boxed_local()
+            }
+            Err(failure) => std::future::ready(Err(failure)).boxed_local(),
+        }
+    }
+
+    /// Returns a response that can be forwarded, and whether it is an error response of the target.
+    fn check_result(
+        &self,
         record: &TargetRecord,
         result: SendResult,
-    ) -> Result<SendOutcome, SendFailure> {
+    ) -> Result<(Response<Incoming>, bool), SendFailure> {
         let error = match result {
-            Ok(response) => return self.evaluate_response(record, response).await,
+            Ok(response) => return self.check_response(record, response),
             Err(failure) => failure.error,
         };
         if error.is_connection_refused() {
@@ -358,20 +380,17 @@
         Ok(request)
     }
 
-    async fn evaluate_response(
-        &mut self,
+    fn check_response(
+        &self,
         record: &TargetRecord,
         response: Response<Incoming>,
-    ) -> Result<SendOutcome, SendFailure> {
+    ) -> Result<(Response<Incoming>, bool), SendFailure> {
         let (head, verdict) = classify(&response, &self.head.id, &record.id);
         if is_from_target(verdict) {
             self.record_target_state(record, &head);
         }
         match verdict {
-            ResponseVerdict::Deliver => self
-                .read_response(response)
-                .await
-                .map(SendOutcome::Response),
+            ResponseVerdict::Deliver => Ok((response, false)),
             ResponseVerdict::FailedRun => {
                 let can_forward = head.is_signed && !promises_not_run(head.status);
                 if !can_forward {
@@ -382,9 +401,7 @@
                         AttemptOutcome::Failed,
                     ));
                 }
-                self.read_response(response)
-                    .await
-                    .map(SendOutcome::TargetFailure)
+                Ok((response, true))
             }
             ResponseVerdict::Refused if self.is_loading_weights(&head) => {
                 let scheduler = self.proxy.service::<dyn SchedulerService>();
@@ -437,21 +454,25 @@
 
     /// Reads a short response completely. A long response or a stream is read while it is
     /// forwarded.
-    async fn read_response(
-        &mut self,
+    fn read_response(
+        &self,
         response: Response<Incoming>,
-    ) -> Result<TargetResponse, SendFailure> {
+    ) -> impl Future<Output = Result<TargetResponse, SendFailure>> + 'static {
         let length = http_body::Body::size_hint(response.body()).exact();
         let is_bufferable = length.is_some_and(|length| length <= MAX_BUFFERED_RESPONSE_BYTES);
-        let (head, body) = response.into_parts();
-        if self.is_stream() || !is_bufferable {
-            return Ok(TargetResponse::streamed(head, body));
-        }
-        let remaining = self.deadline.saturating_sub(self.now());
-        let read = collect_limited(body, MAX_BUFFERED_RESPONSE_BYTES as usize);
-        match self.proxy.context.timers().timeout(remaining, read).await {
-            Some(Ok(Some(body))) => Ok(TargetResponse::buffered(head, body)),
-            _ => Err(SendFailure::connection_lost()),
+        let is_streamed = self.is_stream() || !is_bufferable;
+        let timers = *self.proxy.context.timers();
+        let remaining = self.remaining();
+        async move {
+            let (head, body) = response.into_parts();
+            if is_streamed {
+                return Ok(TargetResponse::streamed(head, body));
+            }
+            let read = collect_limited(body, MAX_BUFFERED_RESPONSE_BYTES as usize);
+            match timers.timeout(remaining, read).await {
+                Some(Ok(Some(body))) => Ok(TargetResponse::buffered(head, body)),
+                _ => Err(SendFailure::connection_lost()),
+            }
         }
     }
 
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -5,14 +5,16 @@
 //! and the connection to the silent target is closed then.
 
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use super::body::TargetResponse;
-use super::exchange::Exchange;
-use super::send::{PendingResponse, SendFailure, SendOutcome};
-use crate::ops::services::{AttemptOutcome, Placement};
+use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO};
+use super::placement::HeldPlacement;
+use super::send::{EvaluationFuture, PendingResponse, SendFailure, SendOutcome};
+use crate::core::ids::Timestamp;
+use crate::ops::services::AttemptOutcome;
 
 /// Time in which bytes are read that arrived while this process stood still. Without it, every target
 /// would count as silent after a stall.
@@ -37,29 +39,80 @@
     Continued(T),
     /// Another target responded. The silent one was given up.
     Responded(Box<TargetResponse>),
-    /// Another target has the request and has not responded yet. The silent one was given up.
-    Sent(Box<PendingResponse>),
     /// No other target has taken the request over. The silent one is still awaited.
     Rejected,
 }
 
-enum Race<T, U> {
-    Continued(T),
-    Other(U),
+/// A target that was asked to take a request over.
+struct Replacement {
+    placement: HeldPlacement,
+    /// Weights version that the send required.
+    weights: Option<u64>,
+    pending: PendingResponse,
+    stage: Stage,
+}
+
+enum Stage {
+    /// The response head has not arrived.
+    Head,
+    /// The response is evaluated.
+    Evaluation(EvaluationFuture),
+    /// The head of a streamed response has arrived. A sound target may be silent after it.
+    FirstFrame(Box<TargetResponse>),
 }
 
-/// Waits until a silent target goes on or another future completes.
-async fn race<S: SilentTarget, F: Future>(
-    silent: &mut S,
-    mut other: Pin<&mut F>,
-) -> Race<S::Output, F::Output> {
-    std::future::poll_fn(|cx| {
-        if let Poll::Ready(output) = silent.poll_continued(cx) {
-            return Poll::Ready(Race::Continued(output));
+impl Replacement {
+    /// Polls until the target has started a response that `accepts` holds for, or has failed.
+    fn poll_started(
+        &mut self,
+        exchange: &Exchange,
+        is_continuation: bool,
+        accepts: &impl Fn(&TargetResponse) -> bool,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Box<TargetResponse>, SendFailure>> {
+        loop {
+            self.stage = match &mut self.stage {
+                Stage::Head => {
+                    let result = std::task::ready!(self.pending.poll_result(cx));
+                    Stage::Evaluation(exchange.evaluate(self.pending.record(), result))
+                }
+                Stage::Evaluation(evaluation) => {
+                    match std::task::ready!(evaluation.as_mut().poll(cx))? {
+                        SendOutcome::Response(response) if accepts(&response) => {
+                            Stage::FirstFrame(Box::new(response))
+                        }
+                        _ => return Poll::Ready(Err(SendFailure::unusable())),
+                    }
+                }
+                Stage::FirstFrame(response) => {
+                    if let Some(body) = response.streamed_body() {
+                        let frame = std::task::ready!(body.poll_frame(cx));
+                        let is_lost = frame.as_ref().map_or(is_continuation, Result::is_err);
+                        if is_lost {
+                            return Poll::Ready(Err(SendFailure::connection_lost()));
+                        }
+                        body.unread(frame);
+                    }
+                    let stage = std::mem::replace(&mut self.stage, Stage::Head);
+                    let Stage::FirstFrame(response) = stage else {
+                        unreachable!("the stage was matched above")
+                    };
+                    return Poll::Ready(Ok(response));
+                }
+            };
         }
-        other.as_mut().poll(cx).map(Race::Other)
-    })
-    .await
+    }
+}
+
+/// What happens while a silent target and its possible replacements are awaited.
+enum Event<T> {
+    /// The silent target went on.
+    Continued(T),
+    /// The replacement at this index has started its response, or has failed.
+    Ended(usize, Result<Box<TargetResponse>, SendFailure>),
+    /// A further target was chosen, or none may be asked for the stated reason.
+    Placed(Result<HeldPlacement, String>),
+    DeadlinePassed,
 }
 
 impl Exchange {
@@ -84,11 +137,6 @@
                         self.record_kept_response(&pending);
                         return Ok(SendOutcome::Response(*response));
                     }
-                    Takeover::Sent(replacement) => {
-                        self.record_kept_response(&pending);
-                        pending = *replacement;
-                        continue;
-                    }
                     Takeover::Rejected => continue,
                 },
             };
@@ -96,9 +144,8 @@
         }
     }
 
-    /// Sends the request to another target while a silent one is still awaited. The silent target is
-    /// given up once the other one has started a response that `accepts` holds for, or after a while if
-    /// a third target may be tried.
+    /// Sends the request to other targets while a silent one is still awaited. The first target that
+    /// goes on or starts a response that `accepts` holds for keeps the request. None is given up before.
     pub(super) async fn take_over<S: SilentTarget>(
         &mut self,
         silent: &mut S,
@@ -115,148 +162,164 @@
         silent: &mut S,
         accepts: impl Fn(&TargetResponse) -> bool,
     ) -> Takeover<S::Output> {
-        let placement = match race(silent, pin!(self.place_replacement())).await {
-            Race::Continued(output) => return Takeover::Continued(output),
-            Race::Other(Ok(placement)) => placement,
-            Race::Other(Err(reason)) => {
-                self.log_silent_target("silent target still awaited", &reason, None);
+        let mut replacements = Vec::new();
+        let mut next_at = self.now() + STALL_RECOVERY;
+        loop {
+            let event = self
+                .next_event(silent, &mut replacements, next_at, &accepts)
+                .await;
+            match event {
+                Event::Continued(output) => {
+                    self.cancel_replacements(replacements);
+                    return Takeover::Continued(output);
+                }
+                Event::Ended(index, Ok(response)) => {
+                    let replacement = replacements.swap_remove(index);
+                    self.replace_silent_target(replacement, replacements);
+                    return Takeover::Responded(response);
+                }
+                Event::Ended(index, Err(failure)) => {
+                    let replacement: Replacement = replacements.swap_remove(index);
+                    self.reject_replacement(replacement.placement, &failure);
+                }
+                Event::Placed(placed) => {
+                    match placed {
+                        Ok(placement) => replacements.extend(self.begin_replacement(placement)),
+                        Err(reason) => {
+                            let current = self.current_target();
+                            self.log_silent_target(
+                                "silent target still awaited",
+                                current,
+                                &reason,
+                                None,
+                            );
+                        }
+                    }
+                    let awaited = self.remaining().mul_f64(FIRST_ATTEMPT_TIME_RATIO);
+                    next_at = self.now() + awaited;
+                }
+                Event::DeadlinePassed => {
+                    self.cancel_replacements(replacements);
+                    return Takeover::Rejected;
+                }
+            }
+            if replacements.is_empty() {
                 return Takeover::Rejected;
             }
-        };
-        let weights = self.weights;
-        self.silent_placement = self.placement.replace(placement);
-        let takeover = self.send_replacement(silent, accepts).await;
-        if let Takeover::Continued(_) | Takeover::Rejected = &takeover {
-            self.placement = self.silent_placement.take();
-            self.weights = weights;
         }
-        takeover
+    }
+
+    /// Waits for the next event. A further target is asked at `next_at`.
+    async fn next_event<S: SilentTarget>(
+        &self,
+        silent: &mut S,
+        replacements: &mut [Replacement],
+        next_at: Timestamp,
+        accepts: &impl Fn(&TargetResponse) -> bool,
+    ) -> Event<S::Output> {
+        let timers = self.proxy.context.timers();
+        let mut deadline = pin!(timers.sleep(self.remaining()));
+        let mut placed = pin!(async {
+            timers.sleep(next_at.saturating_sub(self.now())).await;
+            self.place_replacement().await
+        });
+        std::future::poll_fn(|cx| {
+            if let Poll::Ready(output) = silent.poll_continued(cx) {
+                return Poll::Ready(Event::Continued(output));
+            }
+            for (index, replacement) in replacements.iter_mut().enumerate() {
+                let started = replacement.poll_started(self, S::HAS_RESPONDED, accepts, cx);
+                if let Poll::Ready(result) = started {
+                    return Poll::Ready(Event::Ended(index, result));
+                }
+            }
+            if deadline.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Event::DeadlinePassed);
+            }
+            placed.as_mut().poll(cx).map(Event::Placed)
+        })
+        .await
     }
 
     /// Obtains a placement at another target, within the resend budget.
-    async fn place_replacement(&self) -> Result<Placement, String> {
-        self.proxy.context.timers().sleep(STALL_RECOVERY).await;
+    async fn place_replacement(&self) -> Result<HeldPlacement, String> {
         self.check_replacement()
             .map_err(|reason| reason.to_string())?;
         self.check_send().map_err(|refusal| refusal.message)?;
         let placement = self.choose_target().await;
         let placement = placement.map_err(|refusal| refusal.message)?;
-        if let Err(reason) = self.acquire_replacement() {
-            self.release(placement, AttemptOutcome::Cancelled);
-            return Err(reason.to_string());
-        }
+        let placement = HeldPlacement::new(self, placement);
+        self.acquire_replacement()
+            .map_err(|reason| reason.to_string())?;
         Ok(placement)
     }
 
-    async fn send_replacement<S: SilentTarget>(
-        &mut self,
-        silent: &mut S,
-        accepts: impl Fn(&TargetResponse) -> bool,
-    ) -> Takeover<S::Output> {
-        let mut pending = match self.begin_send() {
-            Ok(pending) => pending,
-            Err(failure) => return self.reject_replacement(&failure),
-        };
-        let timers = *self.proxy.context.timers();
-        let arrived = {
-            let timeout = self.replacement_timeout();
-            let response = std::future::poll_fn(|cx| pending.poll_result(cx));
-            race(silent, pin!(timers.timeout(timeout, response))).await
-        };
-        let result = match arrived {
-            Race::Other(Some(result)) => result,
-            Race::Continued(output) => {
-                self.cancel_replacement(&pending);
-                return Takeover::Continued(output);
-            }
-            Race::Other(None) if self.remaining().is_zero() => {
-                self.cancel_replacement(&pending);
-                return Takeover::Rejected;
-            }
-            Race::Other(None) => {
-                self.give_up_silent_target(&pending);
-                return Takeover::Sent(Box::new(pending));
+    /// Starts to send the request to another target.
+    fn begin_replacement(&mut self, mut held: HeldPlacement) -> Option<Replacement> {
+        let placement = held.take()?;
+        let target = placement.target.clone();
+        let (silent, weights) = (self.placement.replace(placement), self.weights);
+        let sent = self.begin_send();
+        let placement = std::mem::replace(&mut self.placement, silent)?;
+        let held = HeldPlacement::new(self, placement);
+        let sent_weights = std::mem::replace(&mut self.weights, weights);
+        match sent {
+            Ok(pending) => {
+                self.asked.push(target);
+                Some(Replacement {
+                    placement: held,
+                    weights: sent_weights,
+                    pending,
+                    stage: Stage::Head,
+                })
             }
-        };
-        let evaluated = {
-            let evaluation = self.evaluate(pending.record(), result);
-            race(silent, pin!(evaluation)).await
-        };
-        match evaluated {
-            Race::Continued(output) => {
-                self.cancel_replacement(&pending);
-                Takeover::Continued(output)
+            Err(failure) => {
+                self.reject_replacement(held, &failure);
+                None
             }
-            Race::Other(Ok(SendOutcome::Response(response))) if accepts(&response) => {
-                self.await_first_frame(silent, &pending, response).await
-            }
-            Race::Other(Ok(_)) => self.reject_replacement(&SendFailure::unusable()),
-            Race::Other(Err(failure)) => self.reject_replacement(&failure),
         }
     }
 
-    /// Waits until the other target has sent the start of a body that is forwarded as it arrives. A sound
-    /// target may send the head of a response and then be silent as well.
-    async fn await_first_frame<S: SilentTarget>(
-        &mut self,
-        silent: &mut S,
-        pending: &PendingResponse,
-        mut response: TargetResponse,
-    ) -> Takeover<S::Output> {
-        let first = match response.streamed_body() {
-            None => None,
-            Some(body) => {
-                let timers = *self.proxy.context.timers();
-                let frame = std::future::poll_fn(|cx| body.poll_frame(cx));
-                let frame = timers.timeout(self.replacement_timeout(), frame);
-                match race(silent, pin!(frame)).await {
-                    Race::Continued(output) => {
-                        self.cancel_replacement(pending);
-                        return Takeover::Continued(output);
-                    }
-                    Race::Other(Some(Some(Err(_)))) => {
-                        return self.reject_replacement(&SendFailure::connection_lost());
-                    }
-                    Race::Other(Some(None)) if S::HAS_RESPONDED => {
-                        return self.reject_replacement(&SendFailure::connection_lost());
-                    }
-                    Race::Other(None) if self.remaining().is_zero() => {
-                        self.cancel_replacement(pending);
-                        return Takeover::Rejected;
-                    }
-                    Race::Other(frame) => frame,
-                }
-            }
-        };
-        if let (Some(body), Some(frame)) = (response.streamed_body(), first) {
-            body.unread(frame);
-        }
-        self.give_up_silent_target(pending);
-        Takeover::Responded(Box::new(response))
-    }
-
-    /// Ends the run at the silent target.
-    fn give_up_silent_target(&mut self, pending: &PendingResponse) {
-        self.log_silent_target("silent target replaced", "", pending.sent_at());
-        if let Some(silent) = self.silent_placement.take() {
+    /// Ends the run at the silent target, and at all others but the one that has responded.
+    fn replace_silent_target(&mut self, mut winner: Replacement, others: Vec<Replacement>) {
+        let target = winner.placement.target();
+        self.log_silent_target(
+            "silent target replaced",
+            target,
+            "",
+            winner.pending.sent_at(),
+        );
+        self.cancel_replacements(others);
+        self.asked.clear();
+        self.weights = winner.weights;
+        let silent = std::mem::replace(&mut self.placement, winner.placement.take());
+        if let Some(silent) = silent {
             self.excluded.push(silent.target.clone());
+            self.record_run();
             self.release(silent, AttemptOutcome::TimedOut);
         }
-        self.record_run();
     }
 
-    /// Ends the run at the other target, as the silent one went on or the deadline has passed.
-    fn cancel_replacement(&mut self, pending: &PendingResponse) {
-        self.log_silent_target("silent target not replaced", "", pending.sent_at());
-        if pending.sent_at().is_some() {
-            self.record_run();
+    /// Ends the runs at other targets, as another one goes on or the deadline has passed.
+    fn cancel_replacements(&mut self, replacements: Vec<Replacement>) {
+        for replacement in replacements {
+            let (target, sent_at) = (
+                replacement.placement.target(),
+                replacement.pending.sent_at(),
+            );
+            self.log_silent_target("silent target not replaced", target, "", sent_at);
+            if sent_at.is_some() {
+                self.record_run();
+            }
         }
-        self.end_placement(AttemptOutcome::Cancelled);
+        self.asked.clear();
     }
 
-    fn reject_replacement<T>(&mut self, failure: &SendFailure) -> Takeover<T> {
-        self.record_failure(failure);
-        Takeover::Rejected
+    fn reject_replacement(&mut self, mut held: HeldPlacement, failure: &SendFailure) {
+        if let Some(placement) = held.take() {
+            self.asked.retain(|asked| *asked != placement.target);
+            self.record_failure_at(Some(placement), failure);
+        }
     }
 
     /// Records that a target may have run the request.
--- a/tests/testsuite/platform_path/scripted_deployment.rs
+++ b/tests/testsuite/platform_path/scripted_deployment.rs
@@ -89,11 +89,12 @@
         deployment: Deployment,
         targets: Vec<ScriptedTarget>,
         max_attempts: u32,
+        settings: &str,
     ) -> Self {
         let mut config = Deployment::configuration(6, &[KEY], &[]);
         config["routes"][2]["max_attempts"] = json!(max_attempts);
         deployment.store.put("config", "main", config);
-        let instance = deployment.start("n1", "").await;
+        let instance = deployment.start("n1", settings).await;
         wait_until_prompts_complete(&instance).await;
         Self {
             deployment,
--- a/tests/testsuite/platform_path/takeovers.rs
+++ b/tests/testsuite/platform_path/takeovers.rs
@@ -24,7 +24,7 @@
                 1 => stream(request, &[]).with_delay(SILENCE),
                 _ => stream(request, &[]),
             });
-            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3, "").await;
             let response = setup.ask("r").await;
             setup.assert_runs_at_one_target("r").await;
             (case, response)
@@ -43,7 +43,7 @@
             1 => stream(request, &[]).with_delay(Duration::from_millis(2_400)),
             _ => Reply::kept(success(request, "ok")),
         });
-        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3, "").await;
         assert_complete([("r", setup.ask("r").await)]);
     });
 }
@@ -56,7 +56,7 @@
             0 => stream(request, &[(2, 2_900)]),
             _ => stream(request, &[]).with_delay(SILENCE),
         });
-        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3).await;
+        let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3, "").await;
         assert_complete([("r", setup.ask("r").await)]);
     });
 }
@@ -82,3 +82,31 @@
         assert_complete([("r", setup.ask("r").await)]);
     });
 }
+
+/// Guards against a target that is given up for a third one before any of them has responded.
+#[test]
+fn the_first_of_three_silent_engines_that_goes_on_completes_the_stream() {
+    run(async {
+        let rows = [
+            ("the first", 0, 3_300),
+            ("the second", 1, 2_300),
+            ("the third", 2, 1_000),
+        ];
+        let responses = join_all(rows.map(|(case, goes_on, pause_ms)| async move {
+            let ids = ["e1", "e2", "e3"];
+            let (deployment, targets) = deploy(&ids, move |request, attempt| match attempt {
+                0 if goes_on == 0 => stream(request, &[(2, pause_ms)]),
+                0 => silent_stream(request, 2),
+                _ if attempt == goes_on => stream(request, &[(0, pause_ms)]),
+                1 => stream(request, &[]).with_delay(SILENCE),
+                _ => silent_stream(request, 0),
+            });
+            let setup = ScriptedDeployment::start_with_attempts(deployment, targets, 3, "").await;
+            let response = setup.ask("r").await;
+            setup.assert_runs_at_one_target("r").await;
+            assert_eq!(setup.arrivals("r").len(), 3, "{case}");
+            (case, response)
+        }));
+        assert_complete(responses.await);
+    });
+}
