Count attempts by targets

Callers saw a stream end early although its route allows a second attempt: the engine paused, another one was asked to take the stream over, the first went on and broke off later. The cancelled run counted as the second attempt, and the stream was not resumed. After a pause of this kind a stream also stayed at an engine that fell silent for good.

An attempt is now a run that failed, or a target whose run was cancelled; such a target may run the request again within its attempt. When all attempts are used, only these targets are allowed. MAX_SENDS bounds the sends as before, and a takeover leaves one of them for a stream whose target breaks off. Nothing changes for requests that may run only once.

--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -4,9 +4,11 @@
 //! The rules handle targets that fail, refuse requests, stop responding, respond to other requests
 //! or restart under the same name, while some requests must run at most once.
 
+mod attempts;
 mod head;
 mod response;
 
+pub use attempts::{AllowedTargets, Attempts};
 pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, PromptPart, RelayHead};
 pub use response::{
     Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -109,7 +109,7 @@
     /// It must run at most once, and may have run.
     #[display("the request must run at most once")]
     NotRepeatable,
-    /// Targets may have run it as often as its route allows.
+    /// As many targets as its route allows may have run it.
     #[display("all attempts are used")]
     AttemptsUsed,
     /// It has been sent too often, even if no target ran it.
@@ -124,22 +124,21 @@
 }
 
 /// Checks whether a request may be sent to another target after a failure. `sends` counts all sends so
-/// far, and `runs` those by which a target may have run the request, of which `max_attempts` are
-/// allowed.
+/// far, and `attempts` the targets that may have run the request, of which `max_attempts` are allowed.
 ///
 /// A request that must run at most once is sent again only if it can't have been run. A send that
-/// reached no target does not count as a run, but the number of sends is limited as well.
+/// reached no target does not count as an attempt, but the number of sends is limited as well.
 pub fn check_resend(
     kind: RequestKind,
     failure: Failure,
-    runs: u32,
+    attempts: u32,
     sends: u32,
     max_attempts: u32,
 ) -> Result<(), NoResend> {
     if failure == Failure::MayHaveRun && !kind.is_repeatable() {
         return Err(NoResend::NotRepeatable);
     }
-    if runs >= max_attempts {
+    if attempts >= max_attempts {
         return Err(NoResend::AttemptsUsed);
     }
     if sends >= MAX_SENDS {
@@ -149,4 +148,4 @@
 }
 
 /// Maximum number of sends of one request, including those that no target ran.
-const MAX_SENDS: u32 = 4;
+pub(super) const MAX_SENDS: u32 = 4;
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -485,7 +485,7 @@
                 self.exchange.record_interruption(&target);
             }
             self.exchange.end_placement(outcome);
-            self.exchange.record_run();
+            self.exchange.record_failed_run(&target);
             self.exchange.excluded.push(target);
         }
         let resend = match error {
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -16,7 +16,9 @@
 use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
-use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
+use crate::core::relay::{
+    AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
+};
 use crate::core::stop::RequestTimes;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
@@ -68,10 +70,8 @@
     pub(super) excluded: Vec<TargetId>,
     /// Targets that have refused the request without running it.
     refusing: Vec<TargetId>,
-    /// Number of attempts to send the request to a target, including failed ones.
-    pub(super) sends: u32,
-    /// Number of sends that a target may have run.
-    pub(super) runs: u32,
+    pub(super) attempts: Attempts,
+    /// Whether a target may have run the request, other than one that runs it.
     pub(super) may_have_run: bool,
     /// Number of the last stream event that the client has received.
     pub(super) last_event: Option<u64>,
@@ -105,8 +105,7 @@
             asked: Vec::new(),
             excluded: Vec::new(),
             refusing: Vec::new(),
-            sends: 0,
-            runs: 0,
+            attempts: Attempts::default(),
             may_have_run: false,
             weights: None,
             queue_time: Duration::ZERO,
@@ -159,7 +158,9 @@
                 Ok(SendOutcome::Response(response)) => return Ok(response),
                 Ok(SendOutcome::TargetFailure(response)) => {
                     let placement = self.placement.take();
-                    self.record_run();
+                    if let Some(placement) = &placement {
+                        self.record_failed_run(&placement.target);
+                    }
                     if let Err(reason) = self.acquire_resend(Failure::MayHaveRun) {
                         self.placement = placement;
                         self.log_no_resend(reason);
@@ -272,10 +273,17 @@
         self.sent_to.iter().any(|(record, _)| record.id == *target)
     }
 
-    /// Returns the targets at which the request has failed, and those that run it.
+    /// Returns the targets at which the request has failed, those that run it, and those that it may not
+    /// be sent to.
     fn excluded_targets(&self) -> Vec<TargetId> {
         let failed = self.excluded.iter().chain(&self.asked).cloned();
-        failed.chain(self.current_target()).collect()
+        let mut excluded: Vec<_> = failed.chain(self.current_target()).collect();
+        if let Ok(allowed @ AllowedTargets::Only(_)) = self.check_attempts(Failure::NotSent) {
+            let state = self.relay.fleet.state();
+            let others = state.targets().map(|record| &record.id);
+            excluded.extend(others.filter(|id| !allowed.contains(id)).cloned());
+        }
+        excluded
     }
 
     async fn place_model(&self, mut excluded: Vec<TargetId>) -> Result<Placement, Refusal> {
@@ -291,7 +299,7 @@
         let latency_objective = admission.route.latency_objective.mul_f64(QUEUE_TIME_RATIO);
         let first_token_due = (self.arrived + latency_objective).min(self.deadline);
         let mut wait = first_token_due.saturating_sub(self.now());
-        if self.sends > 0 {
+        if self.attempts.sends() > 0 {
             let remaining = self.remaining();
             wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
         }
@@ -333,7 +341,10 @@
 
     fn place_plain(&self) -> Result<Placement, Refusal> {
         let service = self.admission()?.service.clone();
-        let candidates = self.relay.fleet.state().serving_targets(&service);
+        let mut candidates = self.relay.fleet.state().serving_targets(&service);
+        if let Ok(allowed) = self.check_attempts(Failure::NotSent) {
+            candidates.retain(|target| allowed.contains(target));
+        }
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement = scheduler
             .place_plain(
@@ -467,8 +478,8 @@
         failure: &SendFailure,
     ) {
         let target = placement.as_ref().map(|placement| placement.target.clone());
-        if failure.kind == Failure::MayHaveRun {
-            self.record_run();
+        if let (Failure::MayHaveRun, Some(target)) = (failure.kind, &target) {
+            self.record_failed_run(target);
         }
         // A silent target may run the request while another one fails to take it over.
         let is_passed_on = self.may_have_run || self.is_taking_over;
@@ -476,7 +487,7 @@
         slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
             "target" => target.as_ref().map(ToString::to_string),
             "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
-            "parts" => self.shared_part_names(), "sends" => self.sends);
+            "parts" => self.shared_part_names(), "sends" => self.attempts.sends());
         if let Some(target) = target {
             if failure.outcome == AttemptOutcome::Interrupted {
                 self.record_interruption(&target);
@@ -512,7 +523,7 @@
     /// Logs why a failed request is not sent again.
     pub(super) fn log_no_resend(&self, reason: NoResend) {
         slog::info!(self.proxy.context.log(), "request not sent again"; "request" => &*self.head.id,
-            "reason" => reason.to_string(), "sends" => self.sends, "runs" => self.runs,
+            "reason" => reason.to_string(), "sends" => self.attempts.sends(), "attempts" => self.attempts.used(),
             "remaining_ms" => ms(self.remaining()));
     }
 
@@ -530,7 +541,7 @@
             "target" => other.map(|target| target.to_string()),
             "silent_target" => self.current_target().map(|target| target.to_string()),
             "reason" => reason, "awaited_ms" => awaited.map(ms), "last_event" => self.last_event,
-            "sends" => self.sends, "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
+            "sends" => self.attempts.sends(), "attempts" => self.attempts.used(), "remaining_ms" => ms(self.remaining()));
     }
 
     /// Logs that a response stopped before it was complete.
@@ -538,7 +549,7 @@
         slog::info!(self.proxy.context.log(), "response interrupted"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "parts" => self.shared_part_names(), "reason" => reason,
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
     }
@@ -552,7 +563,7 @@
     /// Logs that another target continues a stream.
     pub(super) fn log_resumed(&self) {
         slog::info!(self.proxy.context.log(), "stream resumed"; "request" => &*self.head.id,
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
     }
 
@@ -561,7 +572,7 @@
         self.is_ended = true;
         slog::info!(self.proxy.context.log(), "response ended early"; "request" => &*self.head.id,
             "reason" => reason, "resend" => resend, "last_event" => self.last_event,
-            "sends" => self.sends, "runs" => self.runs,
+            "sends" => self.attempts.sends(), "attempts" => self.attempts.used(),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
         self.proxy.context.metrics().count("relay.ended_early", 1);
@@ -572,7 +583,7 @@
     fn log_abandoned(&self) {
         slog::info!(self.proxy.context.log(), "request abandoned"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "lifecycle" => format!("{:?}", self.proxy.context.shutdown().lifecycle()),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
@@ -590,7 +601,7 @@
             "workspace" => admission.and_then(|admission| admission.workspace.as_ref()).map(ToString::to_string),
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "weights" => self.weights, "superseded_ms" => self.superseded_age().map(ms),
-            "sends" => self.sends, "queued_ms" => ms(self.queue_time),
+            "sends" => self.attempts.sends(), "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(now.saturating_sub(self.arrived)),
             "config" => admission.map(|admission| admission.policy.version),
             "config_age_ms" => self.relay.fleet.config_age().map(ms),
@@ -616,7 +627,7 @@
             "reason" => &*refusal.message,
             "route" => admission.map(|admission| admission.route.name.to_string()),
             "workspace" => admission.and_then(|admission| admission.workspace.as_ref()).map(ToString::to_string),
-            "sends" => self.sends, "queued_ms" => ms(self.queue_time),
+            "sends" => self.attempts.sends(), "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "retry_after_ms" => refusal.retry_after.map(ms),
             "config" => self.relay.fleet.state().config_version(),
@@ -634,7 +645,7 @@
         self.end_placement(AttemptOutcome::Cancelled);
         if let Some(charge) = self.charge.take() {
             // A request that was never sent has used nothing.
-            let used = match self.sends > 0 {
+            let used = match self.attempts.sends() > 0 {
                 true => charge.tokens,
                 false => 0,
             };
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -5,27 +5,28 @@
 use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
 use crate::core::ids::Timestamp;
 use crate::core::quota::ResendBudget;
-use crate::core::relay::{Failure, NoResend, check_resend};
+use crate::core::relay::{AllowedTargets, Failure, NoResend};
 
 impl Exchange {
     /// Returns how long the response head is awaited before another target may take the request over.
     /// If none may, this is all remaining time.
     pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
         match self.check_attempts(Failure::MayHaveRun) {
-            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+            Ok(_) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
             Err(_) => remaining,
         }
     }
 
-    /// Checks whether the request may be sent after a failure, or beside the targets that run it.
-    fn check_attempts(&self, failure: Failure) -> Result<(), NoResend> {
+    /// Returns the targets to which the request may be sent after a failure, or beside those that run it.
+    pub(super) fn check_attempts(&self, failure: Failure) -> Result<AllowedTargets, NoResend> {
         let Some(admission) = &self.admission else {
             return Err(NoResend::NotRepeatable);
         };
         let route = &admission.route;
-        let running = self.placement.iter().len() + self.asked.len();
-        let runs = self.runs + running as u32;
-        check_resend(route.kind, failure, runs, self.sends, route.max_attempts)
+        let current = self.placement.iter().map(|placement| &placement.target);
+        let running: Vec<_> = current.chain(&self.asked).collect();
+        self.attempts
+            .check(route.kind, failure, &running, route.max_attempts)
     }
 
     /// Takes a further send from the resend budget of the service, if the request may be sent again
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -234,7 +234,7 @@
         }
         let request = self.request_for(&record, remaining, weights)?;
         let options = self.request_options(&record);
-        self.sends += 1;
+        self.attempts.on_send();
         self.sent_to.push((Rc::clone(&record), self.now()));
         self.progress.set_passed_on(true);
         let sent_at = Rc::new(Cell::new(None));
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -13,7 +13,7 @@
 use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO};
 use super::placement::HeldPlacement;
 use super::send::{EvaluationFuture, PendingResponse, SendFailure, SendOutcome};
-use crate::core::ids::Timestamp;
+use crate::core::ids::{TargetId, Timestamp};
 use crate::ops::services::AttemptOutcome;
 
 /// Time in which bytes are read that arrived while this process stood still. Without it, every target
@@ -295,7 +295,7 @@
         let silent = std::mem::replace(&mut self.placement, winner.placement.take());
         if let Some(silent) = silent {
             self.excluded.push(silent.target.clone());
-            self.record_run();
+            self.record_failed_run(&silent.target);
             self.release(silent, AttemptOutcome::TimedOut);
         }
     }
@@ -307,9 +307,10 @@
                 replacement.placement.target(),
                 replacement.pending.sent_at(),
             );
-            self.log_silent_target("silent target not replaced", target, "", sent_at);
-            if sent_at.is_some() {
-                self.record_run();
+            self.log_silent_target("silent target not replaced", target.clone(), "", sent_at);
+            if let (Some(target), Some(_)) = (target, sent_at) {
+                self.attempts.on_cancelled(&target);
+                self.may_have_run = true;
             }
         }
         self.asked.clear();
@@ -322,9 +323,9 @@
         }
     }
 
-    /// Records that a target may have run the request.
-    pub(super) fn record_run(&mut self) {
-        self.runs += 1;
+    /// Records that a target which may have run the request has failed or was given up.
+    pub(super) fn record_failed_run(&mut self, target: &TargetId) {
+        self.attempts.on_failed(target);
         self.may_have_run = true;
     }
 }
--- a/tests/testsuite/platform_path/takeovers.rs
+++ b/tests/testsuite/platform_path/takeovers.rs
@@ -1,5 +1,6 @@
 //! Targets that are asked to take a request over from silent ones.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -110,3 +111,26 @@
         assert_complete(responses.await);
     });
 }
+
+/// Guards against a stream that stays at an engine that is silent for good because an earlier pause has used
+/// its attempts.
+#[test]
+fn a_stream_leaves_an_engine_that_is_silent_after_a_pause() {
+    run(async {
+        let setup =
+            ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| match attempt {
+                0 => stream(request, &[(2, 1_200), (3, SILENCE.as_millis() as u64)]),
+                1 => stream(request, &[]).with_delay(SILENCE),
+                _ => stream(request, &[]),
+            });
+        let setup = setup.await;
+        assert_complete([("r", setup.ask("r").await)]);
+        setup.assert_runs_at_one_target("r").await;
+        let arrivals = setup.arrivals("r");
+        let targets: HashSet<_> = arrivals
+            .iter()
+            .map(|(target, _)| target.address())
+            .collect();
+        assert_eq!((arrivals.len(), targets.len()), (3, 2));
+    });
+}
