Let a broken stream wait for a place until its deadline

Callers saw a resumable stream end at once, or after 45% of the remaining time, when its engine broke off and the other engines had no place at that moment: full, loading weights, or after they had asked for a pause.

The queue gave up the rest of a stream like a request that can still be refused, and engines that had refused it were asked again at once until the sends were used. The rest of a response that has begun now waits in the queue until its deadline, looks for a target again after a refusal of the queue as long as one is listed at which it may run, and asks engines that have refused only after 400 ms, the last time after 45% of the remaining time. The resend is taken from the budget once. A budget that is used up still ends the stream, as the client's own retry needs none.

--- a/src/jujubelink/core/relay/attempts.rs
+++ b/src/jujubelink/core/relay/attempts.rs
@@ -48,6 +48,11 @@
         self.failed_runs + self.cancelled.len() as u32
     }
 
+    /// Whether the request may be sent once more only.
+    pub fn is_last_send(&self) -> bool {
+        self.sends + 1 >= MAX_SENDS
+    }
+
     /// Records that the request is sent to a target, or that a connection is opened for it.
     pub fn on_send(&mut self) {
         self.sends += 1;
@@ -82,7 +87,7 @@
             Ok(()) => Ok(AllowedTargets::Any),
             Err(NoResend::AttemptsUsed) if !idle.is_empty() => {
                 // The last send is kept for a stream whose target breaks off.
-                let is_reserved = !running.is_empty() && self.sends + 1 >= MAX_SENDS;
+                let is_reserved = !running.is_empty() && self.is_last_send();
                 match is_reserved || self.sends >= MAX_SENDS {
                     true => Err(NoResend::SendsUsed),
                     false => Ok(AllowedTargets::Only(idle)),
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -194,6 +194,7 @@
                 full(body)
             }
             TargetBody::Streamed(body) => {
+                exchange.is_response_begun = true;
                 let mut relayed = RelayedBody {
                     is_delimited: is_delimited(&head.headers),
                     first_data_at: None,
@@ -507,7 +508,7 @@
         loop {
             let is_allowed = self.exchange.acquire_resend(failure);
             is_allowed.map_err(|reason| reason.to_string())?;
-            let placed = self.exchange.place().await;
+            let placed = self.exchange.place_rest().await;
             placed.map_err(|refusal| refusal.message)?;
             let media_type = self.media_type.as_deref();
             let continues = |response: &TargetResponse| response.continues_stream(media_type);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -39,6 +39,9 @@
 /// fraction, even if the latency objective has passed.
 pub(super) const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
 
+/// Time after which a target that has refused the rest of a stream may be asked again.
+const REFUSAL_BACKOFF: Duration = Duration::from_millis(400);
+
 /// A request is not sent if less time remains before its deadline, because no target could respond
 /// in time.
 pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
@@ -73,6 +76,8 @@
     pub(super) attempts: Attempts,
     /// Whether a target may have run the request, other than one that runs it.
     pub(super) may_have_run: bool,
+    /// Whether the client has received the start of a response that is forwarded as it arrives.
+    pub(super) is_response_begun: bool,
     /// Number of the last stream event that the client has received.
     pub(super) last_event: Option<u64>,
     /// Weights version that the last send required.
@@ -107,6 +112,7 @@
             refusing: Vec::new(),
             attempts: Attempts::default(),
             may_have_run: false,
+            is_response_begun: false,
             weights: None,
             queue_time: Duration::ZERO,
             progress: Rc::default(),
@@ -247,19 +253,48 @@
         if !self.is_model_request() {
             return self.place_plain();
         }
+        let remaining = self.remaining();
+        if self.refusing.is_empty() {
+            let wait = self.queue_limit(remaining);
+            return self.place_model(self.excluded_targets(), wait).await;
+        }
+        let refused_until = self.now() + self.refusal_backoff(remaining);
         let refusing = self.refusing.iter().cloned();
         let unavailable = self.excluded_targets().into_iter().chain(refusing);
-        let placement = self.place_model(unavailable.collect()).await;
+        let wait = remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO);
+        let placement = self.place_model(unavailable.collect(), wait).await;
         // A response that has begun cannot be refused any more, so its request waits for a target that
         // had no place before.
         match placement {
-            Err(_) if self.may_have_run && !self.refusing.is_empty() => {
-                self.place_model(self.excluded_targets()).await
+            Err(_) if self.may_have_run => {
+                let wait = refused_until.saturating_sub(self.now());
+                self.proxy.context.timers().sleep(wait).await;
+                let wait = self.queue_limit(self.remaining());
+                self.place_model(self.excluded_targets(), wait).await
             }
             placement => placement,
         }
     }
 
+    /// Returns how long a request that is sent again may wait in the queue. A response that has begun
+    /// cannot be refused any more, so it waits until its deadline.
+    fn queue_limit(&self, remaining: Duration) -> Duration {
+        match self.is_response_begun {
+            true => remaining,
+            false => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+        }
+    }
+
+    /// Returns how long targets that have refused the request get it only if no other one is left. The
+    /// last send waits longer, as the response ends if it is refused.
+    fn refusal_backoff(&self, remaining: Duration) -> Duration {
+        match (self.is_response_begun, self.attempts.is_last_send()) {
+            (false, _) => Duration::ZERO,
+            (true, false) => REFUSAL_BACKOFF.min(remaining),
+            (true, true) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+        }
+    }
+
     pub(super) fn is_model_request(&self) -> bool {
         let Some(admission) = &self.admission else {
             return false;
@@ -273,6 +308,16 @@
         self.sent_to.iter().any(|(record, _)| record.id == *target)
     }
 
+    /// Whether a target is listed at which the request has not failed, and that may run it.
+    pub(super) fn has_other_target(&self) -> bool {
+        let Ok(admission) = self.admission() else {
+            return false;
+        };
+        let excluded = self.excluded_targets();
+        let targets = self.relay.fleet.state().serving_targets(&admission.service);
+        targets.iter().any(|target| !excluded.contains(target))
+    }
+
     /// Returns the targets at which the request has failed, those that run it, and those that it may not
     /// be sent to.
     fn excluded_targets(&self) -> Vec<TargetId> {
@@ -286,7 +331,12 @@
         excluded
     }
 
-    async fn place_model(&self, mut excluded: Vec<TargetId>) -> Result<Placement, Refusal> {
+    /// Queues the request for a target. A request that is sent again waits for `resend_wait` at least.
+    async fn place_model(
+        &self,
+        mut excluded: Vec<TargetId>,
+        resend_wait: Duration,
+    ) -> Result<Placement, Refusal> {
         let Some(prompt) = &self.head.prompt else {
             return self.place_plain();
         };
@@ -300,8 +350,7 @@
         let first_token_due = (self.arrived + latency_objective).min(self.deadline);
         let mut wait = first_token_due.saturating_sub(self.now());
         if self.attempts.sends() > 0 {
-            let remaining = self.remaining();
-            wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
+            wait = wait.max(resend_wait);
         }
         excluded.extend(self.targets_with_stale_weights(admission));
         let request = ModelRequest {
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -6,6 +6,11 @@
 use crate::core::ids::Timestamp;
 use crate::core::quota::ResendBudget;
 use crate::core::relay::{AllowedTargets, Failure, NoResend};
+use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::util::duration::ms;
+
+/// Time after which a target is looked for again. Shorter near the deadline.
+const PLACE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 impl Exchange {
     /// Returns how long the response head is awaited before another target may take the request over.
@@ -29,6 +34,30 @@
             .check(route.kind, failure, &running, route.max_attempts)
     }
 
+    /// Obtains a placement for the rest of a response that has begun. Waits until its deadline for a target
+    /// that may get a place.
+    pub(super) async fn place_rest(&mut self) -> Result<(), Refusal> {
+        loop {
+            let Err(refusal) = self.place().await else {
+                return Ok(());
+            };
+            let may_get_place = match refusal.code {
+                RefusalCode::Overloaded => true,
+                RefusalCode::NoTarget => self.has_other_target(),
+                _ => false,
+            };
+            let delay = PLACE_RETRY_DELAY.min(self.remaining() / 2);
+            if !may_get_place || delay < MIN_SEND_TIME {
+                return Err(refusal);
+            }
+            slog::info!(self.proxy.context.log(), "stream waits for a target";
+                "request" => &*self.head.id, "reason" => &*refusal.message,
+                "last_event" => self.last_event, "sends" => self.attempts.sends(),
+                "remaining_ms" => ms(self.remaining()));
+            self.proxy.context.timers().sleep(delay).await;
+        }
+    }
+
     /// Takes a further send from the resend budget of the service, if the request may be sent again
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
--- /dev/null
+++ b/tests/testsuite/platform_path/broken_streams.rs
@@ -0,0 +1,60 @@
+//! Streams whose engine breaks off while no other one has a place.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use super::faulty_responses::refusal;
+use super::scripted_deployment::{
+    ScriptedDeployment, assert_complete, broken_stream, refusal_when_full, stream,
+};
+use crate::support::{ReceivedRequest, Reply, run};
+
+/// Time in which no engine takes the rest of the stream; more than half of its deadline remains after it.
+const BUSY_TIME: Duration = Duration::from_millis(1_500);
+
+/// Returns a script of engines of which the first breaks off its stream, and which then refuse to continue it
+/// for a while.
+fn breaks_off_and_refuses(
+    refuse: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+) -> impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static {
+    let broke_off_at = Mutex::new(None);
+    move |request, attempt| {
+        let mut broke_off_at = broke_off_at.lock().unwrap();
+        match (attempt, *broke_off_at) {
+            (0, _) => {
+                *broke_off_at = Some(Instant::now());
+                broken_stream(request)
+            }
+            (_, Some(at)) if at.elapsed() < BUSY_TIME => refuse(request),
+            _ => stream(request, &[]),
+        }
+    }
+}
+
+/// Guards against a broken stream that ends early because the other engine has no place at that moment.
+#[test]
+fn a_broken_stream_waits_for_a_place() {
+    run(async {
+        let ids = ["e1", "e2"];
+        let full = async {
+            let script = breaks_off_and_refuses(refusal_when_full);
+            let setup = ScriptedDeployment::start(&ids, "", script).await;
+            ("full", setup.ask("r").await)
+        };
+        let loading = async {
+            let script = breaks_off_and_refuses(|request| Reply::kept(refusal(&request.id)));
+            let setup = ScriptedDeployment::start(&ids, "", script).await;
+            ("loading weights", setup.ask("r").await)
+        };
+        let paused = async {
+            let script = breaks_off_and_refuses(|request| {
+                let pause = "\r\nretry-after: 2.8\r\n";
+                Reply::kept(refusal(&request.id).replacen("\r\n", pause, 1))
+            });
+            let setup = ScriptedDeployment::start(&ids, "", script).await;
+            ("a pause", setup.ask("r").await)
+        };
+        let responses = futures_util::join!(full, loading, paused);
+        assert_complete(<[_; 3]>::from(responses));
+    });
+}
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -1,6 +1,7 @@
 //! Requests from clients through the real binary to targets that speak the platform's protocol. The
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
+mod broken_streams;
 mod crashing_prompts;
 mod faulty_responses;
 mod odd_entries;
