Return to a silent target if the next one breaks off

Callers saw a resumable stream cut with most of its time left: an engine paused, another one took the stream over and broke off, and all attempts were used.

A silent target that is replaced counted as failed, although it may go on. It now counts like a target whose run was cancelled: it may continue the stream within its attempt, but only if no other target is left.

--- a/src/jujubelink/core/relay/attempts.rs
+++ b/src/jujubelink/core/relay/attempts.rs
@@ -31,7 +31,7 @@
 pub struct Attempts {
     /// Sends to targets, including those that reached no target.
     sends: u32,
-    /// Runs that failed or were given up.
+    /// Runs that failed.
     failed_runs: u32,
     /// Targets whose runs were cancelled and that have not failed since. Each occurs once.
     cancelled: Vec<TargetId>,
@@ -58,7 +58,7 @@
         self.sends += 1;
     }
 
-    /// Records that a run has failed or was given up.
+    /// Records that a run has failed.
     pub fn on_failed(&mut self, target: &TargetId) {
         self.cancelled.retain(|cancelled| cancelled != target);
         self.failed_runs += 1;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -39,8 +39,8 @@
 /// fraction, even if the latency objective has passed.
 pub(super) const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
 
-/// Time after which a target that has refused the rest of a stream may be asked again.
-const REFUSAL_BACKOFF: Duration = Duration::from_millis(400);
+/// Time after which an avoided target may be asked again for the rest of a stream.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(400);
 
 /// A request is not sent if less time remains before its deadline, because no target could respond
 /// in time.
@@ -71,8 +71,9 @@
     pub(super) asked: Vec<TargetId>,
     /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
-    /// Targets that have refused the request without running it.
-    refusing: Vec<TargetId>,
+    /// Targets that get the request again only if no other one is left: they have refused it without running
+    /// it, or were silent.
+    pub(super) avoided: Vec<TargetId>,
     pub(super) attempts: Attempts,
     /// Whether a target may have run the request, other than one that runs it.
     pub(super) may_have_run: bool,
@@ -109,7 +110,7 @@
             is_taking_over: false,
             asked: Vec::new(),
             excluded: Vec::new(),
-            refusing: Vec::new(),
+            avoided: Vec::new(),
             attempts: Attempts::default(),
             may_have_run: false,
             is_response_begun: false,
@@ -254,20 +255,20 @@
             return self.place_plain();
         }
         let remaining = self.remaining();
-        if self.refusing.is_empty() {
+        if self.avoided.is_empty() {
             let wait = self.queue_limit(remaining);
             return self.place_model(self.excluded_targets(), wait).await;
         }
-        let refused_until = self.now() + self.refusal_backoff(remaining);
-        let refusing = self.refusing.iter().cloned();
-        let unavailable = self.excluded_targets().into_iter().chain(refusing);
+        let avoided_until = self.now() + self.avoidance_time(remaining);
+        let avoided = self.avoided.iter().cloned();
+        let unavailable = self.excluded_targets().into_iter().chain(avoided);
         let wait = remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO);
         let placement = self.place_model(unavailable.collect(), wait).await;
         // A response that has begun cannot be refused any more, so its request waits for a target that
         // had no place before.
         match placement {
             Err(_) if self.may_have_run => {
-                let wait = refused_until.saturating_sub(self.now());
+                let wait = avoided_until.saturating_sub(self.now());
                 self.proxy.context.timers().sleep(wait).await;
                 let wait = self.queue_limit(self.remaining());
                 self.place_model(self.excluded_targets(), wait).await
@@ -285,12 +286,12 @@
         }
     }
 
-    /// Returns how long targets that have refused the request get it only if no other one is left. The
-    /// last send waits longer, as the response ends if it is refused.
-    fn refusal_backoff(&self, remaining: Duration) -> Duration {
+    /// Returns how long the rest of a response is withheld from the avoided targets, if no other one is
+    /// left. The last send waits longer, as the response ends if it fails.
+    fn avoidance_time(&self, remaining: Duration) -> Duration {
         match (self.is_response_begun, self.attempts.is_last_send()) {
             (false, _) => Duration::ZERO,
-            (true, false) => REFUSAL_BACKOFF.min(remaining),
+            (true, false) => AVOIDANCE_TIME.min(remaining),
             (true, true) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
         }
     }
@@ -398,7 +399,7 @@
         let placement = scheduler
             .place_plain(
                 &candidates,
-                &[self.excluded_targets(), self.refusing.clone()].concat(),
+                &[self.excluded_targets(), self.avoided.clone()].concat(),
             )
             .or_else(|| scheduler.place_plain(&candidates, &[]));
         placement.ok_or_else(|| {
@@ -543,7 +544,7 @@
             }
             match failure.kind {
                 _ if !failure.exclude_target => {}
-                Failure::NotRun => self.refusing.push(target),
+                Failure::NotRun => self.avoided.push(target),
                 Failure::NotSent | Failure::MayHaveRun => self.excluded.push(target),
             }
         }
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -294,8 +294,9 @@
         self.weights = winner.weights;
         let silent = std::mem::replace(&mut self.placement, winner.placement.take());
         if let Some(silent) = silent {
-            self.excluded.push(silent.target.clone());
-            self.record_failed_run(&silent.target);
+            // It has not failed, and may continue the response if the other one breaks off.
+            self.record_cancelled_run(&silent.target);
+            self.avoided.push(silent.target.clone());
             self.release(silent, AttemptOutcome::TimedOut);
         }
     }
@@ -309,8 +310,7 @@
             );
             self.log_silent_target("silent target not replaced", target.clone(), "", sent_at);
             if let (Some(target), Some(_)) = (target, sent_at) {
-                self.attempts.on_cancelled(&target);
-                self.may_have_run = true;
+                self.record_cancelled_run(&target);
             }
         }
         self.asked.clear();
@@ -323,7 +323,13 @@
         }
     }
 
-    /// Records that a target which may have run the request has failed or was given up.
+    /// Records that a run was cancelled which might have gone on.
+    fn record_cancelled_run(&mut self, target: &TargetId) {
+        self.attempts.on_cancelled(target);
+        self.may_have_run = true;
+    }
+
+    /// Records that a target which may have run the request has failed.
     pub(super) fn record_failed_run(&mut self, target: &TargetId) {
         self.attempts.on_failed(target);
         self.may_have_run = true;
