--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -78,11 +78,6 @@
             (None, None) => Poll::Ready(None),
         }
     }
-
-    /// Closes the connection, so that the target stops working.
-    fn close(&mut self) {
-        self.incoming = None;
-    }
 }
 
 /// The stream of a silent target. Only a new event, or the end of the stream, continues it.
@@ -202,6 +197,7 @@
             TargetBody::Streamed(body) => {
                 let context = exchange.proxy.context.clone();
                 let (id, deadline) = (exchange.head.id.clone(), exchange.deadline);
+                exchange.is_response_begun = true;
                 let mut relayed = RelayedBody {
                     is_delimited: is_delimited(&head.headers),
                     first_data_at: None,
@@ -369,19 +365,15 @@
             last_event: self.exchange.last_event,
             has_failed: false,
         };
-        let result = match self.exchange.take_over(&mut silent, &continues).await {
+        let response = match self.exchange.take_over(&mut silent, &continues).await {
             Takeover::Continued(goes_on) => return Ok(goes_on),
             Takeover::Rejected => {
                 self.restart_silence();
                 return Ok(true);
             }
-            Takeover::Responded(response) => Ok(SendOutcome::Response(*response)),
-            Takeover::Sent(pending) => {
-                self.body.close();
-                self.exchange.await_response(*pending, continues).await
-            }
+            Takeover::Responded(response) => SendOutcome::Response(*response),
         };
-        match self.continue_stream(result) {
+        match self.continue_stream(Ok(response)) {
             Ok(()) => Ok(true),
             Err(failure) => {
                 self.exchange.record_failure(&failure);
@@ -492,13 +484,13 @@
             ReadError::NotContinued => ("the target fell silent", AttemptOutcome::TimedOut),
         };
         self.exchange.log_interruption(reason);
-        if outcome == AttemptOutcome::Interrupted {
-            self.exchange.record_interruption();
-        }
-        if let Some(placement) = &self.exchange.placement {
-            self.exchange.excluded.push(placement.target.clone());
+        if let Some(target) = self.exchange.current_target() {
+            if outcome == AttemptOutcome::Interrupted {
+                self.exchange.record_interruption(&target);
+            }
             self.exchange.end_placement(outcome);
-            self.exchange.record_run();
+            self.exchange.record_failed_run(&target);
+            self.exchange.excluded.push(target);
         }
         let resend = match error {
             ReadError::DeadlinePassed => NoResend::DeadlineNear.to_string(),
@@ -519,7 +511,7 @@
         loop {
             let is_allowed = self.exchange.acquire_resend(failure);
             is_allowed.map_err(|reason| reason.to_string())?;
-            let placed = self.exchange.place().await;
+            let placed = self.exchange.place_rest().await;
             placed.map_err(|refusal| refusal.message)?;
             let media_type = self.media_type.as_deref();
             let continues = |response: &TargetResponse| response.continues_stream(media_type);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -18,7 +18,9 @@
 use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
-use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
+use crate::core::relay::{
+    AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
+};
 use crate::core::stop::RequestTimes;
 use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
@@ -40,6 +42,9 @@
 /// fraction, even if the latency objective has passed.
 pub(super) const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
 
+/// Time after which an avoided target may be asked again for the rest of a stream.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(400);
+
 /// A request is not sent if less time remains before its deadline, because no target could respond
 /// in time.
 pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
@@ -64,19 +69,20 @@
     pub(super) admission: Option<Admission>,
     charge: Option<Charge>,
     pub(super) placement: Option<Placement>,
-    /// Placement at a silent target, while another target is asked to take the request over.
-    pub(super) silent_placement: Option<Placement>,
-    /// Whether another target is asked to take over from a silent one.
+    /// Whether another target is asked to take over from the silent one of `placement`.
     pub(super) is_taking_over: bool,
+    /// Targets that were asked to take the request over and may still do so.
+    pub(super) asked: Vec<TargetId>,
     /// Targets at which the request has failed.
     pub(super) excluded: Vec<TargetId>,
-    /// Targets that have refused the request without running it.
-    refusing: Vec<TargetId>,
-    /// Number of attempts to send the request to a target, including failed ones.
-    pub(super) sends: u32,
-    /// Number of sends that a target may have run.
-    pub(super) runs: u32,
+    /// Targets that get the request again only if no other one is left: they have refused it without running
+    /// it, or were silent.
+    pub(super) avoided: Vec<TargetId>,
+    pub(super) attempts: Attempts,
+    /// Whether a target may have run the request, other than one that runs it.
     pub(super) may_have_run: bool,
+    /// Whether the client has received the start of a response that is forwarded as it arrives.
+    pub(super) is_response_begun: bool,
     /// Number of the last stream event that the client has received.
     pub(super) last_event: Option<u64>,
     /// Weights version that the last send required.
@@ -106,13 +112,13 @@
             admission: None,
             charge: None,
             placement: None,
-            silent_placement: None,
             is_taking_over: false,
+            asked: Vec::new(),
             excluded: Vec::new(),
-            refusing: Vec::new(),
-            sends: 0,
-            runs: 0,
+            avoided: Vec::new(),
+            attempts: Attempts::default(),
             may_have_run: false,
+            is_response_begun: false,
             weights: None,
             queue_time: Duration::ZERO,
             progress: Rc::default(),
@@ -166,13 +172,18 @@
             match self.send(|_| true).await {
                 Ok(SendOutcome::Response(response)) => return Ok(response),
                 Ok(SendOutcome::TargetFailure(response)) => {
-                    self.runs += 1;
-                    self.may_have_run = true;
+                    let placement = self.placement.take();
+                    if let Some(placement) = &placement {
+                        self.record_failed_run(&placement.target);
+                    }
                     if let Err(reason) = self.acquire_resend(Failure::MayHaveRun) {
+                        self.placement = placement;
                         self.log_no_resend(reason);
                         return Ok(response);
                     }
-                    self.end_placement(AttemptOutcome::Failed);
+                    if let Some(placement) = placement {
+                        self.release(placement, AttemptOutcome::Failed);
+                    }
                 }
                 Err(failure) => self.handle_failure(failure)?,
             }
@@ -266,19 +277,48 @@
         if !self.is_model_request() {
             return self.place_plain();
         }
-        let refusing = self.refusing.iter().cloned();
-        let unavailable = self.excluded_targets().into_iter().chain(refusing);
-        let placement = self.place_model(unavailable.collect()).await;
+        let remaining = self.remaining();
+        if self.avoided.is_empty() {
+            let wait = self.queue_limit(remaining);
+            return self.place_model(self.excluded_targets(), wait).await;
+        }
+        let avoided_until = self.now() + self.avoidance_time(remaining);
+        let avoided = self.avoided.iter().cloned();
+        let unavailable = self.excluded_targets().into_iter().chain(avoided);
+        let wait = remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO);
+        let placement = self.place_model(unavailable.collect(), wait).await;
         // A response that has begun cannot be refused any more, so its request waits for a target that
         // had no place before.
         match placement {
-            Err(_) if self.may_have_run && !self.refusing.is_empty() => {
-                self.place_model(self.excluded_targets()).await
+            Err(_) if self.may_have_run => {
+                let wait = avoided_until.saturating_sub(self.now());
+                self.proxy.context.timers().sleep(wait).await;
+                let wait = self.queue_limit(self.remaining());
+                self.place_model(self.excluded_targets(), wait).await
             }
             placement => placement,
         }
     }
 
+    /// Returns how long a request that is sent again may wait in the queue. A response that has begun
+    /// cannot be refused any more, so it waits until its deadline.
+    fn queue_limit(&self, remaining: Duration) -> Duration {
+        match self.is_response_begun {
+            true => remaining,
+            false => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+        }
+    }
+
+    /// Returns how long the rest of a response is withheld from the avoided targets, if no other one is
+    /// left. The last send waits longer, as the response ends if it fails.
+    fn avoidance_time(&self, remaining: Duration) -> Duration {
+        match (self.is_response_begun, self.attempts.is_last_send()) {
+            (false, _) => Duration::ZERO,
+            (true, false) => AVOIDANCE_TIME.min(remaining),
+            (true, true) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+        }
+    }
+
     pub(super) fn is_model_request(&self) -> bool {
         let Some(admission) = &self.admission else {
             return false;
@@ -289,19 +329,38 @@
 
     /// Whether the request has been sent to a target before.
     pub(super) fn was_sent_to(&self, target: &TargetId) -> bool {
-        let silent = self.silent_placement.as_ref();
-        silent.is_some_and(|silent| silent.target == *target)
-            || self.excluded.contains(target)
-            || self.refusing.contains(target)
+        self.sent_to.iter().any(|(record, _)| record.id == *target)
+    }
+
+    /// Whether a target is listed at which the request has not failed, and that may run it.
+    pub(super) fn has_other_target(&self) -> bool {
+        let Ok(admission) = self.admission() else {
+            return false;
+        };
+        let excluded = self.excluded_targets();
+        let targets = self.relay.fleet.state().serving_targets(&admission.service);
+        targets.iter().any(|target| !excluded.contains(target))
     }
 
-    /// Returns the targets at which the request has failed, and the one that runs it.
+    /// Returns the targets at which the request has failed, those that run it, and those that it may not
+    /// be sent to.
     fn excluded_targets(&self) -> Vec<TargetId> {
-        let current = self.placement.iter().map(|current| current.target.clone());
-        self.excluded.iter().cloned().chain(current).collect()
+        let failed = self.excluded.iter().chain(&self.asked).cloned();
+        let mut excluded: Vec<_> = failed.chain(self.current_target()).collect();
+        if let Ok(allowed @ AllowedTargets::Only(_)) = self.check_attempts(Failure::NotSent) {
+            let state = self.relay.fleet.state();
+            let others = state.targets().map(|record| &record.id);
+            excluded.extend(others.filter(|id| !allowed.contains(id)).cloned());
+        }
+        excluded
     }
 
-    async fn place_model(&self, mut excluded: Vec<TargetId>) -> Result<Placement, Refusal> {
+    /// Queues the request for a target. A request that is sent again waits for `resend_wait` at least.
+    async fn place_model(
+        &self,
+        mut excluded: Vec<TargetId>,
+        resend_wait: Duration,
+    ) -> Result<Placement, Refusal> {
         let Some(prompt) = &self.head.prompt else {
             return self.place_plain();
         };
@@ -314,9 +373,8 @@
         let latency_objective = admission.route.latency_objective.mul_f64(QUEUE_TIME_RATIO);
         let first_token_due = (self.arrived + latency_objective).min(self.deadline);
         let mut wait = first_token_due.saturating_sub(self.now());
-        if self.sends > 0 {
-            let remaining = self.remaining();
-            wait = wait.max(remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO));
+        if self.attempts.sends() > 0 {
+            wait = wait.max(resend_wait);
         }
         excluded.extend(self.targets_with_stale_weights(admission));
         let request = ModelRequest {
@@ -356,12 +414,15 @@
 
     fn place_plain(&self) -> Result<Placement, Refusal> {
         let service = self.admission()?.service.clone();
-        let candidates = self.relay.fleet.state().serving_targets(&service);
+        let mut candidates = self.relay.fleet.state().serving_targets(&service);
+        if let Ok(allowed) = self.check_attempts(Failure::NotSent) {
+            candidates.retain(|target| allowed.contains(target));
+        }
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement = scheduler
             .place_plain(
                 &candidates,
-                &[self.excluded_targets(), self.refusing.clone()].concat(),
+                &[self.excluded_targets(), self.avoided.clone()].concat(),
             )
             .or_else(|| scheduler.place_plain(&candidates, &[]));
         placement.ok_or_else(|| {
@@ -479,31 +540,40 @@
 
     /// Records a failed send and ends its placement.
     pub(super) fn record_failure(&mut self, failure: &SendFailure) {
-        if failure.kind == Failure::MayHaveRun {
-            self.runs += 1;
-            self.may_have_run = true;
+        let placement = self.placement.take();
+        self.record_failure_at(placement, failure);
+    }
+
+    /// Records a failed send at a placement, and ends it.
+    pub(super) fn record_failure_at(
+        &mut self,
+        placement: Option<Placement>,
+        failure: &SendFailure,
+    ) {
+        let target = placement.as_ref().map(|placement| placement.target.clone());
+        if let (Failure::MayHaveRun, Some(target)) = (failure.kind, &target) {
+            self.record_failed_run(target);
         }
         // A silent target may run the request while another one fails to take it over.
-        let is_passed_on = self.may_have_run || self.silent_placement.is_some();
+        let is_passed_on = self.may_have_run || self.is_taking_over;
         self.progress.set_passed_on(is_passed_on);
         slog::info!(self.proxy.context.log(), "send failed"; "request" => &*self.head.id,
-            "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
+            "target" => target.as_ref().map(ToString::to_string),
             "failure" => format!("{:?}", failure.kind), "reason" => &*failure.refusal.message,
-            "parts" => self.shared_part_names(), "sends" => self.sends);
-        if let Some(placement) = &self.placement
-            && failure.exclude_target
-        {
+            "parts" => self.shared_part_names(), "sends" => self.attempts.sends());
+        if let Some(target) = target {
+            if failure.outcome == AttemptOutcome::Interrupted {
+                self.record_interruption(&target);
+            }
             match failure.kind {
-                Failure::NotRun => self.refusing.push(placement.target.clone()),
-                Failure::NotSent | Failure::MayHaveRun => {
-                    self.excluded.push(placement.target.clone());
-                }
+                _ if !failure.exclude_target => {}
+                Failure::NotRun => self.avoided.push(target),
+                Failure::NotSent | Failure::MayHaveRun => self.excluded.push(target),
             }
         }
-        if failure.outcome == AttemptOutcome::Interrupted {
-            self.record_interruption();
+        if let Some(placement) = placement {
+            self.release(placement, failure.outcome.clone());
         }
-        self.end_placement(failure.outcome.clone());
     }
 
     /// Sets the outcome of a refusal to that of all sends so far.
@@ -523,58 +593,28 @@
         }
     }
 
-    /// Reports the end of the send to the scheduler.
-    pub(super) fn end_placement(&mut self, outcome: AttemptOutcome) {
-        if let Some(placement) = self.placement.take() {
-            self.release(placement, outcome);
-        }
-    }
-
-    /// Reports the end of a placement to the scheduler.
-    pub(super) fn release(&self, placement: Placement, outcome: AttemptOutcome) {
-        let scheduler = self.proxy.service::<dyn SchedulerService>();
-        if !self.is_model_request() {
-            scheduler.report_plain(placement, outcome);
-            return;
-        }
-        let request = ModelRequest {
-            id: self.head.id.clone(),
-            workspace: "".into(),
-            model: "".into(),
-            prompt: Rc::default(),
-            cost_tokens: 0,
-            first_token_deadline: Timestamp::ZERO,
-            excluded: Vec::new(),
-            is_suspect: false,
-        };
-        scheduler.report(&request, placement, outcome);
-    }
-
     /// Logs why a failed request is not sent again.
     pub(super) fn log_no_resend(&self, reason: NoResend) {
         slog::info!(self.proxy.context.log(), "request not sent again"; "request" => &*self.head.id,
-            "reason" => reason.to_string(), "sends" => self.sends, "runs" => self.runs,
+            "reason" => reason.to_string(), "sends" => self.attempts.sends(), "attempts" => self.attempts.used(),
             "remaining_ms" => ms(self.remaining()));
     }
 
     /// Logs what happens with a target that has not responded in time. `sent_at` is when the request
-    /// was sent to another one.
+    /// was sent to `other`.
     pub(super) fn log_silent_target(
         &self,
         message: &'static str,
+        other: Option<TargetId>,
         reason: &str,
         sent_at: Option<Timestamp>,
     ) {
         let awaited = sent_at.map(|at| self.now().saturating_sub(at));
-        let target = |placement: &Option<Placement>| {
-            placement
-                .as_ref()
-                .map(|placement| placement.target.to_string())
-        };
         slog::info!(self.proxy.context.log(), "{}", message; "request" => &*self.head.id,
-            "target" => target(&self.placement), "silent_target" => target(&self.silent_placement),
+            "target" => other.map(|target| target.to_string()),
+            "silent_target" => self.current_target().map(|target| target.to_string()),
             "reason" => reason, "awaited_ms" => awaited.map(ms), "last_event" => self.last_event,
-            "sends" => self.sends, "runs" => self.runs, "remaining_ms" => ms(self.remaining()));
+            "sends" => self.attempts.sends(), "attempts" => self.attempts.used(), "remaining_ms" => ms(self.remaining()));
     }
 
     /// Logs that a response stopped before it was complete.
@@ -582,7 +622,7 @@
         slog::info!(self.proxy.context.log(), "response interrupted"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "parts" => self.shared_part_names(), "reason" => reason,
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
     }
@@ -596,7 +636,7 @@
     /// Logs that another target continues a stream.
     pub(super) fn log_resumed(&self) {
         slog::info!(self.proxy.context.log(), "stream resumed"; "request" => &*self.head.id,
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()));
     }
 
@@ -605,7 +645,7 @@
         self.is_ended = true;
         slog::info!(self.proxy.context.log(), "response ended early"; "request" => &*self.head.id,
             "reason" => reason, "resend" => resend, "last_event" => self.last_event,
-            "sends" => self.sends, "runs" => self.runs,
+            "sends" => self.attempts.sends(), "attempts" => self.attempts.used(),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
         self.proxy.context.metrics().count("relay.ended_early", 1);
@@ -616,7 +656,7 @@
     fn log_abandoned(&self) {
         slog::info!(self.proxy.context.log(), "request abandoned"; "request" => &*self.head.id,
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
-            "last_event" => self.last_event, "sends" => self.sends,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
             "lifecycle" => format!("{:?}", self.proxy.context.shutdown().lifecycle()),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "remaining_ms" => ms(self.remaining()));
@@ -634,7 +674,7 @@
             "workspace" => admission.and_then(|admission| admission.workspace.as_ref()).map(ToString::to_string),
             "target" => self.placement.as_ref().map(|placement| placement.target.to_string()),
             "weights" => self.weights, "superseded_ms" => self.superseded_age().map(ms),
-            "sends" => self.sends, "queued_ms" => ms(self.queue_time),
+            "sends" => self.attempts.sends(), "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(now.saturating_sub(self.arrived)),
             "config" => admission.map(|admission| admission.policy.version),
             "config_age_ms" => self.relay.fleet.config_age().map(ms),
@@ -660,7 +700,7 @@
             "reason" => &*refusal.message,
             "route" => admission.map(|admission| admission.route.name.to_string()),
             "workspace" => admission.and_then(|admission| admission.workspace.as_ref()).map(ToString::to_string),
-            "sends" => self.sends, "queued_ms" => ms(self.queue_time),
+            "sends" => self.attempts.sends(), "queued_ms" => ms(self.queue_time),
             "took_ms" => ms(self.now().saturating_sub(self.arrived)),
             "retry_after_ms" => refusal.retry_after.map(ms),
             "config" => self.relay.fleet.state().config_version(),
@@ -676,12 +716,9 @@
             self.log_abandoned();
         }
         self.end_placement(AttemptOutcome::Cancelled);
-        if let Some(silent) = self.silent_placement.take() {
-            self.release(silent, AttemptOutcome::Cancelled);
-        }
         if let Some(charge) = self.charge.take() {
             // A request that was never sent has used nothing.
-            let used = match self.sends > 0 {
+            let used = match self.attempts.sends() > 0 {
                 true => charge.tokens,
                 false => 0,
             };
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod exchange;
 mod expiry;
+mod placement;
 mod ready;
 mod request_body;
 mod resend;
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -5,40 +5,63 @@
 use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
 use crate::core::ids::Timestamp;
 use crate::core::quota::ResendBudget;
-use crate::core::relay::{Failure, NoResend, check_resend};
+use crate::core::relay::{AllowedTargets, Failure, NoResend};
+use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::util::duration::ms;
+
+/// Time after which a target is looked for again. Shorter near the deadline.
+const PLACE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 impl Exchange {
     /// Returns how long the response head is awaited before another target may take the request over.
     /// If none may, this is all remaining time.
     pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
-        match self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends + 1) {
-            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
-            Err(_) => remaining,
-        }
-    }
-
-    /// Returns how long the response of a target that is to take the request over is awaited before a
-    /// third one may be tried. If none may, this is all remaining time.
-    pub(super) fn replacement_timeout(&self) -> Duration {
-        let remaining = self.remaining();
-        match self.check_resend(Failure::MayHaveRun, self.runs + 2, self.sends) {
-            Ok(()) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
+        match self.check_attempts(Failure::MayHaveRun) {
+            Ok(_) => remaining.mul_f64(FIRST_ATTEMPT_TIME_RATIO),
             Err(_) => remaining,
         }
     }
 
-    fn check_resend(&self, failure: Failure, runs: u32, sends: u32) -> Result<(), NoResend> {
+    /// Returns the targets to which the request may be sent after a failure, or beside those that run it.
+    pub(super) fn check_attempts(&self, failure: Failure) -> Result<AllowedTargets, NoResend> {
         let Some(admission) = &self.admission else {
             return Err(NoResend::NotRepeatable);
         };
         let route = &admission.route;
-        check_resend(route.kind, failure, runs, sends, route.max_attempts)
+        let current = self.placement.iter().map(|placement| &placement.target);
+        let running: Vec<_> = current.chain(&self.asked).collect();
+        self.attempts
+            .check(route.kind, failure, &running, route.max_attempts)
+    }
+
+    /// Obtains a placement for the rest of a response that has begun. Waits until its deadline for a target
+    /// that may get a place.
+    pub(super) async fn place_rest(&mut self) -> Result<(), Refusal> {
+        loop {
+            let Err(refusal) = self.place().await else {
+                return Ok(());
+            };
+            let may_get_place = match refusal.code {
+                RefusalCode::Overloaded => true,
+                RefusalCode::NoTarget => self.has_other_target(),
+                _ => false,
+            };
+            let delay = PLACE_RETRY_DELAY.min(self.remaining() / 2);
+            if !may_get_place || delay < MIN_SEND_TIME {
+                return Err(refusal);
+            }
+            slog::info!(self.proxy.context.log(), "stream waits for a target";
+                "request" => &*self.head.id, "reason" => &*refusal.message,
+                "last_event" => self.last_event, "sends" => self.attempts.sends(),
+                "remaining_ms" => ms(self.remaining()));
+            self.proxy.context.timers().sleep(delay).await;
+        }
     }
 
     /// Takes a further send from the resend budget of the service, if the request may be sent again
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
-        self.check_resend(failure, self.runs, self.sends)?;
+        self.check_attempts(failure)?;
         // The budget limits the requests that arrive at targets. A failed send may not have
         // arrived, but the next one may, so every resend takes from the budget.
         self.with_budget(ResendBudget::try_acquire)
@@ -46,7 +69,7 @@
 
     /// Checks whether another target may take the request over from the one that runs it.
     pub(super) fn check_replacement(&self) -> Result<(), NoResend> {
-        self.check_resend(Failure::MayHaveRun, self.runs + 1, self.sends)?;
+        self.check_attempts(Failure::MayHaveRun)?;
         self.with_budget(ResendBudget::is_allowed)
     }
 
--- a/tests/testsuite/platform_path/changing_configuration.rs
+++ b/tests/testsuite/platform_path/changing_configuration.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use super::faulty_responses::{response_head, success};
-use super::silent_targets::{EVENTS, is_complete, stream};
+use super::scripted_deployment::{EVENTS, is_complete, stream};
 use super::{Deployment, KEY, RunningInstance, expected_events, read_lines, send_with_host};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, eventually, run};
 
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -1,6 +1,7 @@
 //! Requests from clients through the real binary to targets that speak the platform's protocol. The
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
+mod broken_streams;
 mod changing_configuration;
 mod crashing_prompts;
 mod faulty_responses;
@@ -10,7 +11,9 @@
 mod pausing_engines;
 mod planned_stop;
 mod reload;
+mod scripted_deployment;
 mod silent_targets;
+mod takeovers;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
