Bound connections and bodies of clients by the size of the machine

What callers saw: clients that send long bodies at the same time can end the process on a small machine, and with it the requests of all others.

Cause: the bound on held bodies (128 MB) was checked on the chat endpoints only, not for relayed requests, and it and the bound on connections (16,384) were larger than the smallest machines (88 MB, 4,100 descriptors).

Evidence: 40 requests with bodies of 2 MB whose targets take 2 s, on a machine of 64 MB.

Why this works: the bounds are derived from the memory and the descriptors that the platform states for the machine, a body is counted as it arrives, and short bodies are always held, so that other clients are served meanwhile.

--- /dev/null
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -0,0 +1,56 @@
+//! How much of its machine an instance uses for clients.
+
+/// Most connections of clients, on a machine of any size.
+const MAX_CONNECTIONS: u64 = 16_384;
+
+/// Most memory for bodies of requests, on a machine of any size, in bytes.
+const MAX_BODY_BYTES: u64 = 128 * 1024 * 1024;
+
+/// Memory that a connection without a request needs, in bytes, including its part of the allocator's
+/// overhead.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+
+/// Descriptors for files and for connections to the store, to other instances and of operators.
+const RESERVED_DESCRIPTORS: u64 = 400;
+
+/// What an instance may use of its machine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory in bytes; `None` if it is not limited.
+    pub memory_bytes: Option<u64>,
+    /// Number of open descriptors; `None` if it is not limited.
+    pub descriptors: Option<u64>,
+}
+
+/// Bounds on what an instance holds for all clients together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientBounds {
+    /// Open connections. Idle ones use at most half of the memory, and all of them leave a third of the
+    /// descriptors to connections to targets.
+    pub connections: usize,
+    /// Bodies of requests, in bytes. At most a quarter of the memory.
+    pub body_bytes: usize,
+}
+
+impl ClientBounds {
+    /// Derives the bounds from the size of the machine.
+    pub fn new(limits: &MachineLimits) -> Self {
+        let by_memory = limits
+            .memory_bytes
+            .map(|bytes| bytes / 2 / CONNECTION_BYTES);
+        let by_descriptors = limits
+            .descriptors
+            .map(|count| count.saturating_sub(RESERVED_DESCRIPTORS) / 3 * 2);
+        let connections = [by_memory, by_descriptors]
+            .into_iter()
+            .flatten()
+            .fold(MAX_CONNECTIONS, u64::min);
+        let body_bytes = limits
+            .memory_bytes
+            .map_or(MAX_BODY_BYTES, |bytes| MAX_BODY_BYTES.min(bytes / 4));
+        Self {
+            connections: connections as usize,
+            body_bytes: body_bytes as usize,
+        }
+    }
+}
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -3,20 +3,16 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::core::capacity::ClientBounds;
 use crate::util::http::{Body, attach_guard};
 
-/// Further client connections are closed at once, so that clients without a key cannot exhaust the
-/// process's file descriptors.
-const MAX_CONNECTIONS: usize = 16_384;
-
-/// Limit on the total size of buffered model request bodies; requests beyond it are refused as
-/// overloaded. A body stays buffered until its response has ended, because it may be needed to
-/// continue the response on another target.
-const MAX_BUFFERED_BODY_BYTES: usize = 128 * 1024 * 1024;
-
 /// Current load from clients.
-#[derive(Default)]
 pub(super) struct Load {
+    /// Further connections are closed at once, so that clients without a key cannot exhaust memory and
+    /// file descriptors. Requests whose bodies exceed the bound for them are refused as overloaded: a body
+    /// stays buffered until its response has ended, because it may be needed to continue the response at
+    /// another target.
+    bounds: ClientBounds,
     connections: Rc<Cell<usize>>,
     requests: Rc<Cell<usize>>,
     reserved_body_bytes: Rc<Cell<usize>>,
@@ -25,10 +21,22 @@
 /// Memory reserved for a request body. Dropping it releases the reservation.
 pub(super) struct BodyReservation {
     reserved_bytes: Rc<Cell<usize>>,
+    limit_bytes: usize,
     bytes: usize,
 }
 
 impl BodyReservation {
+    /// Reserves memory for a larger body. Returns whether the limit allows it.
+    pub(super) fn grow_to(&mut self, bytes: usize) -> bool {
+        let reserved = self.reserved_bytes.get() + bytes.saturating_sub(self.bytes);
+        if reserved > self.limit_bytes {
+            return false;
+        }
+        self.reserved_bytes.set(reserved);
+        self.bytes = self.bytes.max(bytes);
+        true
+    }
+
     /// Releases what exceeds `bytes`.
     pub(super) fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
@@ -48,22 +56,29 @@
 pub(super) struct LoadGuard(Rc<Cell<usize>>);
 
 impl Load {
+    pub(super) fn new(bounds: ClientBounds) -> Self {
+        Self {
+            bounds,
+            connections: Rc::default(),
+            requests: Rc::default(),
+            reserved_body_bytes: Rc::default(),
+        }
+    }
+
     /// Counts a connection. Returns `None` at the limit.
     pub(super) fn begin_connection(&self) -> Option<LoadGuard> {
-        (self.connections.get() < MAX_CONNECTIONS).then(|| LoadGuard::new(&self.connections))
+        (self.connections.get() < self.bounds.connections)
+            .then(|| LoadGuard::new(&self.connections))
     }
 
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
     pub(super) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation> {
-        let reserved = self.reserved_body_bytes.get() + bytes;
-        if reserved > MAX_BUFFERED_BODY_BYTES {
-            return None;
-        }
-        self.reserved_body_bytes.set(reserved);
-        Some(BodyReservation {
+        let mut reservation = BodyReservation {
             reserved_bytes: Rc::clone(&self.reserved_body_bytes),
-            bytes,
-        })
+            limit_bytes: self.bounds.body_bytes,
+            bytes: 0,
+        };
+        reservation.grow_to(bytes).then_some(reservation)
     }
 
     pub(super) fn begin_request(&self) -> LoadGuard {
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -16,6 +16,7 @@
 use super::refusal::{Refusal, RefusalCode};
 use super::relay::{Relay, handle_relayed_request};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
+use crate::core::capacity::{ClientBounds, MachineLimits};
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::RequestId;
 use crate::ops::kernel::{Context, Lifecycle};
@@ -43,7 +44,7 @@
             engines: EngineClient::new(client.clone()),
             client,
             key_revocations: KeyRevocations::default(),
-            load: Load::default(),
+            load: Load::new(ClientBounds::new(&machine_limits(context))),
             relay: Relay::new(context),
         })
     }
@@ -176,6 +177,14 @@
     }
 }
 
+fn machine_limits(context: &Context) -> MachineLimits {
+    let machine = &context.settings().machine;
+    MachineLimits {
+        memory_bytes: machine.memory_mb.map(|mb| mb.saturating_mul(1_000_000)),
+        descriptors: machine.max_descriptors,
+    }
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -18,6 +18,7 @@
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead};
 use crate::core::stop::RequestTimes;
+use crate::ops::proxy::connections::{BodyReservation, Load};
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::services::{
@@ -25,7 +26,7 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
-use crate::util::http::collect_limited;
+use crate::util::http::collect_reserved;
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -41,6 +42,10 @@
 /// in time.
 pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
 
+/// Bodies up to this size are held in any case, so that long ones do not keep out the requests of other
+/// clients.
+const UNRESERVED_BODY_BYTES: usize = 16 * 1024;
+
 /// Retry delay for clients if no target is available.
 pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -55,6 +60,7 @@
     pub(super) parts: Parts,
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
+    body_reservation: Option<BodyReservation>,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
@@ -96,6 +102,7 @@
             last_event: head.last_event,
             head,
             body: Bytes::new(),
+            body_reservation: None,
             arrived,
             deadline: Timestamp::MAX,
             admission: None,
@@ -180,13 +187,24 @@
             return Ok(());
         };
         let remaining = self.remaining();
-        let read = collect_limited(incoming, limit);
+        let mut is_full = false;
+        let reservation = &mut self.body_reservation;
+        let load = &self.proxy.load;
+        let read = collect_reserved(incoming, |bytes| {
+            is_full = bytes <= limit && !reserve(load, reservation, bytes);
+            bytes <= limit && !is_full
+        });
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
             Some(Ok(Some(body))) => {
                 self.body = body;
                 Ok(())
             }
+            Some(Ok(None)) if is_full => Err(Refusal::not_run(
+                RefusalCode::Overloaded,
+                "the bodies of other requests use up the memory for them",
+            )
+            .with_retry_after(NO_TARGET_RETRY_AFTER)),
             Some(Ok(None)) => Err(Refusal::not_run(
                 RefusalCode::RequestTooLarge,
                 format!("the body is larger than {limit} bytes"),
@@ -669,6 +687,20 @@
     }
 }
 
+/// Reserves memory for a body of this size. Returns whether it may be held.
+fn reserve(load: &Load, reservation: &mut Option<BodyReservation>, bytes: usize) -> bool {
+    if bytes <= UNRESERVED_BODY_BYTES {
+        return true;
+    }
+    match reservation {
+        Some(reservation) => reservation.grow_to(bytes),
+        None => {
+            *reservation = load.reserve_body(bytes);
+            reservation.is_some()
+        }
+    }
+}
+
 fn placement_refusal(error: PlacementError) -> Refusal {
     match error {
         PlacementError::Overloaded { retry_after } => Refusal::not_run(
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -16,6 +16,9 @@
     pub listen: ListenSettings,
     /// Connection to the platform.
     pub platform: PlatformSettings,
+    /// Size of the machine.
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -177,6 +180,16 @@
     pub address: SocketAddr,
 }
 
+/// Size of the machine, from which the bounds on what clients may use are derived.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MachineSettings {
+    /// Memory that the process may use, in megabytes. Not limited if absent.
+    pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open. Not limited if absent.
+    pub max_descriptors: Option<u64>,
+}
+
 /// Logging.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/jujubelink/util/http/body.rs
+++ b/src/jujubelink/util/http/body.rs
@@ -28,6 +28,9 @@
 /// Maximum number of bytes read of an unwanted body.
 const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum capacity that is reserved for a body by its declared length.
+const MAX_PREALLOCATED_BYTES: usize = 4 * 1024 * 1024;
+
 /// Maximum time for which an unwanted body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -51,17 +54,34 @@
 
 /// Reads a complete body of at most `limit_bytes`. Returns `None` if it is larger.
 pub async fn collect_limited<B>(body: B, limit_bytes: usize) -> Result<Option<Bytes>, BodyError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    collect_reserved(body, |collected_bytes| collected_bytes <= limit_bytes).await
+}
+
+/// Reads a complete body, as long as `may_hold` allows its size so far. Returns `None` if it does not.
+pub async fn collect_reserved<B>(
+    body: B,
+    mut may_hold: impl FnMut(usize) -> bool,
+) -> Result<Option<Bytes>, BodyError>
 where
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
     let mut body = std::pin::pin!(body);
-    let mut collected = BytesMut::new();
+    // Growth by doubling would hold up to twice the size of a long body.
+    let declared = body.size_hint().exact().unwrap_or(0);
+    let capacity = usize::try_from(declared).map_or(MAX_PREALLOCATED_BYTES, |bytes| {
+        bytes.min(MAX_PREALLOCATED_BYTES)
+    });
+    let mut collected = BytesMut::with_capacity(capacity);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(Into::into)?.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > limit_bytes {
+        if !may_hold(collected.len() + data.len()) {
             return Ok(None);
         }
         collected.extend_from_slice(&data);
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -8,7 +8,9 @@
 mod server;
 pub mod sse;
 
-pub use body::{Body, BodyError, attach_guard, collect_limited, discard, empty, full};
+pub use body::{
+    Body, BodyError, attach_guard, collect_limited, collect_reserved, discard, empty, full,
+};
 pub use buffered_call::CallError;
 pub use client::{Client, ClientError, ConnectionReuse, RequestOptions, SendFailure};
 pub use executor::LocalExecutor;
--- /dev/null
+++ b/tests/testsuite/platform_path/held_requests.rs
@@ -0,0 +1,94 @@
+//! Bounds on what an instance holds for its clients.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use jujubelink::core::capacity::{ClientBounds, MachineLimits};
+use jujubelink_standins::fleet::TargetFault;
+
+use super::{Deployment, KEY, header, send_with_host};
+use crate::support::run;
+
+const MEGABYTE: usize = 1_000_000;
+
+/// Memory of the machine.
+const MEMORY_MB: usize = 64;
+
+/// Size of the body of each long request. Together they do not fit into the memory.
+const LONG_BODY_BYTES: usize = 2 * MEGABYTE;
+const LONG_REQUESTS: usize = 40;
+
+/// Returns the peak of the memory of a process.
+fn peak_memory_bytes(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+    kilobytes.parse::<usize>().unwrap() * 1024
+}
+
+/// Guards against long bodies of some clients that fill the memory, so that the process ends and the
+/// requests of all clients with it.
+#[test]
+fn long_bodies_do_not_fill_the_memory() {
+    run(async {
+        let settings = format!("[machine]\nmemory_mb = {MEMORY_MB}");
+        let (deployment, instance) = Deployment::start_ready(&settings).await;
+        let run_time = TargetFault::Delay(Duration::from_secs(2));
+        let faults = &deployment.service_faults;
+        faults
+            .borrow_mut()
+            .extend(vec![Some(run_time); LONG_REQUESTS]);
+        let address = instance.process.client_address;
+        let body = "x".repeat(LONG_BODY_BYTES);
+        let long = join_all((0..LONG_REQUESTS).map(|number| {
+            let request = http::Request::post("/pay/x")
+                .header("host", "shop.example")
+                .header("jujubelink-attempt-id", format!("long{number}"))
+                .header("jujubelink-deadline-ms", "4000")
+                .header("authorization", format!("Bearer {KEY}"));
+            send_with_host(address, request, &body)
+        }));
+        let short = async {
+            compio::time::sleep(Duration::from_secs(1)).await;
+            instance.send_request("short", "GET", "/read/x").await
+        };
+        let (long, short) = futures_util::join!(long, short);
+        assert_eq!(short.status, 200);
+        let statuses: Vec<u16> = long.iter().map(|response| response.status).collect();
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        let allowed = statuses.iter().all(|status| matches!(status, 200 | 503));
+        assert!(served > 0 && allowed, "{statuses:?}");
+        for refused in long.iter().filter(|response| response.status == 503) {
+            assert_ne!(header(&refused.headers, "retry-after"), "");
+        }
+        let peak_bytes = peak_memory_bytes(instance.process.pid());
+        println!("peak of the memory: {peak_bytes} bytes with {served} bodies");
+        assert!(
+            peak_bytes < MEMORY_MB * MEGABYTE,
+            "{peak_bytes} bytes"
+        );
+    });
+}
+
+/// Guards against connections that a small machine has no memory or descriptors for.
+#[test]
+fn bounds_follow_the_size_of_the_machine() {
+    let rows = [
+        (None, None, 16_384, 134_217_728),
+        (Some(88), Some(4_100), 1_342, 22_000_000),
+        (Some(512), Some(4_100), 2_466, 128_000_000),
+        (Some(512), Some(8_192), 5_194, 128_000_000),
+        (Some(4_000), Some(100_000), 16_384, 134_217_728),
+    ];
+    for (memory_mb, descriptors, connections, body_bytes) in rows {
+        let bounds = ClientBounds::new(&MachineLimits {
+            memory_bytes: memory_mb.map(|mb: u64| mb * 1_000_000),
+            descriptors,
+        });
+        let expected = ClientBounds {
+            connections,
+            body_bytes,
+        };
+        assert_eq!(bounds, expected, "{memory_mb:?} MB, {descriptors:?}");
+    }
+}
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashing_prompts;
 mod faulty_responses;
+mod held_requests;
 mod odd_entries;
 mod odd_numbers;
 mod planned_stop;
