--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -3,24 +3,16 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::core::capacity::ClientBounds;
 use crate::util::http::{Body, attach_guard};
 
-/// Further client connections are closed at once, so that clients without a key cannot exhaust the
-/// process's file descriptors.
-const MAX_CONNECTIONS: usize = 16_384;
-
-/// From this number on, connections that have been idle for too long are closed also if the limit may
-/// have been raised meanwhile.
-const CROWDED_CONNECTIONS: usize = MAX_CONNECTIONS / 2;
-
-/// Limit on the total size of buffered request bodies; requests beyond it are refused as
-/// overloaded. A body stays buffered until its response has ended, because it may be needed to
-/// continue the response on another target.
-const MAX_BUFFERED_BODY_BYTES: usize = 128 * 1024 * 1024;
-
 /// Current load from clients.
-#[derive(Default)]
 pub(super) struct Load {
+    /// Further connections are closed at once, so that clients without a key cannot exhaust memory and
+    /// file descriptors. Requests whose bodies exceed the bound for them are refused as overloaded: a body
+    /// stays buffered until its response has ended, because it may be needed to continue the response at
+    /// another target.
+    bounds: ClientBounds,
     connections: Rc<Cell<usize>>,
     requests: Rc<Cell<usize>>,
     reserved_body_bytes: Rc<Cell<usize>>,
@@ -29,6 +21,7 @@
 /// Memory reserved for a request body. Dropping it releases the reservation.
 pub(super) struct BodyReservation {
     reserved_bytes: Rc<Cell<usize>>,
+    limit_bytes: usize,
     bytes: usize,
 }
 
@@ -36,7 +29,7 @@
     /// Reserves further memory. Returns whether that is within the limit.
     pub(super) fn grow(&mut self, bytes: usize) -> bool {
         let reserved = self.reserved_bytes.get() + bytes;
-        if reserved > MAX_BUFFERED_BODY_BYTES {
+        if reserved > self.limit_bytes {
             return false;
         }
         self.reserved_bytes.set(reserved);
@@ -63,39 +56,44 @@
 pub(super) struct LoadGuard(Rc<Cell<usize>>);
 
 impl Load {
+    pub(super) fn new(bounds: ClientBounds) -> Self {
+        Self {
+            bounds,
+            connections: Rc::default(),
+            requests: Rc::default(),
+            reserved_body_bytes: Rc::default(),
+        }
+    }
+
     /// Counts a connection. Returns `None` at the limit.
     pub(super) fn begin_connection(&self) -> Option<LoadGuard> {
-        (self.connections.get() < MAX_CONNECTIONS).then(|| LoadGuard::new(&self.connections))
+        (self.connections.get() < self.bounds.connections)
+            .then(|| LoadGuard::new(&self.connections))
     }
 
     /// Starts the reservation for a request body of unknown size.
     pub(super) fn begin_body(&self) -> BodyReservation {
         BodyReservation {
             reserved_bytes: Rc::clone(&self.reserved_body_bytes),
+            limit_bytes: self.bounds.body_bytes,
             bytes: 0,
         }
     }
 
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
     pub(super) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation> {
-        let reserved = self.reserved_body_bytes.get() + bytes;
-        if reserved > MAX_BUFFERED_BODY_BYTES {
-            return None;
-        }
-        self.reserved_body_bytes.set(reserved);
-        Some(BodyReservation {
-            reserved_bytes: Rc::clone(&self.reserved_body_bytes),
-            bytes,
-        })
+        let mut reservation = self.begin_body();
+        reservation.grow(bytes).then_some(reservation)
     }
 
     pub(super) fn begin_request(&self) -> LoadGuard {
         LoadGuard::new(&self.requests)
     }
 
-    /// Whether room is needed for further connections.
+    /// Whether room is needed for further connections. Those that have been idle for too long are then
+    /// closed also if the limit may have been raised meanwhile.
     pub(super) fn is_crowded(&self) -> bool {
-        self.connections.get() >= CROWDED_CONNECTIONS
+        self.connections.get() >= self.bounds.connections / 2
     }
 
     /// Number of open connections.
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -17,6 +17,7 @@
 use super::refusal::{Refusal, RefusalCode};
 use super::relay::{Relay, handle_relayed_request};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
+use crate::core::capacity::{ClientBounds, MachineLimits};
 use crate::core::config::ConfigSnapshot;
 use crate::core::connection::KnownLimits;
 use crate::core::ids::RequestId;
@@ -50,7 +51,7 @@
             engines: EngineClient::new(client.clone()),
             client,
             key_revocations: KeyRevocations::default(),
-            load: Load::default(),
+            load: Load::new(ClientBounds::new(&machine_limits(context))),
             client_limits: relay.as_ref().map(|_| ClientLimits::new(context)),
             relay,
         })
@@ -213,6 +214,14 @@
     }
 }
 
+fn machine_limits(context: &Context) -> MachineLimits {
+    let machine = &context.settings().machine;
+    MachineLimits {
+        memory_bytes: machine.memory_mb.map(|mb| mb.saturating_mul(1_000_000)),
+        descriptors: machine.max_descriptors,
+    }
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
--- a/src/jujubelink/ops/proxy/relay/request_body.rs
+++ b/src/jujubelink/ops/proxy/relay/request_body.rs
@@ -1,6 +1,7 @@
 //! Reading request bodies within the memory for them.
 
 use bytes::{Bytes, BytesMut};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -25,7 +26,10 @@
     limit_bytes: usize,
     reservation: &mut BodyReservation,
 ) -> Result<Option<Bytes>, BodyFailure> {
-    let mut collected = BytesMut::new();
+    // Growth by doubling would hold up to twice the size of a long body. Memory that is not written to is not
+    // in use yet.
+    let declared_bytes = body.size_hint().exact().unwrap_or(0);
+    let mut collected = BytesMut::with_capacity(limit_bytes.min(declared_bytes as usize));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyFailure::Broken)?;
         let Ok(data) = frame.into_data() else {
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -5,6 +5,7 @@
 mod changing_configuration;
 mod crashing_prompts;
 mod faulty_responses;
+mod held_requests;
 mod kept_connections;
 mod odd_entries;
 mod odd_numbers;
