Keep the stand-ins running while silent connections are awaited

The test of connections that never carry a request blocked the event loop that also runs the stand-in of the store. The limits of connections may depend on whether the store answers.

--- a/tests/testsuite/endless_bytes/clients.rs
+++ b/tests/testsuite/endless_bytes/clients.rs
@@ -194,6 +194,7 @@
                 clients.push((listener, start, client));
             }
         }
+        let connections = clients.len();
         let (sender, receiver) = std::sync::mpsc::channel();
         for (listener, start, client) in clients {
             let sender = sender.clone();
@@ -204,7 +205,14 @@
             });
         }
         drop(sender);
-        let results: Vec<_> = receiver.into_iter().collect();
+        // The event loop has to go on for the stand-ins.
+        let mut results = Vec::new();
+        while results.len() < connections {
+            match receiver.try_recv() {
+                Ok(result) => results.push(result),
+                Err(_) => compio::time::sleep(Duration::from_millis(100)).await,
+            }
+        }
         let open: Vec<_> = results
             .iter()
             .filter(|(_, result)| result.is_err())
