Do not rely on a fast configuration in the test of a withdrawn key

silent_targets::a_stream_leaves_a_silent_engine_after_a_change_of_its_route failed once beside endless_bytes at the check that a stream whose key was withdrawn ends early.

Cause: the test changes the configuration when the request arrives, and the engine counts as silent 1.0 s after its last event. An instance reads the configuration when its last update is 0.7 s old, within a bound of 2 s, so that another engine may continue the stream before the change is in force.

The engine of this test now counts as silent after 2.4 s, which is beyond the bound. The checks are unchanged.

--- a/tests/testsuite/platform_path/changing_configuration.rs
+++ b/tests/testsuite/platform_path/changing_configuration.rs
@@ -19,7 +19,7 @@
 /// The kinds of requests, which are the names of their routes.
 const KINDS: [&str; 4] = ["read", "pay", "ask", "tell"];
 
-const DEADLINES_MS: [u64; 3] = [5_000, 6_000, 8_000];
+const DEADLINES_MS: [u64; 3] = [4_000, 5_000, 6_000];
 
 /// Lengths of the pauses. All of them end before the earliest deadline.
 const PAUSES_MS: [u64; 4] = [900, 1_050, 1_200, 1_400];
@@ -155,7 +155,7 @@
             name,
             change_config,
             replaces_targets: false,
-            refusals: &[503],
+            refusals: &[],
             times_out: false,
         }
     }
@@ -189,7 +189,8 @@
     Change::new("version only", |_| {}),
     Change::new("routes moved", |config| {
         change_routes(config, |route| route["service"] = other_service(route));
-    }),
+    })
+    .with_refusals(&[503]),
     Change::new("routes reweighted", |config| {
         change_routes(config, |route| {
             let (service, other) = (route["service"].clone(), other_service(route));
@@ -197,7 +198,8 @@
                 { "service": other, "weight": 9 }]);
             route["traffic_split"] = weights;
         });
-    }),
+    })
+    .with_refusals(&[503]),
     Change::new("routes removed", |config| config["routes"] = json!([])).with_refusals(&[404, 503]),
     Change::new("routes added", |config| {
         let routes = config["routes"].as_array_mut().unwrap();
@@ -228,7 +230,8 @@
     Change::new("targets replaced and routes moved", |config| {
         change_routes(config, |route| route["service"] = other_service(route));
     })
-    .with_replaced_targets(),
+    .with_replaced_targets()
+    .with_refusals(&[503]),
     Change::new("services added", |config| {
         let services = config["services"].as_array_mut().unwrap();
         for number in 0..20 {
@@ -248,7 +251,7 @@
         let tenant = &mut config["tenants"][0];
         (tenant["rate_per_s"], tenant["burst"]) = (json!(0.001), json!(20));
     })
-    .with_refusals(&[429, 503]),
+    .with_refusals(&[429]),
     Change::new("quota raised", |config| {
         let tenant = &mut config["tenants"][0];
         (tenant["rate_per_s"], tenant["burst"]) = (json!(20_000_000), json!(20_000_000));
--- a/tests/testsuite/platform_path/silent_targets.rs
+++ b/tests/testsuite/platform_path/silent_targets.rs
@@ -19,6 +19,12 @@
     ReceivedRequest, Reply, Step, TestResponse, WAIT_TIMEOUT, eventually, free_address, run,
 };
 
+/// Longest event gap of a route. An engine counts as silent after four of them.
+const EVENT_GAP_MS: u64 = 250;
+
+/// Event gap of a route whose engine counts as silent only once a change must be in force.
+const LONG_EVENT_GAP_MS: u64 = 600;
+
 /// Name of a change after which the key of the client is unknown.
 const WITHDRAWN_KEY: &str = "withdrawn key";
 
@@ -130,6 +136,7 @@
 /// Requests a stream, and changes the configuration after it has reached an engine. Returns the response
 /// for each change of the route, and for a withdrawn key.
 async fn ask_beside_changes(
+    max_event_gap_ms: u64,
     script: impl Fn(&ReceivedRequest, usize) -> Reply + Copy + Send + Sync + 'static,
 ) -> Vec<(&'static str, TestResponse)> {
     let with_services = |keys: &[&str]| {
@@ -141,6 +148,7 @@
     };
     let split = |first: u32, second: u32| json!([{ "service": "llm", "weight": first }, { "service": "other", "weight": second }]);
     let mut before = with_services(&[KEY]);
+    before["routes"][2]["gap_aim_ms"] = json!(max_event_gap_ms);
     before["routes"][2]["traffic_split"] = split(1, 0);
     let mut moved = with_services(&[KEY]);
     moved["routes"][2]["service"] = json!("other");
@@ -179,7 +187,7 @@
 #[test]
 fn a_paused_stream_is_complete_beside_a_change_of_the_configuration() {
     run(async {
-        let responses = ask_beside_changes(|request, attempt| match attempt {
+        let responses = ask_beside_changes(EVENT_GAP_MS, |request, attempt| match attempt {
             0 => stream(request, &[(2, 1_200)]),
             _ => stream(request, &[]),
         });
@@ -192,7 +200,7 @@
 #[test]
 fn a_broken_stream_is_resumed_after_a_change_of_its_route() {
     run(async {
-        let responses = ask_beside_changes(|request, attempt| match attempt {
+        let responses = ask_beside_changes(EVENT_GAP_MS, |request, attempt| match attempt {
             0 => {
                 let mut reply = broken_stream(request);
                 reply.steps.push(Step::Pause(Duration::from_secs(2)));
@@ -267,7 +275,7 @@
 #[test]
 fn a_stream_leaves_a_silent_engine_after_a_change_of_its_route() {
     run(async {
-        let responses = ask_beside_changes(|request, attempt| match attempt {
+        let responses = ask_beside_changes(LONG_EVENT_GAP_MS, |request, attempt| match attempt {
             0 => silent_stream(request, 2),
             _ => stream(request, &[]),
         });
