Do not ask a plain target beside itself

What callers saw: a plain request whose only target is slow ran there up to three times at once, and each send took from the resend budget.

Cause: the choice of a plain target falls back to all targets if those that were not tried yet are used up. The targets that run the request were then asked to take it over from themselves.

Evidence: takeovers::a_silent_plain_target_is_not_asked_beside_itself, a response that takes 2.7 s, three attempts. Before: one target gets the request three times. Now: once; with two targets, once each.

Why this works: the fallback serves requests that failed everywhere. A takeover has a target already, so it fails and the target is awaited.

--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -424,7 +424,11 @@
                 &candidates,
                 &[self.excluded_targets(), self.avoided.clone()].concat(),
             )
-            .or_else(|| scheduler.place_plain(&candidates, &[]));
+            .or_else(|| match self.is_taking_over {
+                // A target that runs the request and may go on is no replacement for itself.
+                true => None,
+                false => scheduler.place_plain(&candidates, &[]),
+            });
         placement.ok_or_else(|| {
             let refusal = match scheduler.remaining_pause(&candidates) {
                 Some(pause) => {
--- a/tests/testsuite/platform_path/takeovers.rs
+++ b/tests/testsuite/platform_path/takeovers.rs
@@ -1,18 +1,20 @@
 //! Targets that are asked to take a request over from silent ones.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
+use serde_json::json;
 
 use super::faulty_responses::{stream_head, stream_part, success};
 use super::scripted_deployment::{
     DEADLINE, EVENTS, SILENCE, ScriptedDeployment, assert_complete, broken_stream, deploy,
     silent_stream, stream,
 };
+use super::{Deployment, KEY};
 use crate::support::{ReceivedRequest, Reply, Step, run};
 
 /// Guards against a stream that stays at two engines that are silent for good, although its route allows a
@@ -233,3 +235,36 @@
     let responses = responses.into_iter().map(|(_, response, _)| response);
     assert_complete(ids.iter().map(String::as_str).zip(responses));
 }
+
+/// Guards against a plain request that is sent to a target once more while the target runs it.
+#[test]
+fn a_silent_plain_target_is_not_asked_beside_itself() {
+    run(async {
+        let rows = [&["s1"][..], &["s1", "s2"]];
+        join_all(rows.map(|ids| async move {
+            let (deployment, targets) = deploy(ids, |request, _| {
+                Reply::kept(success(request, "ok")).with_delay(Duration::from_millis(2_700))
+            });
+            let mut config = Deployment::configuration(6, &[KEY], &[]);
+            config["routes"][0]["max_attempts"] = json!(3);
+            deployment.store.put("config", "main", config);
+            let instance = deployment.start("n1", "").await;
+            instance.wait_ready().await;
+            let setup = ScriptedDeployment {
+                deployment,
+                instance,
+                targets,
+            };
+            let response = setup.instance.send_request("p", "GET", "/read/x").await;
+            assert_eq!((response.status, &*response.body), (200, "ok"), "{ids:?}");
+            let asked: Vec<_> = setup
+                .arrivals("p")
+                .iter()
+                .map(|(target, _)| target.address())
+                .collect();
+            let distinct: BTreeSet<_> = asked.iter().collect();
+            assert_eq!(asked.len(), distinct.len(), "{ids:?}: {asked:?}");
+        }))
+        .await;
+    });
+}
