End a stop although a refused body goes on

What callers saw: nothing; the process reached the end of its stop.

Why this works: the body is read for one second at a time, and once a stop has begun no further second is added.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -40,6 +40,10 @@
 /// the process was stalled.
 const LAST_READ_TIME: Duration = Duration::from_millis(50);
 
+/// Time for which the rest of a refused body is read in a stop, so that it does not prolong the stop. A
+/// longer time begins anew until the stop begins.
+const STOP_DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// First bytes of a client that uses HTTP/2.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
@@ -275,7 +279,16 @@
 /// Discards the rest of a request's body beside its response.
 async fn discard_unread<H: Handler>(unread: UnreadBody, exchange: Rc<OpenExchange<H>>) {
     let state = &exchange.state;
-    if !unread.discard().await {
+    let mut discarded = pin!(unread.discard());
+    let has_ended = loop {
+        let was_draining = state.is_draining.get();
+        match compio::time::timeout(STOP_DISCARD_TIME, discarded.as_mut()).await {
+            Ok(has_ended) => break has_ended,
+            Err(_) if was_draining => break false,
+            Err(_) => {}
+        }
+    };
+    if !has_ended {
         state.handler.on_end(&ConnectionEnd::EndlessBody);
     }
     state.may_have_begun_head.set(false);
--- a/tests/testsuite/platform_path/planned_stop.rs
+++ b/tests/testsuite/platform_path/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::AsyncReadExt;
 use futures_util::future::join_all;
@@ -362,3 +362,28 @@
         instance.wait_stopped().await;
     });
 }
+
+/// Guards against a stop that lasts until its end because a client goes on sending a body that was refused.
+#[test]
+fn a_refused_body_without_end_does_not_prolong_a_stop() {
+    run(async {
+        let settings = "[stop]\nbalancer_notice_ms = 300\ndrain_limit_ms = 8000\n";
+        let (_deployment, mut instance) = Deployment::start_ready(settings).await;
+        let client = Client::connect(instance.process.client_address);
+        let whole = request("endless", "/none/x", 20_000);
+        let whole = whole.replace("content-length: 4", "transfer-encoding: chunked");
+        let (head, _) = whole.split_once("\r\n\r\n").unwrap();
+        client.write(&format!("{head}\r\n\r\n1\r\nx\r\n"));
+        client.0.set_nonblocking(true).unwrap();
+        eventually("the refusal is sent", || async {
+            client.0.peek(&mut [0]).is_ok().then_some(())
+        })
+        .await;
+        let started = Instant::now();
+        instance.process.terminate();
+        while instance.process.exit_status().is_none() {
+            assert!(started.elapsed() < Duration::from_secs(6), "still running");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
