Reduce what a connection may hold without a reservation

What callers saw: nothing yet; the review filled the memory of a small machine with 970 clients.

Cause: 64 KiB of each body needed no reservation, and heads of up to 128 KB were read, although a connection counts as 32 KiB.

A client whose head is longer gets 431.

--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -20,7 +20,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Largest head of a request that a connection accepts, also if the configuration allows more.
-const MAX_HEADER_BYTES: usize = 128 * 1024;
+const MAX_HEADER_BYTES: usize = 64 * 1024;
 
 /// Closes connections whose client has disappeared, which may otherwise stay open for as long as the
 /// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
--- a/src/jujubelink/ops/proxy/relay/request_body.rs
+++ b/src/jujubelink/ops/proxy/relay/request_body.rs
@@ -9,7 +9,7 @@
 
 /// Bytes of each body that need no reservation, so that clients with large bodies do not exclude those
 /// with small ones.
-const UNRESERVED_BYTES: usize = 64 * 1024;
+const UNRESERVED_BYTES: usize = 16 * 1024;
 
 /// Why a request body was not read.
 pub(super) enum BodyFailure {
--- a/tests/testsuite/platform_path/held_requests.rs
+++ b/tests/testsuite/platform_path/held_requests.rs
@@ -1,5 +1,7 @@
 //! Bounds on what an instance holds for its clients.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -18,6 +20,9 @@
 const LONG_BODY_BYTES: usize = 2 * MEGABYTE;
 const LONG_REQUESTS: usize = 40;
 
+/// Number of clients that send the start of a head.
+const UNFINISHED_HEADS: usize = 960;
+
 /// Returns the peak of the memory of a process.
 fn peak_memory_bytes(pid: u32) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
@@ -89,3 +94,28 @@
         assert_eq!(bounds, expected, "{memory_mb:?} MB, {descriptors:?}");
     }
 }
+
+/// Guards against heads without an end that fill the memory before any key is checked.
+#[test]
+fn unfinished_heads_do_not_fill_the_memory() {
+    run(async {
+        let settings = format!("[machine]\nmemory_mb = {MEMORY_MB}");
+        let (_deployment, instance) = Deployment::start_ready(&settings).await;
+        let head = format!("GET / HTTP/1.1\r\nx-long: {}", "x".repeat(60_000));
+        let mut sockets = Vec::new();
+        for _ in 0..UNFINISHED_HEADS {
+            let socket = TcpStream::connect(instance.process.client_address).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            sockets.push((socket, 0));
+        }
+        for _ in 0..200 {
+            for (socket, sent_bytes) in &mut sockets {
+                *sent_bytes += socket.write(&head.as_bytes()[*sent_bytes..]).unwrap_or(0);
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let peak_bytes = peak_memory_bytes(instance.process.pid());
+        println!("peak of the memory: {peak_bytes} bytes");
+        assert!(peak_bytes < MEMORY_MB * MEGABYTE, "{peak_bytes} bytes");
+    });
+}
