--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -105,6 +105,13 @@
             std::net::TcpStream::connect(client_address).ok()
         })
         .await;
+        // With a fleet store there is no administration API.
+        if !further_settings.contains("[fleet]") {
+            eventually("the instance accepts administration calls", || async {
+                std::net::TcpStream::connect(admin_address).ok()
+            })
+            .await;
+        }
         instance
     }
 
