Let an outage in the test of administration begin with the write that it concerns

Found while the failure of the same test was traced; not its cause.

Cause, by reading: the stand-in lost the answer to the next write of any key, and the test began the outage when it saw the change, one turn of its event loop later. Another write could take the lost answer, or the instance could read the change back before the outage began.

The stand-in now loses the answer to the write of the named key and begins the outage in the same step. The checks are unchanged.

--- a/crates/jujubelink-standins/src/platform.rs
+++ b/crates/jujubelink-standins/src/platform.rs
@@ -27,6 +27,8 @@
     pub delay: Duration,
     /// Number of upcoming writes that take effect but are never answered.
     pub lose_answers: u32,
+    /// Key whose next write takes effect, is never answered, and is followed by an outage.
+    pub outage_at_write: Option<String>,
     /// Rate limit above which requests are answered with 429; unlimited if `None`.
     pub max_requests_per_s: Option<u32>,
 }
@@ -237,12 +239,23 @@
             },
         };
         let response = self.write(key, if_version, value);
-        if self.take_lost_answer() {
+        if self.begin_outage(key) || self.take_lost_answer() {
             std::future::pending::<()>().await;
         }
         response
     }
 
+    /// Whether an outage begins with this write.
+    fn begin_outage(&self, key: &str) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let is_begin = faults.outage_at_write.as_deref() == Some(key);
+        if is_begin {
+            faults.outage_at_write = None;
+            faults.is_down = true;
+        }
+        is_begin
+    }
+
     /// Whether the response to this write is to be lost; consumes one of `lose_answers`.
     fn take_lost_answer(&self) -> bool {
         let mut faults = self.faults.borrow_mut();
--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -238,19 +238,11 @@
 
         deployment.platform.set_faults(|faults| {
             faults.is_down = false;
-            faults.lose_answers = 1;
+            faults.outage_at_write = Some("config/current".to_owned());
         });
-        let change = deployment.send_request_with_key("PUT", path, Some(body.clone()), "outage-1");
-        let outage = async {
-            eventually("the change is made", || async {
-                deployment.platform.get("config/current").map(drop)
-            })
+        let response = deployment
+            .send_request_with_key("PUT", path, Some(body.clone()), "outage-1")
             .await;
-            deployment
-                .platform
-                .set_faults(|faults| faults.is_down = true);
-        };
-        let (response, ()) = futures_util::join!(change, outage);
         assert_eq!(response.status, 504, "{}", response.body);
         assert!(response.body.contains("version 1"), "{}", response.body);
 
