Do not count a failed connection as a send of its request

What callers saw: 503, although engines were free and 2.9 s were left. The request had been sent to four engines that had just ended, within 10 to 44 ms ("the request was sent too often").

Cause: a refused connection counted as one of the four sends of a request. It also took from the resend budget and from the limit of the workspace, although nothing had arrived anywhere.

Change: the first failed connection to each target counts neither as a send nor against the budget; a further one to the same target counts as a send. From the fifth one on, connections are opened 50 ms apart, which bounds them while no target can be reached. A request that can't have arrived is not charged.

--- a/src/jujubelink/core/relay/attempts.rs
+++ b/src/jujubelink/core/relay/attempts.rs
@@ -1,9 +1,19 @@
 //! Attempts of one request: the targets that may have run it, and whether a further one may get it.
 
+use std::time::Duration;
+
 use super::response::{Failure, MAX_SENDS, NoResend, check_resend};
 use crate::core::fleet::RequestKind;
 use crate::core::ids::TargetId;
 
+/// Failed connections of a request after which each further one is opened only after a delay. Several
+/// targets may have ended a moment ago.
+const PROMPT_CONNECTIONS: usize = 4;
+
+/// Delay before each further connection. It bounds the connections that a request opens while all targets
+/// are unreachable.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
 /// Targets to which a request may be sent next, besides those that are excluded for other reasons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AllowedTargets {
@@ -26,11 +36,16 @@
 /// Record of the sends of a request.
 ///
 /// An attempt is a target that may have run the request. A target whose run was cancelled, although it had
-/// not failed, may run the request again within the same attempt.
+/// not failed, may run the request again within the same attempt. A connection that failed is no attempt,
+/// and counts as a send only if another one to the same target had failed before.
 #[derive(Debug, Clone, Default)]
 pub struct Attempts {
     /// Sends to targets, including those that reached no target.
     sends: u32,
+    /// Targets to which connections failed. Each occurs once.
+    unreachable: Vec<TargetId>,
+    /// Sends whose connections failed. At least as many as `unreachable`, and at most as many as `sends`.
+    failed_connections: u32,
     /// Runs that failed.
     failed_runs: u32,
     /// Targets whose runs were cancelled and that have not failed since. Each occurs once.
@@ -38,11 +53,29 @@
 }
 
 impl Attempts {
-    /// Returns the number of sends.
+    /// Returns the number of sends, including those that reached no target.
     pub fn sends(&self) -> u32 {
         self.sends
     }
 
+    /// Whether the request may have arrived at a target.
+    pub fn may_have_arrived(&self) -> bool {
+        self.sends > self.failed_connections
+    }
+
+    /// Returns how long to wait before a further connection is opened.
+    pub fn connection_delay(&self) -> Duration {
+        match self.unreachable.len() < PROMPT_CONNECTIONS {
+            true => Duration::ZERO,
+            false => RECONNECT_DELAY,
+        }
+    }
+
+    /// Number of sends to which [`MAX_SENDS`] applies.
+    fn counted_sends(&self) -> u32 {
+        self.sends - self.unreachable.len() as u32
+    }
+
     /// Returns the number of attempts that have ended.
     pub fn used(&self) -> u32 {
         self.failed_runs + self.cancelled.len() as u32
@@ -50,7 +83,7 @@
 
     /// Whether the request may be sent once more only.
     pub fn is_last_send(&self) -> bool {
-        self.sends + 1 >= MAX_SENDS
+        self.counted_sends() + 1 >= MAX_SENDS
     }
 
     /// Records that the request is sent to a target, or that a connection is opened for it.
@@ -58,6 +91,14 @@
         self.sends += 1;
     }
 
+    /// Records that the connection of a send failed, so that nothing reached the target.
+    pub fn on_connection_failed(&mut self, target: &TargetId) {
+        self.failed_connections += 1;
+        if !self.unreachable.contains(target) {
+            self.unreachable.push(target.clone());
+        }
+    }
+
     /// Records that a run has failed.
     pub fn on_failed(&mut self, target: &TargetId) {
         self.cancelled.retain(|cancelled| cancelled != target);
@@ -83,12 +124,13 @@
         let idle = self.cancelled.iter().filter(|target| !is_running(target));
         let idle: Vec<_> = idle.cloned().collect();
         let attempts = self.failed_runs + (idle.len() + running.len()) as u32;
-        match check_resend(kind, failure, attempts, self.sends, max_attempts) {
+        let sends = self.counted_sends();
+        match check_resend(kind, failure, attempts, sends, max_attempts) {
             Ok(()) => Ok(AllowedTargets::Any),
             Err(NoResend::AttemptsUsed) if !idle.is_empty() => {
                 // The last send is kept for a stream whose target breaks off.
                 let is_reserved = !running.is_empty() && self.is_last_send();
-                match is_reserved || self.sends >= MAX_SENDS {
+                match is_reserved || sends >= MAX_SENDS {
                     true => Err(NoResend::SendsUsed),
                     false => Ok(AllowedTargets::Only(idle)),
                 }
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -123,11 +123,12 @@
     BudgetUsed,
 }
 
-/// Checks whether a request may be sent to another target after a failure. `sends` counts all sends so
-/// far, and `attempts` the targets that may have run the request, of which `max_attempts` are allowed.
+/// Checks whether a request may be sent to another target after a failure. `sends` counts the sends so
+/// far, without the first failed connection to each target, and `attempts` the targets that may have run
+/// the request, of which `max_attempts` are allowed.
 ///
-/// A request that must run at most once is sent again only if it can't have been run. A send that
-/// reached no target does not count as an attempt, but the number of sends is limited as well.
+/// A request that must run at most once is sent again only if it can't have been run. A send that no
+/// target ran does not count as an attempt, but the number of sends is limited as well.
 pub fn check_resend(
     kind: RequestKind,
     failure: Failure,
@@ -147,5 +148,6 @@
     Ok(())
 }
 
-/// Maximum number of sends of one request, including those that no target ran.
+/// Maximum number of sends of one request, including those that no target ran, but without the first failed
+/// connection to each target.
 pub(super) const MAX_SENDS: u32 = 4;
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -263,6 +263,8 @@
 
     /// Obtains a placement from the scheduler.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
+        let delay = self.attempts.connection_delay().min(self.remaining());
+        self.proxy.context.timers().sleep(delay).await;
         self.check_stop()?;
         self.check_crashes()?;
         let started = self.now();
@@ -558,6 +560,9 @@
         if let (Failure::MayHaveRun, Some(target)) = (failure.kind, &target) {
             self.record_failed_run(target);
         }
+        if let (AttemptOutcome::ConnectFailed, Some(target)) = (&failure.outcome, &target) {
+            self.attempts.on_connection_failed(target);
+        }
         // A silent target may run the request while another one fails to take it over.
         let is_passed_on = self.may_have_run || self.is_taking_over;
         self.progress.set_passed_on(is_passed_on);
@@ -721,8 +726,8 @@
         }
         self.end_placement(AttemptOutcome::Cancelled);
         if let Some(charge) = self.charge.take() {
-            // A request that was never sent has used nothing.
-            let used = match self.attempts.sends() > 0 {
+            // A request that has not arrived at a target has used nothing.
+            let used = match self.attempts.may_have_arrived() {
                 true => charge.tokens,
                 false => 0,
             };
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -62,9 +62,11 @@
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
         self.check_attempts(failure)?;
-        // The budget limits the requests that arrive at targets. A failed send may not have
-        // arrived, but the next one may, so every resend takes from the budget.
-        self.with_budget(ResendBudget::try_acquire)
+        // The budget limits the arrivals at targets beyond the first one of each request.
+        match self.attempts.may_have_arrived() {
+            true => self.with_budget(ResendBudget::try_acquire),
+            false => self.with_budget(|_, _, _| true),
+        }
     }
 
     /// Checks whether another target may take the request over from the one that runs it.
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -15,6 +15,7 @@
 mod scripted_deployment;
 mod silent_targets;
 mod takeovers;
+mod unreachable_targets;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,5 +1,7 @@
 //! Classification of a target's response, and whether its request may be sent again.
 
+use std::time::Duration;
+
 use http::Request;
 use jujubelink::core::fleet::RequestKind;
 use jujubelink::core::ids::TargetId;
@@ -176,6 +178,40 @@
     assert_eq!(check(&attempts, &[], 3), Err(NoResend::SendsUsed));
 }
 
+/// Guards against a request that is refused, although time is left and another target is free, because
+/// connections to targets that have just ended count as sends. Also against connections without end while
+/// no target can be reached, and against more than one free connection to the same target.
+#[test]
+fn failed_connections_are_bounded_by_target_and_time() {
+    let kind = RequestKind::SingleRun;
+    let check = |attempts: &Attempts| attempts.check(kind, Failure::NotSent, &[], 1);
+    let mut attempts = Attempts::default();
+    let mut delay = Duration::ZERO;
+    for number in 0..20 {
+        delay += attempts.connection_delay();
+        attempts.on_send();
+        attempts.on_connection_failed(&format!("t{number}").into());
+        assert_eq!(check(&attempts), Ok(AllowedTargets::Any), "{number}");
+    }
+    assert!(!attempts.may_have_arrived());
+    assert!(delay >= Duration::from_millis(500), "{delay:?}");
+    for again in 1..=4 {
+        assert_eq!(check(&attempts), Ok(AllowedTargets::Any), "{again}");
+        attempts.on_send();
+        attempts.on_connection_failed(&"t0".into());
+    }
+    assert_eq!(check(&attempts), Err(NoResend::SendsUsed));
+    assert!(!attempts.may_have_arrived());
+
+    let mut attempts = Attempts::default();
+    attempts.on_send();
+    attempts.on_connection_failed(&"t0".into());
+    attempts.on_send();
+    assert!(attempts.may_have_arrived());
+    attempts.on_failed(&"t1".into());
+    assert_eq!(check(&attempts), Err(NoResend::AttemptsUsed));
+}
+
 /// Guards against requests to a target that asks for a pause while a connection to it is opened.
 #[test]
 fn a_request_is_withheld_if_its_target_may_not_be_used_once_connected() {
