Change the sharing of limits without a new table of all peers

Cause, from the code: each message may change with whom limits are shared.

Change: the peers that changed are determined once and updated in place. All of them are listed again only if an instance appears or disappears.

Evidence: quota::a_change_of_some_peers_equals_a_new_list_of_all compares both ways on random changes, reports and charges.

--- a/src/jujubelink/core/quota/bucket.rs
+++ b/src/jujubelink/core/quota/bucket.rs
@@ -193,6 +193,22 @@
         self.reserve_shares(now);
     }
 
+    /// Sets for some of the peers whether the limit is shared with them. Does the same as [`Self::set_peers`]
+    /// while the peers of the fleet stay the same, without a new table of all of them.
+    pub fn set_sharing<'a>(
+        &mut self,
+        changes: impl Iterator<Item = (&'a InstanceId, bool)>,
+        now: Timestamp,
+    ) {
+        self.advance(now);
+        for (id, is_sharing) in changes {
+            if let Some(peer) = self.peers.get_mut(id) {
+                peer.is_sharing = is_sharing;
+            }
+        }
+        self.reserve_shares(now);
+    }
+
     /// Applies a peer's report. While the limit is not shared with the peer, its fair share is
     /// deducted instead, and the reported usage is applied once sharing resumes.
     pub fn on_report(&mut self, id: &InstanceId, used: PeerUsage, now: Timestamp) {
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -71,18 +71,32 @@
         }
     }
 
+    /// Sets the other instances, in the order of their names, and whether each one shares limits with this
+    /// one.
     pub(super) fn set_peers(&self, contacts: &[(InstanceId, bool)], now: Timestamp) {
-        if *self.contacts.borrow() == contacts {
+        let previous = self.contacts.replace(contacts.to_vec());
+        let has_same_peers = previous.len() == contacts.len()
+            && previous
+                .iter()
+                .zip(contacts)
+                .all(|(old, new)| old.0 == new.0);
+        let changed: Vec<_> = previous
+            .iter()
+            .zip(contacts)
+            .filter(|(old, new)| old.1 != new.1)
+            .map(|(_, (id, is_sharing))| (id, *is_sharing))
+            .collect();
+        if has_same_peers && changed.is_empty() {
             return;
         }
-        self.contacts.replace(contacts.to_vec());
         for bucket in self.buckets.borrow_mut().values_mut() {
-            bucket.set_peers(
-                contacts
-                    .iter()
-                    .map(|(id, shares_limits)| (id, *shares_limits)),
-                now,
-            );
+            match has_same_peers {
+                true => bucket.set_sharing(changed.iter().copied(), now),
+                false => {
+                    let all = contacts.iter().map(|(id, is_sharing)| (id, *is_sharing));
+                    bucket.set_peers(all, now);
+                }
+            }
         }
     }
 
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -255,6 +255,37 @@
     assert!(bucket.level(ms(5_000)) <= RATE_PER_S * 5.0 / 10.0);
 }
 
+/// Guards against a limit that depends on how its bucket learns of a change: a change of some peers has to have
+/// the same effect as a new list of all of them, which costs a large fleet most of its processor time.
+#[test]
+fn a_change_of_some_peers_equals_a_new_list_of_all() {
+    const PEERS: usize = 12;
+    let changes = proptest::collection::vec((0..PEERS, any::<bool>(), 0..400u64, 0..60u64), 1..60);
+    proptest!(property_config(), |(changes in changes)| {
+        let mut sharing: Vec<_> = (0..PEERS).map(|index| (name(index), index % 2 == 0)).collect();
+        let all = |sharing: &[(InstanceId, bool)], bucket: &mut SharedBucket, now| {
+            bucket.set_peers(sharing.iter().map(|(id, is_sharing)| (id, *is_sharing)), now);
+        };
+        let mut listed = SharedBucket::new(RATE_PER_S, BURST, BURST, ms(0));
+        let mut changed = listed.clone();
+        all(&sharing, &mut listed, ms(0));
+        all(&sharing, &mut changed, ms(0));
+        let mut now = ms(0);
+        for (index, is_sharing, pause_ms, units) in changes {
+            now += ms(pause_ms);
+            let usage = PeerUsage { incarnation: 1, total: now.as_millis() as u64 };
+            for bucket in [&mut listed, &mut changed] {
+                bucket.on_report(&name(index), usage, now);
+            }
+            prop_assert_eq!(listed.charge(units, now), changed.charge(units, now));
+            sharing[index].1 = is_sharing;
+            all(&sharing, &mut listed, now);
+            changed.set_sharing([(&sharing[index].0, is_sharing)].into_iter(), now);
+            prop_assert_eq!(listed.status(now), changed.status(now));
+        }
+    });
+}
+
 /// Guards against a request that is larger than the burst and is therefore refused forever.
 #[test]
 fn a_request_above_the_burst_waits_for_a_full_bucket() {
