Confirm in a message only what its receiver has sent

Cause: each message listed the last message that its sender had received from each peer, 17 bytes a peer: 1.3 KB at 76 instances, and 5 KB at 295, in datagrams that take several packets. A receiver read only the entry on itself.

Change: a message consists of a part for all peers, which is encoded once, and the confirmation for its receiver. Instances of earlier versions read it as before.

Evidence: platform_path::peer_messages (300 peers) fails without the change with 3,517 bytes, and passes with at most 1,200.

--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -58,26 +58,42 @@
         let addresses = peers.addresses_due(round);
         let report_addresses = peers.short_report_addresses(&addresses, round);
         round += 1;
-        send_to_all(&peers, &socket, addresses, Peers::message);
-        send_to_all(&peers, &socket, report_addresses, Peers::short_report);
+        send_to_all(&peers, &socket, addresses, Peers::message, |address| {
+            Some(peers.confirmation(address))
+        });
+        send_to_all(
+            &peers,
+            &socket,
+            report_addresses,
+            Peers::short_report,
+            |_| None,
+        );
         peers.refresh_contacts();
         peers.buckets.log_usage(peers.context.log(), peers.now());
         peers.context.timers().sleep(MIN_SEND_INTERVAL).await;
     }
 }
 
+/// Sends a message that consists of a part for all peers and a part for each one. Encoded parts are joined by
+/// concatenation, which merges their fields.
 fn send_to_all(
     peers: &Peers,
     socket: &Datagram,
     addresses: impl IntoIterator<Item = SocketAddr>,
     message: impl Fn(&Peers) -> PeerMessage,
+    part_for: impl Fn(SocketAddr) -> Option<PeerMessage>,
 ) {
     let mut addresses = addresses.into_iter().peekable();
     if addresses.peek().is_none() {
         return;
     }
-    let bytes = message(peers).encode_to_vec();
+    let mut bytes = message(peers).encode_to_vec();
+    let common_bytes = bytes.len();
     for address in addresses {
+        bytes.truncate(common_bytes);
+        if let Some(part) = part_for(address) {
+            bytes.extend(part.encode_to_vec());
+        }
         if let Err(error) = socket.send_to(&bytes, address) {
             slog::debug!(peers.context.log(), "cannot send a message to a peer";
                 "address" => address.to_string(), "error" => %error);
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -63,7 +63,8 @@
     /// Time on the sender's clock at which the message was created, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub(super) sent_at_ms: u64,
-    /// Last message received from each peer.
+    /// Last message received from the peer to which this message is sent. Earlier versions send the last
+    /// ones received from all peers.
     #[prost(message, repeated, tag = "4")]
     pub(super) heard: Vec<LastReceived>,
     /// Usage of rate limits by workspace.
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -436,22 +436,33 @@
         }
     }
 
-    /// Creates the message that is sent to all peers.
-    pub(super) fn message(&self) -> PeerMessage {
-        let now = self.now();
+    /// Creates the part of a message that only the peer at an address needs: the confirmation that its last
+    /// message has arrived. Confirmations to all peers in each message would grow with the fleet, and each
+    /// peer would read only its own.
+    pub(super) fn confirmation(&self, address: SocketAddr) -> PeerMessage {
         let table = self.table.borrow();
-        let last_received = table
+        // Earlier instances at the same address may still be listed.
+        let peer = table
             .iter()
-            .filter(|(_, peer)| peer.remote_sent_at_ms > 0)
-            .map(|(name, peer)| LastReceived {
-                name_hash: stable_hash(0, name.as_bytes()),
-                sent_at_ms: peer.remote_sent_at_ms,
-            });
+            .filter(|(_, peer)| peer.address == address && peer.remote_sent_at_ms > 0)
+            .max_by_key(|(_, peer)| peer.last_received_at);
+        let heard = peer.map(|(name, peer)| LastReceived {
+            name_hash: stable_hash(0, name.as_bytes()),
+            sent_at_ms: peer.remote_sent_at_ms,
+        });
+        PeerMessage {
+            heard: heard.into_iter().collect(),
+            ..PeerMessage::default()
+        }
+    }
+
+    /// Creates the part of a message that is the same for all peers.
+    pub(super) fn message(&self) -> PeerMessage {
+        let now = self.now();
         let state = self.fleet.state();
         let proof = state.proof();
         let age = |requested_at: Timestamp| ms(now.saturating_sub(requested_at));
         PeerMessage {
-            heard: last_received.collect(),
             uses: self.buckets.totals(),
             config_age_ms: proof.map(|proof| age(proof.requested_at)),
             named: state
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -10,6 +10,7 @@
 mod odd_entries;
 mod odd_numbers;
 mod pausing_engines;
+mod peer_messages;
 mod planned_stop;
 mod reload;
 mod scripted_deployment;
