--- a/src/jujubelink/core/relay/attempts.rs
+++ b/src/jujubelink/core/relay/attempts.rs
@@ -8,7 +8,7 @@
 
 /// Failed connections of a request after which each further one is opened only after a delay. Several
 /// targets may have ended a moment ago.
-const PROMPT_CONNECTIONS: usize = 4;
+const IMMEDIATE_CONNECTIONS: usize = 4;
 
 /// Delay before each further connection. It bounds the connections that a request opens while all targets
 /// are unreachable.
@@ -65,7 +65,7 @@
 
     /// Returns how long to wait before a further connection is opened.
     pub fn connection_delay(&self) -> Duration {
-        match self.unreachable.len() < PROMPT_CONNECTIONS {
+        match self.unreachable.len() < IMMEDIATE_CONNECTIONS {
             true => Duration::ZERO,
             false => RECONNECT_DELAY,
         }
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -264,7 +264,9 @@
     /// Obtains a placement from the scheduler.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
         let delay = self.attempts.connection_delay().min(self.remaining());
-        self.proxy.context.timers().sleep(delay).await;
+        if !delay.is_zero() {
+            self.proxy.context.timers().sleep(delay).await;
+        }
         self.check_stop()?;
         self.check_crashes()?;
         let started = self.now();
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -58,15 +58,15 @@
         let addresses = peers.addresses_due(round);
         let report_addresses = peers.short_report_addresses(&addresses, round);
         round += 1;
-        send_to_all(&peers, &socket, addresses, Peers::message, |address| {
-            Some(peers.confirmation(address))
-        });
+        let confirmation = |address| peers.confirmation(address);
+        send_to_all(&peers, &socket, addresses, Peers::message, confirmation);
+        let nothing = |_| PeerMessage::default();
         send_to_all(
             &peers,
             &socket,
             report_addresses,
             Peers::short_report,
-            |_| None,
+            nothing,
         );
         peers.refresh_contacts();
         peers.buckets.log_usage(peers.context.log(), peers.now());
@@ -81,7 +81,7 @@
     socket: &Datagram,
     addresses: impl IntoIterator<Item = SocketAddr>,
     message: impl Fn(&Peers) -> PeerMessage,
-    part_for: impl Fn(SocketAddr) -> Option<PeerMessage>,
+    part_for: impl Fn(SocketAddr) -> PeerMessage,
 ) {
     let mut addresses = addresses.into_iter().peekable();
     if addresses.peek().is_none() {
@@ -91,9 +91,7 @@
     let common_bytes = bytes.len();
     for address in addresses {
         bytes.truncate(common_bytes);
-        if let Some(part) = part_for(address) {
-            bytes.extend(part.encode_to_vec());
-        }
+        bytes.extend(part_for(address).encode_to_vec());
         if let Err(error) = socket.send_to(&bytes, address) {
             slog::debug!(peers.context.log(), "cannot send a message to a peer";
                 "address" => address.to_string(), "error" => %error);
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -73,16 +73,17 @@
 
     /// Sets the other instances, in the order of their names, and whether each one shares limits with this
     /// one.
-    pub(super) fn set_peers(&self, contacts: &[(InstanceId, bool)], now: Timestamp) {
-        let previous = self.contacts.replace(contacts.to_vec());
+    pub(super) fn set_peers(&self, contacts: Vec<(InstanceId, bool)>, now: Timestamp) {
+        let previous = self.contacts.replace(contacts);
+        let contacts = self.contacts.borrow();
         let has_same_peers = previous.len() == contacts.len()
             && previous
                 .iter()
-                .zip(contacts)
+                .zip(&*contacts)
                 .all(|(old, new)| old.0 == new.0);
         let changed: Vec<_> = previous
             .iter()
-            .zip(contacts)
+            .zip(&*contacts)
             .filter(|(old, new)| old.1 != new.1)
             .map(|(_, (id, is_sharing))| (id, *is_sharing))
             .collect();
@@ -90,12 +91,11 @@
             return;
         }
         for bucket in self.buckets.borrow_mut().values_mut() {
-            match has_same_peers {
-                true => bucket.set_sharing(changed.iter().copied(), now),
-                false => {
-                    let all = contacts.iter().map(|(id, is_sharing)| (id, *is_sharing));
-                    bucket.set_peers(all, now);
-                }
+            if has_same_peers {
+                bucket.set_sharing(changed.iter().copied(), now);
+            } else {
+                let all = contacts.iter().map(|(id, is_sharing)| (id, *is_sharing));
+                bucket.set_peers(all, now);
             }
         }
     }
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -363,7 +363,7 @@
             .map(|(name, peer)| (name.clone(), self.shares_limits(peer, now)))
             .collect();
         drop(table);
-        self.buckets.set_peers(&contacts, now);
+        self.buckets.set_peers(contacts, now);
     }
 
     /// Returns the addresses that get a message in a round of the minimum send interval. A large fleet
