Separate the checks of time and budget, and of new and changed peers

Cause: a send without arrival passed the budget with a condition that is always true, only to have the deadline checked; the changes of sharing were computed also where all peers are listed again. No change of behaviour.

The test of messages between instances now also fails if a message confirms another peer than its receiver.

--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -65,7 +65,7 @@
         // The budget limits the arrivals at targets beyond the first one of each request.
         match self.attempts.may_have_arrived() {
             true => self.with_budget(ResendBudget::try_acquire),
-            false => self.with_budget(|_, _, _| true),
+            false => self.check_time(),
         }
     }
 
@@ -80,14 +80,20 @@
         self.with_budget(ResendBudget::try_acquire)
     }
 
+    /// Checks whether time is left for a further send, before the deadline and before a stop.
+    fn check_time(&self) -> Result<(), NoResend> {
+        match self.remaining() < MIN_SEND_TIME || self.check_stop().is_err() {
+            true => Err(NoResend::DeadlineNear),
+            false => Ok(()),
+        }
+    }
+
     fn with_budget(
         &self,
         is_allowed: impl FnOnce(&mut ResendBudget, usize, Timestamp) -> bool,
     ) -> Result<(), NoResend> {
         let admission = self.admission.as_ref().ok_or(NoResend::NotRepeatable)?;
-        if self.remaining() < MIN_SEND_TIME || self.check_stop().is_err() {
-            return Err(NoResend::DeadlineNear);
-        }
+        self.check_time()?;
         let instances = self.relay.peers.fleet_size();
         let now = self.now();
         let is_allowed = self.relay.with_resend_budget(&admission.service, |budget| {
--- a/src/jujubelink/ops/share/limits.rs
+++ b/src/jujubelink/ops/share/limits.rs
@@ -81,22 +81,25 @@
                 .iter()
                 .zip(&*contacts)
                 .all(|(old, new)| old.0 == new.0);
+        let mut buckets = self.buckets.borrow_mut();
+        if !has_same_peers {
+            for bucket in buckets.values_mut() {
+                let all = contacts.iter().map(|(id, is_sharing)| (id, *is_sharing));
+                bucket.set_peers(all, now);
+            }
+            return;
+        }
         let changed: Vec<_> = previous
             .iter()
             .zip(&*contacts)
             .filter(|(old, new)| old.1 != new.1)
             .map(|(_, (id, is_sharing))| (id, *is_sharing))
             .collect();
-        if has_same_peers && changed.is_empty() {
+        if changed.is_empty() {
             return;
         }
-        for bucket in self.buckets.borrow_mut().values_mut() {
-            if has_same_peers {
-                bucket.set_sharing(changed.iter().copied(), now);
-            } else {
-                let all = contacts.iter().map(|(id, is_sharing)| (id, *is_sharing));
-                bucket.set_peers(all, now);
-            }
+        for bucket in buckets.values_mut() {
+            bucket.set_sharing(changed.iter().copied(), now);
         }
     }
 
--- a/tests/testsuite/platform_path/peer_messages.rs
+++ b/tests/testsuite/platform_path/peer_messages.rs
@@ -63,17 +63,18 @@
             socket.send_to(&message, peer_address).unwrap();
         }
         let mut confirmed = 0;
+        let mut buffer = vec![0; 64 * 1024];
         let started = Instant::now();
         while confirmed < PEERS / 10 && started.elapsed() < Duration::from_secs(20) {
             compio::time::sleep(Duration::from_millis(50)).await;
             for (number, socket) in (1..).zip(&sockets) {
-                let mut buffer = vec![0; 64 * 1024];
                 while let Ok(length) = socket.recv(&mut buffer) {
                     assert!(length <= MAX_DATAGRAM_BYTES, "{length} bytes");
                     let message = Confirmations::decode(&buffer[..length]).unwrap();
                     let confirms = |heard: &Confirmation| heard.sent_at_ms == number;
+                    assert!(message.heard.iter().all(confirms), "of another peer");
                     // A message sent before the introduction arrived confirms nothing.
-                    confirmed += usize::from(message.heard.iter().any(confirms));
+                    confirmed += message.heard.len();
                 }
             }
         }
