Ask the holder of a slot that is no known member

Callers inside their limit were refused as rate limited for 30 s and longer by an instance of the own deployment that started at about the same time as another one.

Cause: an instance lists the holders of slots once, when it has a configuration. If another instance claims the slots after that, and the two know each other neither as members nor as seeds, the first one reads the holder from the platform at each attempt to claim a slot, cannot end its valid session, and drops what it has read. So it has no holder to charge, and none of its attempts to claim can succeed. The class of fault: knowledge from one source that is dropped because another source does not confirm it.

Evidence: the new test pauses an instance between its list and the claims of another one.

The object of the platform names the holder with its epoch, so that the directory may record it whether or not the holder is a known member. A holder that does not respond is left out of charges as before. Attempts to claim are logged at level info, as they explain refusals; there is one line at most in each step, and a step tries a slot every 2 s.

--- a/src/jujubelink/ops/limits/slots.rs
+++ b/src/jujubelink/ops/limits/slots.rs
@@ -58,7 +58,7 @@
             .await;
         if count > 0 {
             let held = self.table.borrow().held_slots().count();
-            slog::debug!(self.context.log(), "claimed slots";
+            slog::info!(self.context.log(), "claimed slots";
                 "tried" => count, "claimed" => results.iter().filter(|done| **done).count(),
                 "held" => held);
         }
@@ -196,7 +196,10 @@
                     EndOutcome::Ended { inactive_since } => {
                         InitialLevels::EmptySince(inactive_since)
                     }
-                    EndOutcome::NotYet => return Ok(false),
+                    EndOutcome::NotYet => {
+                        self.record_holder(key, holder.instance.clone(), record.epoch);
+                        return Ok(false);
+                    }
                 }
             }
             (None, Some(levels)) => InitialLevels::Levels {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod history;
 mod http2;
 mod kvcache;
+mod limit_slots;
 mod membership;
 mod openai_client;
 mod orders;
