Keep the sockets of port checks out of started processes

Cause: a test checks a port by binding it. A process that another test starts at that moment holds copies of all sockets until it executes its program, so that the port stays in use after the check.

--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -11,22 +11,22 @@
 use jujubelink_standins::platform::Platform;
 use serde_json::Value;
 
-use crate::support::{ADMIN_KEY, Instance, eventually, run, send};
+use crate::support::{ADMIN_KEY, Instance, eventually, run, send, spawn};
 
 /// Runs a subcommand on a thread of its own, so that the stand-ins on the event loop can respond to it.
 async fn run_subcommand(args: &[&str], input: &str) -> Output {
     let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
     let input = input.to_owned();
     let thread = std::thread::spawn(move || {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_jujubelink"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jujubelink"));
+        command
             .args(args)
             .env("JUJUBELINK_ADMIN_KEY", ADMIN_KEY)
             .env_remove("JUJUBELINK_ADMIN_ADDRESS")
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("a started subcommand");
+            .stderr(Stdio::piped());
+        let mut child = spawn(&mut command).expect("a started subcommand");
         let mut stdin = child.stdin.take().expect("a pipe");
         // A subcommand that reads no input may have ended already.
         let _ = stdin.write_all(input.as_bytes());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod platform_format;
 mod platform_names;
 mod platform_path;
+mod ports;
 mod queue;
 mod quota;
 mod refusals;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -1132,10 +1132,7 @@
 fn reloads_and_stops_without_interrupting_requests() {
     run(async {
         let (deployment, mut instance) = Deployment::start_ready("").await;
-        let status = std::process::Command::new("kill")
-            .args(["-HUP", &instance.process.pid().to_string()])
-            .status();
-        assert!(status.unwrap().success());
+        instance.process.reload();
         let delay = TargetFault::Delay(Duration::from_millis(600));
         schedule_faults(&deployment.service_faults, &[Some(delay)]);
         let (response, ()) =
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -92,11 +92,8 @@
 
     /// Sends a Unix signal such as `STOP` to an instance.
     pub(crate) fn signal(&self, index: usize, signal: &str) {
-        let pid = self.instances[index].as_ref().expect("running").pid();
-        let status = std::process::Command::new("kill")
-            .args([format!("-{signal}"), pid.to_string()])
-            .status();
-        assert!(status.expect("run kill").success());
+        let instance = self.instances[index].as_ref().expect("running");
+        instance.signal(&format!("-{signal}"));
     }
 
     /// Peer address of an instance.
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -7,7 +7,7 @@
 
 use jujubelink::util::hash::sha256_hex;
 
-use super::{eventually, free_address};
+use super::{eventually, free_address, spawn};
 
 /// A running instance. Dropping it kills the process.
 pub(crate) struct Instance {
@@ -87,13 +87,9 @@
         let mut file = std::fs::File::create(&settings).expect("create the settings file");
         file.write_all(text.as_bytes())
             .expect("write the settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_jujubelink"))
-            .arg("serve")
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(log)
-            .spawn()
-            .expect("start the instance");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jujubelink"));
+        command.arg("serve").arg("--settings").arg(&settings);
+        let child = spawn(command.stdout(log)).expect("start the instance");
         let instance = Self {
             child,
             settings,
@@ -147,10 +143,11 @@
         self.signal("-CONT");
     }
 
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([name, &self.pid().to_string()])
-            .status();
+    /// Sends a signal, such as `-STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let mut command = Command::new("kill");
+        let kill = spawn(command.args([name, &self.pid().to_string()]));
+        let status = kill.expect("start kill").wait();
         assert!(status.expect("run kill").success());
     }
 
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -13,7 +13,7 @@
 };
 pub(crate) use flood::{Flood, FloodClient, FloodProxy, ID};
 pub(crate) use instance::{ADMIN_KEY, Instance};
-pub(crate) use jujubelink_standins::ports::free_address;
+pub(crate) use jujubelink_standins::ports::{free_address, spawn};
 pub(crate) use scripted::{ReceivedRequest, Reply, ScriptedTarget, Step};
 
 use std::net::SocketAddr;
