Await a silent engine until another one continues its stream

In the own deployment, a caller lost its response (502 or an early end, "stream_broken") when the connection to its engine broke while the engine was silent for more than a second, although the engine went on.

The resumption of a stream was given up after 1 s. The run was then ended before it was known whether another target could continue the response: with one engine, or with output that only the same engine can go on with, there was none.

If the engine answers nothing for 1 s, the continuation on another target now begins beside the resumption. The first of the two to start goes on with the response, and only then is the other one cancelled. If no other target starts, the engine is awaited for the stall timeout. A lost connection still makes the request a suspect, so that the quarantine is as strict as before. Each run is charged in full.

--- a/crates/jujubelink-standins/src/engine/generation.rs
+++ b/crates/jujubelink-standins/src/engine/generation.rs
@@ -135,6 +135,10 @@
         {
             std::future::pending::<()>().await;
         }
+        if self.engine.take_fault(|faults| &mut faults.pause_at, index) {
+            let pause = self.engine.faults.borrow().stream_pause;
+            compio::time::sleep(pause).await;
+        }
         self.index += 1;
         if self.engine.take_fault(|faults| &mut faults.skip_at, index) {
             return Box::pin(self.next()).await;
--- a/crates/jujubelink-standins/src/engine/mod.rs
+++ b/crates/jujubelink-standins/src/engine/mod.rs
@@ -225,6 +225,13 @@
         answer(StatusCode::OK, &json!({}))
     }
 
+    async fn pause_head(&self) {
+        let pause = self.faults.borrow().head_pause;
+        if !pause.is_zero() {
+            compio::time::sleep(pause).await;
+        }
+    }
+
     async fn post(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let Ok(Some(body)) = collect_limited(body, MAX_BODY_BYTES).await else {
@@ -234,7 +241,10 @@
             return refuse("json");
         };
         match head.uri.path() {
-            "/v1/chat/completions" | "/v1/completions" => self.complete(&head, body).await,
+            "/v1/chat/completions" | "/v1/completions" => {
+                self.pause_head().await;
+                self.complete(&head, body).await
+            }
             "/v1/orders" => self.order(body).await,
             "/v1/kv/import" => self.import_blocks(&body),
             "/v1/kv/export" => self.export_blocks(&body),
@@ -282,7 +292,10 @@
         if let Some(id) = path.strip_prefix("/v1/streams/") {
             return match *request.method() {
                 Method::DELETE => self.cancel(id),
-                _ => self.resume(id, request.headers()),
+                _ => {
+                    self.pause_head().await;
+                    self.resume(id, request.headers())
+                }
             };
         }
         match (request.method(), path.as_str()) {
--- a/crates/jujubelink-standins/src/engine/settings.rs
+++ b/crates/jujubelink-standins/src/engine/settings.rs
@@ -104,6 +104,12 @@
     pub is_leaving: bool,
     /// Whether attempts to resume a stream are answered with 404.
     pub forgets_streams: bool,
+    /// Time for which model requests and attempts to resume a stream wait for their response.
+    pub head_pause: Duration,
+    /// Event before which a stream pauses for `stream_pause`.
+    pub pause_at: Option<u64>,
+    /// Length of the pause within a stream.
+    pub stream_pause: Duration,
     /// Each n-th cache event is omitted from the event stream.
     pub lose_event_every: Option<u64>,
 }
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -10,6 +10,7 @@
 
 use super::call::{Endpoint, ModelCall};
 use super::chunk::{Chunk, Usage};
+use super::recovery::SilentRun;
 use super::refusals::{charge_refusal, placement_refusal};
 use crate::core::config::{ConfigSnapshot, Target};
 use crate::core::ids::{RequestId, Tokens};
@@ -77,6 +78,8 @@
     traceparent: Option<HeaderValue>,
     charge: Option<Charge>,
     pub(super) attempt: Option<Attempt>,
+    /// An earlier run that is awaited beside the current attempt.
+    pub(super) silent_run: Option<SilentRun>,
     pub(super) delivered: Delivered,
     /// Tokens delivered by earlier attempts.
     pub(super) earlier_tokens: Tokens,
@@ -124,6 +127,7 @@
             traceparent,
             charge: None,
             attempt: None,
+            silent_run: None,
             delivered: Delivered::default(),
             earlier_tokens: 0,
             weights_version: None,
@@ -470,10 +474,9 @@
         };
         self.end_attempt(outcome);
     }
-}
 
-impl Drop for Exchange {
-    fn drop(&mut self) {
+    /// Cancels the current attempt and settles its charge.
+    pub(super) fn abandon_attempt(&mut self) {
         let (_, attempt) = self.end_attempt(AttemptOutcome::Cancelled);
         let sent = attempt.filter(|attempt| attempt.is_sent);
         match sent {
@@ -486,6 +489,15 @@
     }
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.abandon_attempt();
+        if let Some(run) = self.silent_run.take() {
+            self.cancel_at_engine(run.attempt);
+        }
+    }
+}
+
 /// Returns the expected duration of the prefill on the model's targets.
 fn prefill_duration(config: &ConfigSnapshot, call: &ModelCall) -> Duration {
     let model = config.fleet.models.get(&call.model);
--- a/src/jujubelink/ops/proxy/model/recovery.rs
+++ b/src/jujubelink/ops/proxy/model/recovery.rs
@@ -1,26 +1,53 @@
 //! Retries of failed attempts and recovery of interrupted streams.
 
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, select};
 use serde_json::json;
 
-use super::call::Endpoint;
+use super::call::{Endpoint, ModelCall};
 use super::exchange::{Attempt, Exchange, first_token_timeout};
 use super::refusals::attempt_refusal;
+use crate::core::ids::{TargetId, Tokens};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
-use crate::ops::services::{AttemptOutcome, RetryAdvice};
-use crate::ops::upstream::{AttemptError, StreamError};
+use crate::ops::services::{AttemptOutcome, ModelRequest, RetryAdvice};
+use crate::ops::upstream::{AttemptError, EngineStream, StreamError};
 
 /// Limit on resumptions of a stream at the same engine with no event in between.
 pub(super) const MAX_CONSECUTIVE_RESUMES: u32 = 2;
 
+/// Silence of an engine that was asked to resume a stream after which another target is asked for the rest
+/// of the response. A sound engine may be silent for about as long.
+const CONTINUATION_DELAY: Duration = Duration::from_secs(1);
+
 /// Data of the final event.
 const DONE: &[u8] = b"[DONE]";
 
 /// Limit on the number of targets at which one request may fail.
 const MAX_ATTEMPTS: usize = 8;
 
+type Resumption = LocalBoxFuture<'static, Result<EngineStream, AttemptError>>;
+
+/// A run whose engine is silent, and the state of the response with which it can go on.
+pub(super) struct SilentRun {
+    pub(super) attempt: Attempt,
+    call: ModelCall,
+    request: ModelRequest,
+    text: String,
+    earlier_tokens: Tokens,
+    weights_version: Option<String>,
+}
+
+/// Which of two runs goes on with the response.
+enum Raced {
+    Resumed(EngineStream),
+    Continued(Result<Option<Bytes>, Refusal>),
+}
+
 impl Exchange {
     /// Prepares the next attempt after one that failed before its first event, or refuses the
     /// request.
@@ -52,7 +79,7 @@
     async fn apply_retry_advice(
         &mut self,
         advice: RetryAdvice,
-        target: crate::core::ids::TargetId,
+        target: TargetId,
         last_refusal: Refusal,
     ) -> Result<(), Refusal> {
         match advice {
@@ -82,54 +109,51 @@
             self.complete();
             return Ok(Some(Bytes::from_static(DONE)));
         }
-        let outcome = match self.resume(error).await {
-            Ok(()) => return Ok(None),
-            Err(outcome) => outcome,
+        let Some(mut resumption) = self.begin_resumption(error) else {
+            return self
+                .continue_on_other_target(error, outcome_of(error))
+                .await;
+        };
+        let timers = *self.proxy.context.timers();
+        let early = timers.timeout(CONTINUATION_DELAY, resumption.as_mut());
+        let Some(result) = early.await else {
+            return self.continue_beside(resumption, error).await;
         };
-        self.continue_on_other_target(error, outcome).await
+        let stream = self.attempt.as_ref().and_then(|it| it.stream.as_ref());
+        match check_resumed(result, stream, error) {
+            Ok(resumed_stream) => {
+                if let Some(attempt) = self.attempt.as_mut() {
+                    attempt.stream = Some(resumed_stream);
+                }
+                self.proxy.context.metrics().count("streams_resumed", 1);
+                Ok(None)
+            }
+            Err(outcome) => self.continue_on_other_target(error, outcome).await,
+        }
     }
 
-    /// Resumes the stream at the same incarnation of the engine. On failure, returns the outcome of
-    /// the attempt.
-    async fn resume(&mut self, error: StreamError) -> Result<(), AttemptOutcome> {
-        let outcome = match error {
-            StreamError::ConnectionLost => AttemptOutcome::Crashed,
-            StreamError::Stalled => AttemptOutcome::TimedOut,
-            StreamError::MissingEvent | StreamError::EventTooLarge => AttemptOutcome::Failed,
-        };
-        let Some(attempt) = self.attempt.as_mut() else {
-            return Err(outcome);
-        };
-        let Some(stream) = attempt.stream.as_ref() else {
-            return Err(outcome);
-        };
+    /// Asks the engine to resume the stream. Returns `None` if that cannot help.
+    fn begin_resumption(&mut self, error: StreamError) -> Option<Resumption> {
+        let attempt = self.attempt.as_ref()?;
+        let next_sequence = attempt.stream.as_ref()?.next_sequence();
         if self.resumes_left == 0 || error == StreamError::EventTooLarge {
-            return Err(outcome);
+            return None;
         }
         self.resumes_left -= 1;
-        let engines = &self.proxy.engines;
-        let resumed = engines.resume(&attempt.target, &attempt.tag, stream.next_sequence());
-        match resumed.await {
-            Ok(resumed_stream) if resumed_stream.incarnation == stream.incarnation => {
-                attempt.stream = Some(resumed_stream);
-                self.proxy.context.metrics().count("streams_resumed", 1);
-                Ok(())
-            }
-            Ok(_) | Err(AttemptError::ConnectFailed) => Err(AttemptOutcome::Crashed),
-            Err(_) => Err(outcome),
-        }
+        let engines = self.proxy.engines.clone();
+        let (target, tag) = (attempt.target.clone(), attempt.tag.clone());
+        let resume = async move { engines.resume(&target, &tag, next_sequence).await };
+        Some(resume.boxed_local())
     }
 
-    /// Has another target generate the rest of the response.
+    /// Has another target generate the rest of the response after the run has failed.
     async fn continue_on_other_target(
         &mut self,
         error: StreamError,
         outcome: AttemptOutcome,
     ) -> Result<Option<Bytes>, Refusal> {
-        self.may_have_run = true;
-        self.settle_in_full();
         let is_crash = outcome == AttemptOutcome::Crashed;
-        let (advice, attempt) = self.end_attempt(outcome);
+        let (advice, attempt) = self.give_up_run(outcome);
         let last_refusal = self.refuse(RefusalCode::StreamBroken, &error.to_string());
         let Some(attempt) = attempt else {
             return Err(last_refusal);
@@ -138,6 +162,94 @@
         if !is_crash {
             self.cancel_at_engine(attempt);
         }
+        self.start_continuation(advice, target, last_refusal).await
+    }
+
+    /// Has another target generate the rest of the response while the silent engine is still awaited.
+    /// The first one to start goes on with the response, and only then is the other one cancelled.
+    async fn continue_beside(
+        &mut self,
+        mut resumption: Resumption,
+        error: StreamError,
+    ) -> Result<Option<Bytes>, Refusal> {
+        let (call, request) = (self.call.clone(), self.request.clone());
+        let text = self.delivered.text.clone();
+        let weights_version = self.weights_version.clone();
+        let (advice, attempt) = self.give_up_run(outcome_of(error));
+        let last_refusal = self.refuse(RefusalCode::StreamBroken, &error.to_string());
+        let Some(attempt) = attempt else {
+            return Err(last_refusal);
+        };
+        let target = attempt.placement.target.clone();
+        let incarnation = attempt.stream.as_ref().map(|stream| stream.incarnation);
+        self.silent_run = Some(SilentRun {
+            attempt,
+            call,
+            request,
+            text,
+            earlier_tokens: self.earlier_tokens,
+            weights_version,
+        });
+        let raced = {
+            let continuation = pin!(self.start_continuation(advice, target, last_refusal));
+            match select(continuation, resumption.as_mut()).await {
+                Either::Left((Ok(data), _)) => Raced::Continued(Ok(data)),
+                Either::Left((Err(refusal), resumption)) => match resumption.await {
+                    Ok(stream) if Some(stream.incarnation) == incarnation => Raced::Resumed(stream),
+                    _ => Raced::Continued(Err(refusal)),
+                },
+                Either::Right((Ok(stream), _)) if Some(stream.incarnation) == incarnation => {
+                    Raced::Resumed(stream)
+                }
+                Either::Right((_, continuation)) => Raced::Continued(continuation.await),
+            }
+        };
+        match (raced, self.silent_run.take()) {
+            (Raced::Resumed(stream), Some(run)) => {
+                self.abandon_attempt();
+                self.restore(run, stream);
+                Ok(None)
+            }
+            (Raced::Continued(result), run) => {
+                if let Some(run) = run {
+                    self.cancel_at_engine(run.attempt);
+                }
+                result
+            }
+            (Raced::Resumed(_), None) => {
+                Err(self.refuse(RefusalCode::StreamBroken, &error.to_string()))
+            }
+        }
+    }
+
+    /// Goes on with a run that was silent. The scheduler has been told of its end and ignores a second
+    /// one, and its charge is settled.
+    fn restore(&mut self, run: SilentRun, stream: EngineStream) {
+        self.call = run.call;
+        self.request = run.request;
+        self.delivered.text = run.text;
+        self.earlier_tokens = run.earlier_tokens;
+        self.weights_version = run.weights_version;
+        let mut attempt = run.attempt;
+        attempt.stream = Some(stream);
+        self.attempt = Some(attempt);
+        self.proxy.context.metrics().count("streams_resumed", 1);
+    }
+
+    /// Settles the charge of the run in full and reports its end.
+    fn give_up_run(&mut self, outcome: AttemptOutcome) -> (RetryAdvice, Option<Attempt>) {
+        self.may_have_run = true;
+        self.settle_in_full();
+        self.end_attempt(outcome)
+    }
+
+    /// Starts the rest of the response on another target than `target`.
+    async fn start_continuation(
+        &mut self,
+        advice: RetryAdvice,
+        target: TargetId,
+        last_refusal: Refusal,
+    ) -> Result<Option<Bytes>, Refusal> {
         if self.delivered.blocks_continuation {
             return Err(last_refusal);
         }
@@ -206,3 +318,27 @@
         .detach();
     }
 }
+
+/// Outcome of a run whose stream was interrupted and cannot be resumed.
+fn outcome_of(error: StreamError) -> AttemptOutcome {
+    match error {
+        StreamError::ConnectionLost => AttemptOutcome::Crashed,
+        StreamError::Stalled => AttemptOutcome::TimedOut,
+        StreamError::MissingEvent | StreamError::EventTooLarge => AttemptOutcome::Failed,
+    }
+}
+
+/// Returns the resumed stream if it comes from the same incarnation of the engine, and otherwise the outcome
+/// of the run.
+fn check_resumed(
+    result: Result<EngineStream, AttemptError>,
+    interrupted: Option<&EngineStream>,
+    error: StreamError,
+) -> Result<EngineStream, AttemptOutcome> {
+    let incarnation = interrupted.map(|stream| stream.incarnation);
+    match result {
+        Ok(stream) if Some(stream.incarnation) == incarnation => Ok(stream),
+        Ok(_) | Err(AttemptError::ConnectFailed) => Err(AttemptOutcome::Crashed),
+        Err(_) => Err(outcome_of(error)),
+    }
+}
--- a/src/jujubelink/ops/upstream/engine.rs
+++ b/src/jujubelink/ops/upstream/engine.rs
@@ -22,9 +22,6 @@
 /// Maximum time between two events before a stream is considered stalled.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Timeout for the response head of a resumed stream.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Timeout for the response to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -83,7 +80,8 @@
         EngineStream::open(response, tag).await
     }
 
-    /// Resumes a stream after the last received event, on a new connection.
+    /// Resumes a stream after the last received event, on a new connection. The engine may be silent for as
+    /// long as within a stream.
     pub async fn resume(
         &self,
         target: &Target,
@@ -98,7 +96,7 @@
         let path = format!("/v1/streams/{}", tag.request);
         let request = new_request(Method::GET, &path, headers, empty(), target);
         let options = RequestOptions::default().with_new_connection();
-        let response = self.send(target, request, options, RESUME_TIMEOUT).await?;
+        let response = self.send(target, request, options, STALL_TIMEOUT).await?;
         let mut stream = EngineStream::open(response, tag).await?;
         stream.next_sequence = next_sequence;
         Ok(stream)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod scheduler;
 mod sessions;
 mod settings;
+mod silent_engines;
 mod soak;
 mod spread;
 mod stop_schedule;
