Read the rest of a streamed body beside its refusal

In the own deployment, a client that sent the body of a plain request for longer than 1 s found its connection reset when the request was refused at its head, and did not get the refusal.

The body had been moved to the reader that streams it to the target, so the refusal did not carry it: it was read for 1 s before the refusal, or not at all if the request was refused by its rate limit.

The reader now returns the rest of the body when it is dropped, and the refusal is sent at once with the rest attached, as for other refusals.

plain::a_refusal_of_a_streamed_body_resets_no_connection fails before (10 of 10 clients get a broken pipe) and passes now: 10 of 10 are refused and served again on the same connection, for an unreachable target and for a charge beyond the limit. A body that has been handed to a target's connection is not covered.

--- a/src/jujubelink/ops/proxy/plain/body.rs
+++ b/src/jujubelink/ops/proxy/plain/body.rs
@@ -1,6 +1,8 @@
 //! Streamed request and response bodies.
 
+use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -22,17 +24,30 @@
 /// Maximum time for reading a response after its client has disconnected.
 const DETACHED_READ_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Receives the rest of a client's body from its reader, so that it can be read beside a refusal.
+#[derive(Clone, Default)]
+pub(super) struct UnreadRest(Rc<RefCell<Option<Incoming>>>);
+
+impl UnreadRest {
+    pub(super) fn take(&self) -> Option<Incoming> {
+        self.0.take()
+    }
+}
+
 /// A client's body that fails if the client pauses for too long.
 pub(super) struct IdleTimeoutBody {
-    body: Incoming,
+    /// `None` only while it is dropped.
+    body: Option<Incoming>,
+    unread: UnreadRest,
     last_data: Instant,
     timer: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl IdleTimeoutBody {
-    pub(super) fn new(body: Incoming) -> Self {
+    pub(super) fn new(body: Incoming, unread: &UnreadRest) -> Self {
         Self {
-            body,
+            body: Some(body),
+            unread: unread.clone(),
             last_data: Instant::now(),
             timer: None,
         }
@@ -65,7 +80,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match Pin::new(&mut self.body).poll_frame(cx) {
+        let Some(body) = self.body.as_mut() else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(body).poll_frame(cx) {
             Poll::Ready(frame) => {
                 self.last_data = Instant::now();
                 Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
@@ -78,18 +96,25 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(|body| body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = self.body.as_ref();
+        body.map_or_else(SizeHint::default, |body| body.size_hint())
+    }
+}
+
+impl Drop for IdleTimeoutBody {
+    fn drop(&mut self) {
+        *self.unread.0.borrow_mut() = self.body.take();
     }
 }
 
 /// Returns a body whose beginning has already been read.
-pub(super) fn with_prefix(prefix: Bytes, rest: Incoming) -> Body {
+pub(super) fn with_prefix(prefix: Bytes, rest: Incoming, unread: &UnreadRest) -> Body {
     let first = futures_util::stream::once(async move { Ok(Frame::data(prefix)) });
-    let rest = http_body_util::BodyStream::new(IdleTimeoutBody::new(rest));
+    let rest = http_body_util::BodyStream::new(IdleTimeoutBody::new(rest, unread));
     let frames = futures_util::StreamExt::chain(first, rest);
     Box::pin(http_body_util::StreamBody::new(frames))
 }
@@ -203,7 +228,7 @@
 fn finish_reading_detached(
     mut body: Incoming,
     placement: Placement,
-    scheduler: std::rc::Rc<dyn SchedulerService>,
+    scheduler: Rc<dyn SchedulerService>,
     completed: AttemptOutcome,
 ) {
     compio::runtime::spawn(async move {
--- a/src/jujubelink/ops/proxy/plain/mod.rs
+++ b/src/jujubelink/ops/proxy/plain/mod.rs
@@ -21,6 +21,7 @@
 use crate::core::ids::{RequestId, RouteId, Timestamp};
 use crate::ops::services::{Charge, LimitService};
 use crate::util::http::Body;
+use body::UnreadRest;
 use prepare::{PlainRequest, prepare, request_host};
 
 /// A plain request with the state needed to run it.
@@ -84,8 +85,13 @@
             is_sent: false,
         },
     };
-    let prepared = prepare(&call.route, head, body, host).await?;
-    execute(call, prepared).await
+    let unread = UnreadRest::default();
+    let prepared = prepare(&call.route, head, body, host, &unread).await?;
+    let result = execute(call, prepared).await;
+    if result.is_err() {
+        *body = unread.take();
+    }
+    result
 }
 
 async fn execute(mut call: PlainCall, prepared: PlainRequest) -> Result<Response<Body>, Refusal> {
--- a/src/jujubelink/ops/proxy/plain/prepare.rs
+++ b/src/jujubelink/ops/proxy/plain/prepare.rs
@@ -9,20 +9,17 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 
-use super::body::{IdleTimeoutBody, with_prefix};
+use super::body::{IdleTimeoutBody, UnreadRest, with_prefix};
 use crate::core::config::Route;
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::upstream::strip_request_headers;
 use crate::util::hash::{combine, stable_hash};
-use crate::util::http::{Body, discard, empty, full};
+use crate::util::http::{Body, empty, full};
 
 /// Limit on the part of a body that is read to find the idempotency key and to compute the
 /// fingerprint of a claim.
 const MAX_CLAIM_BODY_BYTES: usize = 1024 * 1024;
 
-/// Maximum time for which a body that was not sent to any target is read before the refusal.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
-
 /// Limit on the size of a body that is buffered so that an idempotent request can be retried.
 const MAX_REPEATABLE_BYTES: usize = 64 * 1024;
 
@@ -73,13 +70,6 @@
         }
     }
 
-    /// Discards a body that was not sent to any target.
-    pub(super) async fn discard_body(&mut self) {
-        if let PlainBody::Streamed(body) = &mut self.body {
-            discard(body.as_mut(), DISCARD_TIME).await;
-        }
-    }
-
     /// Whether the request can be retried after an attempt that may have run.
     pub(super) fn is_repeatable(&self) -> bool {
         self.is_idempotent && matches!(self.body, PlainBody::Buffered(_))
@@ -96,12 +86,13 @@
 }
 
 /// Reads the idempotency key and the required part of the body, and builds the request for the
-/// targets.
+/// targets. A body that is streamed goes to `unread` when its reader is dropped.
 pub(super) async fn prepare(
     route: &Route,
     head: Parts,
     incoming: &mut Option<Incoming>,
     host: Option<String>,
+    unread: &UnreadRest,
 ) -> Result<PlainRequest, Refusal> {
     let is_safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let is_idempotent = route.is_idempotent || is_safe;
@@ -118,14 +109,14 @@
         let hash = stable_hash(0, &bytes);
         (PlainBody::Buffered(bytes), key, hash)
     } else if key_from_header.is_some() {
-        let (body, hash) = read_prefix(incoming, &head.headers).await?;
+        let (body, hash) = read_prefix(incoming, &head.headers, unread).await?;
         (body, key_from_header, hash)
     } else if is_idempotent && is_short {
         (PlainBody::Buffered(read_body(incoming).await?), None, 0)
     } else {
         let body = incoming
             .take()
-            .map_or_else(empty, |body| IdleTimeoutBody::new(body).boxed());
+            .map_or_else(empty, |body| IdleTimeoutBody::new(body, unread).boxed());
         (PlainBody::Streamed(body), None, 0)
     };
     let fingerprint = combine(fingerprint_head(&head), body_hash);
@@ -224,6 +215,7 @@
 async fn read_prefix(
     incoming: &mut Option<Incoming>,
     headers: &HeaderMap,
+    unread: &UnreadRest,
 ) -> Result<(PlainBody, u64), Refusal> {
     let (bytes, _) = read_limited(incoming).await?;
     let hash = stable_hash(0, &bytes);
@@ -233,7 +225,7 @@
             let length = headers.get(header::CONTENT_LENGTH);
             let length = length.map_or(&b""[..], |value| value.as_bytes());
             let hash = combine(hash, stable_hash(1, length));
-            Ok((PlainBody::Streamed(with_prefix(bytes, rest)), hash))
+            Ok((PlainBody::Streamed(with_prefix(bytes, rest, unread)), hash))
         }
     }
 }
--- a/src/jujubelink/ops/proxy/plain/run.rs
+++ b/src/jujubelink/ops/proxy/plain/run.rs
@@ -35,13 +35,7 @@
     mut call: PlainCall,
     mut request: PlainRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let plain_response = match run_attempts(&mut call, &mut request, None).await {
-        Ok(plain_response) => plain_response,
-        Err(refusal) => {
-            request.discard_body().await;
-            return Err(refusal);
-        }
-    };
+    let plain_response = run_attempts(&mut call, &mut request, None).await?;
     let (mut head, body) = plain_response.response.into_parts();
     strip_response_headers(&mut head.headers);
     let body = ResponseBody::new(
--- a/tests/testsuite/plain.rs
+++ b/tests/testsuite/plain.rs
@@ -256,3 +256,74 @@
         assert!(peak_resident_kb(&instance) < before + 8 * 1024);
     });
 }
+
+/// Sends a body of 400 KB within 2 s, and a second request on the same connection. Returns the statuses,
+/// or what failed.
+async fn send_slow_body(address: std::net::SocketAddr, key: &str) -> Result<(u16, u16), String> {
+    const PARTS: usize = 20;
+    let part = vec![b'x'; 400_000 / PARTS];
+    let failed = |error: std::io::Error| error.to_string();
+    let socket = std::net::TcpStream::connect(address).map_err(failed)?;
+    let head = format!(
+        "POST /dead/x HTTP/1.1\r\nhost: a\r\nx-api-key: {key}\r\ncontent-length: 400000\r\n\r\n"
+    );
+    (&socket).write_all(head.as_bytes()).map_err(failed)?;
+    for _ in 0..PARTS {
+        (&socket).write_all(&part).map_err(failed)?;
+        compio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    let first = read_status(&socket).await?;
+    (&socket)
+        .write_all(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n")
+        .map_err(failed)?;
+    Ok((first, read_status(&socket).await?))
+}
+
+/// Reads a response whose body has a length and returns its status.
+async fn read_status(mut socket: &std::net::TcpStream) -> Result<u16, String> {
+    let mut received = String::new();
+    let mut buffer = [0; 4096];
+    socket.set_nonblocking(true).unwrap();
+    let status = loop {
+        match socket.read(&mut buffer) {
+            Ok(0) => break Err("the connection ended".to_owned()),
+            Ok(count) => received += std::str::from_utf8(&buffer[..count]).unwrap(),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                compio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            Err(error) => break Err(error.to_string()),
+        }
+        let Some((head, body)) = received.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .split_once("content-length: ")
+            .map_or("0", |(_, rest)| {
+                rest.split("\r\n").next().unwrap_or_default()
+            });
+        if body.len() >= length.parse().unwrap() {
+            break Ok(head.split(' ').nth(1).unwrap().parse().unwrap());
+        }
+    };
+    socket.set_nonblocking(false).unwrap();
+    status
+}
+
+/// Guards against a connection that is reset while its client still sends a body that was to be streamed to
+/// a target and is refused.
+#[test]
+fn a_refusal_of_a_streamed_body_resets_no_connection() {
+    run(async {
+        let fleet = Fleet::new(0);
+        fleet.update_config(|config| config["routes"]["dead"]["cost_tokens"] = 100_000.into());
+        let instance = fleet.start_instance().await;
+        let address = instance.client_address;
+        // The workspace `small` has less than the cost.
+        for (key, status) in [(KEY, 503), ("tiny", 413)] {
+            let clients = (0..10).map(|_| send_slow_body(address, key));
+            let results = futures_util::future::join_all(clients).await;
+            let expected = vec![Ok((status, 200)); 10];
+            assert_eq!(results, expected, "{key}");
+        }
+    });
+}
