End the silence of a target with its last cancelled request

A sound target could be ejected after a short silence, because an earlier request to it had been cancelled before its response: the target counted as silent since that request, however long ago it was.

The time since which a target is silent began with the first unanswered request and ended only with a response. Requests without a response are now counted, except cancelled ones; with the last of them the silence ends, as nothing shows that it goes on. Requests that have timed out still count.

scheduler::a_cancelled_request_does_not_prolong_a_later_silence fails before: a target that has returned from an ejection is ejected again after 1.2 s of silence. It passes now, as do the other tests of ejection in retry and scheduler.

--- a/src/jujubelink/core/retry/ejection.rs
+++ b/src/jujubelink/core/retry/ejection.rs
@@ -61,6 +61,8 @@
     last_response_at: Timestamp,
     /// When the first request since then was sent.
     unanswered_since: Option<Timestamp>,
+    /// Number of requests sent since then, except those that say nothing about the silence.
+    unanswered: u32,
 }
 
 impl Default for TargetHealth {
@@ -72,6 +74,7 @@
             consecutive_ejections: 0,
             last_response_at: Timestamp::ZERO,
             unanswered_since: None,
+            unanswered: 0,
         }
     }
 }
@@ -80,12 +83,26 @@
     /// Records a request that is sent to the target.
     pub fn on_sent(&mut self, now: Timestamp) {
         self.unanswered_since.get_or_insert(now);
+        self.unanswered += 1;
     }
 
     /// Records that the target has started or ended a response.
     pub fn on_response(&mut self, now: Timestamp) {
         self.last_response_at = now;
         self.unanswered_since = None;
+        self.unanswered = 0;
+    }
+
+    /// Records that a request sent at `sent_at` was cancelled before its response. Without another request
+    /// that waits, it is not known how long the target goes on being silent.
+    pub fn on_cancelled(&mut self, sent_at: Timestamp) {
+        if sent_at < self.last_response_at {
+            return;
+        }
+        self.unanswered = self.unanswered.saturating_sub(1);
+        if self.unanswered == 0 {
+            self.unanswered_since = None;
+        }
     }
 
     /// Whether the timeout of a request that was sent at `sent_at` is a failure of the target. It is none if
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -445,6 +445,9 @@
         ) {
             health.on_response(now);
         }
+        if end == AttemptEnd::Cancelled {
+            health.on_cancelled(attempt.sent_at);
+        }
         if end == AttemptEnd::TimedOut && !health.is_timeout_a_failure(attempt.sent_at, now) {
             self.router.targets_mut().get_mut(target).unreliable_until = now + UNRELIABLE_PERIOD;
             return;
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -471,6 +471,33 @@
     assert!(sent_to_hanging <= 8, "{sent_to_hanging} of 200");
 }
 
+/// Guards against a short silence that counts as a failure because an earlier request was cancelled before
+/// its response, or refused.
+#[test]
+fn a_cancelled_request_does_not_prolong_a_later_silence() {
+    for end in [AttemptEnd::Cancelled, AttemptEnd::Refused] {
+        let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+        let mut scheduler = Scheduler::new();
+        scheduler.on_config(&config_of_a_service(2));
+        let other = [names[1].clone()];
+        let mut run = |sent_ms, ended_ms, end| {
+            let at = |ms| NOW + Duration::from_millis(ms);
+            scheduler.on_tick(at(sent_ms));
+            let (placement, _) = scheduler.place_plain(&names, &other, 7, at(sent_ms))?;
+            scheduler.on_end(placement, end, 7, at(ended_ms), &mut Vec::new());
+            Some(())
+        };
+        for sent_ms in 0..5 {
+            run(sent_ms, sent_ms, AttemptEnd::Failed).unwrap();
+        }
+        assert_eq!(run(100, 100, COMPLETED), None, "not ejected");
+        // After its ejection, one failure is enough to eject a target.
+        run(6_000, 6_300, end).unwrap();
+        run(9_000, 10_200, AttemptEnd::TimedOut).unwrap();
+        assert_eq!(run(10_300, 10_300, COMPLETED), Some(()), "{end:?}");
+    }
+}
+
 /// Guards against requests that are refused because the targets that are not ejected have left.
 #[test]
 fn ejected_targets_are_used_if_no_others_are_left() {
