Count timeouts of a target that refuses other requests

A target that refused some requests quickly and hung for all others went on getting requests: it was never ejected, and each request to it ran into its timeout.

A refusal does not show that the target works on what it has accepted. It now leaves the silence as it is, and a refused request does not start one, like a cancelled one.

scheduler::a_plain_target_that_refuses_some_requests_and_hangs_for_others_is_ejected fails before (more than 50 of 200 requests go to the target) and passes now.

--- a/src/jujubelink/core/retry/ejection.rs
+++ b/src/jujubelink/core/retry/ejection.rs
@@ -93,9 +93,9 @@
         self.unanswered = 0;
     }
 
-    /// Records that a request sent at `sent_at` was cancelled before its response. Without another request
-    /// that waits, it is not known how long the target goes on being silent.
-    pub fn on_cancelled(&mut self, sent_at: Timestamp) {
+    /// Records that a request sent at `sent_at` was cancelled or refused before its response. Without another
+    /// request that waits, it is not known how long the target goes on being silent.
+    pub fn on_withdrawn(&mut self, sent_at: Timestamp) {
         if sent_at < self.last_response_at {
             return;
         }
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -439,14 +439,11 @@
     fn update_target_health(&mut self, attempt: &Attempt, end: AttemptEnd, now: Timestamp) {
         let target = attempt.target;
         let health = self.health.entry(target).or_default();
-        if matches!(
-            end,
-            AttemptEnd::Completed { .. } | AttemptEnd::Failed | AttemptEnd::Refused
-        ) {
-            health.on_response(now);
-        }
-        if end == AttemptEnd::Cancelled {
-            health.on_cancelled(attempt.sent_at);
+        match end {
+            AttemptEnd::Completed { .. } | AttemptEnd::Failed => health.on_response(now),
+            // A refusal does not show that the target works on the requests that it has accepted.
+            AttemptEnd::Cancelled | AttemptEnd::Refused => health.on_withdrawn(attempt.sent_at),
+            _ => {}
         }
         if end == AttemptEnd::TimedOut && !health.is_timeout_a_failure(attempt.sent_at, now) {
             self.router.targets_mut().get_mut(target).unreliable_until = now + UNRELIABLE_PERIOD;
--- a/tests/testsuite/scheduler.rs
+++ b/tests/testsuite/scheduler.rs
@@ -471,6 +471,44 @@
     assert!(sent_to_hanging <= 8, "{sent_to_hanging} of 200");
 }
 
+/// Guards against a target that goes on getting requests because it refuses some quickly, although it hangs
+/// for all others.
+#[test]
+fn a_plain_target_that_refuses_some_requests_and_hangs_for_others_is_ejected() {
+    let names: Vec<TargetId> = (0..2).map(|index| engine_name(index).into()).collect();
+    let mut scheduler = Scheduler::new();
+    scheduler.on_config(&config_of_a_service(2));
+    let timeout = Duration::from_secs(3);
+    let place = |scheduler: &mut Scheduler, now| {
+        let other = [names[1].clone()];
+        let placed = scheduler.place_plain(&names, &other, 7, now);
+        placed.map(|(placement, _)| placement)
+    };
+    let mut hanging = Vec::new();
+    let mut sent = 0;
+    for step in 0..200 {
+        let now = NOW + step * Duration::from_millis(100);
+        scheduler.on_tick(now);
+        let (late, waiting): (Vec<_>, Vec<_>) = hanging
+            .into_iter()
+            .partition(|(_, sent_at)| now - *sent_at >= timeout);
+        hanging = waiting;
+        for (placement, _) in late {
+            scheduler.on_end(placement, AttemptEnd::TimedOut, 7, now, &mut Vec::new());
+        }
+        let Some(placement) = place(&mut scheduler, now) else {
+            break;
+        };
+        sent += 1;
+        if step % 2 == 0 {
+            scheduler.on_end(placement, AttemptEnd::Refused, 7, now, &mut Vec::new());
+        } else {
+            hanging.push((placement, now));
+        }
+    }
+    assert!(sent <= 50, "{sent} of 200 were sent to the target");
+}
+
 /// Guards against a short silence that counts as a failure because an earlier request was cancelled before
 /// its response, or refused.
 #[test]
