--- a/tests/testsuite/silent_engines.rs
+++ b/tests/testsuite/silent_engines.rs
@@ -154,6 +154,26 @@
     });
 }
 
+/// Guards against a request that is given up because the engines are silent before its response begins.
+#[test]
+fn a_silence_before_the_head_costs_no_response() {
+    run(async {
+        let requests = [(1, 900, true), (1, 1_400, false), (3, 1_400, true)];
+        let all = requests.map(|(engines, pause_ms, is_stream)| async move {
+            let fleet = Fleet::new(engines);
+            for engine in &fleet.engines {
+                engine.set_faults(|faults| faults.head_pause = Duration::from_millis(pause_ms));
+            }
+            let instance = fleet.start_instance().await;
+            let body = Some(chat_body("verse", TOKENS, is_stream));
+            let response = send(instance.client_address, chat_request(), body).await;
+            assert_eq!(response.status, 200, "{}", response.body);
+            assert_eq!(fleet.started_requests(), 1);
+        });
+        futures_util::future::join_all(all).await;
+    });
+}
+
 /// Guards against a stream that is broken off within a pause of its engine.
 #[test]
 fn a_pause_within_a_stream_costs_no_response() {
