Do not count the end of a target that has left without notice as a crash

What callers saw: prompts were refused as quarantined although no target crashed under them.

Cause: a target that leaves without notice ends once its entry has been removed, and may break off a response then. The report of the interruption exempted targets that had announced their shutdown only, so the refused connection was taken for a crash. The twin check, at the end of a response without a length, exempts both.

Why this works: a target whose entry is gone is expected to end. One that crashes still has its entry when its connections break, and the tests of crashes still find it.

--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -148,8 +148,8 @@
     /// Records that the response of a target was interrupted. It counts as a crash if the target is found to
     /// have ended.
     pub fn on_interruption(self: &Rc<Self>, target: &Rc<TargetRecord>, run: InterruptedRun) {
-        // A target that shuts down as announced does not crash.
-        if self.fleet().state().is_leaving(target) {
+        // A target that may have left as planned ends without a crash.
+        if self.fleet().state().may_have_left(target) {
             return;
         }
         let crashed_run = CrashedRun {
--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -10,9 +10,7 @@
 use futures_util::future::join_all;
 use jujubelink::core::crash::PART_CRASHES;
 use jujubelink_standins::StandInHandle;
-use jujubelink_standins::fleet::{CrashingPart, FleetTarget};
-
-use jujubelink_standins::fleet::TargetFault;
+use jujubelink_standins::fleet::{CrashingPart, FleetTarget, TargetFault};
 
 use super::{Deployment, RunningInstance, expected_events, schedule_faults};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
@@ -604,3 +602,56 @@
         .await;
     });
 }
+
+/// Guards against prompts that are refused because engines that left without notice ended within responses.
+#[test]
+fn prompts_are_served_after_engines_left_within_responses() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        let instance = Rc::new(instance);
+        for other in ["e1", "e2"] {
+            deployment.store.remove("servers", other);
+        }
+        eventually("no engine is used", || async {
+            (instance.send_prompt("r", "/tell/x").await.status == 503).then_some(())
+        })
+        .await;
+        let cut = || expected_events(1..=2) + "id: 3\nda";
+        let mut sent = Vec::new();
+        for number in 0..PART_CRASHES + 2 {
+            let id = format!("e-{number}");
+            let pause = Duration::from_millis(1_800);
+            let address = start_ending_target("text/event-stream", cut(), pause);
+            deployment.put_target_at(&id, address, "ready", 1, 1);
+            let sender = Rc::clone(&instance);
+            sent.push(compio::runtime::spawn(async move {
+                let parts = format!("{CRASHING}:800,b{number}:300");
+                eventually("the engine gets the prompt", || async {
+                    let response = sender.send_prompt_of_parts("r", "/tell/x", &parts).await;
+                    (response.status != 503).then_some(response.body)
+                })
+                .await
+            }));
+            compio::time::sleep(Duration::from_millis(900)).await;
+            deployment.store.remove("servers", &id);
+            compio::time::sleep(Duration::from_millis(300)).await;
+        }
+        for response in join_all(sent).await {
+            assert_eq!(response.unwrap(), expected_events(1..=2));
+        }
+        deployment.put_target("e1", "ready", 2);
+        let parts = format!("{CRASHING}:800,c:300");
+        wait_until_served(&instance, &parts).await;
+    });
+}
+
+/// Waits until a prompt is served. Panics if it is refused after crashes.
+async fn wait_until_served(instance: &RunningInstance, parts: &str) {
+    eventually("the prompt is served", || async {
+        let response = instance.send_prompt_of_parts("r", "/tell/x", parts).await;
+        let is_refused = response.status == 503 && response.body.contains("crashed");
+        assert!(!is_refused, "{}", response.body);
+        (response.status == 200).then_some(())
+    })
+    .await;
+}
