Do not take a lost entry for a crash if the target answered after the interruption

What callers saw: prompts were refused as quarantined after engines which had broken streams off, and lived on, left within the next 5 s.

Cause: the loss of an entry within 5 s of an interruption counts as a crash, also if the target had answered the question whether it lives.

Evidence: crashing_prompts::prompts_are_served_after_engines_broke_streams_ off_and_left failed without this change with a refusal after crashes, and passes with it.

Why this works: a target whose incarnation answers after its interruption has not ended in it. A later interruption discards that answer. A target whose address accepts connections without an answer still counts as ended once its entry is lost.

--- a/src/jujubelink/ops/quarantine/probe.rs
+++ b/src/jujubelink/ops/quarantine/probe.rs
@@ -27,6 +27,9 @@
     pub(super) part_names: Vec<String>,
     /// Whether the store listed the target when its response was interrupted.
     was_listed: bool,
+    /// Whether the target has answered since its last interruption. The loss of its entry is no sign of a
+    /// crash then.
+    is_alive: bool,
 }
 
 /// Interruptions by the identifier that the crash of the target would have.
@@ -53,7 +56,9 @@
             runs: Vec::new(),
             part_names: Vec::new(),
             was_listed: state.is_current_incarnation(&target.id, target.incarnation),
+            is_alive: false,
         });
+        interruption.is_alive = false;
         interruption.runs.push(run);
         if interruption.part_names.len() < MAX_LOGGED_PROMPTS {
             interruption.part_names.push(part_names);
@@ -61,6 +66,13 @@
         interruption.runs.len() == 1
     }
 
+    /// Records that a target has answered after its interruptions.
+    pub(super) fn set_alive(&mut self, id: CrashId) {
+        if let Some(interruption) = self.0.get_mut(&id) {
+            interruption.is_alive = true;
+        }
+    }
+
     pub(super) fn take(&mut self, id: CrashId) -> Option<Interruption> {
         self.0.remove(&id)
     }
@@ -77,7 +89,7 @@
         let ended = self.0.iter().filter(|(_, interruption)| {
             let target = &interruption.target;
             let is_listed = state.target(&target.id).is_some();
-            let has_lost_entry = interruption.was_listed && !is_listed;
+            let has_lost_entry = interruption.was_listed && !interruption.is_alive && !is_listed;
             has_lost_entry || state.targets().any(|other| replaces(other, target))
         });
         ended.map(|(id, _)| *id).collect()
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// Whether a target is known to live.
+fn is_alive(target: &TargetRecord, status: TargetStatus) -> bool {
+    let TargetStatus::Responded { incarnation } = status else {
+        return false;
+    };
+    incarnation == Some(target.incarnation)
+}
+
 /// Quarantine of requests under which targets crash.
 pub struct Quarantine {
     context: Context,
@@ -184,7 +192,12 @@
         let status = read_status(&self.client, target.address).await;
         if let Some(reason) = end_of_target(&target, status) {
             self.on_target_ended(id, reason);
-        } else if self.interruptions.borrow().contains(id) {
+            return;
+        }
+        if is_alive(&target, status) {
+            self.interruptions.borrow_mut().set_alive(id);
+        }
+        if self.interruptions.borrow().contains(id) {
             slog::info!(self.context.log(), "target not known to have ended";
                 "target" => &*target.id, "status" => format!("{status:?}"));
         }
--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -655,3 +655,36 @@
     })
     .await;
 }
+
+/// Guards against prompts that are refused because engines broke streams off, lived on and left soon after.
+#[test]
+fn prompts_are_served_after_engines_broke_streams_off_and_left() {
+    run(async {
+        let (deployment, instance) = Deployment::start_ready("").await;
+        for other in ["e1", "e2"] {
+            deployment.store.remove("servers", other);
+        }
+        let mut engines = Vec::new();
+        for number in 0..PART_CRASHES + 2 {
+            let engine = FleetTarget::new(&format!("e-{number}"), &deployment.engine_faults);
+            let handle = StandInHandle::start(Rc::clone(&engine)).unwrap();
+            deployment.put_target_at(engine.id(), handle.address(), "ready", 1, 1);
+            schedule_faults(
+                &deployment.engine_faults,
+                &[Some(TargetFault::BreakAfter(1))],
+            );
+            let parts = format!("{CRASHING}:800,b{number}:300");
+            eventually("the engine breaks the stream off", || async {
+                let response = instance.send_prompt_of_parts("r", "/tell/x", &parts).await;
+                (response.status == 0).then_some(())
+            })
+            .await;
+            compio::time::sleep(Duration::from_millis(200)).await;
+            deployment.store.remove("servers", engine.id());
+            engines.push(handle);
+        }
+        compio::time::sleep(Duration::from_secs(1)).await;
+        deployment.put_target("e1", "ready", 2);
+        wait_until_served(&instance, &format!("{CRASHING}:800,c:300")).await;
+    });
+}
