--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// Whether a target is known to live.
+fn is_alive(target: &TargetRecord, status: TargetStatus) -> bool {
+    let TargetStatus::Responded { incarnation } = status else {
+        return false;
+    };
+    incarnation == Some(target.incarnation)
+}
+
 /// Quarantine of requests under which targets crash.
 pub struct Quarantine {
     context: Context,
@@ -148,8 +156,8 @@
     /// Records that the response of a target was interrupted. It counts as a crash if the target is found to
     /// have ended.
     pub fn on_interruption(self: &Rc<Self>, target: &Rc<TargetRecord>, run: InterruptedRun) {
-        // A target that shuts down as announced does not crash.
-        if self.fleet().state().is_leaving(target) {
+        // A target that may have left as planned ends without a crash.
+        if self.fleet().state().may_have_left(target) {
             return;
         }
         let crashed_run = CrashedRun {
@@ -184,7 +192,12 @@
         let status = read_status(&self.client, target.address).await;
         if let Some(reason) = end_of_target(&target, status) {
             self.on_target_ended(id, reason);
-        } else if self.interruptions.borrow().contains(id) {
+            return;
+        }
+        if is_alive(&target, status) {
+            self.interruptions.borrow_mut().set_alive(id);
+        }
+        if self.interruptions.borrow().contains(id) {
             slog::info!(self.context.log(), "target not known to have ended";
                 "target" => &*target.id, "status" => format!("{status:?}"));
         }
