Report the end of a silent run only when another run has replaced it

A stream of the own deployment broke off after its engine had been silent for 1.4 s, had gone on, and crashed later, although other engines were free.

Cause: the run was reported as ended when another engine was asked for the rest of the response. If it then went on, the scheduler knew nothing of it: its place was given to others, and the report of its crash allowed no retry. A lost connection whose run was resumed later also counted as a crash of its prompt.

Evidence: the new test failed before with "unexpected EOF" within the body; it passes now, with the other tests of silent engines.

Whether another engine may be asked is now decided apart from the end of the run, within the same budgets, and the end is reported once it is known which run goes on.

--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -581,6 +581,17 @@
     }
 
     /// Returns whether the retry budgets and the deadline allow a retry.
+    /// Decides whether another target may be asked for the rest of a response while its run goes on silently.
+    pub fn decide_hedge(&mut self, placement: u64, random: u64, now: Timestamp) -> Retry {
+        let Some(attempt) = self.running.get_mut(placement).cloned() else {
+            return Retry::No;
+        };
+        let Some(model) = &attempt.model else {
+            return Retry::No;
+        };
+        self.decide_retry(&attempt, model, model.is_suspect, random, now)
+    }
+
     fn decide_retry(
         &mut self,
         attempt: &Attempt,
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -493,7 +493,7 @@
     fn drop(&mut self) {
         self.abandon_attempt();
         if let Some(run) = self.silent_run.take() {
-            self.cancel_at_engine(run.attempt);
+            self.end_silent_run(run, AttemptOutcome::Cancelled);
         }
     }
 }
--- a/src/jujubelink/ops/proxy/model/recovery.rs
+++ b/src/jujubelink/ops/proxy/model/recovery.rs
@@ -14,7 +14,7 @@
 use super::refusals::attempt_refusal;
 use crate::core::ids::{TargetId, Tokens};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
-use crate::ops::services::{AttemptOutcome, ModelRequest, RetryAdvice};
+use crate::ops::services::{AttemptOutcome, ModelRequest, RetryAdvice, SchedulerService};
 use crate::ops::upstream::{AttemptError, EngineStream, StreamError};
 
 /// Limit on resumptions of a stream at the same engine with no event in between.
@@ -175,11 +175,14 @@
         let (call, request) = (self.call.clone(), self.request.clone());
         let text = self.delivered.text.clone();
         let weights_version = self.weights_version.clone();
-        let (advice, attempt) = self.give_up_run(outcome_of(error));
+        self.may_have_run = true;
+        self.settle_in_full();
         let last_refusal = self.refuse(RefusalCode::StreamBroken, &error.to_string());
-        let Some(attempt) = attempt else {
+        let Some(attempt) = self.attempt.take() else {
             return Err(last_refusal);
         };
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        let advice = scheduler.hedge(&attempt.placement);
         let target = attempt.placement.target.clone();
         let incarnation = attempt.stream.as_ref().map(|stream| stream.incarnation);
         self.silent_run = Some(SilentRun {
@@ -212,7 +215,7 @@
             }
             (Raced::Continued(result), run) => {
                 if let Some(run) = run {
-                    self.cancel_at_engine(run.attempt);
+                    self.end_silent_run(run, outcome_of(error));
                 }
                 result
             }
@@ -222,8 +225,15 @@
         }
     }
 
-    /// Goes on with a run that was silent. The scheduler has been told of its end and ignores a second
-    /// one, and its charge is settled.
+    /// Reports the end of a silent run and cancels it at its engine.
+    pub(super) fn end_silent_run(&self, run: SilentRun, outcome: AttemptOutcome) {
+        let scheduler = self.proxy.service::<dyn SchedulerService>();
+        // The other run has taken the place of a retry.
+        let _ = scheduler.report(&run.request, run.attempt.placement.clone(), outcome);
+        self.cancel_at_engine(run.attempt);
+    }
+
+    /// Goes on with a run that was silent, whose charge is settled.
     fn restore(&mut self, run: SilentRun, stream: EngineStream) {
         self.call = run.call;
         self.request = run.request;
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -352,6 +352,14 @@
         retry.into()
     }
 
+    fn hedge(&self, placement: &Placement) -> RetryAdvice {
+        let now = self.0.now();
+        let mut scheduler = self.0.scheduler.borrow_mut();
+        scheduler
+            .decide_hedge(placement.id, rand::random(), now)
+            .into()
+    }
+
     fn place_plain(&self, targets: &[TargetId], excluded: &[TargetId]) -> Option<Placement> {
         let now = self.0.now();
         let mut scheduler = self.0.scheduler.borrow_mut();
--- a/src/jujubelink/ops/services.rs
+++ b/src/jujubelink/ops/services.rs
@@ -191,6 +191,10 @@
         outcome: AttemptOutcome,
     ) -> RetryAdvice;
 
+    /// Asks whether another target may be asked for the rest of a response while its run goes on silently.
+    /// The retry counts against the budgets.
+    fn hedge(&self, placement: &Placement) -> RetryAdvice;
+
     /// Chooses the least loaded target in service among those of a plain route.
     fn place_plain(&self, targets: &[TargetId], excluded: &[TargetId]) -> Option<Placement>;
 
--- a/tests/testsuite/silent_engines.rs
+++ b/tests/testsuite/silent_engines.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::support::{
-    Fleet, canonical_chat_prompt, chat_body, chat_request, run, send, stream_text,
+    Fleet, canonical_chat_prompt, chat_body, chat_request, eventually, run, send, stream_text,
 };
 
 const TOKENS: u64 = 60;
@@ -154,6 +154,38 @@
     });
 }
 
+/// Guards against a run that is reported as ended while it goes on, so that its later crash ends the response.
+#[test]
+fn a_crash_after_a_silence_costs_no_response() {
+    const MANY_TOKENS: u64 = 600;
+    run(async {
+        let fleet = Rc::new(Fleet::new(3));
+        let instance = fleet.start_instance().await;
+        let address = instance.client_address;
+        let response = compio::runtime::spawn(async move {
+            let body = chat_body("verse", MANY_TOKENS, true);
+            send(address, chat_request(), Some(body)).await
+        });
+        let running = fleet.running_engine(5).await;
+        for (index, engine) in fleet.engines.iter().enumerate() {
+            let pause_ms = if index == running { 1_400 } else { 3_000 };
+            engine.set_faults(|faults| faults.head_pause = Duration::from_millis(pause_ms));
+        }
+        fleet.engines[running].set_faults(|faults| faults.cut_at = Some(FAULT_AT));
+        eventually("the run has gone on", || async {
+            let tokens = fleet.engines[running].counts().generated_tokens;
+            (tokens >= MANY_TOKENS - 80).then_some(())
+        })
+        .await;
+        for engine in &fleet.engines {
+            engine.set_faults(|faults| faults.head_pause = Duration::ZERO);
+        }
+        fleet.kill_engine(running);
+        let expected = generated_text(&canonical_chat_prompt("verse"), MANY_TOKENS);
+        assert_eq!(stream_text(&response.await.unwrap()), expected);
+    });
+}
+
 /// Guards against a request that is given up because the engines are silent before its response begins.
 #[test]
 fn a_silence_before_the_head_costs_no_response() {
