Count crashes of targets whose entries may have expired

For up to 2.2 s after an outage all entries may be missing, so that crashes under a prompt that crashes targets were not counted, and the prompt was sent on.

Found by the review, by reading. Only a target that has announced its shutdown, or whose entry is removed, is exempt; the tests of crashing prompts pass.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -296,9 +296,13 @@
     /// Whether a target may have left as planned. Some targets announce nothing: their entry is removed, and
     /// they go on for a while.
     pub fn may_have_left(&self, record: &TargetRecord) -> bool {
-        self.is_leaving(record)
-            || !self.targets.contains_key(&record.id)
-            || self.lapsed.contains_key(&record.id)
+        self.has_left(record) || self.lapsed.contains_key(&record.id)
+    }
+
+    /// Whether a target has announced its shutdown or its entry is removed. An entry that may have expired in
+    /// an outage of the store says neither.
+    pub fn has_left(&self, record: &TargetRecord) -> bool {
+        self.is_leaving(record) || !self.targets.contains_key(&record.id)
     }
 
     /// Records that an incarnation of a target announced its shutdown in a response. Returns whether
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -156,8 +156,8 @@
     /// Records that the response of a target was interrupted. It counts as a crash if the target is found to
     /// have ended.
     pub fn on_interruption(self: &Rc<Self>, target: &Rc<TargetRecord>, run: InterruptedRun) {
-        // A target that may have left as planned ends without a crash.
-        if self.fleet().state().may_have_left(target) {
+        // A target that has left as planned ends without a crash.
+        if self.fleet().state().has_left(target) {
             return;
         }
         let crashed_run = CrashedRun {
