Look for slot holders as soon as a charge finds none

An instance that knows no holder of a workspace's slots asked one random peer every 10 s, and tried to claim only slots for which it ranks among the first four. In a large fleet callers inside a new limit would be refused until one of these reads helps.

A charge without a holder starts a read of the directory, at most once a second; an instance without a live peer lists the holders in the platform.

--- a/src/jujubelink/ops/limits/charging.rs
+++ b/src/jujubelink/ops/limits/charging.rs
@@ -116,6 +116,7 @@
             ChargeStep::Wait(until) => limits.context.timers().sleep_until(until).await,
             // The slots may be in the middle of a handover or not claimed yet.
             ChargeStep::GiveUp { retry_after: None } if now + NO_HOLDER_RETRY_DELAY < deadline => {
+                limits.request_directory_refresh();
                 limits.context.timers().sleep(NO_HOLDER_RETRY_DELAY).await;
                 planner = ChargePlanner::new(tokens, deadline);
                 granted.refund_all();
--- a/src/jujubelink/ops/limits/slots.rs
+++ b/src/jujubelink/ops/limits/slots.rs
@@ -319,7 +319,8 @@
         }
     }
 
-    /// Starts a read of a peer's directory because an entry was found to be outdated.
+    /// Starts a read of a peer's directory because an entry was found to be outdated or missing. Without a
+    /// live peer, the holders are listed from the platform.
     pub(super) fn request_directory_refresh(self: &Rc<Self>) {
         let now = self.now();
         if self
@@ -331,20 +332,29 @@
         }
         self.directory_refreshed_at.set(Some(now));
         let limits = Rc::clone(self);
-        compio::runtime::spawn(async move { limits.read_directory().await }).detach();
+        compio::runtime::spawn(async move {
+            let is_read = limits.read_directory().await;
+            if !is_read && let Err(error) = limits.list_holders().await {
+                limits
+                    .sessions()
+                    .log_limit_failure("cannot list the holders of limit slots", &error);
+            }
+        })
+        .detach();
     }
 
-    /// Reads the directory of a random live peer.
-    async fn read_directory(&self) {
+    /// Reads the directory of a random live peer. Returns whether there is one.
+    async fn read_directory(&self) -> bool {
         let sessions = self.sessions();
         let peers = sessions.peers().all();
         let live: Vec<_> = peers.iter().filter(|peer| peer.is_live).collect();
         let Some(peer) = live.choose(&mut rand::rng()) else {
-            return;
+            return false;
         };
         if let Ok(reply) = sessions.peer_rpc().directory(&peer.instance).await {
             self.record_holders(reply.holders);
         }
+        true
     }
 
     /// Fills the directory from the platform, then keeps it up to date from peers.
@@ -358,7 +368,9 @@
         loop {
             match self.list_holders().await {
                 Ok(()) => break,
-                Err(_) => self.read_directory().await,
+                Err(_) => {
+                    self.read_directory().await;
+                }
             }
             self.context
                 .timers()
