Log refusals and abandoned requests of the own deployment

A request that waits for 10 s and is refused, or whose client leaves, leaves no line at level info: refusals are logged at debug without their reason, and nothing is logged of a request that is dropped or of a response that ends early.

Each request now has a record that logs one line at level info unless the response is complete: `request refused` with reason and the last wait, `request abandoned` with who ended it and what was awaited, or `response ended early` with the error. As on the platform path there is one line for a request, and the output drops lines rather than wait.

A client of the own deployment may close its sending side and still read. hyper then does not read from the connection before it has written a response, so that a client that leaves is noticed only within its body and on writes. The page on operations says so; that is not changed here.

The test of a planned stop that cuts a stream also shows a fault that was there before: when the process ends, the dropped request spawns its cancellation at the engine, and the executor panics ("assertion failed: inner.map.is_empty()").

--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -17,6 +17,8 @@
 use super::refusal::{Refusal, RefusalCode};
 use super::relay::{Relay, handle_relayed_request};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
+use super::request_log::RequestLog;
+use super::waits::CurrentWait;
 use crate::core::capacity::{ClientBounds, MachineLimits};
 use crate::core::config::ConfigSnapshot;
 use crate::core::connection::KnownLimits;
@@ -90,17 +92,18 @@
         head: Parts,
         body: &mut Option<Incoming>,
         id: &RequestId,
+        wait: &CurrentWait,
     ) -> Result<Response<Body>, Refusal> {
         let config = self.config()?;
         let path = head.uri.path();
         match (&head.method, Endpoint::from_path(path)) {
             (&Method::POST, Some(endpoint)) => {
-                handle_model_request(self, &config, endpoint, &head, body, id).await
+                handle_model_request(self, &config, endpoint, &head, body, id, wait).await
             }
             (&Method::GET, None) if path == "/v1/models" => {
                 handle_model_list(self, &config, &head.headers)
             }
-            _ => handle_plain_request(self, &config, head, body, id).await,
+            _ => handle_plain_request(self, &config, head, body, id, wait).await,
         }
     }
 
@@ -133,8 +136,10 @@
         let mut span = self.context.tracer().start_span("request", parent);
         span.set_attribute("request_id", &*id);
         span.context().apply(&mut head.headers);
+        let log = RequestLog::new(&self.context, &id, &head, span.context());
+        let wait = log.wait();
         let routed = {
-            let mut routed = pin!(self.route_request(head, &mut body, &id).fuse());
+            let mut routed = pin!(self.route_request(head, &mut body, &id, &wait).fuse());
             let mut stopped = pin!(self.stop_ends().fuse());
             futures_util::select_biased! {
                 routed = routed => routed,
@@ -142,13 +147,11 @@
             }
         };
         let mut response = match routed {
-            Ok(response) => response,
+            Ok(response) => response.map(|body| log.attach_to(body)),
             Err(refusal) => {
                 let name = format!("refused.{}", refusal.code);
                 self.context.metrics().count(&name, 1);
-                slog::debug!(self.context.log(), "request refused"; "request" => &*id,
-                    "trace" => format!("{:032x}", span.context().trace_id),
-                    "code" => refusal.code.to_string(), "outcome" => refusal.outcome.to_string());
+                log.log_refusal(&refusal);
                 span.set_error(&refusal.code.to_string());
                 let mut response = refusal.to_response(&id);
                 if let Some(unread_body) = body {
--- a/src/jujubelink/ops/proxy/mod.rs
+++ b/src/jujubelink/ops/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod refusal;
 mod relay;
 mod request_id;
+mod request_log;
 mod waits;
 
 pub use refusal::{Outcome, Refusal, RefusalCode};
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -18,6 +18,7 @@
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::proxy::request_id::engine_request_id;
+use crate::ops::proxy::waits::{Awaited, CurrentWait};
 use crate::ops::services::{
     AttemptOutcome, Charge, LimitService, MAX_ADMISSION_DELAY, MemberService, ModelRequest,
     Placement, RetryAdvice, SchedulerService,
@@ -86,6 +87,7 @@
     pub(super) resumes_left: u32,
     usage: Option<Usage>,
     is_complete: bool,
+    pub(super) wait: CurrentWait,
     /// Memory reserved for the request body.
     pub(super) reservation: Option<BodyReservation>,
     /// Last data to send to the client after the request is complete.
@@ -131,6 +133,7 @@
             resumes_left: 0,
             usage: None,
             is_complete: false,
+            wait: CurrentWait::default(),
             reservation: None,
             final_data: None,
         }
@@ -147,7 +150,10 @@
             self.place().await?;
             match self.dispatch().await {
                 Ok(()) => return Ok(()),
-                Err(error) => self.prepare_retry(error).await?,
+                Err(error) => {
+                    self.wait.set(Awaited::Resend);
+                    self.prepare_retry(error).await?;
+                }
             }
         }
     }
@@ -196,6 +202,7 @@
         if self.charge.is_some() {
             return Ok(());
         }
+        self.wait.set(Awaited::Limit);
         let mut span = self.start_span("limit");
         let limits = self.proxy.service::<dyn LimitService>();
         let charge = limits.charge(
@@ -231,6 +238,10 @@
     }
 
     async fn place(&mut self) -> Result<(), Refusal> {
+        self.wait.set(match self.request.excluded.is_empty() {
+            true => Awaited::Place,
+            false => Awaited::Resend,
+        });
         let mut span = self.start_span("queue");
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement_result = scheduler.place(&self.request).await;
@@ -292,6 +303,7 @@
     }
 
     async fn dispatch(&mut self) -> Result<(), AttemptError> {
+        self.wait.set(Awaited::Target);
         let headers = self.engine_headers();
         let timeout = self.first_event_timeout();
         let Some(attempt) = self.attempt.as_mut() else {
@@ -355,6 +367,7 @@
     }
 
     async fn next_event(&mut self) -> Result<SseEvent, Interrupt> {
+        self.wait.set(Awaited::ResponseBody);
         let stream = self
             .attempt
             .as_mut()
--- a/src/jujubelink/ops/proxy/model/handler.rs
+++ b/src/jujubelink/ops/proxy/model/handler.rs
@@ -18,6 +18,7 @@
 use crate::ops::proxy::auth::authenticate;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::ops::proxy::waits::{Awaited, CurrentWait};
 use crate::util::http::{Body, collect_limited, full};
 
 const MAX_MODEL_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -33,6 +34,7 @@
     head: &Parts,
     body: &mut Option<Incoming>,
     id: &RequestId,
+    wait: &CurrentWait,
 ) -> Result<Response<Body>, Refusal> {
     let caller = authenticate(proxy, config, &head.headers)?;
     let declared = declared_body_size(&head.headers)?;
@@ -40,6 +42,7 @@
         .load
         .reserve_body(declared)
         .ok_or_else(|| Refusal::not_run(RefusalCode::Overloaded, "too many requests are held"))?;
+    wait.set(Awaited::Body);
     let bytes = read_body(body).await?;
     reservation.shrink_to(bytes.len());
     let namespace = cache_namespace(&caller.workspace);
@@ -49,6 +52,7 @@
     let traceparent = head.headers.get("traceparent").cloned();
     let mut exchange = Exchange::new(proxy, config, caller, call, namespace, id, traceparent);
     exchange.reservation = Some(reservation);
+    exchange.wait = wait.clone();
     exchange.open().await?;
     if is_stream {
         streamed_response(exchange, id).await
--- a/src/jujubelink/ops/proxy/model/stream.rs
+++ b/src/jujubelink/ops/proxy/model/stream.rs
@@ -19,7 +19,8 @@
 enum Stage {
     First(Option<Bytes>),
     Running,
-    Abort,
+    /// Ends the body with this error.
+    Abort(String),
     End,
 }
 
@@ -37,10 +38,10 @@
         let next = match std::mem::replace(&mut self.stage, Stage::Running) {
             Stage::First(first) => Ok(first),
             Stage::Running => self.exchange.next_data().await,
-            Stage::Abort => {
+            Stage::Abort(reason) => {
                 compio::time::sleep(FLUSH_DELAY).await;
                 self.stage = Stage::End;
-                return Some((Err("the stream was aborted".into()), self));
+                return Some((Err(reason.into()), self));
             }
             Stage::End => return None,
         };
@@ -48,7 +49,7 @@
             Ok(Some(data)) => Some((Ok(Frame::data(data_event(&data))), self)),
             Ok(None) => None,
             Err(refusal) => {
-                self.stage = Stage::Abort;
+                self.stage = Stage::Abort(format!("{}: {}", refusal.code, refusal.message));
                 let event = error_event(&refusal, &self.id);
                 Some((Ok(Frame::data(event)), self))
             }
--- a/src/jujubelink/ops/proxy/plain/mod.rs
+++ b/src/jujubelink/ops/proxy/plain/mod.rs
@@ -17,6 +17,7 @@
 use super::handler::Proxy;
 use super::model::charge_refusal;
 use super::refusal::{Refusal, RefusalCode};
+use super::waits::{Awaited, CurrentWait};
 use crate::core::config::{Access, ConfigSnapshot, OnDisconnect, Route};
 use crate::core::ids::{RequestId, RouteId, Timestamp};
 use crate::ops::services::{Charge, LimitService};
@@ -34,6 +35,7 @@
     /// Deadline for the response head.
     deadline: Timestamp,
     charge: ChargeGuard,
+    wait: CurrentWait,
 }
 
 /// Settles a charge exactly once: in full if the request was sent, with zero otherwise.
@@ -61,6 +63,7 @@
     head: Parts,
     body: &mut Option<Incoming>,
     id: &RequestId,
+    wait: &CurrentWait,
 ) -> Result<Response<Body>, Refusal> {
     let host = request_host(&head);
     let route_match = config.match_route(host.as_deref(), head.uri.path());
@@ -83,18 +86,24 @@
             charge: None,
             is_sent: false,
         },
+        wait: wait.clone(),
     };
+    wait.set(Awaited::Body);
     let prepared = prepare(&call.route, head, body, host).await?;
     execute(call, prepared).await
 }
 
 async fn execute(mut call: PlainCall, prepared: PlainRequest) -> Result<Response<Body>, Refusal> {
+    call.wait.set(Awaited::Limit);
     call.charge.charge = acquire_charge(&call).await?;
     let continues_on_disconnect = call.route.on_disconnect == OnDisconnect::Continue;
     match &prepared.idempotency_key {
         // A claimed request is completed even if the client disconnects, so that a retry gets the
         // stored response.
-        Some(_) => run_detached(claim::run_claimed(call, prepared)).await,
+        Some(_) => {
+            call.wait.set(Awaited::Claim);
+            run_detached(claim::run_claimed(call, prepared)).await
+        }
         None if continues_on_disconnect => run_detached(run::run(call, prepared)).await,
         None => run::run(call, prepared).await,
     }
--- a/src/jujubelink/ops/proxy/plain/run.rs
+++ b/src/jujubelink/ops/proxy/plain/run.rs
@@ -11,6 +11,7 @@
 use crate::core::config::Target;
 use crate::core::ids::{TargetId, Timestamp};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::ops::proxy::waits::Awaited;
 use crate::ops::services::{
     AttemptOutcome, MAX_ADMISSION_DELAY, MemberService, Placement, SchedulerService,
 };
@@ -85,6 +86,7 @@
         if error.may_have_run() && !request.is_repeatable() {
             break;
         }
+        call.wait.set(Awaited::Resend);
         let retry_delay = MAX_RETRY_DELAY.mul_f64(rand::random::<f64>());
         call.proxy.context.timers().sleep(retry_delay).await;
     }
@@ -212,10 +214,13 @@
     };
     let timers = call.proxy.context.timers();
     let timeout = call.deadline.saturating_sub(timers.now());
-    let sending = call
-        .proxy
-        .client
-        .send_or_return(target.address, attempt, options);
+    call.wait.set(Awaited::Connection);
+    let on_connected = || {
+        call.wait.on_connected();
+        true
+    };
+    let client = &call.proxy.client;
+    let sending = client.send_if(target.address, attempt, options, on_connected);
     let response = match timers.timeout(timeout, sending).await {
         None => return Err(AttemptError::TimedOut),
         Some(Ok(response)) => response,
--- a/src/jujubelink/ops/proxy/waits.rs
+++ b/src/jujubelink/ops/proxy/waits.rs
@@ -21,6 +21,8 @@
     Body,
     #[display("the limit of the workspace")]
     Limit,
+    #[display("the claim of the idempotency key")]
+    Claim,
     /// The first placement.
     #[display("a place in the queue")]
     Place,
@@ -29,6 +31,9 @@
     Resend,
     #[display("the connection to the target")]
     Connection,
+    /// In place of the connection and the head, where they are not told apart.
+    #[display("the connection to the target or the head of its response")]
+    Target,
     #[display("the head of the response")]
     ResponseHead,
     /// A target that takes the request over from a silent one, or the silent one.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod model_check;
 mod support;
 
+mod abandoned;
 mod admin;
 mod cli;
 mod connections;
