--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -13,12 +13,13 @@
 use super::recovery::SilentRun;
 use super::refusals::{charge_refusal, placement_refusal};
 use crate::core::config::{ConfigSnapshot, Target};
-use crate::core::ids::{RequestId, Tokens};
+use crate::core::ids::{RequestId, Timestamp, Tokens};
 use crate::ops::proxy::auth::Caller;
 use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::proxy::request_id::engine_request_id;
+use crate::ops::proxy::waits::{Awaited, CurrentWait};
 use crate::ops::services::{
     AttemptOutcome, Charge, LimitService, MAX_ADMISSION_DELAY, MemberService, ModelRequest,
     Placement, RetryAdvice, SchedulerService,
@@ -89,6 +90,7 @@
     pub(super) resumes_left: u32,
     usage: Option<Usage>,
     is_complete: bool,
+    pub(super) wait: CurrentWait,
     /// Memory reserved for the request body.
     pub(super) reservation: Option<BodyReservation>,
     /// Last data to send to the client after the request is complete.
@@ -135,6 +137,7 @@
             resumes_left: 0,
             usage: None,
             is_complete: false,
+            wait: CurrentWait::default(),
             reservation: None,
             final_data: None,
         }
@@ -147,11 +150,15 @@
     /// Obtains a response head, with as many attempts as the scheduler allows.
     pub(super) async fn open(&mut self) -> Result<(), Refusal> {
         loop {
-            self.acquire_charge().await?;
+            self.acquire_charge(self.request.first_token_deadline)
+                .await?;
             self.place().await?;
             match self.dispatch().await {
                 Ok(()) => return Ok(()),
-                Err(error) => self.prepare_retry(error).await?,
+                Err(error) => {
+                    self.wait.set(Awaited::Resend);
+                    self.prepare_retry(error).await?;
+                }
             }
         }
     }
@@ -196,17 +203,14 @@
 
     /// Charges the next attempt to the workspace. Each attempt that may have reached a target is
     /// charged separately, because the rate limit applies strictly to the work done at the targets.
-    async fn acquire_charge(&mut self) -> Result<(), Refusal> {
+    async fn acquire_charge(&mut self, deadline: Timestamp) -> Result<(), Refusal> {
         if self.charge.is_some() {
             return Ok(());
         }
+        self.wait.set(Awaited::Limit);
         let mut span = self.start_span("limit");
         let limits = self.proxy.service::<dyn LimitService>();
-        let charge = limits.charge(
-            &self.request.workspace,
-            self.request.cost_tokens,
-            self.request.first_token_deadline,
-        );
+        let charge = limits.charge(&self.request.workspace, self.request.cost_tokens, deadline);
         match charge.await {
             Ok(charge) => self.charge = Some(charge),
             Err(error) => {
@@ -235,6 +239,10 @@
     }
 
     async fn place(&mut self) -> Result<(), Refusal> {
+        self.wait.set(match self.request.excluded.is_empty() {
+            true => Awaited::Place,
+            false => Awaited::Resend,
+        });
         let mut span = self.start_span("queue");
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement_result = scheduler.place(&self.request).await;
@@ -270,7 +278,8 @@
         let now = self.proxy.context.timers().now();
         if self.is_charge_outdated() && now < self.request.first_token_deadline {
             self.settle(|_| 0);
-            self.acquire_charge().await?;
+            self.acquire_charge(self.request.first_token_deadline)
+                .await?;
         }
         self.check_dispatch()
     }
@@ -307,6 +316,7 @@
     }
 
     async fn dispatch(&mut self) -> Result<(), AttemptError> {
+        self.wait.set(Awaited::Target);
         let headers = self.engine_headers();
         let timeout = self.first_event_timeout();
         let Some(attempt) = self.attempt.as_mut() else {
@@ -370,6 +380,7 @@
     }
 
     async fn next_event(&mut self) -> Result<SseEvent, Interrupt> {
+        self.wait.set(Awaited::ResponseBody);
         let stream = self
             .attempt
             .as_mut()
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod flood;
 mod instance;
+mod log;
 mod scripted;
 mod unresponsive;
 
@@ -15,6 +16,7 @@
 pub(crate) use flood::{Flood, FloodClient, FloodProxy, ID};
 pub(crate) use instance::{ADMIN_KEY, Instance};
 pub(crate) use jujubelink_standins::ports::{free_address, spawn};
+pub(crate) use log::LogFile;
 pub(crate) use scripted::{ReceivedRequest, Reply, ScriptedTarget, Step};
 pub(crate) use unresponsive::UnresponsivePort;
 
