--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -10,9 +10,10 @@
 use futures_util::future::join_all;
 use jujubelink::core::crash::PART_CRASHES;
 use jujubelink_standins::StandInHandle;
-use jujubelink_standins::fleet::{CrashingPart, FleetTarget, TargetFault};
+use jujubelink_standins::fleet::{CrashingPart, FleetTarget, StoreMode, TargetFault};
+use serde_json::json;
 
-use super::{Deployment, RunningInstance, expected_events, schedule_faults};
+use super::{Deployment, KEY, RunningInstance, expected_events, schedule_faults};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
 
 /// Name of the part under which engines crash.
@@ -688,3 +689,79 @@
         wait_until_served(&instance, &format!("{CRASHING}:800,c:300")).await;
     });
 }
+
+/// Starts a deployment with one target that answers a request with a body without a length and then ends,
+/// while the instance hears nothing from the store. Returns the response.
+async fn response_while_the_store_is_silent(
+    row: (&'static str, &'static str, &'static str, String),
+    has_left: bool,
+) -> TestResponse {
+    let (path, id, content_type, body) = row;
+    let deployment = Deployment::new();
+    for other in ["e1", "e2", "s1", "s2"] {
+        deployment.store.remove("servers", other);
+    }
+    let mut config = Deployment::configuration(6, &[KEY], &[]);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(8_000);
+    }
+    deployment.store.put("config", "main", config);
+    let pause = Duration::from_millis(3_000);
+    let address = start_ending_target(content_type, body, pause);
+    deployment.put_target_at(id, address, "ready", 1, 1);
+    let instance = deployment.start("n1", "").await;
+    instance.wait_ready().await;
+    let response = eventually("the target gets the request", || async {
+        let deadline = Duration::from_secs(7);
+        let sent = instance.send_prompt_with_deadline("r", path, "a1:800", deadline);
+        let response = sent.await;
+        (response.status != 503).then_some(response)
+    });
+    let (response, ()) = futures_util::join!(response, async {
+        compio::time::sleep(Duration::from_millis(600)).await;
+        instance.store_endpoint.set_mode(StoreMode::Silent);
+        compio::time::sleep(Duration::from_millis(100)).await;
+        if has_left {
+            deployment.store.remove("servers", id);
+        }
+        compio::time::sleep(Duration::from_millis(2_700)).await;
+        instance.store_endpoint.set_mode(StoreMode::Up);
+    });
+    response
+}
+
+/// Rows of path, target, media type and body.
+fn unlimited_bodies() -> [(&'static str, &'static str, &'static str, String); 2] {
+    [
+        ("/tell/x", "e9", "text/event-stream", expected_events(1..=2)),
+        ("/read/x", "s9", "text/plain", "the whole body".to_owned()),
+    ]
+}
+
+/// Guards against a whole response without a length that is cut because the removal of its target's entry
+/// arrives after the end of the target.
+#[test]
+fn a_response_of_a_target_whose_departure_is_learned_late_is_complete() {
+    run(async {
+        join_all(unlimited_bodies().map(|row| async move {
+            let (path, body) = (row.0, row.3.clone());
+            let response = response_while_the_store_is_silent(row, true).await;
+            assert_eq!((response.status, response.body), (200, body), "{path}");
+        }))
+        .await;
+    });
+}
+
+/// Guards against a response without a length that looks complete although its target crashed within it,
+/// because the store was silent then.
+#[test]
+fn a_response_of_a_target_that_ends_while_the_store_is_silent_is_not_complete() {
+    run(async {
+        join_all(unlimited_bodies().map(|row| async move {
+            let (path, body) = (row.0, row.3.clone());
+            let response = response_while_the_store_is_silent(row, false).await;
+            assert_eq!((response.status, response.body), (0, body), "{path}");
+        }))
+        .await;
+    });
+}
