Answer 504 if a body is not complete at the deadline

What callers saw: 502 instead of 504 for a plain response whose body had begun but was not complete at the timeout.

Cause: the end of the time to read a short body was treated as a broken connection. It also counted as an interruption, on which the target is asked whether it has crashed.

Evidence: deadlines::a_body_that_is_not_complete_at_the_deadline_is_a_timeout got 502 without this change and gets 504 with it, for requests that may be repeated and that may not.

--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -471,7 +471,8 @@
             let read = collect_limited(body, MAX_BUFFERED_RESPONSE_BYTES as usize);
             match timers.timeout(remaining, read).await {
                 Some(Ok(Some(body))) => Ok(TargetResponse::buffered(head, body)),
-                _ => Err(SendFailure::connection_lost()),
+                Some(_) => Err(SendFailure::connection_lost()),
+                None => Err(SendFailure::timed_out()),
             }
         }
     }
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -4,6 +4,7 @@
 mod broken_streams;
 mod changing_configuration;
 mod crashing_prompts;
+mod deadlines;
 mod faulty_responses;
 mod held_requests;
 mod kept_connections;
