Let a broken stream wait for the resend budget until its deadline

What callers saw: a stream that had begun ended early, with time left, because other requests had used the resend budget up.

Cause: the budget was asked once. It refills with time and with requests.

Evidence: broken_streams::a_broken_stream_waits_for_the_resend_budget: of two streams that break off at once, under a budget of one resend per window, one ended after two events without this change.

Why this works: the stream asks again every 250 ms, as it does for a place. Each resend is still taken from the budget before it is sent, so that the bound holds.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -509,7 +509,7 @@
     async fn resume(&mut self) -> Result<(), String> {
         let mut failure = Failure::MayHaveRun;
         loop {
-            let is_allowed = self.exchange.acquire_resend(failure);
+            let is_allowed = self.exchange.acquire_rest(failure).await;
             is_allowed.map_err(|reason| reason.to_string())?;
             let placed = self.exchange.place_rest().await;
             placed.map_err(|refusal| refusal.message)?;
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -9,7 +9,7 @@
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::util::duration::ms;
 
-/// Time after which a target is looked for again. Shorter near the deadline.
+/// Time after which a target, or a part of the budget, is looked for again. Shorter near the deadline.
 const PLACE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 impl Exchange {
@@ -46,18 +46,41 @@
                 RefusalCode::NoTarget => self.has_other_target(),
                 _ => false,
             };
-            let delay = PLACE_RETRY_DELAY.min(self.remaining() / 2);
-            if !may_get_place || delay < MIN_SEND_TIME {
+            if !may_get_place || !self.wait_to_resume(&refusal.message).await {
                 return Err(refusal);
             }
-            slog::info!(self.proxy.context.log(), "stream waits for a target";
-                "request" => &*self.head.id, "reason" => &*refusal.message,
-                "last_event" => self.last_event, "sends" => self.attempts.sends(),
-                "remaining_ms" => ms(self.remaining()));
-            self.proxy.context.timers().sleep(delay).await;
         }
     }
 
+    /// Takes the send of the rest of a response that has begun from the resend budget. Waits until its
+    /// deadline for the budget.
+    pub(super) async fn acquire_rest(&self, failure: Failure) -> Result<(), NoResend> {
+        loop {
+            match self.acquire_resend(failure) {
+                Err(reason @ NoResend::BudgetUsed) => {
+                    if !self.wait_to_resume(&reason.to_string()).await {
+                        return Err(reason);
+                    }
+                }
+                result => return result,
+            }
+        }
+    }
+
+    /// Waits before the rest of a response is requested once more. Returns whether time is left for that.
+    async fn wait_to_resume(&self, reason: &str) -> bool {
+        let delay = PLACE_RETRY_DELAY.min(self.remaining() / 2);
+        if delay < MIN_SEND_TIME {
+            return false;
+        }
+        slog::info!(self.proxy.context.log(), "stream waits for a target";
+            "request" => &*self.head.id, "reason" => reason,
+            "last_event" => self.last_event, "sends" => self.attempts.sends(),
+            "remaining_ms" => ms(self.remaining()));
+        self.proxy.context.timers().sleep(delay).await;
+        true
+    }
+
     /// Takes a further send from the resend budget of the service, if the request may be sent again
     /// after a failure.
     pub(super) fn acquire_resend(&self, failure: Failure) -> Result<(), NoResend> {
--- a/tests/testsuite/platform_path/broken_streams.rs
+++ b/tests/testsuite/platform_path/broken_streams.rs
@@ -58,3 +58,29 @@
         assert_complete(<[_; 3]>::from(responses));
     });
 }
+
+/// Breaks each stream off at the first target.
+fn breaks_off_first(request: &ReceivedRequest, attempt: usize) -> Reply {
+    match (request.id.starts_with("warm-up"), attempt) {
+        (false, 0) => broken_stream(request),
+        _ => stream(request, &[]),
+    }
+}
+
+/// Guards against a broken stream that ends early because other requests have used the resend budget up.
+#[test]
+fn a_broken_stream_waits_for_the_resend_budget() {
+    run(async {
+        let settings = "resend_ratio = 0.0\nresend_slack = 2.0\nresend_window_s = 1.5\n";
+        let setup = ScriptedDeployment::start(&["e1", "e2"], settings, breaks_off_first).await;
+        let (first, second) = futures_util::join!(setup.ask("r1"), setup.ask("r2"));
+        assert_complete([("r1", first), ("r2", second)]);
+        let mut resent_at: Vec<_> = ["r1", "r2"]
+            .iter()
+            .map(|id| setup.arrivals(id)[1].1.arrived_at)
+            .collect();
+        resent_at.sort();
+        // Each window has place for one resend.
+        assert!(resent_at[1] - resent_at[0] >= Duration::from_millis(1_400));
+    });
+}
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -322,6 +322,27 @@
     assert!(resends > 100, "{resends} resends");
 }
 
+/// Guards against a budget that stays used up although its window has passed or requests have arrived.
+#[test]
+fn a_used_resend_budget_refills_with_time_and_requests() {
+    let policy = ResendPolicy {
+        ratio: 0.2,
+        slack: 2.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = ResendBudget::new(policy);
+    assert!(budget.try_acquire(1, ms(0)));
+    assert!(!budget.try_acquire(1, ms(9_000)));
+    assert!(budget.try_acquire(1, ms(10_600)));
+    assert!(!budget.try_acquire(1, ms(10_700)));
+    for request in 0..10 {
+        budget.on_request(ms(10_800 + request));
+    }
+    assert!(budget.try_acquire(1, ms(10_900)));
+    assert!(budget.try_acquire(1, ms(10_900)));
+    assert!(!budget.try_acquire(1, ms(10_900)));
+}
+
 /// Limits of the users' rules: what all instances together may admit in a window.
 const QUOTA_WINDOW_MS: u64 = 8_000;
 const QUOTA_OVERAGE: f64 = 0.1;
