Apply changed settings of the resend budget and the configuration bound

What callers saw: after a change of the settings and SIGHUP, streams were still resumed by the budget of the start of the process, and lowered limits of connections applied after the former bound.

Cause: ratio, slack and window of the budget were read when a service got its first request, and the bound with the first configuration.

Evidence: broken_streams::the_resend_budget_follows_the_settings: without this change no broken stream was resumed within the test's time after the slack was raised from 0 to 50; with it one is. The bound of the configuration is shown in the decision code only (connections::a_changed_change_time_applies_to_later_ changes); on the path it takes an idle time of 15 s.

Why this works: both are read each time they are used, and the budget keeps its counts. A longer window counts only what the former one still held.

--- a/src/jujubelink/core/connection/mod.rs
+++ b/src/jujubelink/core/connection/mod.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Changes the time by which all clients know a change. Applies to later changes of the limits.
+    pub fn set_change_time(&mut self, change_time: Duration) {
+        self.change_time = change_time;
+    }
+
     /// Applies the limits that are active now.
     pub fn on_limits(&mut self, active: WaitLimits, now: Timestamp) {
         if active == self.active {
--- a/src/jujubelink/core/quota/resend.rs
+++ b/src/jujubelink/core/quota/resend.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Applies the limit of the present settings.
+    pub fn set_policy(&mut self, policy: ResendPolicy) {
+        self.policy = policy;
+    }
+
     /// Records a request of a client.
     pub fn on_request(&mut self, now: Timestamp) {
         self.current_bucket(now).requests += 1;
--- a/src/jujubelink/ops/proxy/client_limits.rs
+++ b/src/jujubelink/ops/proxy/client_limits.rs
@@ -63,10 +63,9 @@
         };
         let now = self.context.timers().boot_now();
         let mut history = self.history.borrow_mut();
-        let history = history.get_or_insert_with(|| {
-            let change_time = Duration::from_millis(self.fleet.settings().config_ms);
-            LimitHistory::new(active, change_time)
-        });
+        let change_time = Duration::from_millis(self.fleet.settings().config_ms);
+        let history = history.get_or_insert_with(|| LimitHistory::new(active, change_time));
+        history.set_change_time(change_time);
         history.on_limits(active, now);
         Some(history.limits(now))
     }
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -117,17 +117,17 @@
         service: &Arc<str>,
         act: impl FnOnce(&mut ResendBudget) -> T,
     ) -> T {
+        let settings = self.fleet.settings();
+        let policy = ResendPolicy {
+            ratio: settings.resend_ratio,
+            slack: settings.resend_slack,
+            window: Duration::from_secs_f64(settings.resend_window_s),
+        };
         let mut resend_budgets = self.resend_budgets.borrow_mut();
         let budget = resend_budgets
             .entry(Arc::clone(service))
-            .or_insert_with(|| {
-                let settings = self.fleet.settings();
-                ResendBudget::new(ResendPolicy {
-                    ratio: settings.resend_ratio,
-                    slack: settings.resend_slack,
-                    window: Duration::from_secs_f64(settings.resend_window_s),
-                })
-            });
+            .or_insert_with(|| ResendBudget::new(policy));
+        budget.set_policy(policy);
         act(budget)
     }
 }
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -371,3 +371,15 @@
     assert_eq!(history.limits(seconds(23)), limits(2_000, 40_000));
     assert_eq!(history.limits(seconds(24)), other);
 }
+
+/// Guards against a bound of the configuration that stays as it was at the start of the process.
+#[test]
+fn a_changed_change_time_applies_to_later_changes() {
+    let (short, long) = (limits(1_000, 15_000), limits(1_000, 40_000));
+    let seconds = Duration::from_secs;
+    let mut history = LimitHistory::new(long, seconds(2));
+    history.set_change_time(seconds(5));
+    history.on_limits(short, seconds(10));
+    assert_eq!(history.limits(seconds(14)), long);
+    assert_eq!(history.limits(seconds(15)), short);
+}
--- a/tests/testsuite/platform_path/broken_streams.rs
+++ b/tests/testsuite/platform_path/broken_streams.rs
@@ -5,9 +5,9 @@
 
 use super::faulty_responses::refusal;
 use super::scripted_deployment::{
-    ScriptedDeployment, assert_complete, broken_stream, refusal_when_full, stream,
+    ScriptedDeployment, assert_complete, broken_stream, is_complete, refusal_when_full, stream,
 };
-use crate::support::{ReceivedRequest, Reply, run};
+use crate::support::{ReceivedRequest, Reply, eventually, run};
 
 /// Time in which no engine takes the rest of the stream; more than half of its deadline remains after it.
 const BUSY_TIME: Duration = Duration::from_millis(1_500);
@@ -84,3 +84,23 @@
         assert!(resent_at[1] - resent_at[0] >= Duration::from_millis(1_400));
     });
 }
+
+/// Guards against a resend budget that keeps the settings of the start of the process.
+#[test]
+fn the_resend_budget_follows_the_settings() {
+    run(async {
+        let settings = "resend_ratio = 0.0\nresend_slack = 0.0\n";
+        let setup = ScriptedDeployment::start(&["e1", "e2"], settings, breaks_off_first).await;
+        assert_eq!(setup.ask("before").await.status, 0);
+        let process = &setup.instance.process;
+        process.change_settings(|text| text.replace("resend_slack = 0.0", "resend_slack = 50.0"));
+        process.reload();
+        let number = std::cell::Cell::new(0);
+        eventually("a broken stream is resumed", || async {
+            number.set(number.get() + 1);
+            let response = setup.ask(&format!("after-{}", number.get())).await;
+            is_complete(&response).then_some(())
+        })
+        .await;
+    });
+}
--- a/tests/testsuite/quota.rs
+++ b/tests/testsuite/quota.rs
@@ -343,6 +343,23 @@
     assert!(!budget.try_acquire(1, ms(10_900)));
 }
 
+/// Guards against a changed limit that applies only to the resends after it.
+#[test]
+fn a_changed_resend_policy_counts_earlier_resends() {
+    let policy = |slack| ResendPolicy {
+        ratio: 0.0,
+        slack,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = ResendBudget::new(policy(2.0));
+    assert!(budget.try_acquire(1, ms(0)));
+    budget.set_policy(policy(3.0));
+    assert!(budget.try_acquire(1, ms(100)));
+    assert!(!budget.try_acquire(1, ms(200)));
+    budget.set_policy(policy(0.0));
+    assert!(!budget.try_acquire(1, ms(20_000)));
+}
+
 /// Limits of the users' rules: what all instances together may admit in a window.
 const QUOTA_WINDOW_MS: u64 = 8_000;
 const QUOTA_OVERAGE: f64 = 0.1;
