Admit a waiting request again when its route moves

What callers saw: a request that waited in the queue of a service while its route moved to another one was refused with 503, although engines of the other service were free and time was left.

Cause: the admission was checked before the send only, where a change was a final refusal. Until then the request waited at the former service.

Change: a request that has not run watches the configuration while it waits, and is admitted again if that leads it to another service or workspace: sizes, deadline, charge and crash check as for a new request; its attempts count on. If it has arrived at a target that did not run it, its next send is taken from the budget of the new service, and its deadline is not prolonged. A route or key that was withdrawn is refused as such, also if no target has a place.

--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -15,7 +15,7 @@
 use super::request_body::{BodyFailure, read_request_body};
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
-use crate::core::fleet::{TargetAddress, TargetRecord, model_key};
+use crate::core::fleet::{PolicyRoute, TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{
@@ -67,7 +67,7 @@
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
-    charge: Option<Charge>,
+    pub(super) charge: Option<Charge>,
     pub(super) placement: Option<Placement>,
     /// Whether another target is asked to take over from the silent one of `placement`.
     pub(super) is_taking_over: bool,
@@ -152,13 +152,7 @@
         let policy = &admission.policy;
         check_size(&self.relay.fleet, policy, &self.parts, body_bytes)?;
         let route = Rc::clone(&admission.route);
-        let client_timeout = self.head.client_timeout.unwrap_or(route.timeout);
-        self.deadline = self.arrived + client_timeout.min(route.timeout);
-        self.progress.set_times(RequestTimes {
-            kind: route.kind,
-            deadline: self.deadline,
-            latency_objective: route.latency_objective,
-        });
+        self.set_times(&route);
         let body_limit = admission.policy.max_body_bytes;
         let service = admission.service.clone();
         self.admission = Some(admission);
@@ -168,7 +162,11 @@
         self.read_body(body, body_limit).await?;
         self.acquire_charge().await?;
         loop {
-            self.place().await?;
+            let placed = self.place().await;
+            if self.readmit().await? {
+                continue;
+            }
+            placed?;
             match self.send(|_| true).await {
                 Ok(SendOutcome::Response(response)) => return Ok(response),
                 Ok(SendOutcome::TargetFailure(response)) => {
@@ -190,6 +188,17 @@
         }
     }
 
+    /// Sets the deadline of a request that is admitted by a route.
+    pub(super) fn set_times(&mut self, route: &PolicyRoute) {
+        let client_timeout = self.head.client_timeout.unwrap_or(route.timeout);
+        self.deadline = self.arrived + client_timeout.min(route.timeout);
+        self.progress.set_times(RequestTimes {
+            kind: route.kind,
+            deadline: self.deadline,
+            latency_objective: route.latency_objective,
+        });
+    }
+
     /// Time for which the client may go on sending the body.
     pub(super) fn send_time(&self) -> Duration {
         let route_timeout = self
@@ -236,7 +245,7 @@
         }
     }
 
-    async fn acquire_charge(&mut self) -> Result<(), Refusal> {
+    pub(super) async fn acquire_charge(&mut self) -> Result<(), Refusal> {
         let admission = self.admission()?;
         let units = quota_units(admission, &self.head);
         let Some(workspace) = admission.workspace.clone() else {
@@ -261,7 +270,20 @@
         }
     }
 
-    /// Obtains a placement from the scheduler.
+    /// Ends the charge. A request that has not arrived at a target has used nothing.
+    pub(super) fn settle_charge(&mut self) {
+        let Some(charge) = self.charge.take() else {
+            return;
+        };
+        let used = match self.attempts.may_have_arrived() {
+            true => charge.tokens,
+            false => 0,
+        };
+        let limits = self.proxy.service::<dyn LimitService>();
+        limits.settle(charge, used);
+    }
+
+    /// Obtains a placement from the scheduler, unless the request is to be admitted again first.
     pub(super) async fn place(&mut self) -> Result<(), Refusal> {
         let delay = self.attempts.connection_delay().min(self.remaining());
         if !delay.is_zero() {
@@ -270,9 +292,9 @@
         self.check_stop()?;
         self.check_crashes()?;
         let started = self.now();
-        let result = self.choose_target().await;
+        let result = self.choose_admitted_target().await;
         self.queue_time += self.now().saturating_sub(started);
-        self.placement = Some(result?);
+        self.placement = result?;
         Ok(())
     }
 
@@ -727,16 +749,7 @@
             self.log_abandoned();
         }
         self.end_placement(AttemptOutcome::Cancelled);
-        if let Some(charge) = self.charge.take() {
-            // A request that has not arrived at a target has used nothing.
-            let used = match self.attempts.may_have_arrived() {
-                true => charge.tokens,
-                false => 0,
-            };
-            self.proxy
-                .service::<dyn LimitService>()
-                .settle(charge, used);
-        }
+        self.settle_charge();
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod expiry;
 mod placement;
+mod readmission;
 mod ready;
 mod request_body;
 mod resend;
--- a/tests/testsuite/platform_path/changing_configuration.rs
+++ b/tests/testsuite/platform_path/changing_configuration.rs
@@ -189,8 +189,7 @@
     Change::new("version only", |_| {}),
     Change::new("routes moved", |config| {
         change_routes(config, |route| route["service"] = other_service(route));
-    })
-    .with_refusals(&[503]),
+    }),
     Change::new("routes reweighted", |config| {
         change_routes(config, |route| {
             let (service, other) = (route["service"].clone(), other_service(route));
@@ -198,8 +197,7 @@
                 { "service": other, "weight": 9 }]);
             route["traffic_split"] = weights;
         });
-    })
-    .with_refusals(&[503]),
+    }),
     Change::new("routes removed", |config| config["routes"] = json!([])).with_refusals(&[404, 503]),
     Change::new("routes added", |config| {
         let routes = config["routes"].as_array_mut().unwrap();
