Test that a broken stream looks for a place again

a_broken_stream_waits_for_a_place passes without the loop of place_rest, as the queue itself waits until the deadline in its cases. Callers would see a stream end early where the queue refuses its rest at once although a target comes later.

In the new test the only other engine asks for a pause beyond the deadline, so that the queue refuses at once, and a new engine starts 1.5 s later.

--- a/tests/testsuite/platform_path/broken_streams.rs
+++ b/tests/testsuite/platform_path/broken_streams.rs
@@ -7,7 +7,7 @@
 use super::scripted_deployment::{
     ScriptedDeployment, assert_complete, broken_stream, refusal_when_full, stream,
 };
-use crate::support::{ReceivedRequest, Reply, run};
+use crate::support::{ReceivedRequest, Reply, ScriptedTarget, eventually, run};
 
 /// Time in which no engine takes the rest of the stream; more than half of its deadline remains after it.
 const BUSY_TIME: Duration = Duration::from_millis(1_500);
@@ -58,3 +58,31 @@
         assert_complete(<[_; 3]>::from(responses));
     });
 }
+
+/// Guards against a broken stream that ends early because no place is to be expected when it looks for one.
+#[test]
+fn a_broken_stream_looks_for_a_place_again() {
+    run(async {
+        let setup = ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| {
+            // The pause lasts beyond the deadline, so that the queue refuses the stream at once.
+            let pause = "\r\nretry-after: 60\r\n";
+            match attempt {
+                0 => broken_stream(request),
+                _ => Reply::kept(refusal(&request.id).replacen("\r\n", pause, 1)),
+            }
+        });
+        let setup = setup.await;
+        let new = ScriptedTarget::start(|request| stream(request, &[]));
+        let starts_late = async {
+            eventually("both engines have had the stream", || async {
+                (setup.arrivals("r").len() == 2).then_some(())
+            })
+            .await;
+            compio::time::sleep(BUSY_TIME).await;
+            let deployment = &setup.deployment;
+            deployment.put_target_at("e3", new.address(), "ready", 2, 1);
+        };
+        let (response, ()) = futures_util::join!(setup.ask("r"), starts_late);
+        assert_complete([("a new engine", response)]);
+    });
+}
