Test the last read before a connection is closed

Callers would see a close without an answer where the end of a wait is found before the bytes that have arrived.

The new test gives a connection its bytes 20 ms after the wait is over.

--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -1,11 +1,14 @@
 //! Connections of clients that are kept alive.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{Future, pending, ready};
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -169,6 +172,95 @@
     });
 }
 
+/// A client whose bytes are found only some time after it has sent them.
+struct LateBytes {
+    /// Parts of what the client sends, with the time at which each is found.
+    parts: VecDeque<(Instant, &'static str)>,
+    received: Rc<RefCell<Vec<u8>>>,
+    wake: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl LateBytes {
+    fn new(parts: impl IntoIterator<Item = (Instant, &'static str)>) -> Self {
+        Self {
+            parts: parts.into_iter().collect(),
+            received: Rc::default(),
+            wake: Box::pin(pending()),
+        }
+    }
+}
+
+impl hyper::rt::Read for LateBytes {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Some((found_at, part)) = self.parts.front().copied() else {
+            return Poll::Pending;
+        };
+        if Instant::now() < found_at {
+            self.wake = Box::pin(compio::time::sleep_until(found_at));
+            if self.wake.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+        }
+        let (now, later) = part.split_at(part.len().min(buffer.remaining()));
+        buffer.put_slice(now.as_bytes());
+        match later.is_empty() {
+            true => drop(self.parts.pop_front()),
+            false => self.parts[0].1 = later,
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl hyper::rt::Write for LateBytes {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.received.borrow_mut().extend_from_slice(bytes);
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Guards against a close before bytes that have arrived are found, as the end of the wait is found first.
+#[test]
+fn a_connection_is_read_once_more_before_it_is_closed() {
+    run(async {
+        let head = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+        let (first, rest) = head.split_at(10);
+        for (has_begun, limits) in [(false, limits(50, 450)), (true, limits(500, 60_000))] {
+            let began_at = Instant::now();
+            // The wait is over after 500 ms.
+            let late = began_at + Duration::from_millis(520);
+            let client = match has_begun {
+                false => LateBytes::new([(late, head)]),
+                true => LateBytes::new([(began_at, first), (late, rest)]),
+            };
+            let received = Rc::clone(&client.received);
+            let handler = Succeed::new(limits);
+            let served = serve_connection(client, handler, ServerOptions::default(), pending());
+            let _ = compio::time::timeout(Duration::from_millis(800), served).await;
+            let received = String::from_utf8(received.take()).unwrap();
+            assert!(
+                received.starts_with("HTTP/1.1 200"),
+                "{has_begun}: {received:?}"
+            );
+        }
+    });
+}
+
 /// Guards against a head that is cut by the time that its connection was idle, and against one without
 /// end.
 #[test]
