--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -1,6 +1,7 @@
 //! Requests from clients through the real binary to targets that speak the platform's protocol. The
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
+mod allowing_changes;
 mod broken_streams;
 mod changing_configuration;
 mod crashing_prompts;
