--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -2,6 +2,7 @@
 //! platform's object store, the targets and the store of KV cache are stand-ins.
 
 mod abandoned_requests;
+mod allowing_changes;
 mod broken_streams;
 mod changing_configuration;
 mod crashing_prompts;
@@ -16,6 +17,7 @@
 mod peer_messages;
 mod planned_stop;
 mod reload;
+mod request_ends;
 mod scripted_deployment;
 mod silent_targets;
 mod takeovers;
