Do not accept an entry that is gone after an outage as a late departure

Callers could get a truncated response without a length as a complete one.

Cause: when the store returns, the list does not say whether an entry went before or after the end of its target. Entries of targets that crash in an outage expire as well, so that a crash within a response looked like a departure.

Found by the review, by reading. What would tell the two apart is a sign of the target itself, which it does not give.

--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -441,17 +441,6 @@
         self.targets_confirmed.changed()
     }
 
-    /// Completes once the store has confirmed the target list at `at` or later.
-    pub async fn targets_confirmed_since(&self, at: Timestamp) {
-        loop {
-            let confirmed = self.targets_confirmed();
-            if self.targets_confirmed_at.get() >= at {
-                return;
-            }
-            confirmed.await;
-        }
-    }
-
     /// Returns the target list for a peer that has the targets up to a revision.
     pub fn target_update_since(&self, revision: u64) -> TargetListUpdate {
         let mut entries = self.state.borrow().entries();
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::exchange::{Exchange, NO_TARGET_RETRY_AFTER};
 use crate::core::crash::{Admission, Features};
@@ -12,10 +11,6 @@
 use crate::ops::quarantine::InterruptedRun;
 use crate::util::hash::{combine, stable_hash};
 
-/// Time for which the end of a response without a length is withheld until it is known whether its target has
-/// left. An instance regains contact with the store, or hears of it from others, within this time.
-const NEWS_TIME: Duration = Duration::from_secs(2);
-
 /// State of a request for the quarantine.
 #[derive(Default)]
 pub(super) struct CrashCheck {
@@ -128,16 +123,9 @@
         let Some((target, _)) = current.and_then(|target| self.last_send(&target)) else {
             return false;
         };
-        let is_replaceable = self.is_resumable() && self.check_replacement().is_ok();
-        let news_time = match is_replaceable {
-            // Another target ends the stream if it is complete.
-            true => Duration::ZERO,
-            false => NEWS_TIME,
-        };
-        let quarantine = &self.relay.quarantine;
-        quarantine
-            .has_ended(target, self.remaining(), news_time)
-            .await
+        let check = self.relay.quarantine.has_ended(target);
+        let check = self.proxy.context.timers().timeout(self.remaining(), check);
+        check.await.unwrap_or(false)
     }
 
     /// Returns a target, and when the request was last sent there.
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -41,11 +41,6 @@
 /// times in it, also in a large fleet.
 const MAX_PUBLICATION: Duration = Duration::from_secs(1);
 
-/// Time for which a target serves at least after its entry says that it leaves, or is removed. A list of the
-/// targets that was confirmed within this time before the end of a target shows whether it has left. The
-/// platform's bound is 2 s; the rest is a margin for late answers.
-const SHORTEST_NOTICE: Duration = Duration::from_millis(1_800);
-
 /// A request whose response was interrupted.
 pub struct InterruptedRun {
     /// Identifier of the client's attempt.
@@ -208,27 +203,13 @@
         }
     }
 
-    /// Asks a target whether it has ended, other than as planned, which is found out within `answer_time`.
-    /// News that it has left may arrive after its end and is awaited for `news_time`.
-    pub async fn has_ended(
-        &self,
-        target: &TargetRecord,
-        answer_time: Duration,
-        news_time: Duration,
-    ) -> bool {
-        let fleet = self.fleet();
-        if fleet.state().may_have_left(target) {
+    /// Asks a target whether it has ended, other than as planned.
+    pub async fn has_ended(&self, target: &TargetRecord) -> bool {
+        if self.fleet().state().may_have_left(target) {
             return false;
         }
-        let ended_at = self.now();
-        let status = read_status(&self.client, target.address);
-        let status = self.context.timers().timeout(answer_time, status).await;
-        if status.is_none_or(|status| end_of_target(target, status).is_none()) {
-            return false;
-        }
-        let news = fleet.targets_confirmed_since(ended_at.saturating_sub(SHORTEST_NOTICE));
-        self.context.timers().timeout(news_time, news).await;
-        !fleet.state().may_have_left(target)
+        let status = read_status(&self.client, target.address).await;
+        end_of_target(target, status).is_some()
     }
 
     /// Counts the interruptions at a target as a crash.
