Do not take an answer from before an interruption for a sign of life after it

If another response was interrupted while that answer was on its way, the loss of the target's entry no longer counted as its crash.

Found by the review, by reading; the tests of crashing prompts pass.

--- a/src/jujubelink/ops/quarantine/probe.rs
+++ b/src/jujubelink/ops/quarantine/probe.rs
@@ -66,10 +66,17 @@
         interruption.runs.len() == 1
     }
 
-    /// Records that a target has answered after its interruptions.
-    pub(super) fn set_alive(&mut self, id: CrashId) {
+    /// Returns the number of interrupted runs of a target.
+    pub(super) fn run_count(&self, id: CrashId) -> usize {
+        let interruption = self.0.get(&id);
+        interruption.map_or(0, |interruption| interruption.runs.len())
+    }
+
+    /// Records that a target has answered after the first `runs` interruptions. The answer says nothing about
+    /// later ones.
+    pub(super) fn set_alive(&mut self, id: CrashId, runs: usize) {
         if let Some(interruption) = self.0.get_mut(&id) {
-            interruption.is_alive = true;
+            interruption.is_alive |= interruption.runs.len() == runs;
         }
     }
 
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -189,13 +189,14 @@
     /// Asks a target with an interrupted response whether it lives.
     async fn probe(self: Rc<Self>, target: Rc<TargetRecord>) {
         let id = crash_id(&target.id, target.incarnation);
+        let runs = self.interruptions.borrow().run_count(id);
         let status = read_status(&self.client, target.address).await;
         if let Some(reason) = end_of_target(&target, status) {
             self.on_target_ended(id, reason);
             return;
         }
         if is_alive(&target, status) {
-            self.interruptions.borrow_mut().set_alive(id);
+            self.interruptions.borrow_mut().set_alive(id, runs);
         }
         if self.interruptions.borrow().contains(id) {
             slog::info!(self.context.log(), "target not known to have ended";
