--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -31,6 +31,9 @@
 /// Added to the expected prefill time for the timeout of an engine's response head and first event.
 const FIRST_EVENT_MARGIN: Duration = Duration::from_secs(5);
 
+/// Longest wait for another charge once a target is chosen, as the request occupies a place there.
+const CHARGE_RENEWAL_TIME: Duration = Duration::from_millis(300);
+
 /// Limit on the delivered text that is kept to continue a response on another engine. A longer
 /// response can only be resumed on the same engine.
 const MAX_CONTINUATION_TEXT_BYTES: usize = 1024 * 1024;
@@ -276,10 +279,11 @@
             span,
         });
         let now = self.proxy.context.timers().now();
-        if self.is_charge_outdated() && now < self.request.first_token_deadline {
+        let deadline = self.request.first_token_deadline;
+        if self.is_charge_outdated() && now < deadline {
             self.settle(|_| 0);
-            self.acquire_charge(self.request.first_token_deadline)
-                .await?;
+            let deadline = deadline.min(now + CHARGE_RENEWAL_TIME);
+            self.acquire_charge(deadline).await?;
         }
         self.check_dispatch()
     }
