End the target of a test only once it refuses connections

Cause: a process that another test starts holds a copy of the target's listener until it executes its program, so that the target did not refuse the connection by which the instance asks whether it has ended.

Evidence: with 32 threads that start processes in the same test process, eight tests at a time, 4 of 188 runs fail in this way; 0 of 180 with the target's connection closed only once it refuses connections. With 4 such threads 0 of 240 runs fail before.

--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -532,6 +532,11 @@
         // The connection is closed regularly, as the kernel does for a process that has ended.
         std::thread::sleep(Duration::from_millis(50));
         drop(listener);
+        // A process that another test starts holds a copy of the listener until it executes its program.
+        while std::net::TcpStream::connect(address).is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        drop(connection);
     });
     address
 }
