review: a response of a leaving target that is cut looks complete

A target that has announced its shutdown is taken away two seconds later, within responses without a length; each client gets a success with a part of the body and a proper end.

--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,323 @@
+//! The cases.
+
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::http::{ask, End, Response};
+use crate::platform::Store;
+use crate::server::piece;
+
+const HELD: i32 = 0;
+const BROKEN: i32 = 1;
+const COULD_NOT_RUN: i32 = 2;
+
+const KEY: &str = "review-key-1";
+const HOST: &str = "app.example";
+
+pub fn main(case: &str, arguments: &[String]) -> i32 {
+    let Some(folder) = arguments.first() else {
+        return COULD_NOT_RUN;
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let mut run = match Run::new(Path::new(folder), trouble) {
+        Ok(run) => run,
+        Err(error) => {
+            eprintln!("{error}");
+            return COULD_NOT_RUN;
+        }
+    };
+    let code = match case {
+        "draining-crash" => draining_crash(&mut run),
+        _ => COULD_NOT_RUN,
+    };
+    let result = ["the rule held", "the rule was broken", "the case could not run"][code as usize];
+    run.record(result);
+    println!("{result}");
+    code
+}
+
+/// One play of a case. Dropping it ends all processes that it started.
+struct Run {
+    record: File,
+    started: Instant,
+    temporary: PathBuf,
+    children: Vec<(String, Child)>,
+    store: Store,
+    store_address: SocketAddr,
+    trouble: bool,
+}
+
+impl Run {
+    fn new(folder: &Path, trouble: bool) -> std::io::Result<Self> {
+        let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        fs::create_dir_all(&temporary)?;
+        let store = Store::default();
+        let store_address = store.start();
+        Ok(Self {
+            record: File::create(folder.join("record.txt"))?,
+            started: Instant::now(),
+            temporary,
+            children: Vec::new(),
+            store,
+            store_address,
+            trouble,
+        })
+    }
+
+    fn record(&mut self, line: &str) {
+        let at = self.started.elapsed().as_secs_f64();
+        let _ = writeln!(self.record, "{at:7.3} s  {line}");
+    }
+
+    /// Starts the program with the command of the deploy file, and returns where it takes clients. The settings
+    /// are those of `deploy/settings.toml` with the bounds of a small deployment.
+    fn start_router(&mut self, name: &str) -> std::io::Result<Router> {
+        let ports: Vec<u16> = (0..5).map(|_| free_port()).collect::<Result<_, _>>()?;
+        let values = [
+            ("{{ip}}:{{internal_ports.0}}", format!("127.0.0.1:{}", ports[0])),
+            ("{{ip}}:{{internal_ports.1}}", format!("127.0.0.1:{}", ports[1])),
+            ("{{ip}}:9464", format!("127.0.0.1:{}", ports[2])),
+            ("{{listen.front}}", format!("127.0.0.1:{}", ports[3])),
+            ("{{listen.ready_addr}}", format!("127.0.0.1:{}", ports[4])),
+            ("{{platform.address}}", self.store_address.to_string()),
+            ("{{zone}}", "zone-a".to_owned()),
+            ("{{region}}", "region-a".to_owned()),
+            ("{{node_name}}", name.to_owned()),
+            ("{{limits.memory_mb}}", "110".to_owned()),
+            ("{{limits.max_fds}}", "4100".to_owned()),
+            ("{{bounds.strict_revoke}}", "true".to_owned()),
+            ("{{bounds.revoke_ms}}", "5000".to_owned()),
+            ("{{bounds.contact_ms}}", "3000".to_owned()),
+            ("{{bounds.config_ms}}", "2000".to_owned()),
+            ("{{bounds.retry_budget_ratio}}", "0.2".to_owned()),
+            ("{{bounds.budget_slack}}", "54".to_owned()),
+            ("{{bounds.budget_window_s}}", "10".to_owned()),
+            ("{{bounds.quota_window_s}}", "8".to_owned()),
+            ("{{bounds.quota_overage}}", "0.1".to_owned()),
+            ("{{bounds.quota_slack}}", "110000".to_owned()),
+            ("{{bounds.lease_ms}}", "3000".to_owned()),
+            ("{{bounds.version_ms}}", "12000".to_owned()),
+            ("{{heartbeat_ms}}", "1200".to_owned()),
+        ];
+        let mut settings = fs::read_to_string("deploy/settings.toml")?;
+        for (placeholder, value) in values {
+            settings = settings.replace(placeholder, &value);
+        }
+        let path = self.temporary.join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let log = File::create(self.temporary.join(format!("{name}.log")))?;
+        let router = Command::new("target/release/jujubelink")
+            .args(["serve", "--settings"])
+            .arg(&path)
+            .env_clear()
+            .env("JUJUBELINK_SETTINGS", &path)
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.record(&format!("{name} started, process {}", router.id()));
+        self.children.push((name.to_owned(), router));
+        let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        Ok(Router { front: address(ports[3]), ready: address(ports[4]) })
+    }
+
+    /// Starts a server process and lists it in the store.
+    fn start_server(&mut self, service: &str, id: &str) -> std::io::Result<ServerProcess> {
+        let port = free_port()?;
+        let mut server = Command::new(std::env::current_exe()?)
+            .args(["server", &port.to_string(), id])
+            .arg(self.temporary.join("runs.log"))
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut born = String::new();
+        if let Some(output) = server.stdout.take() {
+            BufReader::new(output).read_line(&mut born)?;
+        }
+        self.record(&format!("server {id} started, process {}, port {port}", server.id()));
+        self.children.push((id.to_owned(), server));
+        let server = ServerProcess {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            port,
+            born: born.trim().to_owned(),
+        };
+        self.list(&server, "ready");
+        Ok(server)
+    }
+
+    /// Writes a server's entry, as the server does.
+    fn list(&mut self, server: &ServerProcess, state: &str) {
+        let ServerProcess { id, service, port, born } = server;
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\
+             \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
+             \"sequence\":1,\"born\":{born}}}"
+        );
+        self.store.put("servers", id, &entry);
+        self.record(&format!("the store holds {id} as {state}"));
+    }
+
+    /// Kills a process that this run started.
+    fn kill(&mut self, name: &str) {
+        for (known, child) in &mut self.children {
+            if known == name {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        self.record(&format!("{name} killed (SIGKILL)"));
+    }
+
+    /// Writes the configuration with one service, whose routes are `/read/` (idempotent) and `/pay/`.
+    fn configure(&mut self, version: u64) {
+        let route = |name: &str, kind: &str, attempts: u32| {
+            format!(
+                "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
+                 \"kind\":\"{kind}\",\"timeout_ms\":10000,\"target_latency_ms\":1000,\
+                 \"priority\":1,\"service\":\"app\",\"max_attempts\":{attempts},\"public\":false}}"
+            )
+        };
+        let routes = [route("read", "idempotent", 2), route("pay", "non_idempotent", 1)].join(",");
+        let config = format!(
+            "{{\"version\":{version},\"routes\":[{routes}],\
+             \"services\":[{{\"name\":\"app\",\"health_check\":\"/healthz\",\
+             \"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}}],\
+             \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
+             \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
+             \"tenants\":[{{\"name\":\"t1\",\"api_keys\":[\"{KEY}\"],\"priority\":1,\
+             \"unit\":\"tokens\",\"plain_tokens\":200,\"dedicated\":false,\
+             \"rate_per_s\":386419,\"burst\":386419}}]}}"
+        );
+        self.store.put("config", "main", &config);
+        self.record(&format!("the store holds configuration {version}"));
+    }
+
+    fn wait_until_ready(&mut self, router: &Router) -> bool {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            let head = "GET /api/ready HTTP/1.1\r\nHost: ready\r\n";
+            if ask(router.ready, head, "", Duration::from_secs(1)).status == 200 {
+                self.record("the router is ready");
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        self.record("the router does not become ready");
+        false
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::env::var("KEEP").is_err() {
+            let _ = fs::remove_dir_all(&self.temporary);
+        }
+    }
+}
+
+struct Router {
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+struct ServerProcess {
+    id: String,
+    service: String,
+    port: u16,
+    born: String,
+}
+
+fn free_port() -> std::io::Result<u16> {
+    loop {
+        let port = TcpListener::bind("127.0.0.1:0")?.local_addr()?.port();
+        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+}
+
+fn send(router: &Router, method: &str, path: &str, id: &str) -> Response {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nJujubelink-Attempt-Id: {id}\r\n\
+         Jujubelink-Deadline-Ms: 8000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 0\r\n"
+    );
+    ask(router.front, &head, "", Duration::from_secs(10))
+}
+
+/// A server that has announced that it drains is gone two seconds later, within responses that end with their
+/// connection.
+fn draining_crash(run: &mut Run) -> i32 {
+    const PIECES: u64 = 60;
+    const CALLS: usize = 4;
+    /// Time from the notice until the server is gone, as in `scale_in` with `spot`.
+    const NOTICE: Duration = Duration::from_secs(2);
+    run.configure(1);
+    let Ok(first) = run.start_server("app", "i-first") else {
+        return COULD_NOT_RUN;
+    };
+    let Ok(router) = run.start_router("edge-a-1") else {
+        return COULD_NOT_RUN;
+    };
+    if !run.wait_until_ready(&router) {
+        return COULD_NOT_RUN;
+    }
+    // The router may learn of the keys a moment after it is ready.
+    std::thread::sleep(Duration::from_millis(500));
+    let front = Router { front: router.front, ready: router.ready };
+    let calls: Vec<_> = (0..CALLS)
+        .map(|number| {
+            let router = Router { front: front.front, ready: front.ready };
+            let (method, name) = [("GET", "read"), ("POST", "pay")][number % 2];
+            let path = format!("/{name}/unframed/{PIECES}");
+            let id = format!("{name}-{number}");
+            run.record(&format!("client sends {id}: {method} {path}"));
+            std::thread::spawn(move || (id.clone(), send(&router, method, &path, &id)))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(400));
+    // Planned work: another server takes over, and this one drains.
+    if run.start_server("app", "i-second").is_err() {
+        return COULD_NOT_RUN;
+    }
+    run.list(&first, "draining");
+    std::thread::sleep(NOTICE);
+    if run.trouble {
+        run.kill("i-first");
+    }
+    let whole: String = (1..=PIECES).map(piece).collect();
+    let mut code = HELD;
+    for call in calls {
+        let Ok((id, response)) = call.join() else {
+            return COULD_NOT_RUN;
+        };
+        let pieces = response.body.lines().count();
+        run.record(&format!(
+            "client got for {id}: status {}, stamp {:?}, {pieces} of {PIECES} pieces, {:?}, after {} ms",
+            response.status,
+            response.header("jujubelink-server-stamp"),
+            response.end,
+            response.took.as_millis()
+        ));
+        let is_success = response.status == 200 && response.end == End::Complete;
+        if is_success && response.body != whole {
+            run.record(&format!("MIXED: {id} is a success whose body is not the server's whole body"));
+            code = BROKEN;
+        }
+        if !run.trouble && !is_success {
+            run.record("without the disruption each response is complete");
+            code = COULD_NOT_RUN;
+        }
+    }
+    let log = fs::read_to_string(run.temporary.join("runs.log")).unwrap_or_default();
+    for line in log.lines() {
+        run.record(&format!("servers' log: {line}"));
+    }
+    code
+}
