review: a tenant that becomes dedicated leaves its KV cache to the others

Parts that a tenant made under the shared salt are used by other tenants after a configuration has made it dedicated.

The stand-in server now keeps parts of prompts.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -9,13 +9,15 @@
 
 use crate::http::{ask, End, Response};
 use crate::platform::Store;
-use crate::server::piece;
+use crate::server::{piece, MODEL};
 
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
 const COULD_NOT_RUN: i32 = 2;
 
+/// Keys of the tenants t1 and t2.
 const KEY: &str = "review-key-1";
+const SECOND_KEY: &str = "review-key-2";
 const HOST: &str = "app.example";
 
 pub fn main(case: &str, arguments: &[String]) -> i32 {
@@ -32,6 +34,7 @@
     };
     let code = match case {
         "draining-crash" => draining_crash(&mut run),
+        "dedicated-later" => dedicated_later(&mut run),
         _ => COULD_NOT_RUN,
     };
     let result = ["the rule held", "the rule was broken", "the case could not run"][code as usize];
@@ -151,10 +154,14 @@
     /// Writes a server's entry, as the server does.
     fn list(&mut self, server: &ServerProcess, state: &str) {
         let ServerProcess { id, service, port, born } = server;
+        let models = match service.as_str() {
+            "llm" => format!("{{\"name\":\"{MODEL}\",\"version\":1}}"),
+            _ => String::new(),
+        };
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\
              \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
-             \"sequence\":1,\"born\":{born}}}"
+             \"phase\":\"both\",\"models\":[{models}],\"sequence\":1,\"born\":{born}}}"
         );
         self.store.put("servers", id, &entry);
         self.record(&format!("the store holds {id} as {state}"));
@@ -171,28 +178,58 @@
         self.record(&format!("{name} killed (SIGKILL)"));
     }
 
-    /// Writes the configuration with one service, whose routes are `/read/` (idempotent) and `/pay/`.
-    fn configure(&mut self, version: u64) {
-        let route = |name: &str, kind: &str, attempts: u32| {
+    /// Writes the configuration with the routes `/read/` (idempotent) and `/pay/` of the service `app`, and
+    /// `/ask/` of the model servers. Tenant t1 is `dedicated` or not.
+    fn configure(&mut self, version: u64, is_dedicated: bool) {
+        let route = |name: &str, kind: &str, rest: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
                  \"kind\":\"{kind}\",\"timeout_ms\":10000,\"target_latency_ms\":1000,\
-                 \"priority\":1,\"service\":\"app\",\"max_attempts\":{attempts},\"public\":false}}"
+                 \"priority\":1,\"public\":false,{rest}}}"
             )
         };
-        let routes = [route("read", "idempotent", 2), route("pay", "non_idempotent", 1)].join(",");
+        let routes = [
+            route("read", "idempotent", "\"service\":\"app\",\"max_attempts\":2"),
+            route("pay", "non_idempotent", "\"service\":\"app\",\"max_attempts\":1"),
+            route(
+                "ask",
+                "streaming",
+                "\"service\":\"llm\",\"max_attempts\":2,\"session_affinity\":true,\
+                 \"resumable\":true,\"gap_aim_ms\":250",
+            ),
+        ];
+        let services = [
+            "{\"name\":\"app\",\"health_check\":\"/healthz\",\"max_connections\":100,\
+             \"protocol\":\"h1\",\"tls\":false}"
+                .to_owned(),
+            format!(
+                "{{\"name\":\"llm\",\"health_check\":\"/healthz\",\"max_connections\":360,\
+                 \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\
+                 \"kv_capacity\":106556,\"kv_token_bytes\":35136,\"link_mbps\":1100000.0,\
+                 \"max_concurrent\":12,\"models\":[{{\"name\":\"{MODEL}\"}}]}}}}"
+            ),
+        ];
+        let tenants = [("t1", KEY, is_dedicated), ("t2", SECOND_KEY, false)].map(
+            |(name, key, is_dedicated)| {
+                format!(
+                    "{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"priority\":1,\
+                     \"unit\":\"tokens\",\"plain_tokens\":200,\"dedicated\":{is_dedicated},\
+                     \"rate_per_s\":386419,\"burst\":386419}}"
+                )
+            },
+        );
         let config = format!(
-            "{{\"version\":{version},\"routes\":[{routes}],\
-             \"services\":[{{\"name\":\"app\",\"health_check\":\"/healthz\",\
-             \"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}}],\
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-             \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-             \"tenants\":[{{\"name\":\"t1\",\"api_keys\":[\"{KEY}\"],\"priority\":1,\
-             \"unit\":\"tokens\",\"plain_tokens\":200,\"dedicated\":false,\
-             \"rate_per_s\":386419,\"burst\":386419}}]}}"
+             \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{}]}}",
+            routes.join(","),
+            services.join(","),
+            tenants.join(",")
         );
         self.store.put("config", "main", &config);
-        self.record(&format!("the store holds configuration {version}"));
+        self.record(&format!(
+            "the store holds configuration {version}, in which t1 has dedicated = {is_dedicated}"
+        ));
     }
 
     fn wait_until_ready(&mut self, router: &Router) -> bool {
@@ -258,7 +295,7 @@
     const CALLS: usize = 4;
     /// Time from the notice until the server is gone, as in `scale_in` with `spot`.
     const NOTICE: Duration = Duration::from_secs(2);
-    run.configure(1);
+    run.configure(1, false);
     let Ok(first) = run.start_server("app", "i-first") else {
         return COULD_NOT_RUN;
     };
@@ -321,3 +358,60 @@
     }
     code
 }
+
+/// Sends a prompt of two shared parts and one of its own, and returns whether it was answered.
+fn send_prompt(run: &mut Run, router: &Router, tenant: &str, id: &str) -> bool {
+    let key = if tenant == "t1" { KEY } else { SECOND_KEY };
+    let head = format!(
+        "POST /ask/x HTTP/1.1\r\nHost: {HOST}\r\nJujubelink-Attempt-Id: {id}\r\n\
+         Jujubelink-Model: {MODEL}\r\nJujubelink-Token-Count: 1460,80\r\n\
+         Jujubelink-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{id}:250\r\n\
+         Jujubelink-Deadline-Ms: 4000\r\nAuthorization: Bearer {key}\r\nContent-Length: 2\r\n"
+    );
+    let response = ask(router.front, &head, "{}", Duration::from_secs(5));
+    run.record(&format!(
+        "client of {tenant} sent {id}, got status {}, {:?}, after {} ms",
+        response.status,
+        response.end,
+        response.took.as_millis()
+    ));
+    response.status == 200 && response.end == End::Complete
+}
+
+/// A tenant becomes `dedicated` by a new configuration.
+fn dedicated_later(run: &mut Run) -> i32 {
+    /// `config_ms`, after which the configuration is in force on all machines, and more.
+    const IN_FORCE: Duration = Duration::from_secs(4);
+    run.configure(1, false);
+    run.store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
+    if run.start_server("llm", "i-engine").is_err() {
+        return COULD_NOT_RUN;
+    }
+    let Ok(router) = run.start_router("edge-a-1") else {
+        return COULD_NOT_RUN;
+    };
+    if !run.wait_until_ready(&router) {
+        return COULD_NOT_RUN;
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let mut answered = send_prompt(run, &router, "t1", "a1");
+    run.configure(2, run.trouble);
+    std::thread::sleep(IN_FORCE);
+    answered &= send_prompt(run, &router, "t1", "a2");
+    answered &= send_prompt(run, &router, "t2", "b1");
+    let log = fs::read_to_string(run.temporary.join("runs.log")).unwrap_or_default();
+    for line in log.lines() {
+        run.record(&format!("server's log: {line}"));
+    }
+    if !answered {
+        return COULD_NOT_RUN;
+    }
+    let foreign = |line: &&str| line.contains("tenant t2") && line.contains("made by t1");
+    match (log.lines().find(foreign), run.trouble) {
+        (Some(_), true) => {
+            run.record("WALL: b1 of t2 uses KV cache that a request of t1 made, and t1 is dedicated");
+            BROKEN
+        }
+        _ => HELD,
+    }
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -130,17 +130,27 @@
     patience: Duration,
     response: &mut Response,
 ) -> io::Result<()> {
-    let broken = || io::Error::from(io::ErrorKind::UnexpectedEof);
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    let mut stream = connect(address, patience)?;
+    stream.get_mut().write_all(format!("{head}\r\n{body}").as_bytes())?;
+    read_response(&mut stream, response)
+}
+
+/// Opens a connection for several requests.
+pub fn connect(address: SocketAddr, patience: Duration) -> io::Result<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(patience))?;
     stream.set_nodelay(true)?;
-    stream.write_all(format!("{head}\r\n{body}").as_bytes())?;
-    let mut stream = BufReader::new(stream);
+    Ok(BufReader::new(stream))
+}
+
+/// Reads one response.
+pub fn read_response(stream: &mut BufReader<TcpStream>, response: &mut Response) -> io::Result<()> {
+    let broken = || io::Error::from(io::ErrorKind::UnexpectedEof);
     let mut line = String::new();
     stream.read_line(&mut line)?;
     let status = line.split_whitespace().nth(1).and_then(|word| word.parse().ok());
     response.status = status.ok_or_else(broken)?;
-    response.headers = read_headers(&mut stream).ok_or_else(broken)?;
+    response.headers = read_headers(stream).ok_or_else(broken)?;
     let chunked = response.header("transfer-encoding").is_some();
     let length: Option<usize> = response.header("content-length").and_then(|l| l.parse().ok());
     if chunked {
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -1,5 +1,8 @@
 //! A server as a process of its own: `standin server PORT ID LOG`.
 //!
+//! Requests that name a model run as on a model server with one version of its weights: it keeps the parts of
+//! prompts under their salt, as the page "KV cache" says, and logs which tenant made a part that a request uses.
+//!
 //! It runs each request that names it, or names nobody, and writes a line to LOG when a run begins and when it
 //! ends. The path selects the response:
 //!
@@ -7,6 +10,7 @@
 //! - `.../wait/MS`: a body with a length after so long,
 //! - any other: a body with a length at once.
 
+use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
@@ -18,6 +22,9 @@
 /// Time between the pieces of a body without a length.
 pub const PIECE_GAP: Duration = Duration::from_millis(50);
 
+/// Model of the model servers.
+pub const MODEL: &str = "model-1";
+
 /// Piece of a body without a length.
 pub fn piece(number: u64) -> String {
     format!("piece {number}\n")
@@ -27,6 +34,8 @@
     id: String,
     born: u64,
     log: Mutex<File>,
+    /// Tenant whose request made a part, by model, salt and the parts up to it.
+    parts: Mutex<HashMap<String, String>>,
 }
 
 pub fn main(arguments: &[String]) -> i32 {
@@ -39,7 +48,7 @@
     let log = OpenOptions::new().create(true).append(true).open(log).expect("the log");
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time");
     let born = since_epoch.as_millis() as u64;
-    let server = Arc::new(Server { id: id.clone(), born, log: Mutex::new(log) });
+    let server = Arc::new(Server { id: id.clone(), born, log: Mutex::new(log), parts: Mutex::default() });
     // The parent reads when the server listens.
     println!("{born}");
     serve(listener, move |stream| server.serve_connection(stream));
@@ -68,7 +77,7 @@
     fn respond(&self, stream: &mut TcpStream, request: &Request) -> bool {
         if request.path == "/api/report" {
             let body = format!(
-                "{{\"phase\":\"both\",\"models\":[],\"busy\":false,\"sequence\":0,\"waiting\":0,\
+                "{{\"phase\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"sequence\":0,\"waiting\":0,\
                  \"running\":0,\"kv_used\":0,\"kv_total\":0,\"handles\":0,\"born\":{}}}",
                 self.born
             );
@@ -82,6 +91,11 @@
         }
         self.record("runs", id);
         let head = format!("{head}Jujubelink-Server-Stamp: {}.{id}\r\n", self.id);
+        if request.header("jujubelink-model").is_some() {
+            let is_sent = self.generate(stream, request, &head).is_ok();
+            self.record(if is_sent { "ends" } else { "broke off" }, id);
+            return is_sent;
+        }
         let mut words = request.path.split('/').rev();
         let (last, kind) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let number: u64 = last.parse().unwrap_or(0);
@@ -105,4 +119,38 @@
         self.record(if is_sent { "ends" } else { "broke off" }, id);
         is_sent
     }
+
+    /// Reads a prompt with the parts that are kept, keeps the others, and sends three events.
+    fn generate(&self, stream: &mut TcpStream, request: &Request, head: &str) -> std::io::Result<()> {
+        let header = |name: &str| request.header(name).unwrap_or_default();
+        let id = header("jujubelink-attempt-id");
+        let (tenant, salt) = (header("jujubelink-tenant"), header("jujubelink-cache-salt"));
+        let mut path = format!("{}|{salt}", header("jujubelink-model"));
+        let mut reads_kept = true;
+        for part in header("jujubelink-prompt-prefix").split(',') {
+            path = format!("{path}|{part}");
+            let mut parts = self.parts.lock().expect("the lock");
+            match parts.get(&path).filter(|_| reads_kept) {
+                Some(maker) => {
+                    self.record(&format!("tenant {tenant}, salt {salt:?}: part {part} kept, made by {maker}, used by"), id);
+                }
+                None => {
+                    reads_kept = false;
+                    parts.insert(path.clone(), tenant.to_owned());
+                    self.record(&format!("tenant {tenant}, salt {salt:?}: part {part} read by"), id);
+                }
+            }
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\
+             Jujubelink-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        for event in 1..=3 {
+            let text = format!("id: {event}\ndata: token {event}\n\n");
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            std::thread::sleep(PIECE_GAP);
+        }
+        stream.write_all(b"0\r\n\r\n")
+    }
 }
