--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -10,15 +10,16 @@
 use crate::http::{ask, End, Response};
 use crate::platform::Store;
 use crate::server::{piece, MODEL};
+use crate::stress::{signal, stress};
 
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
 const COULD_NOT_RUN: i32 = 2;
 
 /// Keys of the tenants t1 and t2.
-const KEY: &str = "review-key-1";
+pub const KEY: &str = "review-key-1";
 const SECOND_KEY: &str = "review-key-2";
-const HOST: &str = "app.example";
+pub const HOST: &str = "app.example";
 
 pub fn main(case: &str, arguments: &[String]) -> i32 {
     let Some(folder) = arguments.first() else {
@@ -35,6 +36,13 @@
     let code = match case {
         "draining-crash" => draining_crash(&mut run),
         "dedicated-later" => dedicated_later(&mut run),
+        "crash" => crash(&mut run),
+        "lease-raised" => lease_raised(&mut run),
+        "stress" => {
+            let mode = arguments.get(1).map_or("", String::as_str);
+            let seconds = arguments.get(2).and_then(|text| text.parse().ok()).unwrap_or(30);
+            stress(&mut run, mode, seconds)
+        }
         _ => COULD_NOT_RUN,
     };
     let result = ["the rule held", "the rule was broken", "the case could not run"][code as usize];
@@ -44,7 +52,7 @@
 }
 
 /// One play of a case. Dropping it ends all processes that it started.
-struct Run {
+pub struct Run {
     record: File,
     started: Instant,
     temporary: PathBuf,
@@ -71,14 +79,14 @@
         })
     }
 
-    fn record(&mut self, line: &str) {
+    pub fn record(&mut self, line: &str) {
         let at = self.started.elapsed().as_secs_f64();
         let _ = writeln!(self.record, "{at:7.3} s  {line}");
     }
 
     /// Starts the program with the command of the deploy file, and returns where it takes clients. The settings
     /// are those of `deploy/settings.toml` with the bounds of a small deployment.
-    fn start_router(&mut self, name: &str) -> std::io::Result<Router> {
+    pub fn start_router(&mut self, name: &str) -> std::io::Result<Router> {
         let ports: Vec<u16> = (0..5).map(|_| free_port()).collect::<Result<_, _>>()?;
         let values = [
             ("{{ip}}:{{internal_ports.0}}", format!("127.0.0.1:{}", ports[0])),
@@ -112,23 +120,56 @@
         }
         let path = self.temporary.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
-        let log = File::create(self.temporary.join(format!("{name}.log")))?;
-        let router = Command::new("target/release/jujubelink")
+        let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let router = Router { front: address(ports[3]), ready: address(ports[4]), settings: path };
+        self.restart_router(name, &router)?;
+        Ok(router)
+    }
+
+    /// Starts the program with settings that were written before.
+    pub fn restart_router(&mut self, name: &str, router: &Router) -> std::io::Result<()> {
+        let log = self.temporary.join(format!("{name}.log"));
+        let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let process = Command::new("target/release/jujubelink")
             .args(["serve", "--settings"])
-            .arg(&path)
+            .arg(&router.settings)
             .env_clear()
-            .env("JUJUBELINK_SETTINGS", &path)
+            .env("JUJUBELINK_SETTINGS", &router.settings)
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record(&format!("{name} started, process {}", router.id()));
-        self.children.push((name.to_owned(), router));
-        let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        Ok(Router { front: address(ports[3]), ready: address(ports[4]) })
+        self.record(&format!("{name} started, process {}", process.id()));
+        self.children.push((name.to_owned(), process));
+        Ok(())
+    }
+
+    /// Returns the process that was last started under a name.
+    pub fn pid(&self, name: &str) -> u32 {
+        let mut children = self.children.iter().rev();
+        children.find(|(known, _)| known == name).map_or(0, |(_, child)| child.id())
+    }
+
+    /// Waits until a process has ended, and forgets it.
+    pub fn wait(&mut self, name: &str) {
+        for (known, child) in &mut self.children {
+            if known == name {
+                let _ = child.wait();
+            }
+        }
+        self.forget(name);
+    }
+
+    /// Forgets a process that has ended.
+    pub fn forget(&mut self, name: &str) {
+        self.children.retain(|(known, _)| known != name);
+    }
+
+    pub fn temporary(&self) -> &Path {
+        &self.temporary
     }
 
     /// Starts a server process and lists it in the store.
-    fn start_server(&mut self, service: &str, id: &str) -> std::io::Result<ServerProcess> {
+    pub fn start_server(&mut self, service: &str, id: &str) -> std::io::Result<ServerProcess> {
         let port = free_port()?;
         let mut server = Command::new(std::env::current_exe()?)
             .args(["server", &port.to_string(), id])
@@ -160,7 +201,7 @@
         };
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"127.0.0.1:{port}\",\"zone\":\"zone-a\",\
-             \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
+             \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
              \"phase\":\"both\",\"models\":[{models}],\"sequence\":1,\"born\":{born}}}"
         );
         self.store.put("servers", id, &entry);
@@ -168,7 +209,7 @@
     }
 
     /// Kills a process that this run started.
-    fn kill(&mut self, name: &str) {
+    pub fn kill(&mut self, name: &str) {
         for (known, child) in &mut self.children {
             if known == name {
                 let _ = child.kill();
@@ -180,7 +221,7 @@
 
     /// Writes the configuration with the routes `/read/` (idempotent) and `/pay/` of the service `app`, and
     /// `/ask/` of the model servers. Tenant t1 is `dedicated` or not.
-    fn configure(&mut self, version: u64, is_dedicated: bool) {
+    pub fn configure(&mut self, version: u64, is_dedicated: bool) {
         let route = |name: &str, kind: &str, rest: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
@@ -232,7 +273,7 @@
         ));
     }
 
-    fn wait_until_ready(&mut self, router: &Router) -> bool {
+    pub fn wait_until_ready(&mut self, router: &Router) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             let head = "GET /api/ready HTTP/1.1\r\nHost: ready\r\n";
@@ -259,12 +300,14 @@
     }
 }
 
-struct Router {
-    front: SocketAddr,
-    ready: SocketAddr,
+#[derive(Clone)]
+pub struct Router {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
 }
 
-struct ServerProcess {
+pub struct ServerProcess {
     id: String,
     service: String,
     port: u16,
@@ -307,10 +350,9 @@
     }
     // The router may learn of the keys a moment after it is ready.
     std::thread::sleep(Duration::from_millis(500));
-    let front = Router { front: router.front, ready: router.ready };
     let calls: Vec<_> = (0..CALLS)
         .map(|number| {
-            let router = Router { front: front.front, ready: front.ready };
+            let router = router.clone();
             let (method, name) = [("GET", "read"), ("POST", "pay")][number % 2];
             let path = format!("/{name}/unframed/{PIECES}");
             let id = format!("{name}-{number}");
@@ -415,3 +457,192 @@
         _ => HELD,
     }
 }
+
+/// An order as a server saw it.
+struct Order {
+    at_ms: u64,
+    holder: String,
+    fence: u64,
+}
+
+fn orders(run: &Run) -> Vec<Order> {
+    let log = fs::read_to_string(run.temporary.join("runs.log")).unwrap_or_default();
+    let mut orders: Vec<Order> = log
+        .lines()
+        .filter_map(|line| {
+            let words: Vec<&str> = line.split(' ').collect();
+            (words.get(1) == Some(&"order")).then_some(())?;
+            Some(Order {
+                at_ms: words.get(2)?.parse().ok()?,
+                holder: (*words.get(3)?).to_owned(),
+                fence: words.get(4)?.parse().ok()?,
+            })
+        })
+        .collect();
+    orders.sort_by_key(|order| order.at_ms);
+    orders
+}
+
+/// The settings files are changed to a longer `lease_ms`, which SIGHUP tells, and the holder of the orders is
+/// killed while weights are named.
+fn lease_raised(run: &mut Run) -> i32 {
+    const LEASE_BEFORE: &str = "holder_pause_ms = 3000";
+    const LEASE_AFTER_MS: u64 = 8000;
+    const NAMES: [&str; 2] = ["edge-a-1", "edge-b-1"];
+    run.configure(1, false);
+    let mut version = 1;
+    let mut name_weights = |run: &mut Run| {
+        let weights = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
+        run.store.put("versions", MODEL, &weights);
+        run.record(&format!("the store names version {version} of the weights"));
+        version += 1;
+    };
+    name_weights(run);
+    for id in ["i-1", "i-2", "i-3"] {
+        if run.start_server("llm", id).is_err() {
+            return COULD_NOT_RUN;
+        }
+    }
+    let mut routers = Vec::new();
+    for name in NAMES {
+        let Ok(router) = run.start_router(name) else {
+            return COULD_NOT_RUN;
+        };
+        if !run.wait_until_ready(&router) {
+            return COULD_NOT_RUN;
+        }
+        routers.push(router);
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let mut lease_ms = 3000;
+    if run.trouble {
+        for (router, name) in routers.iter().zip(NAMES) {
+            let Ok(settings) = fs::read_to_string(&router.settings) else {
+                return COULD_NOT_RUN;
+            };
+            let changed = settings.replace(LEASE_BEFORE, &format!("holder_pause_ms = {LEASE_AFTER_MS}"));
+            if changed == settings || fs::write(&router.settings, changed).is_err() {
+                return COULD_NOT_RUN;
+            }
+            signal(run.pid(name), "HUP");
+            run.record(&format!("settings of {name}: lease_ms is {LEASE_AFTER_MS}, SIGHUP sent"));
+        }
+        lease_ms = LEASE_AFTER_MS;
+        // More than a machine needs to be in touch again, and for the settings to be read without a signal.
+        std::thread::sleep(Duration::from_secs(4));
+    }
+    name_weights(run);
+    let until = Instant::now() + Duration::from_secs(15);
+    while orders(run).is_empty() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let Some(holder) = orders(run).first().map(|order| order.holder.clone()) else {
+        run.record("no order came");
+        return COULD_NOT_RUN;
+    };
+    if run.trouble {
+        run.kill(&holder);
+    }
+    for _ in 0..10 {
+        name_weights(run);
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    let orders = orders(run);
+    let first_ms = orders[0].at_ms;
+    for order in &orders {
+        run.record(&format!(
+            "order {} ms after the first, holder {}, fencing token {}",
+            order.at_ms - first_ms,
+            order.holder,
+            order.fence
+        ));
+    }
+    let mut code = HELD;
+    for pair in orders.windows(2) {
+        let gap_ms = pair[1].at_ms - pair[0].at_ms;
+        if pair[0].holder != pair[1].holder && gap_ms < lease_ms {
+            run.record(&format!(
+                "ONE: {} and {} take turns within {gap_ms} ms, and lease_ms is {lease_ms}",
+                pair[0].holder, pair[1].holder
+            ));
+            code = BROKEN;
+        }
+    }
+    code
+}
+
+/// One of four servers crashes, and is back after a second, again and again within responses that end with their
+/// connection.
+fn crash(run: &mut Run) -> i32 {
+    const SERVERS: usize = 4;
+    const ROUNDS: usize = 20;
+    const CLIENTS: usize = 120;
+    const PIECES: u64 = 20;
+    /// Time from the crash until the server is back.
+    const DOWN: Duration = Duration::from_secs(1);
+    run.configure(1, false);
+    let id = |server: usize| format!("i-{server}");
+    for server in 0..SERVERS {
+        if run.start_server("app", &id(server)).is_err() {
+            return COULD_NOT_RUN;
+        }
+    }
+    let Ok(router) = run.start_router("edge-a-1") else {
+        return COULD_NOT_RUN;
+    };
+    if !run.wait_until_ready(&router) {
+        return COULD_NOT_RUN;
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let whole: String = (1..=PIECES).map(piece).collect();
+    let (mut complete, mut cut, mut mixed) = (0, 0, 0);
+    for round in 0..ROUNDS {
+        let calls: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let router = router.clone();
+                let (method, name) = [("GET", "read"), ("POST", "pay")][client % 2];
+                let id = format!("{name}-{round}-{client}");
+                let path = format!("/{name}/unframed/{PIECES}");
+                std::thread::spawn(move || (id.clone(), send(&router, method, &path, &id)))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(500));
+        let crashed = id(round % SERVERS);
+        if run.trouble {
+            run.kill(&crashed);
+            run.forget(&crashed);
+            std::thread::sleep(DOWN);
+            if run.start_server("app", &crashed).is_err() {
+                return COULD_NOT_RUN;
+            }
+        }
+        for call in calls {
+            let Ok((id, response)) = call.join() else {
+                return COULD_NOT_RUN;
+            };
+            let is_success = response.status == 200 && response.end == End::Complete;
+            match (is_success, response.body == whole) {
+                (true, true) => complete += 1,
+                (true, false) => {
+                    mixed += 1;
+                    run.record(&format!(
+                        "MIXED: {id} got status 200, stamp {:?}, {} of {PIECES} pieces and the end of a \
+                         complete response, after {} ms",
+                        response.header("jujubelink-server-stamp"),
+                        response.body.lines().count(),
+                        response.took.as_millis()
+                    ));
+                }
+                (false, _) => cut += 1,
+            }
+        }
+    }
+    run.record(&format!(
+        "{complete} responses complete, {cut} seen to be cut or failed, {mixed} cut that look complete"
+    ));
+    match (mixed > 0, run.trouble, cut > 0) {
+        (true, ..) => BROKEN,
+        (false, false, true) => COULD_NOT_RUN,
+        _ => HELD,
+    }
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod platform;
 mod server;
+mod stress;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -14,10 +14,11 @@
 use std::fs::{File, OpenOptions};
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{read_request, respond, serve, Request};
+use crate::json;
 
 /// Time between the pieces of a body without a length.
 pub const PIECE_GAP: Duration = Duration::from_millis(50);
@@ -30,10 +31,23 @@
     format!("piece {number}\n")
 }
 
+/// Time that new weights take.
+const LOAD_TIME: Duration = Duration::from_millis(1300);
+
+/// State of a model server's weights.
+struct Weights {
+    version: u64,
+    /// Number of accepted orders.
+    sequence: u64,
+    /// The version that is loaded, and when that ends.
+    loading: Option<(u64, Instant)>,
+}
+
 struct Server {
     id: String,
     born: u64,
     log: Mutex<File>,
+    weights: Mutex<Weights>,
     /// Tenant whose request made a part, by model, salt and the parts up to it.
     parts: Mutex<HashMap<String, String>>,
 }
@@ -48,7 +62,7 @@
     let log = OpenOptions::new().create(true).append(true).open(log).expect("the log");
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time");
     let born = since_epoch.as_millis() as u64;
-    let server = Arc::new(Server { id: id.clone(), born, log: Mutex::new(log), parts: Mutex::default() });
+    let server = Arc::new(Server { id: id.clone(), born, log: Mutex::new(log), weights: Mutex::new(Weights { version: 1, sequence: 0, loading: None }), parts: Mutex::default() });
     // The parent reads when the server listens.
     println!("{born}");
     serve(listener, move |stream| server.serve_connection(stream));
@@ -60,7 +74,8 @@
 impl Server {
     fn record(&self, what: &str, request: &str) {
         let mut log = self.log.lock().expect("the lock");
-        let _ = writeln!(log, "{} {what} {request}", self.id);
+        // One write a line, as several processes append to the file.
+        let _ = log.write_all(format!("{} {what} {request}\n", self.id).as_bytes());
     }
 
     fn serve_connection(&self, mut stream: TcpStream) {
@@ -76,13 +91,19 @@
     /// Returns whether the connection is kept.
     fn respond(&self, stream: &mut TcpStream, request: &Request) -> bool {
         if request.path == "/api/report" {
+            let weights = self.weights();
+            let (version, sequence, busy) = (weights.version, weights.sequence, weights.loading.is_some());
             let body = format!(
-                "{{\"phase\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"sequence\":0,\"waiting\":0,\
-                 \"running\":0,\"kv_used\":0,\"kv_total\":0,\"handles\":0,\"born\":{}}}",
+                "{{\"phase\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{version},\
+                 \"adapters\":[]}}],\"busy\":{busy},\"sequence\":{sequence},\"waiting\":0,\"running\":0,\
+                 \"kv_used\":0,\"kv_total\":100000,\"handles\":0,\"born\":{}}}",
                 self.born
             );
             return respond(stream, "200 OK", "content-type: application/json\r\n", &body).is_ok();
         }
+        if request.path == "/api/order" {
+            return respond(stream, self.order(&request.body), "", "{}").is_ok();
+        }
         let id = request.header("jujubelink-attempt-id").unwrap_or_default();
         let head = format!("Jujubelink-Attempt-Id: {id}\r\n");
         if request.header("jujubelink-expect-instance").is_some_and(|name| name != self.id) {
@@ -114,6 +135,10 @@
                 std::thread::sleep(Duration::from_millis(number));
                 respond(stream, "200 OK", &head, "done").is_ok()
             }
+            "echo" => {
+                let body = format!("{} {} {}", request.method, request.path, request.body);
+                respond(stream, "200 OK", &head, &body).is_ok()
+            }
             _ => respond(stream, "200 OK", &head, "done").is_ok(),
         };
         self.record(if is_sent { "ends" } else { "broke off" }, id);
@@ -153,4 +178,38 @@
         }
         stream.write_all(b"0\r\n\r\n")
     }
+
+    fn weights(&self) -> MutexGuard<'_, Weights> {
+        let mut weights = self.weights.lock().expect("the lock");
+        if let Some((version, end)) = weights.loading {
+            if Instant::now() >= end {
+                weights.version = version;
+                weights.loading = None;
+            }
+        }
+        weights
+    }
+
+    /// Handles an order for new weights, and logs when it arrived, its holder and its fencing token.
+    fn order(&self, body: &str) -> &'static str {
+        let mut weights = self.weights();
+        let holder = json::string(body, "holder").unwrap_or_default();
+        let fence = json::number(body, "fence").unwrap_or(0);
+        let version = json::number(body, "version").unwrap_or(0);
+        let expected = json::number(body, "expected_rev");
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time");
+        let is_refused = weights.loading.is_some()
+            || expected.is_some_and(|expected| expected != weights.sequence);
+        let status = match (is_refused, version == weights.version) {
+            (true, _) => "409 Conflict",
+            (false, true) => "200 OK",
+            (false, false) => {
+                weights.sequence += 1;
+                weights.loading = Some((version, Instant::now() + LOAD_TIME));
+                "202 Accepted"
+            }
+        };
+        self.record(&format!("order {} {holder} {fence} {version} {status}", since_epoch.as_millis()), "");
+        status
+    }
 }
