--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -57,7 +57,7 @@
     started: Instant,
     temporary: PathBuf,
     children: Vec<(String, Child)>,
-    store: Store,
+    pub store: Store,
     store_address: SocketAddr,
     trouble: bool,
 }
@@ -164,6 +164,10 @@
         self.children.retain(|(known, _)| known != name);
     }
 
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_address
+    }
+
     pub fn temporary(&self) -> &Path {
         &self.temporary
     }
@@ -238,6 +242,12 @@
                 "\"service\":\"llm\",\"max_attempts\":2,\"session_affinity\":true,\
                  \"resumable\":true,\"gap_aim_ms\":250",
             ),
+            route(
+                "tell",
+                "streaming",
+                "\"service\":\"llm\",\"max_attempts\":1,\"session_affinity\":true,\
+                 \"resumable\":false,\"gap_aim_ms\":250",
+            ),
         ];
         let services = [
             "{\"name\":\"app\",\"health_check\":\"/healthz\",\"max_connections\":100,\
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -115,7 +115,7 @@
         if request.header("jujubelink-model").is_some() {
             let is_sent = self.generate(stream, request, &head).is_ok();
             self.record(if is_sent { "ends" } else { "broke off" }, id);
-            return is_sent;
+            return is_sent && !request.path.contains("/unframed/");
         }
         let mut words = request.path.split('/').rev();
         let (last, kind) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
@@ -166,17 +166,29 @@
                 }
             }
         }
+        let last: u64 = header("last-event-id").parse().unwrap_or(0);
+        let events: u64 = request.path.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(3);
+        let has_length = !request.path.contains("/unframed/");
+        let framing = if has_length { "Transfer-Encoding: chunked" } else { "Connection: close" };
+        let version = self.weights().version;
         let head = format!(
             "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\
-             Jujubelink-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             Jujubelink-Weight-Versions: {version}\r\n{framing}\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
-        for event in 1..=3 {
+        for event in last + 1..=events {
             let text = format!("id: {event}\ndata: token {event}\n\n");
-            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            let chunk = match has_length {
+                true => format!("{:x}\r\n{text}\r\n", text.len()),
+                false => text,
+            };
+            stream.write_all(chunk.as_bytes())?;
             std::thread::sleep(PIECE_GAP);
         }
-        stream.write_all(b"0\r\n\r\n")
+        match has_length {
+            true => stream.write_all(b"0\r\n\r\n"),
+            false => stream.shutdown(std::net::Shutdown::Write),
+        }
     }
 
     fn weights(&self) -> MutexGuard<'_, Weights> {
--- a/review/standin/stress.rs
+++ b/review/standin/stress.rs
@@ -11,7 +11,7 @@
 
 use crate::cases::{Router, Run, HOST, KEY};
 use crate::http::{ask, connect, read_response, End, Response};
-use crate::server::piece;
+use crate::server::{piece, MODEL};
 
 struct Outcome {
     id: String,
@@ -23,6 +23,8 @@
     stamp: String,
     /// Whether the body is that of the server.
     is_whole: bool,
+    body: String,
+    expected: String,
     work: String,
     is_complete: bool,
     took: Duration,
@@ -34,6 +36,7 @@
 
 fn client(
     number: u64,
+    are_streams: bool,
     routers: &[(SocketAddr, AtomicBool)],
     stop: &AtomicBool,
     next: &AtomicU64,
@@ -64,9 +67,29 @@
                 }
             }
         };
-        let (method, name) = [("GET", "read"), ("POST", "pay")][random as usize / 7 % 2];
+        let (method, name) = match are_streams {
+            true => ("POST", ["ask", "tell"][random as usize / 7 % 2]),
+            false => [("GET", "read"), ("POST", "pay")][random as usize / 7 % 2],
+        };
         let id = format!("{name}-{}", next.fetch_add(1, Ordering::Relaxed));
+        let stream_work = {
+            let events = 1 + random / 11 % 24;
+            let framing = ["unframed", "chunked"][random as usize / 5 % 2];
+            let text: String =
+                (1..=events).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect();
+            (format!("{framing}/{events}"), text)
+        };
+        let prompt = match are_streams {
+            true => format!(
+                "Jujubelink-Model: {MODEL}\r\nJujubelink-Token-Count: 1460,80\r\n\
+                 Jujubelink-Prompt-Prefix: 5c1e07a2:800,{:x}:410,{:x}:250\r\n",
+                random % 5,
+                random % 1000
+            ),
+            false => String::new(),
+        };
         let (work, expected) = match random % 10 {
+            _ if are_streams => stream_work,
             0..=6 => (format!("wait/{}", random % 60), "done".to_owned()),
             7 => (format!("wait/{}", random % 1500), "done".to_owned()),
             _ => {
@@ -76,7 +99,7 @@
         };
         let head = format!(
             "{method} /{name}/{work} HTTP/1.1\r\nHost: {HOST}\r\nJujubelink-Attempt-Id: {id}\r\n\
-             Jujubelink-Deadline-Ms: 3000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+             Jujubelink-Deadline-Ms: 3000\r\nAuthorization: Bearer {KEY}\r\n{prompt}Content-Length: 0\r\n\r\n"
         );
         let mut response = Response {
             status: 0,
@@ -100,6 +123,8 @@
             status: response.status,
             stamp: response.header("jujubelink-server-stamp").unwrap_or_default().to_owned(),
             is_whole: response.body == expected,
+            body: response.body,
+            expected,
             work,
             is_complete: result.is_ok(),
             took: sent_at.elapsed(),
@@ -113,8 +138,12 @@
 
 pub fn stress(run: &mut Run, mode: &str, seconds: u64) -> i32 {
     run.configure(1, false);
+    let are_streams = mode.starts_with("s-");
+    let mode = mode.trim_start_matches("s-");
+    let service = if are_streams { "llm" } else { "app" };
+    run.store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
     for id in ["i-1", "i-2", "i-3"] {
-        if run.start_server("app", id).is_err() {
+        if run.start_server(service, id).is_err() {
             return 2;
         }
     }
@@ -133,7 +162,7 @@
     }
     std::thread::sleep(Duration::from_secs(1));
     if mode == "hold" {
-        println!("{} {}", started_routers[0].front, run.pid("edge-a-1"));
+        println!("{} {} {}", started_routers[0].front, run.pid("edge-a-1"), run.store_address());
         std::thread::sleep(Duration::from_secs(seconds));
         return 0;
     }
@@ -162,7 +191,7 @@
         .map(|number| {
             let (fronts, stop, next, outcomes) =
                 (Arc::clone(&fronts), Arc::clone(&stop), Arc::clone(&next), Arc::clone(&outcomes));
-            std::thread::spawn(move || client(number + 1, &fronts, &stop, &next, &outcomes, started))
+            std::thread::spawn(move || client(number + 1, are_streams, &fronts, &stop, &next, &outcomes, started))
         })
         .collect();
     let mut round = 0;
@@ -202,7 +231,7 @@
                 run.kill(id);
                 run.forget(id);
                 std::thread::sleep(Duration::from_millis(700));
-                if run.start_server("app", id).is_err() {
+                if run.start_server(service, id).is_err() {
                     return 2;
                 }
             }
@@ -237,7 +266,7 @@
     let mut is_broken = false;
     for outcome in outcomes {
         let times = runs.get(outcome.id.as_str()).copied().unwrap_or(0);
-        let is_pay = outcome.id.starts_with("pay");
+        let is_pay = outcome.id.starts_with("pay") || outcome.id.starts_with("tell");
         *counts.entry(format!("{} complete={}", outcome.status, outcome.is_complete)).or_default() += 1;
         let mut fault = |rule: &str| {
             is_broken = true;
@@ -266,6 +295,10 @@
         if outcome.status == 0 {
             fault(if times > 0 { "cut after it was passed on" } else { "cut" });
         }
+        let is_prefix = !outcome.body.is_empty() && !outcome.expected.starts_with(&outcome.body);
+        if is_prefix {
+            fault("ORDER");
+        }
         if outcome.took > Duration::from_millis(3700) {
             fault("late");
         }
