--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -5,9 +5,11 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::http::{ask, End, Response};
+use crate::http::{ask, connect, read_response, End, Response};
 use crate::platform::Store;
 use crate::server::{piece, MODEL};
 use crate::stress::{signal, stress};
@@ -37,6 +39,7 @@
         "draining-crash" => draining_crash(&mut run),
         "dedicated-later" => dedicated_later(&mut run),
         "crash" => crash(&mut run),
+        "unseen-departure" => unseen_departure(&mut run),
         "lease-raised" => lease_raised(&mut run),
         "stress" => {
             let mode = arguments.get(1).map_or("", String::as_str);
@@ -67,7 +70,7 @@
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&temporary)?;
         let store = Store::default();
-        let store_address = store.start();
+        let store_address = store.start(&Arc::default());
         Ok(Self {
             record: File::create(folder.join("record.txt"))?,
             started: Instant::now(),
@@ -159,6 +162,17 @@
         self.forget(name);
     }
 
+    /// Writes a line to the standard input of a process.
+    pub fn send_line(&mut self, name: &str) {
+        let mut children = self.children.iter_mut().rev();
+        if let Some((_, child)) = children.find(|(known, _)| known == name) {
+            if let Some(input) = &mut child.stdin {
+                let _ = input.write_all(b"leave\n").and_then(|()| input.flush());
+            }
+        }
+        self.record(&format!("{name} leaves"));
+    }
+
     /// Forgets a process that has ended.
     pub fn forget(&mut self, name: &str) {
         self.children.retain(|(known, _)| known != name);
@@ -178,6 +192,7 @@
         let mut server = Command::new(std::env::current_exe()?)
             .args(["server", &port.to_string(), id])
             .arg(self.temporary.join("runs.log"))
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let mut born = String::new();
@@ -233,7 +248,13 @@
                  \"priority\":1,\"public\":false,{rest}}}"
             )
         };
+        let public = |name: &str, kind: &str, attempts: u32| {
+            let rest = format!("\"service\":\"app\",\"max_attempts\":{attempts}");
+            route(name, kind, &rest).replace("\"public\":false", "\"public\":true")
+        };
         let routes = [
+            public("open", "idempotent", 2),
+            public("charge", "non_idempotent", 1),
             route("read", "idempotent", "\"service\":\"app\",\"max_attempts\":2"),
             route("pay", "non_idempotent", "\"service\":\"app\",\"max_attempts\":1"),
             route(
@@ -656,3 +677,114 @@
         _ => HELD,
     }
 }
+
+/// The store is silent for one of three machines while a server leaves as planned, whose last responses end with
+/// their connections.
+fn unseen_departure(run: &mut Run) -> i32 {
+    const ROUNDS: usize = 5;
+    const CLIENTS: usize = 8;
+    /// The responses end when the server has drained.
+    const PIECES: u64 = 54;
+    const SILENCE: Duration = Duration::from_secs(9);
+    const LOST_AT_MOST: u32 = 3;
+    run.configure(1, false);
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let own_store = run.store.start(&is_silent);
+    let others_store = std::mem::replace(&mut run.store_address, own_store);
+    if run.start_server("app", "i-stays").is_err() {
+        return COULD_NOT_RUN;
+    }
+    let Ok(router) = run.start_router("edge-a-1") else {
+        return COULD_NOT_RUN;
+    };
+    run.store_address = others_store;
+    for name in ["edge-b-1", "edge-c-1"] {
+        let Ok(other) = run.start_router(name) else {
+            return COULD_NOT_RUN;
+        };
+        if !run.wait_until_ready(&other) {
+            return COULD_NOT_RUN;
+        }
+    }
+    if !run.wait_until_ready(&router) {
+        return COULD_NOT_RUN;
+    }
+    let whole: String = (1..=PIECES).map(piece).collect();
+    let mut lost = 0;
+    for round in 0..ROUNDS {
+        let id = format!("i-leaves-{round}");
+        let Ok(server) = run.start_server("app", &id) else {
+            return COULD_NOT_RUN;
+        };
+        std::thread::sleep(Duration::from_millis(1500));
+        let calls: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let router = router.clone();
+                let (method, name) = [("GET", "open"), ("POST", "charge")][client % 2];
+                let id = format!("{name}-{round}-{client}");
+                let path = format!("/{name}/unframed/{PIECES}");
+                std::thread::spawn(move || send_on_kept_connection(&router, method, &path, &id))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(400));
+        if run.trouble {
+            is_silent.store(true, Ordering::SeqCst);
+            run.record("the store is silent for edge-a-1");
+        }
+        let silent_at = Instant::now();
+        std::thread::sleep(Duration::from_millis(100));
+        run.list(&server, "draining");
+        run.send_line(&id);
+        for call in calls {
+            let Ok(Some((id, response))) = call.join() else {
+                return COULD_NOT_RUN;
+            };
+            let is_complete = response.end == End::Complete && response.body == whole;
+            if !is_complete {
+                lost += 1;
+                run.record(&format!(
+                    "{id}: status {}, {} of {PIECES} pieces, {:?}, after {} ms",
+                    response.status,
+                    response.body.lines().count(),
+                    response.end,
+                    response.took.as_millis()
+                ));
+            }
+        }
+        run.wait(&id);
+        run.record(&format!("{id} has left"));
+        run.store.remove("servers", &id);
+        while run.trouble && silent_at.elapsed() < SILENCE {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        is_silent.store(false, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(if run.trouble { 4000 } else { 500 }));
+    }
+    run.record(&format!("{lost} of {} requests on kept connections have no whole answer", ROUNDS * CLIENTS));
+    match lost > LOST_AT_MOST {
+        true => BROKEN,
+        false => HELD,
+    }
+}
+
+/// Sends a short request and then the request itself on one connection.
+fn send_on_kept_connection(router: &Router, method: &str, path: &str, id: &str) -> Option<(String, Response)> {
+    let mut stream = connect(router.front, Duration::from_secs(10)).ok()?;
+    let mut response = Response::default();
+    for (method, path, id) in [("GET", "/open/wait/5", format!("first-{id}")), (method, path, id.to_owned())] {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nJujubelink-Attempt-Id: {id}\r\n\
+             Jujubelink-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n"
+        );
+        let started = Instant::now();
+        response = Response::default();
+        let sent = stream.get_mut().write_all(head.as_bytes());
+        if sent.and_then(|()| read_response(&mut stream, &mut response)).is_err() {
+            response.end = End::BrokenOff;
+        } else {
+            response.end = End::Complete;
+        }
+        response.took = started.elapsed();
+    }
+    Some((id.to_owned(), response))
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -74,18 +74,19 @@
 }
 
 /// How a response ended for a client.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum End {
     /// Complete by its length or by its last chunk.
     Complete,
     /// The connection ended before.
+    #[default]
     BrokenOff,
     /// Nothing came in time.
     Silence,
 }
 
 /// A response as a client saw it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Response {
     /// 0 if no head came.
     pub status: u16,
@@ -106,13 +107,7 @@
 /// Sends a request on a new connection and reads the response.
 pub fn ask(address: SocketAddr, head: &str, body: &str, patience: Duration) -> Response {
     let started = Instant::now();
-    let mut response = Response {
-        status: 0,
-        headers: Vec::new(),
-        body: String::new(),
-        end: End::BrokenOff,
-        took: Duration::ZERO,
-    };
+    let mut response = Response::default();
     if let Err(error) = exchange(address, head, body, patience, &mut response) {
         response.end = match error.kind() {
             io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => End::Silence,
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,15 +33,22 @@
 }
 
 impl Store {
-    /// Serves the store at a free port.
-    pub fn start(&self) -> SocketAddr {
+    /// Serves the store at a free port. While `is_silent` holds, calls there are neither executed nor answered.
+    pub fn start(&self, is_silent: &Arc<AtomicBool>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let store = self.clone();
-        serve(listener, move |stream| store.serve_connection(stream));
+        let (store, is_silent) = (self.clone(), Arc::clone(is_silent));
+        serve(listener, move |stream| store.serve_connection(stream, &is_silent));
         address
     }
 
+    /// Removes an object on behalf of a server.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.0.lock().expect("the lock");
+        Self::delete(&mut state, kind, name);
+        self.state.1.notify_all();
+    }
+
     /// Writes an object on behalf of the operator or of a server.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut state = self.state.0.lock().expect("the lock");
@@ -74,11 +82,17 @@
         true
     }
 
-    fn serve_connection(&self, mut stream: TcpStream) {
+    fn serve_connection(&self, mut stream: TcpStream, is_silent: &AtomicBool) {
         let Ok(reading) = stream.try_clone() else { return };
         let mut reading = BufReader::new(reading);
         while let Some(request) = read_request(&mut reading) {
-            let (status, body) = self.call(&request);
+            let is_unheard = || is_silent.load(Ordering::SeqCst);
+            let answer = (!is_unheard()).then(|| self.call(&request));
+            let Some((status, body)) = answer.filter(|_| !is_unheard()) else {
+                // The caller has to give the connection up.
+                while read_request(&mut reading).is_some() {}
+                return;
+            };
             let headers = "content-type: application/json\r\n";
             if respond(&mut stream, status, headers, &body).is_err() {
                 return;
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -14,6 +14,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -43,7 +44,13 @@
     loading: Option<(u64, Instant)>,
 }
 
+/// `drain_ms`, for which a server goes on after the store has accepted that it leaves, and a little longer.
+const DRAIN_TIME: Duration = Duration::from_millis(2050);
+
 struct Server {
+    is_leaving: AtomicBool,
+    /// Number of runs in progress.
+    runs: AtomicU64,
     id: String,
     born: u64,
     log: Mutex<File>,
@@ -62,13 +69,22 @@
     let log = OpenOptions::new().create(true).append(true).open(log).expect("the log");
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time");
     let born = since_epoch.as_millis() as u64;
-    let server = Arc::new(Server { id: id.clone(), born, log: Mutex::new(log), weights: Mutex::new(Weights { version: 1, sequence: 0, loading: None }), parts: Mutex::default() });
+    let server = Arc::new(Server { is_leaving: AtomicBool::new(false), runs: AtomicU64::new(0), id: id.clone(), born, log: Mutex::new(log), weights: Mutex::new(Weights { version: 1, sequence: 0, loading: None }), parts: Mutex::default() });
     // The parent reads when the server listens.
     println!("{born}");
-    serve(listener, move |stream| server.serve_connection(stream));
-    loop {
-        std::thread::park();
+    let serving = Arc::clone(&server);
+    serve(listener, move |stream| serving.serve_connection(stream));
+    // A line on the standard input is the order to leave. The input ends with the process that started this one.
+    let mut line = String::new();
+    if !matches!(std::io::stdin().read_line(&mut line), Ok(1..)) {
+        return 0;
+    }
+    server.is_leaving.store(true, Ordering::SeqCst);
+    std::thread::sleep(DRAIN_TIME);
+    while server.runs.load(Ordering::SeqCst) > 0 {
+        std::thread::sleep(Duration::from_millis(1));
     }
+    0
 }
 
 impl Server {
@@ -122,6 +138,7 @@
         let number: u64 = last.parse().unwrap_or(0);
         let is_sent = match kind {
             "unframed" => {
+                self.runs.fetch_add(1, Ordering::SeqCst);
                 let head = format!("HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n");
                 let mut sent = stream.write_all(head.as_bytes());
                 for number in 1..=number {
@@ -129,6 +146,11 @@
                     std::thread::sleep(PIECE_GAP);
                 }
                 self.record(if sent.is_ok() { "ends" } else { "broke off" }, id);
+                self.runs.fetch_sub(1, Ordering::SeqCst);
+                while self.is_leaving.load(Ordering::SeqCst) {
+                    // The end of the process closes the connection.
+                    std::thread::sleep(Duration::from_millis(10));
+                }
                 return false;
             }
             "wait" => {
--- a/review/standin/stress.rs
+++ b/review/standin/stress.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::cases::{Router, Run, HOST, KEY};
-use crate::http::{ask, connect, read_response, End, Response};
+use crate::http::{ask, connect, read_response, Response};
 use crate::server::{piece, MODEL};
 
 struct Outcome {
@@ -101,13 +101,7 @@
             "{method} /{name}/{work} HTTP/1.1\r\nHost: {HOST}\r\nJujubelink-Attempt-Id: {id}\r\n\
              Jujubelink-Deadline-Ms: 3000\r\nAuthorization: Bearer {KEY}\r\n{prompt}Content-Length: 0\r\n\r\n"
         );
-        let mut response = Response {
-            status: 0,
-            headers: Vec::new(),
-            body: String::new(),
-            end: End::BrokenOff,
-            took: Duration::ZERO,
-        };
+        let mut response = Response::default();
         let sent_at = Instant::now();
         let at = started.elapsed().as_secs_f64();
         let result = stream
