--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -39,6 +39,10 @@
         "draining-crash" => draining_crash(&mut run),
         "dedicated-later" => dedicated_later(&mut run),
         "crash" => crash(&mut run),
+        "orders" => {
+            let seed = arguments.get(1).and_then(|text| text.parse().ok()).unwrap_or(1);
+            changing_holders(&mut run, seed)
+        }
         "unseen-departure" => unseen_departure(&mut run),
         "lease-raised" => lease_raised(&mut run),
         "stress" => {
@@ -788,3 +792,113 @@
     }
     Some((id.to_owned(), response))
 }
+
+/// Weights are named all the time while the holders of the orders are killed, stopped, frozen and kept from the store.
+fn changing_holders(run: &mut Run, seed: u64) -> i32 {
+    const NAMES: [&str; 3] = ["edge-a-1", "edge-b-1", "edge-c-1"];
+    const LEASE_MS: u64 = 3000;
+    const THAW_MS: u64 = 300;
+    let mut random = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+    let mut next = move || {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        random
+    };
+    run.configure(1, false);
+    run.store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        if run.start_server("llm", id).is_err() {
+            return COULD_NOT_RUN;
+        }
+    }
+    let mut routers = Vec::new();
+    let others_store = run.store_address;
+    for name in NAMES {
+        let is_silent = Arc::new(AtomicBool::new(false));
+        run.store_address = run.store.start(&is_silent);
+        let Ok(router) = run.start_router(name) else {
+            return COULD_NOT_RUN;
+        };
+        if !run.wait_until_ready(&router) {
+            return COULD_NOT_RUN;
+        }
+        routers.push((router, is_silent));
+    }
+    run.store_address = others_store;
+    let store = run.store.clone();
+    std::thread::spawn(move || {
+        for version in 2.. {
+            store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}"));
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+    });
+    let mut thawed: Vec<(String, u64)> = Vec::new();
+    let now_ms = || {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        since_epoch.map_or(0, |time| time.as_millis() as u64)
+    };
+    let until = Instant::now() + Duration::from_secs(85);
+    while Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(500 + next() % 4000));
+        let Some(holder) = orders(run).last().map(|order| order.holder.clone()) else {
+            continue;
+        };
+        let Some(index) = NAMES.iter().position(|name| *name == holder) else {
+            return COULD_NOT_RUN;
+        };
+        let (router, is_silent) = routers[index].clone();
+        match next() % 5 {
+            0 => {
+                run.kill(&holder);
+                run.forget(&holder);
+                std::thread::sleep(Duration::from_millis(300 + next() % 3000));
+                if run.restart_router(&holder, &router).is_err() {
+                    return COULD_NOT_RUN;
+                }
+            }
+            1 => {
+                run.record(&format!("SIGTERM to {holder}"));
+                signal(run.pid(&holder), "TERM");
+                run.wait(&holder);
+                if run.restart_router(&holder, &router).is_err() {
+                    return COULD_NOT_RUN;
+                }
+            }
+            2 => {
+                run.record(&format!("{holder} frozen"));
+                signal(run.pid(&holder), "STOP");
+                std::thread::sleep(Duration::from_millis(500 + next() % 8000));
+                thawed.push((holder.clone(), now_ms()));
+                signal(run.pid(&holder), "CONT");
+            }
+            _ => {
+                run.record(&format!("the store is silent for {holder}"));
+                is_silent.store(true, Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(500 + next() % 8000));
+                is_silent.store(false, Ordering::SeqCst);
+            }
+        }
+    }
+    let orders = orders(run);
+    let is_excused = |order: &Order| {
+        thawed.iter().any(|(name, at)| *name == order.holder && order.at_ms >= *at && order.at_ms - at <= THAW_MS)
+    };
+    let counted: Vec<&Order> = orders.iter().filter(|order| !is_excused(order)).collect();
+    let mut code = HELD;
+    let mut holders = 1;
+    for pair in counted.windows(2) {
+        let gap_ms = pair[1].at_ms - pair[0].at_ms;
+        let is_other = pair[0].holder != pair[1].holder;
+        holders += u32::from(is_other);
+        if is_other && gap_ms < LEASE_MS || pair[1].fence < pair[0].fence || is_other && pair[1].fence == pair[0].fence {
+            run.record(&format!(
+                "ONE: {} with {} and {} with {} after {gap_ms} ms",
+                pair[0].holder, pair[0].fence, pair[1].holder, pair[1].fence
+            ));
+            code = BROKEN;
+        }
+    }
+    run.record(&format!("{} orders, {holders} times of a holder", orders.len()));
+    code
+}
