Do not probe the target after each stream in chunks

Cause: the check whether a response has a length or chunks read the headers after those of the connection had been removed, so that each stream in chunks counted as one that ends with its connection, and its target was asked on a new connection whether it had ended. A request that required a new connection also closed all pooled connections to its target. Change: the check reads the headers of the target. A required new connection and one that is idle for too long for a request leave the pool as it is. Metrics count the requests on pooled and, by reason, on new connections.

--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -13,7 +13,7 @@
 use crate::core::stop::HANDSHAKE_COMPLETION_TIME;
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
-use crate::util::http::{ServerOptions, serve_connection};
+use crate::util::http::{ConnectionUse, NewConnectionReason, ServerOptions, serve_connection};
 use crate::util::net::{KeepaliveSettings, Listener, MAX_STALL, Stream};
 
 /// Accepting a connection fails mostly because the process is out of file descriptors.
@@ -129,9 +129,24 @@
 
 async fn close_idle_connections(proxy: Rc<Proxy>) {
     let mut interval = proxy.context.timers().interval(POOL_CHECK_PERIOD);
+    let mut counted = ConnectionUse::default();
     loop {
         interval.tick().await;
         proxy.client.close_idle(POOL_IDLE_TIMEOUT);
+        let counts = proxy.client.connection_use();
+        count_connection_use(&proxy, &counts, &counted);
+        counted = counts;
+    }
+}
+
+/// Counts the requests since the last call by the connections to targets that they were sent on.
+fn count_connection_use(proxy: &Proxy, now: &ConnectionUse, before: &ConnectionUse) {
+    let metrics = proxy.context.metrics();
+    metrics.count("target_connections.reused", now.reused - before.reused);
+    let opened = now.opened.iter().zip(before.opened);
+    for (reason, (now, before)) in NewConnectionReason::ALL.into_iter().zip(opened) {
+        let name = format!("target_connections.opened.{reason}");
+        metrics.count(&name, now - before);
     }
 }
 
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -177,6 +177,8 @@
     pub(super) fn into_response(self, mut exchange: Exchange) -> Response<Body> {
         let mut head = self.head;
         let status = head.status.as_u16();
+        // Read before the headers of the connection are removed, which state that a body has chunks.
+        let is_delimited = is_delimited(&head.headers);
         let names: Vec<_> = head
             .headers
             .keys()
@@ -200,7 +202,7 @@
                 let (id, deadline) = (exchange.head.id.clone(), exchange.deadline);
                 exchange.is_response_begun = true;
                 let mut relayed = RelayedBody {
-                    is_delimited: is_delimited(&head.headers),
+                    is_delimited,
                     first_data_at: None,
                     media_type: media_type(&head.headers),
                     is_event_stream: exchange.is_stream() && (200..300).contains(&status),
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client with one pool of idle connections per address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -124,6 +124,39 @@
     }
 }
 
+/// Why a request was sent on a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum NewConnectionReason {
+    /// The request must not use an earlier connection.
+    Required,
+    /// The pool had no connection to the address.
+    NoneIdle,
+    /// All pooled connections had been idle for too long.
+    IdleTooLong,
+    /// The peer had closed the pooled connections.
+    ClosedByPeer,
+}
+
+impl NewConnectionReason {
+    /// All reasons, in the order of [`ConnectionUse::opened`].
+    pub const ALL: [Self; 4] = [
+        Self::Required,
+        Self::NoneIdle,
+        Self::IdleTooLong,
+        Self::ClosedByPeer,
+    ];
+}
+
+/// Number of requests by the connections that they were sent on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Requests on a pooled connection.
+    pub reused: u64,
+    /// Requests on a new connection, by reason.
+    pub opened: [u64; NewConnectionReason::ALL.len()],
+}
+
 /// A pooled connection.
 struct IdleConnection {
     sender: http1::SendRequest<Body>,
@@ -182,6 +215,7 @@
 #[derive(Clone, Default)]
 pub struct Client {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    connection_use: Rc<Cell<ConnectionUse>>,
 }
 
 impl Client {
@@ -227,18 +261,31 @@
         may_send: impl Fn() -> bool,
     ) -> Result<Response<Incoming>, SendFailure> {
         let withheld = ClientError::Withheld { address };
-        while let Some(mut sender) = self.take_idle(address, options.max_idle) {
+        let mut is_closed_by_peer = false;
+        let reason = loop {
+            let mut sender = match self.take_idle(address, options.max_idle) {
+                Ok(sender) => sender,
+                Err(_) if is_closed_by_peer => break NewConnectionReason::ClosedByPeer,
+                Err(reason) => break reason,
+            };
             if !may_send() {
                 return Err(SendFailure::unsent(withheld, request));
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.return_when_ready(address, sender, response, false)),
+                Ok(response) => {
+                    self.count_connection(None);
+                    return Ok(self.return_when_ready(address, sender, response, false));
+                }
                 Err(mut failure) => match failure.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        request = unsent;
+                        is_closed_by_peer = true;
+                    }
                     None => return Err(SendFailure::sent(address, failure.into_error())),
                 },
             }
-        }
+        };
+        self.count_connection(Some(reason));
         let mut sender = match connect(address).await {
             Ok(sender) => sender,
             Err(error) => return Err(SendFailure::unsent(error, request)),
@@ -272,19 +319,45 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Returns how the requests so far were sent.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use.get()
+    }
+
+    fn count_connection(&self, reason: Option<NewConnectionReason>) {
+        let mut counts = self.connection_use.get();
+        match reason {
+            None => counts.reused += 1,
+            Some(reason) => counts.opened[reason as usize] += 1,
+        }
+        self.connection_use.set(counts);
+    }
+
+    /// Takes a pooled connection, or returns why a new one is needed.
     fn take_idle(
         &self,
         address: SocketAddr,
         max_idle: Duration,
-    ) -> Option<http1::SendRequest<Body>> {
+    ) -> Result<http1::SendRequest<Body>, NewConnectionReason> {
+        if max_idle.is_zero() {
+            return Err(NewConnectionReason::Required);
+        }
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&address);
+        let connections = connections.ok_or(NewConnectionReason::NoneIdle)?;
+        let mut reason = NewConnectionReason::NoneIdle;
         while let Some(connection) = connections.pop() {
-            if connection.is_usable(max_idle) && connection.sender.is_ready() {
-                return Some(connection.sender);
+            if !connection.sender.is_ready() {
+                reason = NewConnectionReason::ClosedByPeer;
+            } else if connection.is_usable(max_idle) {
+                return Ok(connection.sender);
+            } else {
+                // The others have been idle for longer. They may serve requests that allow that.
+                connections.push(connection);
+                return Err(NewConnectionReason::IdleTooLong);
             }
         }
-        None
+        Err(reason)
     }
 
     /// Returns the connection of a response to the pool once the response has ended, unless the
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -14,7 +14,10 @@
     full,
 };
 pub use buffered_call::CallError;
-pub use client::{Client, ClientError, ConnectionReuse, RequestOptions, SendFailure};
+pub use client::{
+    Client, ClientError, ConnectionReuse, ConnectionUse, NewConnectionReason, RequestOptions,
+    SendFailure,
+};
 pub use client_connection::{ClientConnection, ConnectionLoss};
 pub use executor::LocalExecutor;
 pub use server::{
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -10,6 +10,7 @@
 mod faulty_responses;
 mod held_requests;
 mod kept_connections;
+mod kept_target_connections;
 mod moved_routes;
 mod odd_entries;
 mod odd_numbers;
--- a/tests/testsuite/support/scripted.rs
+++ b/tests/testsuite/support/scripted.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -75,6 +75,7 @@
     received: Mutex<Vec<ReceivedRequest>>,
     /// By the numbers of connection and request.
     reply_times: Mutex<HashMap<(usize, usize), ReplyTimes>>,
+    control_calls: AtomicUsize,
     is_stopped: AtomicBool,
 }
 
@@ -96,6 +97,7 @@
             script: Box::new(script),
             received: Mutex::default(),
             reply_times: Mutex::default(),
+            control_calls: AtomicUsize::new(0),
             is_stopped: AtomicBool::new(false),
         });
         let accepting = Arc::clone(&shared);
@@ -121,6 +123,11 @@
         self.shared.received.lock().unwrap().clone()
     }
 
+    /// Returns the number of requests so far to paths of the platform's control calls.
+    pub(crate) fn control_calls(&self) -> usize {
+        self.shared.control_calls.load(Ordering::Relaxed)
+    }
+
     /// Returns the times of the reply to a request.
     pub(crate) fn reply_times(&self, request: &ReceivedRequest) -> ReplyTimes {
         let reply_times = self.shared.reply_times.lock().unwrap();
@@ -143,6 +150,7 @@
         let mut index = 0;
         while let Some((path, id, last_event)) = read_request(stream) {
             let reply = if path.starts_with("/api/") {
+                self.control_calls.fetch_add(1, Ordering::Relaxed);
                 Reply::kept("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n")
             } else {
                 let request = ReceivedRequest {
