relay: do not forward a final status below 200

Cause: a target that answers with 101, which nobody asked for, has its status forwarded to the client. The HTTP client skips other interim responses. Change: such a response counts as foreign; the client gets 502, or the request is sent again where that is allowed.

--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -68,7 +68,8 @@
         Some(echoed) => echoed == id,
         None => is_new_connection,
     };
-    if !is_answer_to_request {
+    // The client of the target skips interim responses, except for a change of protocols that nobody asked for.
+    if !is_answer_to_request || head.status < 200 {
         return ResponseVerdict::Foreign;
     }
     if head.status == MISDIRECTED {
