relay: complete a response without a length only with a proof

Cause: the end of a connection counted as the end of a response without a length unless a probe proved that the target had crashed. A probe that is accepted and reset while the process ends counted as alive, and targets that had announced their shutdown were not probed at all. Change: judge_end in core/relay decides by the framing, a probe sent after the end, the time since the departure of the target became known and the drain time (new setting fleet.drain_ms). A probe names the expected target, uses a kept connection first, is repeated while it fails, and is shared: at most one at a time for each target. Only a transfer coding that ends with chunked delimits a body. The decision is logged and counted by its reason.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -46,6 +46,15 @@
     Unknown,
 }
 
+/// News that a target leaves.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    at: Timestamp,
+    /// Whether the store has the news. The drain time counts from then, which may be after the first response
+    /// of the target with the announcement.
+    is_stored: bool,
+}
+
 /// Returns the name under which the scheduler handles a model of a service. Several services may
 /// serve the same model, and each request belongs to one of the services.
 pub fn model_key(service: &str, model: &str) -> ModelId {
@@ -70,6 +79,8 @@
     /// Targets, by name and incarnation, that announced their shutdown. An incarnation never
     /// returns to service.
     leaving: BTreeSet<(TargetId, u64)>,
+    /// When it became known that a target, by name and incarnation, leaves. Kept as long as `leaving`.
+    departures: HashMap<(TargetId, Incarnation), Departure>,
     /// Announcements of weights by model and version.
     announced: BTreeMap<ModelId, BTreeMap<u64, Announcement>>,
     /// Weights observed in responses since the entry was written, by name and incarnation of the
@@ -136,8 +147,12 @@
         if revision <= current.max(removed) {
             return;
         }
+        let run = (record.id.clone(), record.incarnation);
         if record.is_leaving {
-            self.leaving.insert((record.id.clone(), record.incarnation));
+            self.leaving.insert(run);
+        } else if !self.leaving.contains(&run) {
+            // Its entry was missing, but the target lives on.
+            self.departures.remove(&run);
         }
         // The new entry supersedes what earlier responses reported, except for weights: versions
         // only increase within an incarnation, so `weights_of` takes the larger one.
@@ -176,6 +191,11 @@
     pub fn on_target_removed(&mut self, id: &TargetId, revision: u64, now: Timestamp) -> Removal {
         let grace_end = self.store_recovered_at.map(|at| at + LAPSE_GRACE);
         let is_known = self.targets.contains_key(id);
+        let current = self.targets.get(id);
+        if let Some((_, record)) = current.filter(|(current, _)| *current <= revision) {
+            let incarnation = record.incarnation;
+            self.on_departure(id, incarnation, now, true);
+        }
         if let Some(due) = grace_end.filter(|end| now < *end)
             && is_known
         {
@@ -209,8 +229,9 @@
         let (targets, removed) = (&self.targets, &self.removed);
         self.observed.retain(|(id, _), _| targets.contains_key(id));
         // An entry that expired may be written again by an incarnation that is shutting down.
-        self.leaving
-            .retain(|(id, _)| targets.contains_key(id) || removed.contains_key(id));
+        let is_remembered = |id: &TargetId| targets.contains_key(id) || removed.contains_key(id);
+        self.leaving.retain(|(id, _)| is_remembered(id));
+        self.departures.retain(|(id, _), _| is_remembered(id));
     }
 
     /// Applies a complete list at a store revision: targets that are missing in it are removed.
@@ -293,10 +314,32 @@
                 .contains(&(record.id.clone(), record.incarnation))
     }
 
-    /// Whether a target may have left as planned. Some targets announce nothing: their entry is removed, and
-    /// they go on for a while.
-    pub fn may_have_left(&self, record: &TargetRecord) -> bool {
-        self.has_left(record) || self.lapsed.contains_key(&record.id)
+    /// Records that an incarnation of a target leaves, as known from `at` on. `is_stored` tells whether the
+    /// store has the news. The first news of the store is final.
+    pub fn on_departure(
+        &mut self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        at: Timestamp,
+        is_stored: bool,
+    ) {
+        let news = Departure { at, is_stored };
+        let known = self.departures.entry((id.clone(), incarnation));
+        let departure = known.or_insert(news);
+        if is_stored && !departure.is_stored {
+            *departure = news;
+        }
+    }
+
+    /// Returns since when a target is known to leave: it has announced that, or its entry is missing. Some
+    /// targets announce nothing: their entry is removed, and they go on for a while.
+    pub fn departed_at(&self, record: &TargetRecord) -> Option<Timestamp> {
+        let run = (record.id.clone(), record.incarnation);
+        let known = self.departures.get(&run).map(|departure| departure.at);
+        // A removal is forgotten after `REMOVED_RETENTION`.
+        let is_forgotten =
+            !self.targets.contains_key(&record.id) && !self.removed.contains_key(&record.id);
+        known.or(is_forgotten.then_some(Timestamp::ZERO))
     }
 
     /// Whether a target has announced its shutdown or its entry is removed. An entry that may have expired in
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -5,10 +5,12 @@
 //! or restart under the same name, while some requests must run at most once.
 
 mod attempts;
+mod end;
 mod head;
 mod response;
 
 pub use attempts::{AllowedTargets, Attempts};
+pub use end::{DRAIN_MARGIN, EndReason, ProbeFinding, ResponseEnd, judge_end};
 pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, PromptPart, RelayHead};
 pub use response::{
     Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -175,9 +175,20 @@
     }
 
     /// Applies changes of targets. A complete list also removes the targets that are not in it.
-    pub fn on_targets(&self, changes: TargetChanges, is_complete: bool) {
+    /// `known_at` is when the store told an instance of them.
+    pub fn on_targets(&self, changes: TargetChanges, is_complete: bool, known_at: Timestamp) {
         self.log_entry_faults(&changes.faults);
         let now = self.context.timers().boot_now();
+        let leaving: Vec<_> = changes
+            .changes
+            .iter()
+            .filter_map(|change| match change {
+                TargetChange::Written { record, .. } if record.is_leaving => {
+                    Some((record.id.clone(), record.incarnation))
+                }
+                _ => None,
+            })
+            .collect();
         let newest = self.target_revision.get().max(changes.revision);
         self.target_revision.set(newest);
         let mut state = self.state.borrow_mut();
@@ -207,6 +218,9 @@
                 self.log_removal(&id, changes.revision, removal, None);
             }
         }
+        for (id, incarnation) in leaving {
+            state.on_departure(&id, incarnation, known_at.min(now), true);
+        }
         drop(state);
         self.publish_snapshot();
     }
@@ -464,7 +478,7 @@
                 return;
             }
         };
-        if self.apply_newer_targets(list) == Some(true) {
+        if self.apply_newer_targets(list, self.now()) == Some(true) {
             slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
                 "revision" => self.target_revision.get());
         }
@@ -479,7 +493,7 @@
         peer: &str,
     ) -> Option<bool> {
         let revision = list.revision;
-        let applied = self.apply_newer_targets(list);
+        let applied = self.apply_newer_targets(list, confirmed_at);
         match applied {
             // A list older than the local one does not confirm that the local one is current.
             Some(_) if revision < self.target_revision.get() => {}
@@ -492,7 +506,7 @@
 
     /// Applies a list that is newer than the local one. Returns `None` if an entry is neither in
     /// the list nor present locally.
-    fn apply_newer_targets(&self, list: TargetListUpdate) -> Option<bool> {
+    fn apply_newer_targets(&self, list: TargetListUpdate, known_at: Timestamp) -> Option<bool> {
         if list.revision <= self.target_revision.get() {
             return Some(false);
         }
@@ -516,13 +530,20 @@
             faults: Vec::new(),
             revision: list.revision,
         };
-        self.on_targets(changes, true);
+        self.on_targets(changes, true, known_at);
         Some(true)
     }
 
     /// Takes an incarnation of a target out of service, as it announced its shutdown in a response.
     pub fn set_leaving(&self, target: &TargetId, incarnation: Incarnation) {
-        if self.state.borrow_mut().set_leaving(target, incarnation) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_new = state.set_leaving(target, incarnation);
+        if is_new {
+            state.on_departure(target, incarnation, now, false);
+        }
+        drop(state);
+        if is_new {
             slog::info!(self.context.log(), "target announced its shutdown";
                 "target" => &**target, "incarnation" => incarnation);
         }
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Response};
 use http_body::{Body as _, Frame};
@@ -29,6 +29,10 @@
 /// Shortest silence, also of a route that states a very short gap.
 const MIN_SILENCE: Duration = Duration::from_millis(100);
 
+/// Shortest wait for bytes of a target that shows that all earlier ones had been read. Reading bytes that have
+/// arrived takes less.
+const MIN_READ_WAIT: Duration = Duration::from_millis(10);
+
 /// Bytes of a silent stream that are buffered while another target is asked to continue it.
 const MAX_BUFFERED_SILENT_BYTES: usize = MAX_EVENT_BYTES / 2;
 
@@ -71,6 +75,13 @@
         self.unread = Some(frame);
     }
 
+    /// Whether the body has a length or consists of chunks. Otherwise it ends with its connection.
+    fn is_delimited(&self, headers: &HeaderMap) -> bool {
+        let incoming = self.incoming.as_ref();
+        let length = incoming.and_then(|incoming| incoming.size_hint().exact());
+        length.is_some() || is_chunked(headers)
+    }
+
     /// Polls for the next frame.
     pub(super) fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<BodyFrame> {
         match (self.unread.take(), &mut self.incoming) {
@@ -200,7 +211,7 @@
                 let (id, deadline) = (exchange.head.id.clone(), exchange.deadline);
                 exchange.is_response_begun = true;
                 let mut relayed = RelayedBody {
-                    is_delimited: is_delimited(&head.headers),
+                    is_delimited: body.is_delimited(&head.headers),
                     first_data_at: None,
                     media_type: media_type(&head.headers),
                     is_event_stream: exchange.is_stream() && (200..300).contains(&status),
@@ -211,6 +222,7 @@
                     has_data: false,
                     silence_ends_at: None,
                     forwarded_at: None,
+                    unread_for: Duration::ZERO,
                 };
                 relayed.restart_silence();
                 with_expiry(relayed.into_body(), &context, id, deadline)
@@ -261,6 +273,9 @@
     silence_ends_at: Option<Timestamp>,
     /// When the last bytes were handed over, until the client has room for more.
     forwarded_at: Option<Timestamp>,
+    /// Time that the client took to accept bytes since the instance last waited for bytes of the target. The
+    /// connection may have ended as long ago as this.
+    unread_for: Duration,
 }
 
 impl RelayedBody {
@@ -291,6 +306,7 @@
         if let Some(forwarded_at) = self.forwarded_at.take() {
             let waited = self.exchange.now().saturating_sub(forwarded_at);
             self.silence_ends_at = self.silence_ends_at.map(|at| at + waited);
+            self.unread_for += waited;
         }
     }
 
@@ -332,10 +348,14 @@
             let frame = std::future::poll_fn(|cx| self.body.poll_frame(cx));
             let timers = *self.exchange.proxy.context.timers();
             // Bytes that arrive without a pause must not put off the end.
+            let asked_at = self.exchange.now();
             let frame = match remaining.is_zero() {
                 true => None,
                 false => timers.timeout(remaining, frame).await,
             };
+            if self.exchange.now().saturating_sub(asked_at) >= MIN_READ_WAIT {
+                self.unread_for = Duration::ZERO;
+            }
             let frame = match frame {
                 Some(frame) => frame,
                 None if ends_at >= deadline => return Err(ReadError::DeadlinePassed),
@@ -401,7 +421,8 @@
         self.exchange.log_resumed();
         self.has_data = false;
         self.first_data_at = None;
-        self.is_delimited = is_delimited(&response.head.headers);
+        self.is_delimited = body.is_delimited(&response.head.headers);
+        self.unread_for = Duration::ZERO;
         self.buffer.clear();
         self.body = body;
         self.restart_silence();
@@ -468,7 +489,9 @@
     /// Whether the end of the connection is the end of the response. The connection of a target that crashes
     /// may end in the same way as a response without a length.
     async fn is_complete(&self) -> bool {
-        self.is_delimited || !self.exchange.has_target_ended().await
+        // The client may have kept the end from being read for so long.
+        let ended_at = self.exchange.now().saturating_sub(self.unread_for);
+        self.is_delimited || self.exchange.is_end_proved(ended_at).await
     }
 
     fn finish(&mut self) {
@@ -531,9 +554,11 @@
     }
 }
 
-/// Whether a body has a length or consists of chunks. Otherwise it ends with its connection.
-fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+/// Whether a body consists of chunks: that is the last one of its transfer codings.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Returns the media type of a body, without parameters such as the character set.
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -2,15 +2,21 @@
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::exchange::{Exchange, NO_TARGET_RETRY_AFTER};
 use crate::core::crash::{Admission, Features};
 use crate::core::fleet::TargetRecord;
 use crate::core::ids::{Fingerprint, TargetId, Timestamp};
+use crate::core::relay::{ResponseEnd, judge_end};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::quarantine::InterruptedRun;
+use crate::util::duration::ms;
 use crate::util::hash::{combine, stable_hash};
 
+/// Heartbeats of targets without an answer of the store from which it counts as silent.
+const OUTAGE_HEARTBEATS: u32 = 2;
+
 /// State of a request for the quarantine.
 #[derive(Default)]
 pub(super) struct CrashCheck {
@@ -117,15 +123,42 @@
         self.relay.quarantine.on_survival(self.crash_features());
     }
 
-    /// Whether the target of the present placement is known to have ended, other than as announced.
-    pub(super) async fn has_target_ended(&self) -> bool {
+    /// Whether a response without a length that ended with its connection at `ended_at` is complete.
+    pub(super) async fn is_end_proved(&self, ended_at: Timestamp) -> bool {
         let current = self.current_target();
-        let Some((target, _)) = current.and_then(|target| self.last_send(&target)) else {
+        let target = current.and_then(|target| self.last_send(&target));
+        let Some(target) = target.map(|(target, _)| Rc::clone(target)) else {
             return false;
         };
-        let check = self.relay.quarantine.has_ended(target);
-        let check = self.proxy.context.timers().timeout(self.remaining(), check);
-        check.await.unwrap_or(false)
+        let fleet = &self.relay.fleet;
+        let end = |probe| {
+            let departed_at = fleet.state().departed_at(&target);
+            let settings = fleet.settings();
+            let outage = Duration::from_millis(settings.heartbeat_ms) * OUTAGE_HEARTBEATS;
+            ResponseEnd {
+                is_delimited: false,
+                probe,
+                departed_for: departed_at.and_then(|at| ended_at.checked_sub(at)),
+                drain_time: Duration::from_millis(settings.drain_ms),
+                is_store_fresh: fleet.store_unanswered() < outage,
+            }
+        };
+        let mut probe = None;
+        let (end, reason) = loop {
+            let end = end(probe);
+            match judge_end(&end) {
+                Some(reason) => break (end, reason),
+                None => probe = Some(self.relay.quarantine.probe_after_end(&target).await),
+            }
+        };
+        slog::info!(self.proxy.context.log(), "response ended with its connection";
+            "request" => &*self.head.id, "target" => &*target.id, "incarnation" => target.incarnation,
+            "complete" => reason.is_complete(), "reason" => reason.to_string(),
+            "probe" => end.probe.map(|probe| format!("{probe:?}")),
+            "departed_for_ms" => end.departed_for.map(ms), "drain_ms" => ms(end.drain_time));
+        let name = format!("relay.ends.{reason}");
+        self.proxy.context.metrics().count(&name, 1);
+        reason.is_complete()
     }
 
     /// Returns a target, and when the request was last sent there.
--- a/src/jujubelink/ops/quarantine/mod.rs
+++ b/src/jujubelink/ops/quarantine/mod.rs
@@ -9,6 +9,7 @@
 //! Only part of deployments with a fleet store. Standalone, the module `spread` exchanges the requests that
 //! crashed targets.
 
+mod end_probes;
 mod message;
 mod outbox;
 mod plugin;
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::end_probes::EndProbes;
 use super::message::EvidenceMessage;
 use super::outbox::Outbox;
 use super::probe::Interruptions;
@@ -15,6 +16,7 @@
 };
 use crate::core::fleet::TargetRecord;
 use crate::core::ids::{Fingerprint, RequestId, Timestamp};
+use crate::core::relay::ProbeFinding;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
 use crate::ops::share::Peers;
@@ -41,6 +43,9 @@
 /// times in it, also in a large fleet.
 const MAX_PUBLICATION: Duration = Duration::from_secs(1);
 
+/// Time for which a connection to a target is kept for the next question whether it lives.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+
 /// A request whose response was interrupted.
 pub struct InterruptedRun {
     /// Identifier of the client's attempt.
@@ -59,9 +64,11 @@
 fn end_of_target(target: &TargetRecord, status: TargetStatus) -> Option<&'static str> {
     match status {
         TargetStatus::Refused => Some("it refuses connections"),
+        // An entry without an incarnation has 0.
         TargetStatus::Responded { incarnation } => incarnation
-            .is_some_and(|incarnation| incarnation > target.incarnation)
+            .is_some_and(|incarnation| target.incarnation > 0 && incarnation > target.incarnation)
             .then_some("another incarnation has its address"),
+        TargetStatus::OtherTarget => Some("another target has its address"),
         TargetStatus::Unknown => None,
     }
 }
@@ -85,6 +92,7 @@
     /// Whether that evidence could not be had in time.
     has_waited: Cell<bool>,
     client: Client,
+    probes: EndProbes,
 }
 
 impl Quarantine {
@@ -97,6 +105,7 @@
             is_loaded: Cell::new(false),
             has_waited: Cell::new(false),
             client: Client::new(),
+            probes: EndProbes::default(),
         }
     }
 
@@ -190,7 +199,7 @@
     async fn probe(self: Rc<Self>, target: Rc<TargetRecord>) {
         let id = crash_id(&target.id, target.incarnation);
         let runs = self.interruptions.borrow().run_count(id);
-        let status = read_status(&self.client, target.address).await;
+        let status = read_status(&self.client, target.address, &target.id).await;
         if let Some(reason) = end_of_target(&target, status) {
             self.on_target_ended(id, reason);
             return;
@@ -204,13 +213,22 @@
         }
     }
 
-    /// Asks a target whether it has ended, other than as planned.
-    pub async fn has_ended(&self, target: &TargetRecord) -> bool {
-        if self.fleet().state().may_have_left(target) {
-            return false;
-        }
-        let status = read_status(&self.client, target.address).await;
-        end_of_target(target, status).is_some()
+    /// Asks a target whether it lives, with a question that is sent after now. Responses that end while
+    /// another question is unanswered share the next one.
+    pub async fn probe_after_end(&self, target: &Rc<TargetRecord>) -> ProbeFinding {
+        let (client, asked) = (self.client.clone(), Rc::clone(target));
+        let context = self.context.clone();
+        let ask = async move {
+            context.metrics().count("relay.end_probes", 1);
+            let status = read_status(&client, asked.address, &asked.id).await;
+            match (end_of_target(&asked, status), status) {
+                (Some(_), _) => ProbeFinding::Gone,
+                (None, TargetStatus::Responded { .. }) => ProbeFinding::Alive,
+                (None, _) => ProbeFinding::Unknown,
+            }
+        };
+        let id = crash_id(&target.id, target.incarnation);
+        self.probes.ask(id, ask).await
     }
 
     /// Counts the interruptions at a target as a crash.
@@ -352,6 +370,7 @@
         let timers = *self.context.timers();
         loop {
             timers.sleep(MAINTENANCE_INTERVAL).await;
+            self.client.close_idle(MAX_IDLE);
             let ended = {
                 let fleet = self.fleet();
                 let mut interruptions = self.interruptions.borrow_mut();
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -90,6 +90,10 @@
     /// Time between two writes of a target's entry in the store.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
+    /// Time for which a target serves after the store has its announcement that it leaves, or has removed its
+    /// entry, in milliseconds. With 0 it is not stated: any known departure counts as having run its course.
+    #[serde(default)]
+    pub drain_ms: u64,
 }
 
 fn default_revocation_ms() -> u64 {
--- a/src/jujubelink/platform/engine.rs
+++ b/src/jujubelink/platform/engine.rs
@@ -7,14 +7,18 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use super::decode_response_head;
 use super::names::{EXPECT_TARGET, ORDER_PATH, REPORT_PATH};
 use crate::core::ids::{Epoch, Incarnation, ModelId, TargetId};
 use crate::core::rollout::OrderResult;
-use crate::util::http::{Body, Client, ClientError, RequestOptions, collect_limited, empty, full};
+use crate::util::http::{Body, Client, RequestOptions, collect_limited, empty, full};
 
 /// Timeout of the response to an order or a status poll. Engines respond to both without delay.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Delay before a target is asked again whether it lives.
+const STATUS_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -118,7 +122,7 @@
     })
 }
 
-/// What is known about a target from a new connection to it.
+/// What a question to a target showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetStatus {
     /// Nothing accepts connections at the address.
@@ -128,34 +132,64 @@
         /// Incarnation of the target that responded, if it states one.
         incarnation: Option<Incarnation>,
     },
+    /// Another target responded that it is not the expected one.
+    OtherTarget,
     /// There was no response in time, or the connection failed in another way.
     Unknown,
 }
 
-/// Asks on a new connection whether a target lives.
-pub async fn read_status(client: &Client, address: SocketAddr) -> TargetStatus {
+/// Asks whether a target lives. A response on a pooled connection proves as much as one on a new connection.
+/// A failure on either is no proof that the target has ended: while a process ends, connections are accepted
+/// and reset. The question is repeated until [`RESPONSE_TIMEOUT`].
+pub async fn read_status(client: &Client, address: SocketAddr, target: &TargetId) -> TargetStatus {
+    let status = async {
+        let mut options = RequestOptions::default();
+        loop {
+            match read_status_once(client, address, target, options).await {
+                TargetStatus::Unknown => options = options.with_new_connection(),
+                status => return status,
+            }
+            compio::time::sleep(STATUS_RETRY_DELAY).await;
+        }
+    };
+    let status = compio::time::timeout(RESPONSE_TIMEOUT, status).await;
+    status.unwrap_or(TargetStatus::Unknown)
+}
+
+/// Asks once whether a target lives.
+async fn read_status_once(
+    client: &Client,
+    address: SocketAddr,
+    target: &TargetId,
+    options: RequestOptions,
+) -> TargetStatus {
     let request = Request::builder()
         .uri(REPORT_PATH)
         .header("host", address.to_string())
+        .header(EXPECT_TARGET, &**target)
         .body(empty());
     let Ok(request) = request else {
         return TargetStatus::Unknown;
     };
-    let options = RequestOptions::default().with_new_connection();
-    let exchange = async {
-        let response = client.send(address, request, options).await?;
-        Ok(collect_limited(response.into_body(), MAX_RESPONSE_BYTES).await)
+    let response = match client.send(address, request, options).await {
+        Ok(response) => response,
+        Err(error) if error.is_connection_refused() => return TargetStatus::Refused,
+        Err(_) => return TargetStatus::Unknown,
     };
-    match compio::time::timeout(RESPONSE_TIMEOUT, exchange).await {
-        Ok(Ok(body)) => {
-            let body = body.ok().flatten().unwrap_or_default();
-            let report: Option<Report> = serde_json::from_slice(&body).ok();
+    let head = decode_response_head(response.status().as_u16(), response.headers());
+    let is_expected = head.target.as_deref() == Some(&**target);
+    if response.status() == StatusCode::MISDIRECTED_REQUEST && !is_expected {
+        return TargetStatus::OtherTarget;
+    }
+    // A report that breaks off does not tell which incarnation began it.
+    match collect_limited(response.into_body(), MAX_RESPONSE_BYTES).await {
+        Ok(body) => {
+            let report: Option<Report> = serde_json::from_slice(&body.unwrap_or_default()).ok();
             TargetStatus::Responded {
                 incarnation: report.map(|report| report.born).filter(|born| *born > 0),
             }
         }
-        Ok(Err(error)) if ClientError::is_connection_refused(&error) => TargetStatus::Refused,
-        _ => TargetStatus::Unknown,
+        Err(_) => TargetStatus::Unknown,
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod quota;
 mod refusals;
 mod relay;
+mod response_end;
 mod retry;
 mod revocation;
 mod rollout;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -18,6 +18,7 @@
 mod planned_stop;
 mod reload;
 mod request_ends;
+mod response_ends;
 mod scripted_deployment;
 mod silent_targets;
 mod takeovers;
--- /dev/null
+++ b/tests/testsuite/response_end.rs
@@ -0,0 +1,138 @@
+//! Whether the end of a connection is the end of the response, and since when a target is known to leave.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubelink::core::fleet::{FleetState, TargetRecord};
+use jujubelink::core::ids::TargetId;
+use jujubelink::core::relay::{DRAIN_MARGIN, EndReason, ProbeFinding, ResponseEnd, judge_end};
+
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn end(probe: Option<ProbeFinding>, departed_for: Option<Duration>) -> ResponseEnd {
+    ResponseEnd {
+        is_delimited: false,
+        probe,
+        departed_for,
+        drain_time: DRAIN_TIME,
+        is_store_fresh: true,
+    }
+}
+
+/// Guards against an end without a proof that counts as complete, in each combination of what is known.
+#[test]
+fn an_end_is_complete_only_with_a_proof() {
+    use ProbeFinding::{Alive, Gone, Unknown};
+    let planned = DRAIN_TIME + DRAIN_MARGIN;
+    for is_store_fresh in [true, false] {
+        for probe in [None, Some(Alive), Some(Gone), Some(Unknown)] {
+            for departed_for in [None, Some(Duration::ZERO), Some(DRAIN_TIME), Some(planned)] {
+                let end = ResponseEnd {
+                    is_store_fresh,
+                    ..end(probe, departed_for)
+                };
+                let has_left = departed_for == Some(planned);
+                let expected = match probe {
+                    _ if has_left => Some(true),
+                    None => None,
+                    Some(finding) => Some(finding == Alive),
+                };
+                assert_eq!(
+                    judge_end(&end).map(EndReason::is_complete),
+                    expected,
+                    "{end:?}"
+                );
+                let delimited = ResponseEnd {
+                    is_delimited: true,
+                    ..end
+                };
+                assert_eq!(judge_end(&delimited), Some(EndReason::Delimited), "{end:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a log that gives the wrong reason.
+#[test]
+fn the_reason_names_what_is_known() {
+    let gone = |departed_for| end(Some(ProbeFinding::Gone), departed_for);
+    let silent = ResponseEnd {
+        is_store_fresh: false,
+        ..gone(None)
+    };
+    for (end, expected) in [
+        (gone(None), EndReason::TargetGone),
+        (silent, EndReason::GoneUnannounced),
+        (gone(Some(DRAIN_TIME)), EndReason::GoneWhileDraining),
+        (gone(Some(secs(3))), EndReason::TargetLeft),
+        (end(Some(ProbeFinding::Unknown), None), EndReason::NoProof),
+        (end(Some(ProbeFinding::Alive), None), EndReason::TargetAlive),
+    ] {
+        assert_eq!(judge_end(&end), Some(expected), "{end:?}");
+    }
+}
+
+fn record(incarnation: u64, is_leaving: bool) -> TargetRecord {
+    TargetRecord {
+        id: "t".into(),
+        service: "app".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        failure_domain: "zone".into(),
+        is_leaving,
+        slots: 1,
+        weights: Vec::new(),
+        incarnation,
+    }
+}
+
+/// Guards against a drain time that counts from other news than the first one of the store, as each target is
+/// announced in several ways and its entry is removed in the end.
+#[test]
+fn the_drain_time_counts_from_the_first_news_of_the_store() {
+    let mut state = FleetState::new();
+    let id: TargetId = "t".into();
+    state.on_target(1, record(1, false));
+    assert_eq!(state.departed_at(&record(1, false)), None);
+    state.on_departure(&id, 1, secs(5), false);
+    assert_eq!(state.departed_at(&record(1, false)), Some(secs(5)));
+    state.on_target(2, record(1, true));
+    for at in [6, 7] {
+        state.on_departure(&id, 1, secs(at), true);
+        assert_eq!(state.departed_at(&record(1, false)), Some(secs(6)));
+    }
+    state.on_target_removed(&id, 3, secs(8));
+    assert_eq!(state.departed_at(&record(1, false)), Some(secs(6)));
+    state.on_target(4, record(2, false));
+    assert_eq!(state.departed_at(&record(2, false)), None);
+}
+
+/// Guards against a live target that counts as having left, because its entry was missing for a while, and
+/// against a crashed incarnation that does because its successor has the name.
+#[test]
+fn a_target_with_an_entry_has_not_left() {
+    let mut state = FleetState::new();
+    let id: TargetId = "t".into();
+    state.on_target(1, record(1, false));
+    state.on_target_removed(&id, 2, secs(1));
+    assert_eq!(state.departed_at(&record(1, false)), Some(secs(1)));
+    state.on_target(3, record(1, false));
+    assert_eq!(state.departed_at(&record(1, false)), None);
+    state.on_target(4, record(2, false));
+    assert_eq!(state.departed_at(&record(1, false)), None);
+    // Another target at its address is no departure.
+    assert!(state.on_replaced(&id, secs(2)));
+    assert_eq!(state.departed_at(&record(2, false)), None);
+}
+
+/// Guards against a removal of an older entry that counts as the departure of a target that came back.
+#[test]
+fn an_old_removal_is_no_departure() {
+    let mut state = FleetState::new();
+    state.on_target(5, record(1, false));
+    state.on_target_removed(&"t".into(), 4, secs(1));
+    assert_eq!(state.departed_at(&record(1, false)), None);
+}
