rollout: apply a changed pause between holders to the lease for orders

Cause: the times of the lease were computed from holder_pause_ms once, when the process started, so a reload that raised it left the wait before a takeover as it was.

Change: the coordinator passes the times of the present settings to the lease before each decision. To a version that was observed before the change the longer of the two waits applies, as its holder counts by either value. A version that is written later counts by the new times.

The test in reload.rs fails without the change: the first order comes 3.1 s after the last renewal, with a pause of 4 s.

--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -33,6 +33,19 @@
     pub takeover_after_release: Duration,
 }
 
+impl OrderLeaseTiming {
+    /// Returns the longer of the two values of each wait before a takeover, and the other times of `self`.
+    fn with_longer_waits(self, other: Self) -> Self {
+        Self {
+            takeover_after: self.takeover_after.max(other.takeover_after),
+            takeover_after_release: self
+                .takeover_after_release
+                .max(other.takeover_after_release),
+            ..self
+        }
+    }
+}
+
 /// Current role of the local instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseRole {
@@ -74,6 +87,9 @@
     read_at: Timestamp,
     /// Whether the record can be relied on; false after a call whose outcome is unknown.
     is_current: bool,
+    /// Times that apply to a takeover of this version. A change of the times while the version is
+    /// unchanged lengthens the waits and never shortens them, because the holder counts by either value.
+    timing: OrderLeaseTiming,
 }
 
 /// State of the lease as observed by one instance. Timestamps come from a clock that also runs
@@ -121,6 +137,14 @@
         }
     }
 
+    /// Applies changed times. They also apply to the version observed last, unless they are shorter.
+    pub fn set_timing(&mut self, timing: OrderLeaseTiming) {
+        self.timing = timing;
+        if let Some(observed) = &mut self.observed {
+            observed.timing = timing.with_longer_waits(observed.timing);
+        }
+    }
+
     /// Returns the fencing number if orders may be given now. Checked immediately before each
     /// order.
     pub fn epoch(&self, now: Timestamp) -> Option<Epoch> {
@@ -174,7 +198,7 @@
             None if observed.version == 0 && is_takeover_due => write(1),
             None if observed.version == 0 => LeaseAction::Wait,
             // Any instance may hold the lease. Its fencing number is below the version.
-            None => take_over(self.timing.takeover_after, observed.version),
+            None => take_over(observed.timing.takeover_after, observed.version),
             Some(record) if is_local => {
                 let renew_at = self.renewed_at + self.timing.renew_after;
                 match self.held {
@@ -186,8 +210,8 @@
             }
             Some(record) => {
                 let wait = match record.is_released {
-                    true => self.timing.takeover_after_release,
-                    false => self.timing.takeover_after,
+                    true => observed.timing.takeover_after_release,
+                    false => observed.timing.takeover_after,
                 };
                 take_over(wait, record.epoch + 1)
             }
@@ -248,9 +272,9 @@
         } else if record.as_ref().map(|record| &*record.holder) != Some(&*self.local_name) {
             self.held = None;
         }
-        let since = match &self.observed {
-            Some(observed) if is_same => observed.since,
-            _ => now,
+        let (since, timing) = match &self.observed {
+            Some(observed) if is_same => (observed.since, observed.timing),
+            _ => (now, self.timing),
         };
         self.observed = Some(Observed {
             version,
@@ -258,6 +282,7 @@
             since,
             read_at: requested_at,
             is_current: true,
+            timing,
         });
     }
 
@@ -274,6 +299,7 @@
             since: now,
             read_at: now,
             is_current: true,
+            timing: self.timing,
         });
     }
 
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -15,6 +15,7 @@
 };
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
+use crate::ops::settings::FleetSettings;
 use crate::ops::share::Peers;
 use crate::ops::store::{StoreError, StoredLease};
 use crate::platform::{EngineReport, WeightsOrder, read_report, send_weights_order};
@@ -73,6 +74,17 @@
     }
 }
 
+/// Returns the times of the lease for the present settings.
+fn lease_timing(settings: &FleetSettings) -> OrderLeaseTiming {
+    let holder_pause = Duration::from_millis(settings.holder_pause_ms);
+    OrderLeaseTiming {
+        term: LEASE_TERM,
+        renew_after: RENEW_AGE,
+        takeover_after: LEASE_TERM + holder_pause + HOLDER_MARGIN,
+        takeover_after_release: holder_pause + RELEASE_MARGIN,
+    }
+}
+
 /// Coordinates rollouts while this instance holds the lease.
 pub(super) struct Coordinator {
     context: Context,
@@ -92,13 +104,7 @@
     pub(super) fn new(context: &Context) -> Self {
         let fleet = context.service::<Fleet>();
         let peers = context.service::<Peers>();
-        let holder_pause = Duration::from_millis(fleet.settings().holder_pause_ms);
-        let timing = OrderLeaseTiming {
-            term: LEASE_TERM,
-            renew_after: RENEW_AGE,
-            takeover_after: LEASE_TERM + holder_pause + HOLDER_MARGIN,
-            takeover_after_release: holder_pause + RELEASE_MARGIN,
-        };
+        let timing = lease_timing(&fleet.settings());
         Self {
             context: context.clone(),
             lease: RefCell::new(OrderLease::new(peers.name().clone(), timing)),
@@ -243,6 +249,8 @@
     fn next_lease_call(&self, work_since: Option<Timestamp>) -> Option<LocalBoxFuture<'_, ()>> {
         let now = self.now();
         let role = self.role(work_since);
+        let timing = lease_timing(&self.fleet.settings());
+        self.lease.borrow_mut().set_timing(timing);
         let action = self.lease.borrow().next(role, rand::random(), now);
         match action {
             LeaseAction::Wait => None,
--- a/tests/testsuite/platform_path/reload.rs
+++ b/tests/testsuite/platform_path/reload.rs
@@ -1,9 +1,10 @@
 //! Reloads of the settings and changes of the configuration while requests are in progress or half
 //! sent.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use jujubelink::platform::names::{KIND_LEASES, ORDER_LEASE};
 use jujubelink_standins::fleet::TargetFault;
 use serde_json::{Value, json};
 
@@ -185,3 +186,31 @@
         }
     });
 }
+
+/// Guards against a reload that raises the pause between holders and does not reach the lease: its times
+/// would stay those of the start.
+#[test]
+fn a_longer_pause_between_holders_applies_after_a_reload() {
+    const PAUSE: Duration = Duration::from_millis(4_000);
+    run(async {
+        let settings = "holder_pause_ms = 100\nweights_ms = 60000";
+        let (deployment, instance) = Deployment::start_ready(settings).await;
+        instance.process.change_settings(|text| {
+            text.replace("holder_pause_ms = 100", "holder_pause_ms = 4000")
+        });
+        instance.process.reload();
+        compio::time::sleep(Duration::from_secs(1)).await;
+        // A holder on another machine, which ends after its first renewal.
+        let lease = json!({ "holder": "gone", "epoch": 1, "is_released": false, "nonce": 1 });
+        deployment.store.put(KIND_LEASES, ORDER_LEASE, lease);
+        deployment.announce_weights(4);
+        let written = Instant::now();
+        eventually("an engine has an order", || async {
+            let mut orders = deployment.engines.iter().flat_map(|engine| engine.orders());
+            orders.next()
+        })
+        .await;
+        let waited = written.elapsed();
+        assert!(waited > PAUSE, "{waited:?}");
+    });
+}
--- a/tests/testsuite/rollout.rs
+++ b/tests/testsuite/rollout.rs
@@ -224,6 +224,49 @@
     assert_eq!(lease.epoch(ms(2_500)), None);
 }
 
+/// Guards against a change of the pause between holders that applies only to leases read later, and
+/// against a shorter pause that ends the wait for a holder which counts by the longer one.
+#[test]
+fn a_changed_pause_never_shortens_the_wait_for_an_observed_holder() {
+    let longer = OrderLeaseTiming {
+        takeover_after: ms(10_400),
+        takeover_after_release: ms(8_500),
+        ..TIMING
+    };
+    let role = LeaseRole {
+        work_since: Some(Duration::ZERO),
+        is_candidate: true,
+        takeover_delay: Duration::ZERO,
+    };
+    for is_released in [false, true] {
+        for (first, second) in [(TIMING, longer), (longer, TIMING)] {
+            let mut lease = OrderLease::new(Arc::from("a"), first);
+            let record = |nonce| LeaseRecord {
+                holder: "b".to_owned(),
+                epoch: 1,
+                is_released,
+                nonce,
+            };
+            let wait = |timing: OrderLeaseTiming| match is_released {
+                true => timing.takeover_after_release,
+                false => timing.takeover_after,
+            };
+            lease.on_read(1, Some(record(1)), ms(0), ms(0));
+            lease.set_timing(second);
+            let is_write = |lease: &OrderLease, at| {
+                matches!(lease.next(role, 2, at), LeaseAction::Write { .. })
+            };
+            lease.on_read(1, Some(record(1)), ms(1_000), ms(1_000));
+            assert!(!is_write(&lease, wait(longer) - ms(1)));
+            assert!(is_write(&lease, wait(longer)));
+            // A version that is written after the change counts by the new times only.
+            lease.on_read(2, Some(record(3)), ms(2_000), ms(2_000));
+            assert!(!is_write(&lease, ms(2_000) + wait(second) - ms(1)));
+            assert!(is_write(&lease, ms(2_000) + wait(second)));
+        }
+    }
+}
+
 /// Two of three engines load at the same time.
 const ROLLOUT: RolloutParams = RolloutParams {
     target_duration: Duration::from_millis(3_000),
