relay: give the shared prompts another salt when the isolated workspaces change

Cause: all workspaces without cache isolation shared the salt WEIGHTS/, which also named what a workspace had cached there before a configuration isolated it. A request that waited was sent with the namespace of the configuration that had admitted it.

Change: the shared salt holds a hash of the set of isolated workspaces, empty without any. It is a function of the newest configuration alone.

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -23,7 +23,7 @@
 pub use order::InstancePosition;
 pub use policy::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
-    WeightedService,
+    WeightedService, shared_cache_namespace,
 };
 pub use records::{TargetAddress, TargetRecord};
 pub use schedule::{MIN_SEND_INTERVAL, MessageSchedule};
--- a/src/jujubelink/core/fleet/policy.rs
+++ b/src/jujubelink/core/fleet/policy.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::core::ids::{ConfigVersion, KeyHash, ModelId, Tokens, WorkspaceId};
+use crate::util::hash::sha256_hex;
 
 /// How often a request may be run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -126,6 +127,9 @@
     pub services: BTreeMap<Arc<str>, PolicyService>,
     /// Workspaces by name. If there are none, requests carry no key.
     pub workspaces: BTreeMap<WorkspaceId, PolicyWorkspace>,
+    /// Namespace of the cached prompts that the workspaces without cache isolation share, from
+    /// [`shared_cache_namespace`].
+    pub shared_cache_namespace: String,
     /// Workspaces by the SHA-256 of their keys.
     pub keys: HashMap<KeyHash, WorkspaceId>,
     /// Maximum size of the head of a request, in bytes.
@@ -138,7 +142,49 @@
     pub idle_timeout: Duration,
 }
 
+/// Number of hexadecimal digits of the hash in a [`shared_cache_namespace`].
+const NAMESPACE_DIGITS: usize = 16;
+
+/// Returns the namespace of the cached prompts that the workspaces without cache isolation share.
+///
+/// It is a function of the set of isolated workspaces. Only workspaces outside of the set place in it, so
+/// prompts that a workspace left there before it became isolated are not used while it is. Without isolated
+/// workspaces it is empty.
+pub fn shared_cache_namespace(workspaces: &BTreeMap<WorkspaceId, PolicyWorkspace>) -> String {
+    let isolated = workspaces
+        .iter()
+        .filter(|(_, workspace)| workspace.is_cache_isolated);
+    let mut names = Vec::new();
+    for (name, _) in isolated {
+        // The length keeps names apart that contain any separator.
+        names.extend_from_slice(&(name.len() as u64).to_le_bytes());
+        names.extend_from_slice(name.as_bytes());
+    }
+    match names.is_empty() {
+        true => String::new(),
+        false => format!("/{}", &sha256_hex(&names)[..NAMESPACE_DIGITS]),
+    }
+}
+
 impl FleetPolicy {
+    /// Returns the namespace of the cached prompts of a workspace, or of requests without a workspace.
+    /// `None` if the configuration does not contain the workspace.
+    pub fn cache_namespace(&self, workspace: Option<&WorkspaceId>) -> Option<String> {
+        let Some(name) = workspace else {
+            return Some(self.shared_cache_namespace.clone());
+        };
+        if !self.workspaces.get(name)?.is_cache_isolated {
+            return Some(self.shared_cache_namespace.clone());
+        }
+        // The prefix keeps such names apart from the shared namespace, which is empty or starts with one
+        // slash.
+        let is_ambiguous = name.is_empty() || name.starts_with('/');
+        Some(match is_ambiguous {
+            true => format!("//{name}"),
+            false => name.to_string(),
+        })
+    }
+
     /// Returns the route of a request: the one of the host with the longest matching path prefix.
     pub fn match_route(&self, host: &str, path: &str) -> Option<&Rc<PolicyRoute>> {
         let routes = self.routes.get(host).or_else(|| {
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -399,7 +399,7 @@
         };
         let admission = self.admission()?;
         let key = model_key(&admission.service, &prompt.model);
-        let scope = format!("{}/{}", key, self.isolation_namespace(admission));
+        let scope = format!("{}/{}", key, self.cache_namespace(admission));
         let fingerprints: Rc<PromptFingerprints> = Rc::new(prompt.fingerprints(&scope));
         // The scheduler's clock stops while the machine is suspended, so it is given the remaining
         // time only. `check_send` computes the remaining time again after the wait.
@@ -474,23 +474,25 @@
         })
     }
 
-    /// Returns the namespace that separates the cached prompts of a workspace with cache isolation.
-    fn isolation_namespace(&self, admission: &Admission) -> String {
+    /// Returns the namespace of the cached prompts of the request's workspace by the active configuration,
+    /// which may have isolated a workspace while the request waited.
+    fn cache_namespace(&self, admission: &Admission) -> String {
         let workspace = admission.workspace.as_ref();
-        let policy = workspace.and_then(|name| admission.policy.workspaces.get(name));
-        match (workspace, policy) {
-            (Some(name), Some(policy)) if policy.is_cache_isolated => name.to_string(),
-            _ => String::new(),
-        }
+        let active = self.relay.fleet.policy();
+        active
+            .and_then(|policy| policy.cache_namespace(workspace))
+            // The active configuration no longer contains the workspace.
+            .or_else(|| admission.policy.cache_namespace(workspace))
+            .unwrap_or_default()
     }
 
     /// Returns the parameters for an engine with the given weights. The weights version is part of
     /// the cache salt, because targets and cache stores do not check the weights of cached prompts.
     pub(super) fn engine_params(&self, weights: Option<u64>) -> Result<EngineParams, Refusal> {
         let admission = self.admission()?;
-        let isolation_namespace = self.isolation_namespace(admission);
+        let cache_namespace = self.cache_namespace(admission);
         let version = weights.unwrap_or(0);
-        let cache_salt = format!("{version}/{isolation_namespace}");
+        let cache_salt = format!("{version}/{cache_namespace}");
         let prompt = self.head.prompt.as_ref();
         let placement = self.placement.as_ref();
         let cached_blocks =
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -11,7 +11,7 @@
 use super::request::MAX_TOKENS;
 use crate::core::fleet::{
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
-    WeightedService,
+    WeightedService, shared_cache_namespace,
 };
 use crate::util::hash::sha256_hex;
 
@@ -164,6 +164,7 @@
         version: document.version,
         routes,
         services: services.collect(),
+        shared_cache_namespace: shared_cache_namespace(&workspaces),
         workspaces,
         keys,
         max_header_bytes: document
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -25,6 +25,7 @@
         routes: HashMap::new(),
         services: BTreeMap::new(),
         workspaces: BTreeMap::new(),
+        shared_cache_namespace: String::new(),
         keys: HashMap::new(),
         max_header_bytes: 8192,
         max_body_bytes: 1024,
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -9,6 +9,7 @@
 mod deadlines;
 mod faulty_responses;
 mod held_requests;
+mod isolated_caches;
 mod kept_connections;
 mod moved_routes;
 mod odd_entries;
