fleet: count the drain time from the first news of a departure

Cause: a list from another instance gave the departure the time of the store's last confirmation, which may lie before the notice if that instance has the list from elsewhere. The time since the notice was then counted too long, and a target that was taken away at the end of its notice could count as one that left as planned. Change: the time counts from the first news here, by entry, removal or response; all of them follow the notice.

--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -46,15 +46,6 @@
     Unknown,
 }
 
-/// News that a target leaves.
-#[derive(Debug, Clone, Copy)]
-struct Departure {
-    at: Timestamp,
-    /// Whether the store has the news. The drain time counts from then, which may be after the first response
-    /// of the target with the announcement.
-    is_stored: bool,
-}
-
 /// Returns the name under which the scheduler handles a model of a service. Several services may
 /// serve the same model, and each request belongs to one of the services.
 pub fn model_key(service: &str, model: &str) -> ModelId {
@@ -80,7 +71,7 @@
     /// returns to service.
     leaving: BTreeSet<(TargetId, u64)>,
     /// When it became known that a target, by name and incarnation, leaves. Kept as long as `leaving`.
-    departures: HashMap<(TargetId, Incarnation), Departure>,
+    departures: HashMap<(TargetId, Incarnation), Timestamp>,
     /// Announcements of weights by model and version.
     announced: BTreeMap<ModelId, BTreeMap<u64, Announcement>>,
     /// Weights observed in responses since the entry was written, by name and incarnation of the
@@ -194,7 +185,7 @@
         let current = self.targets.get(id);
         if let Some((_, record)) = current.filter(|(current, _)| *current <= revision) {
             let incarnation = record.incarnation;
-            self.on_departure(id, incarnation, now, true);
+            self.on_departure(id, incarnation, now);
         }
         if let Some(due) = grace_end.filter(|end| now < *end)
             && is_known
@@ -314,28 +305,17 @@
                 .contains(&(record.id.clone(), record.incarnation))
     }
 
-    /// Records that an incarnation of a target leaves, as known from `at` on. `is_stored` tells whether the
-    /// store has the news. The first news of the store is final.
-    pub fn on_departure(
-        &mut self,
-        id: &TargetId,
-        incarnation: Incarnation,
-        at: Timestamp,
-        is_stored: bool,
-    ) {
-        let news = Departure { at, is_stored };
-        let known = self.departures.entry((id.clone(), incarnation));
-        let departure = known.or_insert(news);
-        if is_stored && !departure.is_stored {
-            *departure = news;
-        }
+    /// Records that an incarnation of a target is known to leave at `at`, unless that was known before.
+    pub fn on_departure(&mut self, id: &TargetId, incarnation: Incarnation, at: Timestamp) {
+        let run = (id.clone(), incarnation);
+        self.departures.entry(run).or_insert(at);
     }
 
     /// Returns since when a target is known to leave: it has announced that, or its entry is missing. Some
     /// targets announce nothing: their entry is removed, and they go on for a while.
     pub fn departed_at(&self, record: &TargetRecord) -> Option<Timestamp> {
         let run = (record.id.clone(), record.incarnation);
-        let known = self.departures.get(&run).map(|departure| departure.at);
+        let known = self.departures.get(&run).copied();
         // A removal is forgotten after `REMOVED_RETENTION`.
         let is_forgotten =
             !self.targets.contains_key(&record.id) && !self.removed.contains_key(&record.id);
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -175,8 +175,7 @@
     }
 
     /// Applies changes of targets. A complete list also removes the targets that are not in it.
-    /// `known_at` is when the store told an instance of them.
-    pub fn on_targets(&self, changes: TargetChanges, is_complete: bool, known_at: Timestamp) {
+    pub fn on_targets(&self, changes: TargetChanges, is_complete: bool) {
         self.log_entry_faults(&changes.faults);
         let now = self.context.timers().boot_now();
         let leaving: Vec<_> = changes
@@ -219,7 +218,7 @@
             }
         }
         for (id, incarnation) in leaving {
-            state.on_departure(&id, incarnation, known_at.min(now), true);
+            state.on_departure(&id, incarnation, now);
         }
         drop(state);
         self.publish_snapshot();
@@ -478,7 +477,7 @@
                 return;
             }
         };
-        if self.apply_newer_targets(list, self.now()) == Some(true) {
+        if self.apply_newer_targets(list) == Some(true) {
             slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
                 "revision" => self.target_revision.get());
         }
@@ -493,7 +492,7 @@
         peer: &str,
     ) -> Option<bool> {
         let revision = list.revision;
-        let applied = self.apply_newer_targets(list, confirmed_at);
+        let applied = self.apply_newer_targets(list);
         match applied {
             // A list older than the local one does not confirm that the local one is current.
             Some(_) if revision < self.target_revision.get() => {}
@@ -506,7 +505,7 @@
 
     /// Applies a list that is newer than the local one. Returns `None` if an entry is neither in
     /// the list nor present locally.
-    fn apply_newer_targets(&self, list: TargetListUpdate, known_at: Timestamp) -> Option<bool> {
+    fn apply_newer_targets(&self, list: TargetListUpdate) -> Option<bool> {
         if list.revision <= self.target_revision.get() {
             return Some(false);
         }
@@ -530,7 +529,7 @@
             faults: Vec::new(),
             revision: list.revision,
         };
-        self.on_targets(changes, true, known_at);
+        self.on_targets(changes, true);
         Some(true)
     }
 
@@ -540,7 +539,7 @@
         let mut state = self.state.borrow_mut();
         let is_new = state.set_leaving(target, incarnation);
         if is_new {
-            state.on_departure(target, incarnation, now, false);
+            state.on_departure(target, incarnation, now);
         }
         drop(state);
         if is_new {
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -94,7 +94,7 @@
                     revision = Some(changes.revision);
                 }
                 let has_changes = !changes.changes.is_empty();
-                fleet.on_targets(changes, is_complete, timers.boot_now());
+                fleet.on_targets(changes, is_complete);
                 fleet.record_targets_confirmed(confirmed_at);
                 if has_changes {
                     timers.sleep(WATCH_DEBOUNCE).await;
