Order, place and refuse requests by urgency under overload

Cause: in a burst urgent short requests wait behind long ones, both in the queue of the instance and at engines, whose priority is fixed by route. Requests are refused after 0.75 of their objective although they could be served late with value.

Change: with the feature `pressure` (`fleet.features`) a pure module core/overload decides. The priority sent to engines and the order in the queue follow the time left to the objective; late work goes behind. A request that can meet its objective joins a queue at an engine if little work of its rank is ahead there. The wait ends halfway between objective and deadline; a request that cannot be finished is refused at once, and the returns of refused clients are spread. Without the feature the order, waits and priorities are those of before.

Tests: queue.rs and decisions.rs only pass the new arguments.

--- a/crates/jujubelink-bench/src/model/simulation.rs
+++ b/crates/jujubelink-bench/src/model/simulation.rs
@@ -266,6 +266,7 @@
             deadline: CLOCK_START + now + DISPATCH_TIMEOUT,
             excluded: excluded.iter().map(|e| engine_name(*e).into()).collect(),
             is_suspect,
+            aims: None,
         };
         let mut effects = Vec::new();
         let scheduler = &mut self.instances[instance];
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -120,6 +120,7 @@
             ("{{bounds.lease_ms}}", "3000".to_owned()),
             ("{{bounds.version_ms}}", "12000".to_owned()),
             ("{{heartbeat_ms}}", "1200".to_owned()),
+            ("{{contracts|json}}", "[]".to_owned()),
         ];
         let mut settings = fs::read_to_string("deploy/settings.toml")?;
         for (placeholder, value) in values {
--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -9,7 +9,8 @@
 //!   platform's object API. Used only there: [`claim`], [`lease`], [`limit`], [`membership`],
 //!   [`orders`] and [`spread`].
 //! - Fleet store: configuration, targets and announced weights are read from the platform's store.
-//!   Used only there: [`crash`], [`fleet`], [`kvcache`], [`quota`], [`relay`] and [`rollout`].
+//!   Used only there: [`crash`], [`fleet`], [`kvcache`], [`overload`], [`quota`], [`relay`] and
+//!   [`rollout`].
 //!
 //! So [`quota`] corresponds to [`limit`], and [`rollout`] to [`orders`]. [`config`] is used in both:
 //! with a fleet store, [`fleet`] builds its snapshots.
@@ -28,6 +29,7 @@
 pub mod limit;
 pub mod membership;
 pub mod orders;
+pub mod overload;
 pub mod prefix;
 pub mod prompt;
 pub mod queue;
--- a/src/jujubelink/core/queue/fair.rs
+++ b/src/jujubelink/core/queue/fair.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::core::ids::{Timestamp, Tokens, WorkspaceId};
+use crate::core::overload::{Aims, LATE_RANK, Rank};
 
 /// Maximum number of queued requests. At the limit, the workspace with the most queued tokens
 /// relative to its weight loses its request with the fewest tokens, which is the cheapest to
@@ -20,6 +21,14 @@
 /// Number of requests that are considered in one pass over all workspaces.
 const MAX_DISPATCH_CANDIDATES: usize = 64;
 
+/// Number of late requests that are considered in one pass. They wait for seconds, and each one that is
+/// considered costs a search for a target. If the first ones get none, the others would hardly get one.
+const MAX_LATE_CANDIDATES: usize = 4;
+
+/// Cost of a request that other workspaces may get dispatched, by weight, before it goes ahead of their
+/// more urgent ones, as a multiple of its own cost.
+const MAX_LAG_RATIO: f64 = 4.0;
+
 /// Identifier of a queued request.
 pub type JobId = u64;
 
@@ -34,6 +43,14 @@
     pub bytes: usize,
     /// Time at which the request is refused.
     pub deadline: Timestamp,
+    /// Aims by which the request is ordered; without them, by arrival.
+    pub aims: Option<Aims>,
+}
+
+impl QueuedJob {
+    fn rank(&self, now: Timestamp) -> Rank {
+        self.aims.map_or(0, |aims| aims.rank(now))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -150,9 +167,9 @@
         self.dispatch_rate.on_dispatched(job.cost_tokens);
     }
 
-    /// Returns the requests in the order in which they should be dispatched: workspaces by start
-    /// tag, and the requests of a workspace by arrival.
-    pub fn dispatch_order(&self) -> Vec<(WorkspaceId, JobId)> {
+    /// Returns the requests in the order in which they should be dispatched: by rank, then workspaces by
+    /// start tag, and the requests of a workspace by the end of their time or, without aims, by arrival.
+    pub fn dispatch_order(&self, now: Timestamp) -> Vec<(WorkspaceId, JobId)> {
         let mut backlogged: Vec<_> = self
             .workspaces
             .iter()
@@ -161,13 +178,45 @@
         backlogged.sort_by(|(a_name, a), (b_name, b)| {
             a.start_tag.total_cmp(&b.start_tag).then(a_name.cmp(b_name))
         });
-        backlogged
+        let mut candidates: Vec<_> = backlogged
             .into_iter()
             .flat_map(|(name, queue)| {
-                let jobs = queue.jobs.iter().take(MAX_LOOKAHEAD);
-                jobs.map(move |job| (name.clone(), job.id))
+                let jobs = self.first_jobs(queue, now).into_iter();
+                jobs.map(move |(rank, job)| (rank, name, job))
             })
+            .collect();
+        // The sort is stable, so that start tags decide between requests of one rank.
+        candidates.sort_by_key(|(rank, _, _)| *rank);
+        let timely = candidates.partition_point(|(rank, _, _)| *rank < LATE_RANK);
+        candidates
+            .into_iter()
+            .take(timely + MAX_LATE_CANDIDATES)
             .take(MAX_DISPATCH_CANDIDATES)
+            .map(|(_, name, job)| (name.clone(), job))
+            .collect()
+    }
+
+    /// Returns the first requests of a workspace with their ranks, the most urgent ones first.
+    fn first_jobs(&self, queue: &WorkspaceQueue, now: Timestamp) -> Vec<(Rank, JobId)> {
+        let lag = (self.virtual_time - queue.start_tag) * queue.weight();
+        let order = |(index, job): (usize, &QueuedJob)| {
+            let is_behind = lag > MAX_LAG_RATIO * job.cost_tokens as f64;
+            let (rank, end) = match &job.aims {
+                None => (0, Timestamp::ZERO),
+                Some(aims) if !aims.is_timely(now) => (job.rank(now), aims.deadline),
+                Some(aims) if is_behind => (0, aims.latest_start),
+                Some(aims) => (job.rank(now), aims.latest_start),
+            };
+            (rank, end, index, job.id)
+        };
+        let mut jobs: Vec<_> = queue.jobs.iter().enumerate().map(order).collect();
+        if jobs.len() > MAX_LOOKAHEAD {
+            jobs.select_nth_unstable(MAX_LOOKAHEAD);
+            jobs.truncate(MAX_LOOKAHEAD);
+        }
+        jobs.sort_unstable();
+        jobs.into_iter()
+            .map(|(rank, _, _, id)| (rank, id))
             .collect()
     }
 
@@ -202,9 +251,16 @@
             .min()
     }
 
-    /// Returns the expected wait of a new request: the workspace's backlog divided by its part of
-    /// the observed dispatch rate. `None` if the workspace has no backlog or the rate is unknown.
-    pub fn expected_wait(&self, workspace: &WorkspaceId, weight: u32) -> Option<Duration> {
+    /// Returns the expected wait of a new request: the part of the workspace's backlog that is at least as
+    /// urgent, divided by the workspace's part of the observed dispatch rate. `None` if the workspace has
+    /// no backlog or the rate is unknown.
+    pub fn expected_wait(
+        &self,
+        workspace: &WorkspaceId,
+        weight: u32,
+        aims: Option<&Aims>,
+        now: Timestamp,
+    ) -> Option<Duration> {
         let queue = self.workspaces.get(workspace)?;
         if queue.jobs.is_empty() {
             return None;
@@ -217,7 +273,15 @@
             .map(WorkspaceQueue::weight)
             .sum();
         let workspace_rate = rate * f64::from(weight.max(1)) / weights;
-        let wait_s = queue.queued_tokens as f64 / workspace_rate;
+        let tokens_ahead = match aims {
+            None => queue.queued_tokens,
+            Some(aims) => {
+                let rank = aims.rank(now);
+                let ahead = queue.jobs.iter().filter(|job| job.rank(now) <= rank);
+                ahead.map(|job| job.cost_tokens).sum()
+            }
+        };
+        let wait_s = tokens_ahead as f64 / workspace_rate;
         Some(Duration::from_secs_f64(wait_s.min(MAX_EXPECTED_WAIT_S)))
     }
 }
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -8,6 +8,7 @@
 use super::types::{AttemptEnd, Dispatch, Effect, NewRequest, Refusal, Retry, SuspectUpdate};
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::{Fingerprint, TargetId, Timestamp, Tokens, WorkspaceId};
+use crate::core::overload::{Decision, Prospect, WorkMix, decide};
 use crate::core::queue::{FairQueue, JobId, QueuedJob};
 use crate::core::retry::{
     MAX_EJECTED_PERCENT, MAX_EJECTED_SERVICE_PERCENT, RetryBudgets, SuspectState, SuspectTable,
@@ -63,6 +64,8 @@
     /// Targets of each model and each route to a plain service; the limit on ejected targets
     /// applies to each group. Plain services without a route have their group in their attempts.
     ejection_groups: Vec<Vec<TargetIndex>>,
+    /// Work of requests with aims that was sent recently.
+    work_mix: WorkMix,
 }
 
 impl Default for Scheduler {
@@ -87,6 +90,7 @@
             workspace_weights: HashMap::new(),
             workspace_rates: HashMap::new(),
             ejection_groups: Vec::new(),
+            work_mix: WorkMix::default(),
         }
     }
 
@@ -173,6 +177,7 @@
             cost_tokens: request.cost_tokens.max(1),
             bytes: request.prompt.prompt_bytes,
             deadline: request.deadline,
+            aims: request.aims,
         };
         let shed = self.queue.push(&request.workspace, weight, queued, now);
         self.waiting.insert(job, request);
@@ -200,7 +205,10 @@
             .get(&request.workspace)
             .copied()
             .unwrap_or(1);
-        if let Some(wait) = self.queue.expected_wait(&request.workspace, weight) {
+        if let Some(wait) =
+            self.queue
+                .expected_wait(&request.workspace, weight, request.aims.as_ref(), now)
+        {
             let left = request.deadline - now;
             if wait > left {
                 return Err(overloaded(wait - left));
@@ -227,7 +235,7 @@
         while !self.queue.is_empty() {
             // Each dispatch changes the fair order, so the order is read again. A skipped request
             // is not tried again in this call.
-            let candidates = self.queue.dispatch_order();
+            let candidates = self.queue.dispatch_order(now);
             let is_sent = candidates
                 .into_iter()
                 .filter(|(_, job)| !skipped.contains(job))
@@ -271,8 +279,16 @@
             .router
             .choose(&route, rendezvous_score(random, job), now);
         match choice {
-            Some(choice) if choice.has_capacity => self.dispatch(job, choice, now, effects),
-            Some(_) => false,
+            Some(choice) => match self.decide(job, &choice, now) {
+                Decision::Place => self.dispatch(job, choice, now, effects),
+                Decision::Wait => false,
+                Decision::Refuse => {
+                    let request = &self.waiting[&job];
+                    self.queue.remove(&request.workspace.clone(), job, now);
+                    self.refuse(job, overloaded(DEFAULT_RETRY_AFTER), effects);
+                    true
+                }
+            },
             None => match self.unavailability(job, now) {
                 None => false,
                 Some(reason) => {
@@ -285,6 +301,25 @@
         }
     }
 
+    /// Decides whether a queued request is sent to the selected target.
+    fn decide(&self, job: JobId, choice: &Choice, now: Timestamp) -> Decision {
+        let Some(aims) = &self.waiting[&job].aims else {
+            return match choice.has_capacity {
+                true => Decision::Place,
+                false => Decision::Wait,
+            };
+        };
+        let state = self.router.targets().get(choice.target);
+        let prospect = Prospect {
+            wait_s: choice.wait_s,
+            prefill_s: choice.prefill_s,
+            share_ahead: self.work_mix.share_ahead(aims.rank(now)),
+            has_capacity: choice.has_capacity,
+            is_reliable: state.busy_until <= now && state.unreliable_until <= now,
+        };
+        decide(aims, &prospect, now)
+    }
+
     /// Returns why the request cannot get a target before its deadline: all of its targets are out of
     /// service, excluded, or asked for a pause that outlasts the deadline. `None` if it may get one.
     fn unavailability(&self, job: JobId, now: Timestamp) -> Option<Refusal> {
@@ -323,6 +358,10 @@
             .local_prefill_s(now);
         self.router.on_sent(&route_request(&request), &choice, now);
         self.queue.on_dispatched(&request.workspace, job, now);
+        if let Some(aims) = &request.aims {
+            let prefill = Duration::from_secs_f64(choice.prefill_s.max(0.0));
+            self.work_mix.on_sent(aims.rank(now), prefill, now);
+        }
         self.target_budgets.get(&choice.target, now).on_request();
         self.health.entry(choice.target).or_default().on_sent(now);
         let state = self.router.targets().get(choice.target);
--- a/src/jujubelink/core/scheduler/types.rs
+++ b/src/jujubelink/core/scheduler/types.rs
@@ -6,6 +6,7 @@
 use crate::core::ids::{
     Fingerprint, Incarnation, ModelId, TargetId, Timestamp, Tokens, WorkspaceId,
 };
+use crate::core::overload::Aims;
 use crate::core::prefix::PromptFingerprints;
 use crate::core::queue::JobId;
 
@@ -26,6 +27,9 @@
     pub excluded: Vec<TargetId>,
     /// Whether the request was running at a target that crashed.
     pub is_suspect: bool,
+    /// Aims by which the request is ordered and placed. Without them it is ordered by arrival, and waits
+    /// for a target that counts as free.
+    pub aims: Option<Aims>,
 }
 
 impl NewRequest {
--- a/src/jujubelink/ops/admin/handlers/trace.rs
+++ b/src/jujubelink/ops/admin/handlers/trace.rs
@@ -66,6 +66,7 @@
         first_token_deadline: now + Duration::from_millis(model.first_token_deadline_ms),
         excluded: Vec::new(),
         is_suspect: false,
+        aims: None,
     };
     let scheduler = state.context.find_service::<dyn TraceService>();
     let decision = scheduler.map(|scheduler| scheduler.explain(&request));
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -121,6 +121,7 @@
             first_token_deadline: proxy.context.timers().now() + first_token_timeout(config, &call),
             excluded: Vec::new(),
             is_suspect: false,
+            aims: None,
         };
         Self {
             proxy: Rc::clone(proxy),
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -17,6 +17,7 @@
 use super::stop::Progress;
 use crate::core::fleet::{PolicyRoute, TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
+use crate::core::overload::{queue_deadline, retry_after};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{
     AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
@@ -31,12 +32,13 @@
     SchedulerService,
 };
 use crate::util::duration::ms;
+use crate::util::hash::stable_hash;
 use crate::util::http::DEFAULT_SEND_TIME;
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
 /// the client better.
-const QUEUE_TIME_RATIO: f64 = 0.75;
+pub(super) const QUEUE_TIME_RATIO: f64 = 0.75;
 
 /// Limit on the wait for a response head, as a fraction of the remaining time, while another target
 /// could still be tried. A request that is sent again may wait in the queue for at least the same
@@ -405,7 +407,10 @@
         // time only. `check_send` computes the remaining time again after the wait.
         let latency_objective = admission.route.latency_objective.mul_f64(QUEUE_TIME_RATIO);
         let first_token_due = (self.arrived + latency_objective).min(self.deadline);
-        let mut wait = first_token_due.saturating_sub(self.now());
+        let (now, scheduler_now) = (self.now(), self.proxy.context.timers().now());
+        let aims = self.aims(admission);
+        let queued_until = aims.as_ref().map_or(first_token_due, queue_deadline);
+        let mut wait = queued_until.saturating_sub(now);
         if self.attempts.sends() > 0 {
             wait = wait.max(resend_wait);
         }
@@ -416,12 +421,16 @@
             model: key,
             prompt: fingerprints,
             cost_tokens: prompt.prompt_tokens + prompt.max_output_tokens,
-            first_token_deadline: self.proxy.context.timers().now() + wait,
+            first_token_deadline: scheduler_now + wait,
             excluded,
             is_suspect: false,
+            aims: aims.map(|aims| aims.on_clock(now, scheduler_now)),
         };
         let scheduler = self.proxy.service::<dyn SchedulerService>();
         let placement = scheduler.place(&request).await;
+        if let Some(aims) = &aims {
+            self.log_wait(aims, now, placement.as_ref().err());
+        }
         placement.map_err(|error| self.with_outcome(placement_refusal(error)))
     }
 
@@ -502,11 +511,13 @@
         let workspace = admission.workspace.as_ref();
         let policy = workspace.and_then(|name| admission.policy.workspaces.get(name));
         let rank = policy.and_then(|policy| policy.priority);
+        let rank = rank.unwrap_or(admission.route.priority);
+        let aims = self.aims(admission);
         Ok(EngineParams {
             weights,
             cache_salt,
-            priority: rank
-                .unwrap_or(admission.route.priority)
+            priority: aims
+                .map_or(rank, |aims| aims.rank(self.now()))
                 .min(MAX_PRIORITY_RANK),
             fetch_from: self.fetch_address(weights).or(store.fetch_from),
             save_to: store.save_to,
@@ -616,8 +627,17 @@
         }
     }
 
-    /// Sets the outcome of a refusal to that of all sends so far.
+    /// Sets the outcome of a refusal to that of all sends so far. Where requests are ordered by urgency,
+    /// the returns of refused clients are spread over time.
     pub(super) fn with_outcome(&self, mut refusal: Refusal) -> Refusal {
+        let is_spread = matches!(
+            refusal.code,
+            RefusalCode::Overloaded | RefusalCode::NoTarget
+        );
+        if let (true, Some(expected)) = (is_spread && self.has_pressure(), refusal.retry_after) {
+            let hash = stable_hash(0, self.head.id.as_bytes());
+            refusal.retry_after = Some(retry_after(expected, self.remaining(), hash));
+        }
         if self.may_have_run {
             refusal.outcome = Outcome::OutcomeUnknown;
             refusal.retry_after = None;
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod exchange;
 mod expiry;
+mod overload;
 mod placement;
 mod readmission;
 mod ready;
--- a/src/jujubelink/ops/proxy/relay/placement.rs
+++ b/src/jujubelink/ops/proxy/relay/placement.rs
@@ -64,6 +64,7 @@
             first_token_deadline: Timestamp::ZERO,
             excluded: Vec::new(),
             is_suspect: false,
+            aims: None,
         };
         scheduler.report(&request, placement, outcome);
     }
--- a/src/jujubelink/ops/scheduler/convert.rs
+++ b/src/jujubelink/ops/scheduler/convert.rs
@@ -15,6 +15,7 @@
             deadline: request.first_token_deadline,
             excluded: request.excluded.clone(),
             is_suspect: request.is_suspect,
+            aims: request.aims,
         }
     }
 }
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -23,7 +23,7 @@
 use crate::ops::kernel::Context;
 use crate::ops::services::{
     AttemptOutcome, ConfigService, GossipService, ModelRequest, Placement, PlacementError,
-    RetryAdvice, SchedulerService,
+    QueueFigures, RetryAdvice, SchedulerService,
 };
 use crate::util::http::{Client, RequestOptions, full};
 
@@ -325,6 +325,14 @@
         .boxed_local()
     }
 
+    fn queue_figures(&self) -> QueueFigures {
+        let scheduler = self.0.scheduler.borrow();
+        QueueFigures {
+            queued: scheduler.queued(),
+            running: scheduler.running(),
+        }
+    }
+
     fn record_first_token(&self, placement: &Placement) {
         let now = self.0.now();
         self.0
--- a/src/jujubelink/ops/services.rs
+++ b/src/jujubelink/ops/services.rs
@@ -10,6 +10,7 @@
     Epoch, Fingerprint, Incarnation, InstanceId, ModelId, RequestId, TargetId, Timestamp, Tokens,
     WorkspaceId,
 };
+use crate::core::overload::Aims;
 use crate::core::prefix::PromptFingerprints;
 use crate::core::routing::LoadReport;
 
@@ -103,6 +104,17 @@
     pub excluded: Vec<TargetId>,
     /// Whether the request was running on a target when the target crashed.
     pub is_suspect: bool,
+    /// Aims on the scheduler's clock, if requests are ordered by urgency.
+    pub aims: Option<Aims>,
+}
+
+/// Numbers of requests at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueFigures {
+    /// Requests in the queue.
+    pub queued: usize,
+    /// Attempts in progress.
+    pub running: usize,
 }
 
 /// The target chosen for one attempt. The outcome of each placement is reported exactly once.
@@ -180,6 +192,9 @@
         request: &ModelRequest,
     ) -> LocalBoxFuture<'static, Result<Placement, PlacementError>>;
 
+    /// Returns the requests in the queue and the attempts in progress.
+    fn queue_figures(&self) -> QueueFigures;
+
     /// Records the first token of an attempt, which marks the end of its prefill.
     fn record_first_token(&self, placement: &Placement);
 
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -90,6 +90,16 @@
     /// Time between two writes of a target's entry in the store.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
+    /// Names of the features that the deployment asks for. Unknown names are ignored.
+    #[serde(default)]
+    pub features: Vec<String>,
+}
+
+impl FleetSettings {
+    /// Whether the deployment asks for a feature.
+    pub fn has_feature(&self, name: &str) -> bool {
+        self.features.iter().any(|feature| feature == name)
+    }
 }
 
 fn default_revocation_ms() -> u64 {
--- a/tests/testsuite/queue.rs
+++ b/tests/testsuite/queue.rs
@@ -17,12 +17,13 @@
         cost_tokens,
         bytes: 100,
         deadline: NOW + Duration::from_secs(1),
+        aims: None,
     }
 }
 
 /// Dispatches the first job of the dispatch order and returns its workspace.
 fn dispatch_first(queue: &mut FairQueue) -> Option<String> {
-    let (workspace, id) = queue.dispatch_order().into_iter().next()?;
+    let (workspace, id) = queue.dispatch_order(NOW).into_iter().next()?;
     queue.on_dispatched(&workspace, id, NOW);
     Some(workspace.to_string())
 }
@@ -53,7 +54,7 @@
         }
         let mut dispatched_tokens = HashMap::<String, f64>::new();
         loop {
-            let order = queue.dispatch_order();
+            let order = queue.dispatch_order(NOW);
             let has_job = |name: &str| order.iter().any(|(workspace, _)| &**workspace == name);
             if !has_job("a") || !has_job("b") {
                 break;
@@ -185,7 +186,7 @@
         queue.push(&"b".into(), 1, job(10 + id, 1), NOW);
     }
     let ids: Vec<_> = queue
-        .dispatch_order()
+        .dispatch_order(NOW)
         .into_iter()
         .map(|(_, id)| id)
         .collect();
@@ -203,5 +204,5 @@
         queue.on_dispatched(&"a".into(), second, now);
     }
     queue.push(&"a".into(), 1, job(99, 100), NOW + Duration::from_secs(10));
-    assert_eq!(queue.expected_wait(&"a".into(), 1), None);
+    assert_eq!(queue.expected_wait(&"a".into(), 1, None, NOW), None);
 }
--- a/tests/testsuite/support/decisions.rs
+++ b/tests/testsuite/support/decisions.rs
@@ -70,5 +70,6 @@
         deadline: now + Duration::from_millis(410),
         excluded: Vec::new(),
         is_suspect: false,
+        aims: None,
     }
 }
