--- a/src/jujubelink/core/queue/fair.rs
+++ b/src/jujubelink/core/queue/fair.rs
@@ -178,6 +178,17 @@
         backlogged.sort_by(|(a_name, a), (b_name, b)| {
             a.start_tag.total_cmp(&b.start_tag).then(a_name.cmp(b_name))
         });
+        let mut queues = backlogged.iter().map(|(_, queue)| queue);
+        if !queues.any(|queue| queue.jobs.iter().any(|job| job.aims.is_some())) {
+            return backlogged
+                .into_iter()
+                .flat_map(|(name, queue)| {
+                    let jobs = queue.jobs.iter().take(MAX_LOOKAHEAD);
+                    jobs.map(move |job| (name.clone(), job.id))
+                })
+                .take(MAX_DISPATCH_CANDIDATES)
+                .collect();
+        }
         let mut candidates: Vec<_> = backlogged
             .into_iter()
             .flat_map(|(name, queue)| {
--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -224,6 +224,7 @@
             path: String::new(),
             id: "r".to_owned(),
             last_event: None,
+            priority: None,
         };
         let complete = success(&request, &expected_events(1..=1));
         let is_boundary = |length: &usize| {
