--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -121,6 +121,7 @@
             ("{{bounds.version_ms}}", "12000".to_owned()),
             ("{{heartbeat_ms}}", "1200".to_owned()),
             ("{{bounds.drain_ms}}", "2000".to_owned()),
+            ("{{contracts|json}}", "[]".to_owned()),
         ];
         let mut settings = fs::read_to_string("deploy/settings.toml")?;
         for (placeholder, value) in values {
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -94,6 +94,16 @@
     /// entry, in milliseconds. With 0 it is not stated: any known departure counts as having run its course.
     #[serde(default)]
     pub drain_ms: u64,
+    /// Names of the features that the deployment asks for. Unknown names are ignored.
+    #[serde(default)]
+    pub features: Vec<String>,
+}
+
+impl FleetSettings {
+    /// Whether the deployment asks for a feature.
+    pub fn has_feature(&self, name: &str) -> bool {
+        self.features.iter().any(|feature| feature == name)
+    }
 }
 
 fn default_revocation_ms() -> u64 {
