untrusted clients: crowds that exceed the memory of a small machine

Eleven crowds against the real binary with 64 MB and 2,400 descriptors in its settings: bodies whole, in pieces, in large and small chunks, oversized with and without a length, unfinished heads, heads in single bytes, silent connections, pipelined requests whose responses are not read, and slow readers of a long stream. Each test checks that the process lives, that its peak memory and open descriptors stay below those of the machine, and that an ordinary request is served afterwards.

Site::start gets a variant with further settings; no existing check is changed.

--- a/tests/testsuite/endless_bytes/floods.rs
+++ b/tests/testsuite/endless_bytes/floods.rs
@@ -22,12 +22,12 @@
     )
 }
 
-pub(super) fn chunked() -> String {
+pub(crate) fn chunked() -> String {
     success("transfer-encoding: chunked\r\n")
 }
 
 /// Returns a chunk with the given data.
-pub(super) fn chunk(data: &str) -> String {
+pub(crate) fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
 }
 /// Floods in the place of a response head.
--- a/tests/testsuite/endless_bytes/mod.rs
+++ b/tests/testsuite/endless_bytes/mod.rs
@@ -6,8 +6,8 @@
 
 mod calls;
 mod clients;
-mod floods;
-mod site;
+pub(crate) mod floods;
+pub(crate) mod site;
 mod slow_clients;
 mod sockets;
 mod targets;
--- a/tests/testsuite/endless_bytes/site.rs
+++ b/tests/testsuite/endless_bytes/site.rs
@@ -15,55 +15,60 @@
 use crate::support::{Flood, FloodProxy, Instance, WAIT_TIMEOUT, eventually, free_address};
 
 /// Time that clients of flooded requests wait. It ends the floods that no limit of size ends.
-pub(super) const FLOODED_DEADLINE_MS: u64 = 1_000;
+pub(crate) const FLOODED_DEADLINE_MS: u64 = 1_000;
 
 /// Time that clients of other requests wait. Only a failing test waits this long.
-pub(super) const OTHER_DEADLINE_MS: u64 = 10_000;
+pub(crate) const OTHER_DEADLINE_MS: u64 = 10_000;
 
 /// Time that a client of a flooded request would wait, if it did not leave before. It is longer than
 /// that of other requests, which are thus served during the flood or not at all.
-pub(super) const LONG_DEADLINE_MS: u64 = 20_000;
+pub(crate) const LONG_DEADLINE_MS: u64 = 20_000;
 
 /// Number of concurrent requests that are flooded.
-pub(super) const CONCURRENT: usize = 4;
+pub(crate) const CONCURRENT: usize = 4;
 
 /// Memory that the instance may hold for a flooded request: an incomplete event (256 KiB) or a short
 /// response (256 KiB), the read buffer of the connection (32 KiB) and the write buffer to the client
 /// (512 KiB). Buffers that grow by doubling may need twice as much.
-pub(super) const REQUEST_BYTES: u64 = 2 * (256 + 256 + 32 + 512) * 1024;
+pub(crate) const REQUEST_BYTES: u64 = 2 * (256 + 256 + 32 + 512) * 1024;
 
 /// Memory that the instance may hold for a control call to a target or a store of KV cache, whose
 /// responses are limited to 256 KiB.
-pub(super) const CONTROL_CALL_BYTES: u64 = 2 * (256 + 32) * 1024;
+pub(crate) const CONTROL_CALL_BYTES: u64 = 2 * (256 + 32) * 1024;
 
 /// Memory that the instance may hold for a call to the platform's store, whose responses are limited to
 /// 8 MiB.
-pub(super) const STORE_CALL_BYTES: u64 = 2 * (8 * 1024 + 32) * 1024;
+pub(crate) const STORE_CALL_BYTES: u64 = 2 * (8 * 1024 + 32) * 1024;
 
 /// Number of calls to the platform's store that an instance may have in progress, and of control calls.
-pub(super) const CONCURRENT_CALLS: u64 = 8;
+pub(crate) const CONCURRENT_CALLS: u64 = 8;
 
 /// Growth of the process that is not due to floods: first use of code and of the allocator's arenas.
-pub(super) const BASE_GROWTH_BYTES: u64 = 16 * 1024 * 1024;
+pub(crate) const BASE_GROWTH_BYTES: u64 = 16 * 1024 * 1024;
 /// An instance and the systems around it. Each of these is reached through a proxy that can flood.
-pub(super) struct Site {
-    pub(super) store: Rc<ObjectStore>,
-    pub(super) store_proxy: FloodProxy,
+pub(crate) struct Site {
+    pub(crate) store: Rc<ObjectStore>,
+    pub(crate) store_proxy: FloodProxy,
     /// Target of the service `app`.
-    pub(super) plain_proxy: FloodProxy,
+    pub(crate) plain_proxy: FloodProxy,
     /// Only engine of the service `llm`.
-    pub(super) engine_proxy: FloodProxy,
+    pub(crate) engine_proxy: FloodProxy,
     /// Store of KV cache.
-    pub(super) cache_proxy: FloodProxy,
-    pub(super) engine: Rc<FleetTarget>,
-    pub(super) cache: Rc<CacheStore>,
-    pub(super) instance: Instance,
-    pub(super) ready_address: SocketAddr,
+    pub(crate) cache_proxy: FloodProxy,
+    pub(crate) engine: Rc<FleetTarget>,
+    pub(crate) cache: Rc<CacheStore>,
+    pub(crate) instance: Instance,
+    pub(crate) ready_address: SocketAddr,
     _handles: Vec<StandInHandle>,
 }
 
 impl Site {
-    pub(super) async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
+        Self::start_with("").await
+    }
+
+    /// Starts the instance with further settings (TOML).
+    pub(crate) async fn start_with(settings: &str) -> Self {
         let store = ObjectStore::new();
         let faults = FaultPlan::default();
         let target = |id| FleetTarget::new(id, &faults);
@@ -103,7 +108,8 @@
         put_configuration(&store, 5, "read", cache_proxy.address());
         let ready_address = free_address();
         let fleet = format!(
-            "[fleet]\nmachine = \"n1\"\nready_address = \"{ready_address}\"\n[log]\nlevel = \"error\"\n",
+            "[fleet]\nmachine = \"n1\"\nready_address = \"{ready_address}\"\n\
+             [log]\nlevel = \"error\"\n{settings}\n",
         );
         let addresses = [free_address(), free_address(), free_address()];
         let platform = store_proxy.address();
@@ -127,12 +133,12 @@
         site
     }
 
-    pub(super) async fn request(&self, id: &str, path: &str, deadline_ms: u64) -> Answer {
+    pub(crate) async fn request(&self, id: &str, path: &str, deadline_ms: u64) -> Answer {
         request(self.instance.client_address, id, path, deadline_ms).await
     }
 
     /// Waits until a request is answered completely, as it is without floods.
-    pub(super) async fn wait_served(&self, path: &str) {
+    pub(crate) async fn wait_served(&self, path: &str) {
         eventually(&format!("requests to {path} are served"), || async {
             let answer = self.request("r", path, OTHER_DEADLINE_MS).await;
             (answer == Answer::Complete(200, expected_body(path))).then_some(())
@@ -141,7 +147,7 @@
     }
 
     /// Checks that requests to another service are served.
-    pub(super) async fn check_others_served(&self, flood: &str) {
+    pub(crate) async fn check_others_served(&self, flood: &str) {
         let started = Instant::now();
         for number in 0..5 {
             let id = format!("other-{number}");
@@ -161,7 +167,7 @@
     }
 
     /// Returns the proxy of the target that serves a path.
-    pub(super) fn proxy_of(&self, path: &str) -> &FloodProxy {
+    pub(crate) fn proxy_of(&self, path: &str) -> &FloodProxy {
         match is_stream(path) {
             true => &self.engine_proxy,
             false => &self.plain_proxy,
@@ -169,7 +175,7 @@
     }
 
     /// Returns a field of the process' status, in bytes.
-    pub(super) fn memory_bytes(&self, field: &str) -> u64 {
+    pub(crate) fn memory_bytes(&self, field: &str) -> u64 {
         let path = format!("/proc/{}/status", self.instance.pid());
         let status = std::fs::read_to_string(path).unwrap();
         let mut lines = status.lines();
@@ -180,7 +186,7 @@
 
     /// Checks that the peak of the process' memory has not exceeded its size before the floods by more
     /// than `limit`.
-    pub(super) fn check_memory(
+    pub(crate) fn check_memory(
         &self,
         resident_before: u64,
         limit: u64,
@@ -197,7 +203,7 @@
 
     /// Sends requests to a path whose target floods, and checks what clients, the target and the process
     /// show. The only success that clients may get is one with the body `complete`.
-    pub(super) async fn check_requests(&self, path: &str, flood: Flood, complete: Option<&str>) {
+    pub(crate) async fn check_requests(&self, path: &str, flood: Flood, complete: Option<&str>) {
         let name = flood.name;
         let proxy = self.proxy_of(path);
         let resident = self.memory_bytes("VmRSS");
@@ -233,7 +239,7 @@
     }
 
     /// Sends requests to a path whose target floods, whose clients leave after other requests were served.
-    pub(super) async fn check_abandoned_requests(&self, path: &str, flood: Flood) {
+    pub(crate) async fn check_abandoned_requests(&self, path: &str, flood: Flood) {
         let name = flood.name;
         let proxy = self.proxy_of(path);
         proxy.set_flood(Some(flood));
@@ -263,7 +269,7 @@
     }
 
     /// Floods the calls that an instance makes by itself, until `calls` of them have ended.
-    pub(super) async fn check_calls(
+    pub(crate) async fn check_calls(
         &self,
         proxy: &FloodProxy,
         flood: Flood,
@@ -297,7 +303,7 @@
 }
 
 /// Writes a configuration in which plain requests of `app` have the path `/NAME/`.
-pub(super) fn put_configuration(store: &ObjectStore, version: u64, name: &str, cache: SocketAddr) {
+pub(crate) fn put_configuration(store: &ObjectStore, version: u64, name: &str, cache: SocketAddr) {
     let route = |name: &str, kind: &str, service: &str, resumable: bool| {
         json!({ "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"),
             "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 10_000, "priority": 1,
@@ -325,7 +331,7 @@
 
 /// What a client received.
 #[derive(Debug, PartialEq, Eq)]
-pub(super) enum Answer {
+pub(crate) enum Answer {
     /// Status and complete body.
     Complete(u16, String),
     /// A head and a body that ended early.
@@ -335,7 +341,7 @@
 }
 
 /// Sends a request and reads its answer. A prompt goes with requests to engines.
-pub(super) async fn request(address: SocketAddr, id: &str, path: &str, deadline_ms: u64) -> Answer {
+pub(crate) async fn request(address: SocketAddr, id: &str, path: &str, deadline_ms: u64) -> Answer {
     let mut request = http::Request::post(path)
         .header("host", "shop.example")
         .header("jujubelink-attempt-id", id)
@@ -369,12 +375,12 @@
     answer.unwrap_or_else(|_| panic!("no end of the answer to {id}"))
 }
 
-pub(super) fn is_stream(path: &str) -> bool {
+pub(crate) fn is_stream(path: &str) -> bool {
     path.starts_with("/ask/") || path.starts_with("/tell/")
 }
 
 /// Body of the stand-in's answer.
-pub(super) fn expected_body(path: &str) -> String {
+pub(crate) fn expected_body(path: &str) -> String {
     if is_stream(path) {
         let events = (1..=5).map(|event| format!("id: {event}\ndata: piece {event}\n\n"));
         return events.collect();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,3 +44,4 @@
 mod streams;
 mod telemetry;
 mod tls;
+mod untrusted_clients;
--- /dev/null
+++ b/tests/testsuite/untrusted_clients/bodies.rs
@@ -0,0 +1,104 @@
+//! Crowds that send bodies.
+
+use super::crowd::{Crowd, Script};
+use super::machine::check_crowd;
+use crate::endless_bytes::floods::chunk;
+
+/// Largest body that the configuration allows.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Number of clients. Their bodies together are more than ten times the memory of the machine.
+const CLIENTS: usize = 200;
+
+/// One client in this many finishes its body. The others stop just before the end and stay open.
+const FINISHING: usize = 50;
+
+/// How often a client whose connection was closed tries again.
+const RECONNECTS: usize = 2;
+
+/// Size of the pieces of a body that is sent piece by piece.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Returns the head of a request with a body.
+fn head(framing: &str) -> String {
+    format!(
+        "POST /read/x HTTP/1.1\r\nhost: shop.example\r\njujubelink-attempt-id: crowd\r\n\
+         jujubelink-deadline-ms: 20000\r\n{framing}\r\n\r\n"
+    )
+}
+
+fn head_with_length(bytes: usize) -> String {
+    head(&format!("content-length: {bytes}"))
+}
+
+fn chunked_head() -> String {
+    head("transfer-encoding: chunked")
+}
+
+fn check_bodies(name: &str, script: Script) {
+    check_crowd(name, |site| {
+        let script = script.with_reconnects(RECONNECTS);
+        Crowd::start(site.instance.client_address, CLIENTS, script)
+    });
+}
+
+/// Guards against bodies of legal size that fill the memory together.
+#[test]
+fn large_bodies_sent_whole() {
+    let script = Script::new(head_with_length(MAX_BODY_BYTES))
+        .with_units("b".repeat(MAX_BODY_BYTES), 1)
+        .with_pieces(1024 * 1024);
+    check_bodies("large bodies sent whole", script);
+}
+
+/// Guards against bodies that are held for clients that never send their end.
+#[test]
+fn large_bodies_sent_in_pieces_without_their_end() {
+    let script = Script::new(head_with_length(MAX_BODY_BYTES))
+        .with_units("b".repeat(MAX_BODY_BYTES - 1), 1)
+        .with_end("b", FINISHING)
+        .with_pieces(PIECE_BYTES);
+    check_bodies("large bodies sent in pieces without their end", script);
+}
+
+/// Guards against chunked bodies, whose size is not known before their end.
+#[test]
+fn large_chunks_without_their_end() {
+    let data = chunk(&"b".repeat(256 * 1024));
+    let script = Script::new(chunked_head())
+        .with_units(data, 15)
+        .with_end("0\r\n\r\n", FINISHING)
+        .with_pieces(64 * 1024);
+    check_bodies("large chunks without their end", script);
+}
+
+/// Guards against memory that each chunk needs beside its data. With chunks of one byte, 1 MB of such a body
+/// arrives as 174,000 pieces.
+#[test]
+fn small_chunks_without_their_end() {
+    let data = chunk("b").repeat(1_000);
+    let script = Script::new(chunked_head())
+        .with_units(data, 300)
+        .with_end("0\r\n\r\n", FINISHING)
+        .with_pieces(PIECE_BYTES);
+    check_bodies("small chunks without their end", script);
+}
+
+/// Guards against buffers of the size that a client announces.
+#[test]
+fn oversized_bodies_with_a_length() {
+    let script = Script::new(head_with_length(1_000_000_000_000))
+        .with_units("b".repeat(1024 * 1024), usize::MAX >> 24)
+        .with_pieces(256 * 1024);
+    check_bodies("oversized bodies with a length", script);
+}
+
+/// Guards against bodies that are read beyond their limit.
+#[test]
+fn endless_chunked_bodies() {
+    let data = chunk(&"b".repeat(64 * 1024));
+    let script = Script::new(chunked_head())
+        .with_units(data, usize::MAX >> 24)
+        .with_pieces(64 * 1024);
+    check_bodies("endless chunked bodies", script);
+}
--- /dev/null
+++ b/tests/testsuite/untrusted_clients/mod.rs
@@ -0,0 +1,11 @@
+//! Crowds of clients that are outside of the operator's control, against the real binary on a small machine.
+//!
+//! Each test checks that the process lives, that its memory and its open descriptors stay within those of the
+//! machine in its settings, and that an ordinary request is served afterwards. None checks times or how many
+//! requests of the crowd are served.
+
+mod bodies;
+mod crowd;
+mod heads;
+mod machine;
+mod responses;
