clients: bound the buffers of connections, return freed bodies to the machine

Cause: each connection held up to 128 KiB of its client's bytes and up to 128 KiB of an unread response in hyper's buffers, which no bound counted. The C library raises its threshold for mapped buffers to the size of the largest freed one, so that bodies later left gaps in the heap that stay resident.

Change: reads from clients are capped by the number of connections (8 to 64 KiB), a response body is read only while the client has room for more bytes, and on a machine with limited memory buffers of 128 KiB and more are mapped on their own.

--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -13,6 +13,13 @@
 /// Descriptors for files and for connections to the store, to other instances and of operators.
 const RESERVED_DESCRIPTORS: u64 = 400;
 
+/// Most bytes of a read from a client, on a machine of any size.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
+/// Bytes of a read from a client while there are many connections. hyper doubles its read buffer of 8 KiB
+/// after a read that fills it, so reads are one byte shorter.
+const MIN_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// What an instance may use of its machine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MachineLimits {
@@ -53,4 +60,12 @@
             body_bytes: body_bytes as usize,
         }
     }
+
+    /// Returns the most bytes of a read from a client, so that the read buffers of all connections together
+    /// use at most a quarter of the memory for bodies, as far as reads of [`MIN_READ_BYTES`] allow. Each
+    /// connection may hold two reads: one in the buffer and one that is taken from it.
+    pub fn read_bytes(&self, connections: usize) -> usize {
+        let share = self.body_bytes / 4 / 2 / connections.max(1);
+        share.clamp(MIN_READ_BYTES, MAX_READ_BYTES)
+    }
 }
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -96,6 +96,11 @@
         self.connections.get() >= self.bounds.connections / 2
     }
 
+    /// Most bytes of a read from a client.
+    pub(super) fn read_bytes(&self) -> usize {
+        self.bounds.read_bytes(self.connections.get())
+    }
+
     /// Number of open connections.
     pub(super) fn connections(&self) -> usize {
         self.connections.get()
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -196,6 +196,10 @@
         }
     }
 
+    fn max_read_bytes(&self) -> usize {
+        self.0.load.read_bytes()
+    }
+
     fn on_end(&self, end: &ConnectionEnd<'_>) {
         let context = &self.0.context;
         match end {
--- a/src/jujubelink/ops/serve.rs
+++ b/src/jujubelink/ops/serve.rs
@@ -8,11 +8,19 @@
 use crate::ops::kernel::{self, Context};
 use crate::ops::settings::ProcessSettings;
 use crate::ops::telemetry::{Metrics, new_logger};
+use crate::util::allocator::map_large_buffers;
 
 /// Runs an instance until its graceful shutdown is complete. `paths` are the settings files, which
 /// are reloaded on SIGHUP and when they change.
 pub fn serve(settings: ProcessSettings, paths: Vec<PathBuf>) -> Result<()> {
+    let has_memory_limit = settings.machine.memory_mb.is_some();
     let context = new_context(settings)?;
+    if has_memory_limit && !map_large_buffers() {
+        slog::info!(
+            context.log(),
+            "the allocator cannot map large buffers on their own"
+        );
+    }
     kernel::run(async {
         stop_on_signal(&context)?;
         reload::watch(&context, paths)?;
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -9,11 +9,13 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use cyper_core::CompioTimer;
 use derive_more::Display;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, Response, Version, header};
+use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::service::service_fn;
@@ -66,6 +68,12 @@
         KnownLimits::fixed(DEFAULT_WAIT_LIMITS)
     }
 
+    /// Returns the most bytes of a read from the client. Large reads need fewer calls, but the buffers of many
+    /// connections fill the memory.
+    fn max_read_bytes(&self) -> usize {
+        usize::MAX
+    }
+
     /// Called when a connection ends while it waits for a client, other than by the client's close
     /// between two requests.
     fn on_end(&self, _end: &ConnectionEnd<'_>) {}
@@ -211,7 +219,9 @@
             if let Some(unread) = unread {
                 compio::runtime::spawn(discard_unread(unread, Rc::clone(&exchange))).detach();
             }
-            Ok::<_, Infallible>(response.map(|body| attach_guard(body, exchange)))
+            let state = Rc::clone(&exchange.state);
+            let body = response.map(|body| attach_guard(body, exchange));
+            Ok::<_, Infallible>(body.map(|body| GatedBody { body, state }))
         }
     });
     let io = ObservedIo {
@@ -360,6 +370,8 @@
     is_last_read: Cell<bool>,
     /// Whether the connection is polled now, so that it need not be woken.
     is_polled: Cell<bool>,
+    /// Whether the client has no room for further bytes of an HTTP/1.1 response.
+    is_write_blocked: Cell<bool>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -379,6 +391,7 @@
             check_at: Cell::default(),
             is_last_read: Cell::default(),
             is_polled: Cell::default(),
+            is_write_blocked: Cell::default(),
             waker: RefCell::default(),
         }
     }
@@ -502,6 +515,37 @@
     }
 }
 
+/// A response body that is read only while the client has room. hyper would read on until its write buffer
+/// is full, which is as large as the largest head.
+struct GatedBody<H> {
+    body: Body,
+    state: Rc<ConnectionState<H>>,
+}
+
+impl<H> http_body::Body for GatedBody<H> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        // HTTP/2 has windows. Under HTTP/1.1 hyper polls the body again after a write.
+        if self.state.is_write_blocked.get() && !self.state.is_http2.get() {
+            return Poll::Pending;
+        }
+        self.body.as_mut().poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Reports the bytes that arrive to the state of a connection.
 struct ObservedIo<I, H> {
     io: I,
@@ -515,7 +559,9 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // SAFETY: the slice is only written to, through a `ReadBuf` that takes it as uninitialized.
-        let mut received = ReadBuf::uninit(unsafe { buffer.as_mut() });
+        let unfilled = unsafe { buffer.as_mut() };
+        let length = unfilled.len().min(self.state.handler.max_read_bytes());
+        let mut received = ReadBuf::uninit(&mut unfilled[..length]);
         if let Err(error) = ready!(Pin::new(&mut self.io).poll_read(cx, received.unfilled())) {
             self.state.connection.record_read_error(&error);
             return Poll::Ready(Err(error));
@@ -567,6 +613,7 @@
 
 impl<I, H> ObservedIo<I, H> {
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        self.state.is_write_blocked.set(written.is_pending());
         if let Poll::Ready(Err(_)) = written {
             self.state.connection.record(ConnectionLoss::Write);
         }
--- a/src/jujubelink/util/mod.rs
+++ b/src/jujubelink/util/mod.rs
@@ -1,5 +1,6 @@
-//! Sockets, HTTP helpers, hash functions and durations.
+//! Parameters of the allocator, sockets, HTTP helpers, hash functions and durations.
 
+pub mod allocator;
 pub mod duration;
 pub mod hash;
 pub mod http;
