clients: one memory budget for heads and bodies, the slowest transfers end first

Cause: heads were bounded for each connection but not together, 16 KiB of each body and the buffers of a request at its target were not counted, and bodies of unknown size grew by doubling. A body that stopped just before its end kept its memory until the deadline of its request.

Change: heads beyond 8 KiB, bodies, and 32 KiB for each request with a body share one budget of a quarter of the memory (machine.client_memory_mb). Without enough memory, the slowest transfers of the client address and workspace that hold most end, from an age of 3 s; otherwise the new body gets 503 and the connection of a new head is closed. Transfers of more than 48 KiB leave a quarter of the budget to small ones. A buffer for a body of unknown size is mapped once. New counters: bodies_refused, bodies_ended, heads_ended.

New tests: a body of 4 MiB with a head of 15 KB is served on 88 MB, whole and in chunks; a body over the limit gets 413; rules of the ledger, with a property test. Crowds and bounds are unchanged.

--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -1,9 +1,13 @@
 //! How much of its machine an instance uses for clients.
 
+mod ledger;
+
+pub use ledger::{Grant, Ledger, Owner, TransferId};
+
 /// Most connections of clients, on a machine of any size.
 const MAX_CONNECTIONS: u64 = 16_384;
 
-/// Most memory for bodies of requests, on a machine of any size, in bytes.
+/// Most memory for heads and bodies of requests, on a machine of any size, in bytes.
 const MAX_BODY_BYTES: u64 = 128 * 1024 * 1024;
 
 /// Memory that a connection without a request needs, in bytes, including its part of the allocator's
@@ -35,7 +39,7 @@
     /// Open connections. Idle ones use at most half of the memory, and all of them leave a third of the
     /// descriptors to connections to targets.
     pub connections: usize,
-    /// Bodies of requests, in bytes. At most a quarter of the memory.
+    /// Heads and bodies of requests, in bytes. A quarter of the memory, unless the settings state it.
     pub body_bytes: usize,
 }
 
@@ -61,6 +65,12 @@
         }
     }
 
+    /// Replaces the memory for heads and bodies of requests.
+    pub fn with_body_bytes(mut self, body_bytes: usize) -> Self {
+        self.body_bytes = body_bytes;
+        self
+    }
+
     /// Returns the most bytes of a read from a client, so that the read buffers of all connections together
     /// use at most a quarter of the memory for bodies, as far as reads of [`MIN_READ_BYTES`] allow. Each
     /// connection may hold two reads: one in the buffer and one that is taken from it.
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -1,10 +1,12 @@
-//! Counters and limits for open connections, running requests and buffered bodies.
+//! Counters and limits for open connections, running requests, and heads and bodies that are held.
 
 use std::cell::Cell;
+use std::net::IpAddr;
 use std::rc::Rc;
 
-use crate::core::capacity::ClientBounds;
+use crate::core::capacity::{ClientBounds, Owner};
 use crate::util::http::{Body, attach_guard};
+use crate::util::memory_budget::{MemoryBudget, Reservation};
 
 /// Current load from clients.
 pub(super) struct Load {
@@ -15,41 +17,8 @@
     bounds: ClientBounds,
     connections: Rc<Cell<usize>>,
     requests: Rc<Cell<usize>>,
-    reserved_body_bytes: Rc<Cell<usize>>,
-}
-
-/// Memory reserved for a request body. Dropping it releases the reservation.
-pub(super) struct BodyReservation {
-    reserved_bytes: Rc<Cell<usize>>,
-    limit_bytes: usize,
-    bytes: usize,
-}
-
-impl BodyReservation {
-    /// Reserves further memory. Returns whether that is within the limit.
-    pub(super) fn grow(&mut self, bytes: usize) -> bool {
-        let reserved = self.reserved_bytes.get() + bytes;
-        if reserved > self.limit_bytes {
-            return false;
-        }
-        self.reserved_bytes.set(reserved);
-        self.bytes += bytes;
-        true
-    }
-
-    /// Releases what exceeds `bytes`.
-    pub(super) fn shrink_to(&mut self, bytes: usize) {
-        let excess = self.bytes.saturating_sub(bytes);
-        self.reserved_bytes.set(self.reserved_bytes.get() - excess);
-        self.bytes -= excess;
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.reserved_bytes
-            .set(self.reserved_bytes.get() - self.bytes);
-    }
+    /// Memory for heads and bodies.
+    memory: MemoryBudget,
 }
 
 /// Counts one connection or request until it is dropped.
@@ -61,7 +30,7 @@
             bounds,
             connections: Rc::default(),
             requests: Rc::default(),
-            reserved_body_bytes: Rc::default(),
+            memory: MemoryBudget::new(bounds.body_bytes),
         }
     }
 
@@ -71,18 +40,18 @@
             .then(|| LoadGuard::new(&self.connections))
     }
 
-    /// Starts the reservation for a request body of unknown size.
-    pub(super) fn begin_body(&self) -> BodyReservation {
-        BodyReservation {
-            reserved_bytes: Rc::clone(&self.reserved_body_bytes),
-            limit_bytes: self.bounds.body_bytes,
-            bytes: 0,
-        }
+    /// Starts the reservation for a head or body of unknown size.
+    pub(super) fn begin_transfer(&self, address: Option<IpAddr>) -> Reservation {
+        self.memory.begin(Owner {
+            address,
+            workspace: None,
+        })
     }
 
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
-    pub(super) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation> {
-        let mut reservation = self.begin_body();
+    pub(super) fn reserve_body(&self, bytes: usize) -> Option<Reservation> {
+        let reservation = self.begin_transfer(None);
+        reservation.complete();
         reservation.grow(bytes).then_some(reservation)
     }
 
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -1,6 +1,7 @@
 //! Routes client requests to the model, plain and relay handlers.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -9,6 +10,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 
+use super::client_address::ClientAddress;
 use super::client_limits::ClientLimits;
 use super::connections::Load;
 use super::key_revocation::KeyRevocations;
@@ -30,6 +32,7 @@
 use crate::util::http::{
     Body, Client, ConnectionEnd, DEFAULT_SEND_TIME, DEFAULT_WAIT_LIMITS, Handler, UnreadBody, empty,
 };
+use crate::util::memory_budget::Reservation;
 
 /// State shared by all client requests.
 pub(super) struct Proxy {
@@ -53,7 +56,7 @@
             engines: EngineClient::new(client.clone()),
             client,
             key_revocations: KeyRevocations::default(),
-            load: Load::new(ClientBounds::new(&machine_limits(context))),
+            load: Load::new(client_bounds(context)),
             client_limits: relay.as_ref().map(|_| ClientLimits::new(context)),
             relay,
         })
@@ -173,13 +176,29 @@
 
 /// Handles the requests of one connection.
 #[derive(Clone)]
-pub(super) struct ClientHandler(pub(super) Rc<Proxy>);
+pub(super) struct ClientHandler {
+    proxy: Rc<Proxy>,
+    /// Address of the client, if it is known.
+    address: Option<IpAddr>,
+}
+
+impl ClientHandler {
+    pub(super) fn new(proxy: Rc<Proxy>, address: Option<IpAddr>) -> Self {
+        Self { proxy, address }
+    }
+}
 
 impl Handler for ClientHandler {
-    fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
+    fn handle(
+        self,
+        mut request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Body>> + 'static {
         // hyper reserves space for the future in every connection. Boxing limits this to the time
         // until the response head is ready.
-        let proxy = self.0;
+        let proxy = self.proxy;
+        if let Some(address) = self.address {
+            request.extensions_mut().insert(ClientAddress(address));
+        }
         Box::pin(async move {
             match proxy.relay.clone() {
                 Some(relay) => handle_relayed_request(proxy, relay, request).await,
@@ -189,7 +208,7 @@
     }
 
     fn known_limits(&self) -> KnownLimits {
-        let proxy = &self.0;
+        let proxy = &self.proxy;
         match &proxy.client_limits {
             Some(limits) => limits.known(proxy.load.is_crowded()),
             None => KnownLimits::fixed(DEFAULT_WAIT_LIMITS),
@@ -197,11 +216,15 @@
     }
 
     fn max_read_bytes(&self) -> usize {
-        self.0.load.read_bytes()
+        self.proxy.load.read_bytes()
+    }
+
+    fn begin_head(&self) -> Option<Reservation> {
+        Some(self.proxy.load.begin_transfer(self.address))
     }
 
     fn on_end(&self, end: &ConnectionEnd<'_>) {
-        let context = &self.0.context;
+        let context = &self.proxy.context;
         match end {
             ConnectionEnd::Idle { .. } => {
                 slog::debug!(context.log(), "idle client connection closed"; "reason" => %end);
@@ -209,23 +232,33 @@
             }
             ConnectionEnd::SlowHead { .. } | ConnectionEnd::FailedHead { .. } => {
                 slog::info!(context.log(), "client connection ended within a head";
-                    "reason" => %end, "connections" => self.0.load.connections());
+                    "reason" => %end, "connections" => self.proxy.load.connections());
                 context.metrics().count("connections_failed", 1);
             }
+            ConnectionEnd::NoMemory => {
+                slog::info!(context.log(), "client connection ended within a head";
+                    "reason" => %end, "connections" => self.proxy.load.connections());
+                context.metrics().count("heads_ended", 1);
+            }
             ConnectionEnd::EndlessBody => {
                 slog::info!(context.log(), "client connection closed within a refused body";
-                    "connections" => self.0.load.connections());
+                    "connections" => self.proxy.load.connections());
                 context.metrics().count("connections_failed", 1);
             }
         }
     }
 }
 
-fn machine_limits(context: &Context) -> MachineLimits {
+fn client_bounds(context: &Context) -> ClientBounds {
+    let bytes = |mb: u64| mb.saturating_mul(1_000_000);
     let machine = &context.settings().machine;
-    MachineLimits {
-        memory_bytes: machine.memory_mb.map(|mb| mb.saturating_mul(1_000_000)),
+    let bounds = ClientBounds::new(&MachineLimits {
+        memory_bytes: machine.memory_mb.map(bytes),
         descriptors: machine.max_descriptors,
+    });
+    match machine.client_memory_mb {
+        Some(mb) => bounds.with_body_bytes(bytes(mb) as usize),
+        None => bounds,
     }
 }
 
--- a/src/jujubelink/ops/proxy/mod.rs
+++ b/src/jujubelink/ops/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Client-facing proxy: accepts connections, authenticates requests and forwards them to targets.
 
 mod auth;
+mod client_address;
 mod client_limits;
 mod connections;
 mod handler;
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -15,7 +15,6 @@
 use crate::core::config::{ConfigSnapshot, Target};
 use crate::core::ids::{RequestId, Timestamp, Tokens};
 use crate::ops::proxy::auth::Caller;
-use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::proxy::request_id::engine_request_id;
@@ -27,6 +26,7 @@
 use crate::ops::telemetry::{Span, TraceContext};
 use crate::ops::upstream::{AttemptError, AttemptTag, EngineStream, StreamError};
 use crate::util::http::sse::SseEvent;
+use crate::util::memory_budget::Reservation;
 
 /// Added to the expected prefill time for the timeout of an engine's response head and first event.
 const FIRST_EVENT_MARGIN: Duration = Duration::from_secs(5);
@@ -95,7 +95,7 @@
     is_complete: bool,
     pub(super) wait: CurrentWait,
     /// Memory reserved for the request body.
-    pub(super) reservation: Option<BodyReservation>,
+    pub(super) reservation: Option<Reservation>,
     /// Last data to send to the client after the request is complete.
     pub(super) final_data: Option<Bytes>,
 }
--- a/src/jujubelink/ops/proxy/model/handler.rs
+++ b/src/jujubelink/ops/proxy/model/handler.rs
@@ -38,7 +38,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let caller = authenticate(proxy, config, &head.headers)?;
     let declared = declared_body_size(&head.headers)?;
-    let mut reservation = proxy
+    let reservation = proxy
         .load
         .reserve_body(declared)
         .ok_or_else(|| Refusal::not_run(RefusalCode::Overloaded, "too many requests are held"))?;
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -182,7 +182,8 @@
             "error" => %error);
     }
     let shutdown = proxy.context.shutdown().clone();
-    let handler = ClientHandler(Rc::clone(proxy));
+    let address = stream.peer_addr().ok().map(|address| address.ip());
+    let handler = ClientHandler::new(Rc::clone(proxy), address);
     let drain = async move { shutdown.closing().await };
     let tls = proxy.context.find_service::<ServerTls>();
     let options = connection_options(proxy);
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -22,7 +22,7 @@
     AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
 };
 use crate::core::stop::RequestTimes;
-use crate::ops::proxy::connections::BodyReservation;
+use crate::ops::proxy::client_address::ClientAddress;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
 use crate::ops::proxy::waits::{Awaited, ClientSide};
@@ -32,6 +32,7 @@
 };
 use crate::util::duration::ms;
 use crate::util::http::DEFAULT_SEND_TIME;
+use crate::util::memory_budget::Reservation;
 
 /// Fraction of the latency objective that a request may spend in the queue. A request sent later
 /// would miss the objective even at an idle target, and an early refusal with a retry delay serves
@@ -64,7 +65,7 @@
     pub(super) parts: Parts,
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
-    body_reservation: BodyReservation,
+    body_reservation: Reservation,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
@@ -100,6 +101,7 @@
 impl Exchange {
     pub(super) fn new(proxy: &Rc<Proxy>, relay: &Rc<Relay>, parts: Parts, head: RelayHead) -> Self {
         let arrived = proxy.context.timers().boot_now();
+        let address = ClientAddress::of(&parts.extensions);
         Self {
             proxy: Rc::clone(proxy),
             relay: Rc::clone(relay),
@@ -107,7 +109,7 @@
             last_event: head.last_event,
             head,
             body: Bytes::new(),
-            body_reservation: proxy.load.begin_body(),
+            body_reservation: proxy.load.begin_transfer(address),
             arrived,
             deadline: Timestamp::MAX,
             admission: None,
@@ -222,7 +224,10 @@
         };
         self.progress.wait.set(Awaited::Body);
         let remaining = self.remaining();
-        let read = read_request_body(incoming, limit, &mut self.body_reservation);
+        let admission = self.admission.as_ref();
+        let workspace = admission.and_then(|admission| admission.workspace.clone());
+        self.body_reservation.set_workspace(workspace);
+        let read = read_request_body(incoming, limit, &self.body_reservation);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
             Some(Ok(Some(bytes))) => {
@@ -231,11 +236,21 @@
                 Ok(())
             }
             Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
-            Some(Err(BodyFailure::NoMemory)) => Err(Refusal::not_run(
-                RefusalCode::Overloaded,
-                "no memory is left for the body",
-            )
-            .with_retry_after(NO_TARGET_RETRY_AFTER)),
+            Some(Err(BodyFailure::NoMemory)) => {
+                self.proxy.context.metrics().count("bodies_refused", 1);
+                Err(
+                    Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the body")
+                        .with_retry_after(NO_TARGET_RETRY_AFTER),
+                )
+            }
+            Some(Err(BodyFailure::TooSlow)) => {
+                self.proxy.context.metrics().count("bodies_ended", 1);
+                Err(Refusal::not_run(
+                    RefusalCode::Overloaded,
+                    "the memory of the body was needed, and it arrived more slowly than others",
+                )
+                .with_retry_after(NO_TARGET_RETRY_AFTER))
+            }
             Some(Err(BodyFailure::Broken)) => Err(Refusal::not_run(
                 RefusalCode::InvalidRequest,
                 "the body broke off",
--- a/src/jujubelink/ops/proxy/relay/request_body.rs
+++ b/src/jujubelink/ops/proxy/relay/request_body.rs
@@ -1,20 +1,28 @@
 //! Reading request bodies within the memory for them.
 
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
+
 use bytes::{Bytes, BytesMut};
 use http_body::Body as _;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::ops::proxy::connections::BodyReservation;
+use crate::util::memory_budget::Reservation;
+
+/// Memory that a request with a body needs beside the body, for its buffers and those of the connection to
+/// the target, in bytes.
+const REQUEST_BYTES: usize = 32 * 1024;
 
-/// Bytes of each body that need no reservation, so that clients with large bodies do not exclude those
-/// with small ones.
-const UNRESERVED_BYTES: usize = 16 * 1024;
+/// Size from which the buffer of a body of unknown size is as large as the largest body.
+const MAPPED_BODY_BYTES: usize = 64 * 1024;
 
 /// Why a request body was not read.
 pub(super) enum BodyFailure {
-    /// The bodies of all requests together are too large.
+    /// The requests of all clients together are too large.
     NoMemory,
+    /// The memory was needed for bodies that arrive faster, or for those of others.
+    TooSlow,
     /// The body ended early.
     Broken,
 }
@@ -24,26 +32,42 @@
 pub(super) async fn read_request_body(
     body: &mut Incoming,
     limit_bytes: usize,
-    reservation: &mut BodyReservation,
+    reservation: &Reservation,
 ) -> Result<Option<Bytes>, BodyFailure> {
+    if !reservation.grow(REQUEST_BYTES) {
+        return Err(BodyFailure::NoMemory);
+    }
     // Growth by doubling would hold up to twice the size of a long body. Memory that is not written to is not
     // in use yet.
     let declared_bytes = body.size_hint().exact().unwrap_or(0);
     let mut collected = BytesMut::with_capacity(limit_bytes.min(declared_bytes as usize));
-    while let Some(frame) = body.frame().await {
+    loop {
+        let next = poll_fn(|cx| match reservation.poll_end(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(BodyFailure::TooSlow)),
+            Poll::Pending => Pin::new(&mut *body).poll_frame(cx).map(Ok),
+        });
+        let Some(frame) = next.await? else {
+            break;
+        };
         let frame = frame.map_err(|_| BodyFailure::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = collected.len() + data.len();
-        if length > limit_bytes {
+        if collected.len() + data.len() > limit_bytes {
             return Ok(None);
         }
-        let unreserved = length.saturating_sub(UNRESERVED_BYTES.max(collected.len()));
-        if !reservation.grow(unreserved) {
+        if !reservation.grow(data.len()) {
             return Err(BodyFailure::NoMemory);
         }
+        // Growth by doubling leaves gaps in the heap. A buffer of this size is mapped, and the part of it that
+        // is not written to is not in use.
+        let length = collected.len() + data.len();
+        if length > collected.capacity() && length > MAPPED_BODY_BYTES {
+            collected.reserve(limit_bytes - collected.len());
+        }
+        // Copying releases the read buffer, of which a small chunk would keep the whole.
         collected.extend_from_slice(&data);
     }
+    reservation.complete();
     Ok(Some(collected.freeze()))
 }
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -186,6 +186,8 @@
 pub struct MachineSettings {
     /// Memory that the process may use, in megabytes. Not limited if absent.
     pub memory_mb: Option<u64>,
+    /// Memory for heads and bodies of requests, in megabytes. A quarter of `memory_mb` if absent.
+    pub client_memory_mb: Option<u64>,
     /// Number of descriptors that the process may open. Not limited if absent.
     pub max_descriptors: Option<u64>,
 }
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -18,5 +18,6 @@
 pub use client_connection::{ClientConnection, ConnectionLoss};
 pub use executor::LocalExecutor;
 pub use server::{
-    ConnectionEnd, DEFAULT_WAIT_LIMITS, Handler, ServerOptions, serve_connection, serve_listener,
+    ConnectionEnd, DEFAULT_WAIT_LIMITS, FREE_HEAD_BYTES, Handler, ServerOptions, serve_connection,
+    serve_listener,
 };
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -26,6 +26,7 @@
 };
 use crate::core::connection::{KnownLimits, Wait, WaitDecision, WaitKind, WaitLimits};
 use crate::util::duration::ms;
+use crate::util::memory_budget::Reservation;
 use crate::util::net::Listener;
 
 /// Number of waits before a draining HTTP/1.1 connection is closed. A stall of the process, in which
@@ -51,6 +52,12 @@
 /// First bytes of a client that uses HTTP/2.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
+/// Bytes of a head that need no reservation. The initial read buffer of a connection holds them.
+pub const FREE_HEAD_BYTES: usize = 8 * 1024;
+
+/// Buffers of heads grow by doubling.
+const HEAD_BUFFER_FACTOR: usize = 2;
+
 /// Limits of connections whose handler states none.
 pub const DEFAULT_WAIT_LIMITS: WaitLimits = WaitLimits {
     header_timeout: Duration::from_secs(15),
@@ -74,6 +81,12 @@
         usize::MAX
     }
 
+    /// Begins the reservation of memory for a head that is larger than [`FREE_HEAD_BYTES`]. Without one, the
+    /// memory for heads is not limited.
+    fn begin_head(&self) -> Option<Reservation> {
+        None
+    }
+
     /// Called when a connection ends while it waits for a client, other than by the client's close
     /// between two requests.
     fn on_end(&self, _end: &ConnectionEnd<'_>) {}
@@ -100,6 +113,9 @@
         /// The error.
         error: &'a BodyError,
     },
+    /// The memory for the head of a request is needed for others.
+    #[display("no memory is left for the head")]
+    NoMemory,
     /// The rest of a body that was refused did not end within the bounds for it.
     #[display("the refused body does not end")]
     EndlessBody,
@@ -241,6 +257,9 @@
             if let Poll::Ready(result) = polled {
                 return Poll::Ready(ConnectionEvent::Ended(result));
             }
+            if state.lacks_memory(cx) {
+                return Poll::Ready(ConnectionEvent::NoMemory);
+            }
             if drain.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(ConnectionEvent::DrainBegan);
             }
@@ -250,6 +269,10 @@
         match event.await {
             ConnectionEvent::Ended(result) => return state.end(result),
             ConnectionEvent::DrainBegan => break,
+            ConnectionEvent::NoMemory => {
+                state.handler.on_end(&ConnectionEnd::NoMemory);
+                return Ok(());
+            }
             ConnectionEvent::CheckDue => {}
         }
         match state.check_wait() {
@@ -314,6 +337,8 @@
 enum ConnectionEvent {
     Ended(Result<(), BodyError>),
     DrainBegan,
+    /// No memory is left for the head that its client sends.
+    NoMemory,
     /// The connection may have waited for its client for too long.
     CheckDue,
 }
@@ -370,6 +395,10 @@
     is_last_read: Cell<bool>,
     /// Whether the connection is polled now, so that it need not be woken.
     is_polled: Cell<bool>,
+    /// Bytes of the head that has begun, up to the end of the last read.
+    head_bytes: Cell<usize>,
+    /// Memory for the head that has begun, and how much is reserved.
+    head_memory: RefCell<Option<(Reservation, usize)>>,
     /// Whether the client has no room for further bytes of an HTTP/1.1 response.
     is_write_blocked: Cell<bool>,
     /// Wakes the task of the connection.
@@ -391,6 +420,8 @@
             check_at: Cell::default(),
             is_last_read: Cell::default(),
             is_polled: Cell::default(),
+            head_bytes: Cell::default(),
+            head_memory: RefCell::default(),
             is_write_blocked: Cell::default(),
             waker: RefCell::default(),
         }
@@ -435,6 +466,37 @@
         if matches!(self.wait.get(), Some((wait, _)) if wait.kind() == WaitKind::Request) {
             self.begin_wait(WaitKind::Head);
         }
+        if self.head_wait().is_some() {
+            self.head_bytes.set(self.head_bytes.get() + bytes.len());
+        }
+    }
+
+    /// Reserves memory for the head that has begun. Returns whether too little is left for it.
+    fn lacks_memory(&self, cx: &mut Context<'_>) -> bool {
+        let excess = self.head_bytes.get().saturating_sub(FREE_HEAD_BYTES);
+        if excess == 0 {
+            return false;
+        }
+        let mut memory = self.head_memory.borrow_mut();
+        if memory.is_none() {
+            *memory = self.handler.begin_head().map(|memory| (memory, 0));
+        }
+        let Some((memory, reserved_bytes)) = &mut *memory else {
+            return false;
+        };
+        let needed = excess * HEAD_BUFFER_FACTOR;
+        let missing = needed.saturating_sub(*reserved_bytes);
+        if missing > 0 && !memory.grow(missing) {
+            return true;
+        }
+        *reserved_bytes += missing;
+        memory.poll_end(cx).is_ready()
+    }
+
+    /// Releases the memory for a head that has arrived.
+    fn release_head(&self) {
+        self.head_bytes.set(0);
+        self.head_memory.take();
     }
 
     /// Checks the wait for the client. Returns what the connection waits for if it has to be closed.
@@ -493,6 +555,7 @@
         state.has_begun_exchange.set(true);
         state.exchanges.set(state.exchanges.get() + 1);
         state.end_wait();
+        state.release_head();
         Self {
             state: Rc::clone(state),
         }
--- a/src/jujubelink/util/mod.rs
+++ b/src/jujubelink/util/mod.rs
@@ -1,7 +1,8 @@
-//! Parameters of the allocator, sockets, HTTP helpers, hash functions and durations.
+//! Memory for clients, sockets, HTTP helpers, hash functions and durations.
 
 pub mod allocator;
 pub mod duration;
 pub mod hash;
 pub mod http;
+pub mod memory_budget;
 pub mod net;
--- a/tests/testsuite/untrusted_clients/bodies.rs
+++ b/tests/testsuite/untrusted_clients/bodies.rs
@@ -1,8 +1,13 @@
 //! Crowds that send bodies.
 
 use super::crowd::{Crowd, Script};
-use super::machine::check_crowd;
+use super::machine::{check_crowd, start_on};
 use crate::endless_bytes::floods::chunk;
+use crate::endless_bytes::site::Site;
+use crate::support::{FloodClient, WAIT_TIMEOUT, eventually, run};
+
+/// Memory of the smallest machine.
+const SMALLEST_MEMORY_MB: u64 = 88;
 
 /// Largest body that the configuration allows.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -102,3 +107,54 @@
         .with_pieces(64 * 1024);
     check_bodies("endless chunked bodies", script);
 }
+
+/// Sends a request and returns the start of the bytes that arrive until the instance closes the connection.
+/// The connection has its own thread, as the event loop of the test serves the systems around the instance.
+async fn response_start(site: &Site, request: String) -> String {
+    let address = site.instance.client_address;
+    let reading = std::thread::spawn(move || {
+        let client = FloodClient::start(address, request.as_bytes(), &[]);
+        let response = client.read_to_end(WAIT_TIMEOUT).unwrap();
+        String::from_utf8_lossy(&response[..response.len().min(300)]).into_owned()
+    });
+    eventually("the connection is closed", || async {
+        reading.is_finished().then_some(())
+    })
+    .await;
+    reading.join().unwrap()
+}
+
+/// Guards against bounds that a single request of the largest size meets on the smallest machine.
+#[test]
+fn the_largest_request_is_served_on_the_smallest_machine() {
+    run(async {
+        let (_lock, site) = start_on(SMALLEST_MEMORY_MB).await;
+        let large_head = format!("x-large: {}\r\nconnection: close\r\n", "x".repeat(15_000));
+        let body = "b".repeat(MAX_BODY_BYTES);
+        let whole = head(&format!("{large_head}content-length: {MAX_BODY_BYTES}")) + &body;
+        let chunks = chunk(&body[..64 * 1024]).repeat(MAX_BODY_BYTES / (64 * 1024));
+        let chunked = head(&format!("{large_head}transfer-encoding: chunked")) + &chunks;
+        for request in [whole, chunked + "0\r\n\r\n"] {
+            let start = response_start(&site, request).await;
+            assert!(start.starts_with("HTTP/1.1 200 "), "{start}");
+        }
+    });
+}
+
+/// Guards against a body over the limit that is refused only after it has been read.
+#[test]
+fn a_body_over_the_limit_is_refused_at_once() {
+    run(async {
+        let (_lock, site) = start_on(SMALLEST_MEMORY_MB).await;
+        let announced = head(&format!(
+            "connection: close\r\ncontent-length: {}",
+            MAX_BODY_BYTES + 1
+        ));
+        let sent = head("connection: close\r\ntransfer-encoding: chunked")
+            + &chunk(&"b".repeat(MAX_BODY_BYTES + 1));
+        for request in [announced, sent] {
+            let start = response_start(&site, request).await;
+            assert!(start.starts_with("HTTP/1.1 413 "), "{start}");
+        }
+    });
+}
--- a/tests/testsuite/untrusted_clients/machine.rs
+++ b/tests/testsuite/untrusted_clients/machine.rs
@@ -16,6 +16,14 @@
 /// Name of the file in the folder for temporary files whose lock a test of a crowd holds.
 const LOCK_FILE: &str = "jujubelink-test-untrusted-clients.lock";
 
+/// Starts an instance on a machine with this memory. No other test of a crowd runs until the file is dropped.
+pub(super) async fn start_on(memory_mb: u64) -> (File, Site) {
+    let lock = lock_machine();
+    let settings =
+        format!("[machine]\nmemory_mb = {memory_mb}\nmax_descriptors = {MAX_DESCRIPTORS}\n");
+    (lock, Site::start_with(&settings).await)
+}
+
 /// Waits until no other test of a crowd runs, in this process or another one. The lock ends with the file.
 fn lock_machine() -> File {
     let path = std::env::temp_dir().join(LOCK_FILE);
@@ -26,11 +34,8 @@
 
 /// Starts an instance, sends it the crowd until that makes no more progress, and checks the bounds.
 pub(super) fn check_crowd(name: &str, start_crowd: impl FnOnce(&Site) -> Crowd) {
-    let _lock = lock_machine();
     run(async {
-        let settings =
-            format!("[machine]\nmemory_mb = {MEMORY_MB}\nmax_descriptors = {MAX_DESCRIPTORS}\n");
-        let mut site = Site::start_with(&settings).await;
+        let (_lock, mut site) = start_on(MEMORY_MB).await;
         let resident_before = site.memory_bytes("VmRSS");
         let crowd = start_crowd(&site);
         let mut most_descriptors = 0;
--- a/tests/testsuite/untrusted_clients/mod.rs
+++ b/tests/testsuite/untrusted_clients/mod.rs
@@ -9,3 +9,4 @@
 mod heads;
 mod machine;
 mod responses;
+mod shares;
