--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -46,3 +46,4 @@
 mod streams;
 mod telemetry;
 mod tls;
+mod untrusted_clients;
