routing: place by the pace that targets report and requests observe

Cause: all targets of a service counted as equally fast, so a target at 0.6 of the usual speed got as much work as one at 1.6, and the fourth figure of the load header was not decoded.

Change: core/pace learns the pace of a target from the reported figure, weighted by age, and corrects it by observed times. Expected waits and prefills are scaled by it, and the target is drawn at random by expected cost. Work that other instances place is estimated from the probabilities of the own choices. Without a valid figure of one of a service's targets decisions stay the same. place_plain moves to its own file.

No measurement of latency yet.

--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod membership;
 pub mod orders;
+pub mod pace;
 pub mod prefix;
 pub mod prompt;
 pub mod queue;
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use crate::core::fleet::RequestKind;
+use crate::core::pace::ReportedPace;
 
 /// Status and headers of a target's response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     pub target: Option<String>,
     /// Number of running requests, queued requests and slots.
     pub load: Option<(u32, u32, u32)>,
+    /// How long work takes at the target.
+    pub pace: ReportedPace,
     /// Weights version that produced the response.
     pub weights: Option<u64>,
 }
--- a/src/jujubelink/core/routing/load.rs
+++ b/src/jujubelink/core/routing/load.rs
@@ -6,6 +6,7 @@
 
 use super::ReportedState;
 use crate::core::ids::{Incarnation, Timestamp};
+use crate::core::pace::ReportedPace;
 use crate::util::hash::stable_hash;
 
 /// Response body of `GET /v1/load`.
@@ -28,6 +29,9 @@
     pub cached_blocks: u64,
     /// `ready`, `loading`, or `leaving` (also reported as `draining`); empty if not reported.
     pub state: String,
+    /// How long work takes at the target. Only the load header of responses has this figure.
+    #[serde(skip)]
+    pub pace: ReportedPace,
 }
 
 impl LoadReport {
@@ -72,6 +76,14 @@
 const TIMES_SMOOTHING: f64 = 0.05;
 
 impl ServiceTimes {
+    /// Returns the times at a target with the given pace.
+    pub fn at_pace(&self, pace: f64) -> Self {
+        Self {
+            occupied_s: self.occupied_s * pace,
+            prefill_s: self.prefill_s * pace,
+        }
+    }
+
     /// Records a completed request.
     pub fn on_completed(&mut self, occupied: Duration, prefill: Duration) {
         self.occupied_s += TIMES_SMOOTHING * (occupied.as_secs_f64() - self.occupied_s);
@@ -235,6 +247,11 @@
         slot_wait_s + peer_wait_s + local_prefill.as_secs_f64() + queued * times.prefill_s
     }
 
+    /// Returns the age of the last load report.
+    pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
+        self.reported_at.map(|at| now.saturating_sub(at))
+    }
+
     fn is_fresh(&self, now: Timestamp) -> bool {
         self.reported_at
             .is_some_and(|at| now.saturating_sub(at) < REPORT_LIFETIME)
--- a/src/jujubelink/core/routing/mod.rs
+++ b/src/jujubelink/core/routing/mod.rs
@@ -18,7 +18,7 @@
 pub use load::{LoadReport, ServiceTimes, TargetLoad};
 pub use prefix_table::{MAX_PREFIXES, PrefixTable};
 pub use ranking::RankTable;
-pub use router::{BLOCK_TOKENS, Choice, EstimateAges, RouteRequest, Router};
+pub use router::{BLOCK_TOKENS, Choice, EstimateAges, RouteRequest, Router, TargetSpeed};
 pub use table::{ReportedState, TargetIndex, TargetSettings, TargetState, TargetTable};
 
 /// Combines two hashes into a rendezvous hashing score (the finalizer of SplitMix64).
@@ -28,3 +28,8 @@
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
 }
+
+/// Returns a number in the range 0 to 1 that depends on a random number and a hash.
+pub fn unit_random(random: u64, hash: u64) -> f64 {
+    (rendezvous_score(random, hash) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -1,16 +1,20 @@
 //! Selects the target with the lowest expected time to the first token.
 
-use super::{Choice, ModelState, RouteRequest, Router};
+use super::{Choice, ModelState, RouteRequest, Router, TargetSpeed};
 use std::time::Duration;
 
 use crate::core::ids::{Fingerprint, Timestamp};
 use crate::core::routing::scan::{FirstBlockDemand, PrefixScan, ScanInput};
-use crate::core::routing::{TargetIndex, TargetState, rendezvous_score};
+use crate::core::routing::{TargetIndex, TargetState, rendezvous_score, unit_random};
 
 /// Random candidates in addition to the replica set, so that requests can move away from an
 /// overloaded set.
 const RANDOM_CANDIDATES: usize = 2;
 
+/// The same where paces are used. A fast target is rarely among two, and the random choice by weight
+/// keeps instances from sending to the same one.
+const PACED_RANDOM_CANDIDATES: usize = 6;
+
 /// Further random candidates if no target or one without capacity was selected from the first ones.
 /// In a small fleet they include all targets.
 const FALLBACK_CANDIDATES: usize = 16;
@@ -81,7 +85,10 @@
     ) -> Option<Choice> {
         let model = self.models.get(request.model)?;
         self.collect(model, scan, request, random, now);
-        let best = self.cheapest(model, request, scan, 0, random, now);
+        let best = match model.service_pace {
+            Some(_) => self.choose_spread(model, request, scan, random, now),
+            None => self.cheapest(model, request, scan, 0, random, now),
+        };
         if best.is_some_and(|best| best.has_capacity) {
             return best;
         }
@@ -144,7 +151,11 @@
         };
         scan.random = random;
         scan.collect(&input, now);
-        add_random(model, random, RANDOM_CANDIDATES, scan);
+        let count = match model.service_pace {
+            Some(_) => PACED_RANDOM_CANDIDATES,
+            None => RANDOM_CANDIDATES,
+        };
+        add_random(model, random, count, scan);
     }
 
     /// Returns the cheapest candidate from index `first` on.
@@ -221,10 +232,19 @@
         let state = self.targets.get(target);
         let max_running = state.settings.map_or(1, |settings| settings.max_running);
         let unreported = self.unreported();
-        let mut wait_s = state
-            .load
-            .wait_s(max_running, &model.times, unreported, now);
+        let TargetSpeed { pace, limit } = match &model.service_pace {
+            Some(usual) => self.speed(state, usual, now),
+            None => TargetSpeed {
+                pace: 1.0,
+                limit: max_running,
+            },
+        };
+        let times = model.times.at_pace(pace);
+        let mut wait_s = state.load.wait_s(limit, &times, unreported, now);
         let has_capacity = wait_s <= MAX_ENGINE_WAIT_S || state.load.local_requests() == 0;
+        if model.service_pace.is_some() {
+            wait_s += self.expected_wait_s(state, 1, now);
+        }
         wait_s += MAX_JITTER_S * unit_random(scan.random, state.name_hash);
         let busy_s = state.busy_until.saturating_sub(now).as_secs_f64();
         wait_s += busy_s;
@@ -259,9 +279,11 @@
             import_blocks: 0,
             fetch_from: None,
             wait_s,
-            prefill_s: (missing - fetched).max(0.0) * model.block_prefill_s + fetch_s,
+            prefill_s: (missing - fetched).max(0.0) * model.block_prefill_s * pace + fetch_s,
             fetch_s,
             has_capacity,
+            pace,
+            limit,
         };
         self.consider_import(model, request, &mut choice);
         choice
@@ -298,7 +320,7 @@
             .take_while(|block| self.prefixes.contains(**block))
             .count();
         let transfer_s = IMPORT_START_S + tracked as f64 * IMPORT_BLOCK_S;
-        let compute_s = tracked as f64 * model.block_prefill_s;
+        let compute_s = tracked as f64 * model.block_prefill_s * choice.pace;
         if transfer_s < compute_s {
             choice.import_blocks = choice.cached_blocks + tracked as u32;
             choice.prefill_s += transfer_s - compute_s;
@@ -321,7 +343,7 @@
 
 /// Returns the choice with the lower cost, or the first one if the costs are equal. An urgent
 /// request prefers a target with capacity.
-fn better_choice(
+pub(super) fn better_choice(
     request: &RouteRequest<'_>,
     first: Option<Choice>,
     second: Option<Choice>,
@@ -351,8 +373,3 @@
         scan.add(members[position as usize]);
     }
 }
-
-/// Returns a number in the range 0 to 1 that depends on a random number and a hash.
-fn unit_random(random: u64, hash: u64) -> f64 {
-    (rendezvous_score(random, hash) >> 11) as f64 / (1u64 << 53) as f64
-}
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -3,17 +3,21 @@
 mod choose;
 mod explain;
 mod hit_rates;
+mod pace;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use self::hit_rates::ReplicaHitRates;
+pub(super) use self::pace::ExpectedShare;
+pub use self::pace::TargetSpeed;
 use super::scan::{FirstBlockDemand, PrefixScan, ScanInput};
 use super::{
     LoadReport, PrefixTable, RankTable, ServiceTimes, TargetIndex, TargetSettings, TargetTable,
 };
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::{Fingerprint, Incarnation, ModelId, TargetId, Timestamp, Tokens};
+use crate::core::pace::{IgnoredPace, Ramp, ServicePace};
 use crate::util::hash::stable_hash;
 
 /// Cost factor of the prefill time relative to the wait. A prefill costs more than its own
@@ -68,6 +72,10 @@
     pub fetch_s: f64,
     /// Whether the target can start the request without a long wait.
     pub has_capacity: bool,
+    /// Pace of the target by which the times are estimated; 1 if its service uses no paces.
+    pub pace: f64,
+    /// Limit of concurrent requests at the target.
+    pub limit: u32,
 }
 
 impl Choice {
@@ -108,6 +116,8 @@
     replica_hit_rates: ReplicaHitRates,
     /// Smoothed time for which one prompt token occupies a target, in seconds.
     work_per_token_s: f64,
+    /// Usual values of the model's targets; `None` until one of them has reported a pace.
+    service_pace: Option<ServicePace>,
 }
 
 /// Assumed fraction of a prompt that is computed (not cached) until requests have been observed.
@@ -129,6 +139,8 @@
     /// Whether engines fetch cached blocks from each other.
     has_engine_fetch: bool,
     scan: PrefixScan,
+    /// Numbers of ignored paces by reason since they were last read.
+    ignored_paces: HashMap<IgnoredPace, u64>,
 }
 
 impl Router {
@@ -163,6 +175,7 @@
                 times: ServiceTimes::default(),
                 replica_hit_rates: ReplicaHitRates::default(),
                 work_per_token_s: INITIAL_COMPUTED_RATIO / rate,
+                service_pace: None,
             });
             state.block_bytes = model.block_bytes.max(1);
             state.block_prefill_s = BLOCK_TOKENS / rate;
@@ -172,6 +185,7 @@
                 state.members = members;
             }
         }
+        self.enable_paces();
     }
 
     fn apply_targets(&mut self, config: &ConfigSnapshot) {
@@ -187,9 +201,17 @@
             state.settings = None;
             state.invalidate_cache();
         }
+        let is_first = self
+            .targets
+            .iter()
+            .all(|(_, state)| state.settings.is_none());
         for (id, target) in &config.fleet.targets {
             let index = self.targets.add(id);
-            self.targets.get_mut(index).settings = Some(TargetSettings {
+            let state = self.targets.get_mut(index);
+            if state.settings.is_none() && !is_first {
+                state.ramp = Ramp::Pending;
+            }
+            state.settings = Some(TargetSettings {
                 max_running: target.max_running,
                 is_draining: target.is_draining,
             });
@@ -257,7 +279,10 @@
             return;
         };
         let prefill = Duration::from_secs_f64(choice.prefill_s);
-        let work = prefill + Duration::from_secs_f64(DECODE_WORK_RATIO * model.times.occupied_s);
+        // Instances must agree on the sizes of replica sets, so the work does not depend on the target.
+        let usual_prefill = Duration::from_secs_f64(choice.prefill_s / choice.pace);
+        let work =
+            usual_prefill + Duration::from_secs_f64(DECODE_WORK_RATIO * model.times.occupied_s);
         let tokens = BLOCK_TOKENS * request.prompt_bytes as f64 / f64::from(model.block_bytes);
         let per_token_s = work.as_secs_f64() / tokens.max(1.0);
         if tokens >= BLOCK_TOKENS {
@@ -272,6 +297,9 @@
             prefix.demand.on_request(work, self.instances, now);
             prefix.store(choice.target, generation, now);
         }
+        if model.service_pace.is_some() {
+            self.add_placed_work(choice, now);
+        }
     }
 
     /// Returns the ages of the cache index entries behind a choice. Must be called before
@@ -353,6 +381,8 @@
         if let (Some(settings), true) = (&mut state.settings, report.max_running > 0) {
             settings.max_running = report.max_running;
         }
+        let requests = report.running.saturating_add(report.waiting);
+        self.on_reported_pace(target, report.pace, requests, now);
     }
 
     /// Applies a cache event of the target's current incarnation. Events for prefixes that this
--- a/src/jujubelink/core/routing/scan.rs
+++ b/src/jujubelink/core/routing/scan.rs
@@ -2,6 +2,7 @@
 //! replicas.
 
 use super::demand::{MAX_SMALL_FLEET_INSTANCES, replicas_for};
+use super::router::ExpectedShare;
 use super::{MAX_REPLICAS, PrefixTable, RankTable, TargetIndex, TargetTable, rendezvous_score};
 use crate::core::ids::{Fingerprint, TargetId, Timestamp};
 
@@ -57,6 +58,8 @@
     pub(super) random: u64,
     /// Targets to choose from.
     pub(super) candidates: Vec<TargetIndex>,
+    /// Probabilities with which the candidates were chosen, if the choice was random.
+    pub(super) shares: Vec<ExpectedShare>,
 }
 
 impl PrefixScan {
@@ -117,6 +120,7 @@
     ) {
         self.set_sizes.clear();
         self.candidates.clear();
+        self.shares.clear();
         self.recent_blocks = 0;
         for (depth, block) in blocks.iter().enumerate() {
             let Some(prefix) = prefixes.get(*block) else {
--- a/src/jujubelink/core/routing/table.rs
+++ b/src/jujubelink/core/routing/table.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::TargetLoad;
+use super::{TargetLoad, unit_random};
 use crate::core::ids::{Incarnation, TargetId, Timestamp};
+use crate::core::pace::{Ramp, TargetPace};
 use crate::util::hash::stable_hash;
 
 /// Index of a target in the table. The index of a removed target without requests is reused with a
@@ -19,6 +20,9 @@
 /// Maximum number of pauses kept for targets that may return.
 const MAX_FORMER_PAUSES: usize = 1_024;
 
+/// Seed that makes the requests of an increase independent of other random choices.
+const RAMP_SEED: u64 = 0x7261_6d70;
+
 /// Smoothing factor of observed block lifetimes.
 const LIFETIME_SMOOTHING: f64 = 0.1;
 
@@ -75,6 +79,10 @@
     pub busy_until: Timestamp,
     /// Until when the target asked this instance to send it no requests.
     pub paused_until: Timestamp,
+    /// How fast the target works; `None` until its service uses paces.
+    pub pace: Option<Box<TargetPace>>,
+    /// Increase of the traffic after the target was added or restarted. Used only with paces.
+    pub ramp: Ramp,
 }
 
 impl TargetState {
@@ -94,6 +102,8 @@
             unreliable_until: Timestamp::ZERO,
             busy_until: Timestamp::ZERO,
             paused_until: Timestamp::ZERO,
+            pace: None,
+            ramp: Ramp::default(),
         }
     }
 
@@ -102,6 +112,19 @@
         self.is_ready() && self.traffic_fraction > 0.0
     }
 
+    /// Whether the target has reported a valid pace.
+    pub fn reports_pace(&self) -> bool {
+        let pace = self.pace.as_ref();
+        pace.is_some_and(|pace| pace.has_reported())
+    }
+
+    /// Whether a request may be sent to the target while its traffic increases. `random` selects the
+    /// requests.
+    pub fn is_ramp_sampled(&self, random: u64, now: Timestamp) -> bool {
+        let share = self.ramp.share(now);
+        share >= 1.0 || unit_random(random ^ RAMP_SEED, self.name_hash) < share
+    }
+
     /// Whether only its failures keep the target from taking new work.
     pub fn is_ejected(&self) -> bool {
         self.is_ready() && self.traffic_fraction <= 0.0
@@ -139,6 +162,10 @@
             self.invalidate_cache();
             self.load.on_restart();
             self.paused_until = Timestamp::ZERO;
+            self.ramp = Ramp::Pending;
+            if let Some(pace) = &mut self.pace {
+                **pace = TargetPace::default();
+            }
         }
         is_restart
     }
--- a/src/jujubelink/core/scheduler/mod.rs
+++ b/src/jujubelink/core/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! State machine that combines queueing, routing, retries, ejection and quarantine.
 
+mod plain;
 mod running;
 mod schedule;
 mod types;
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -45,14 +45,14 @@
 /// Scheduler of one instance.
 #[derive(Debug)]
 pub struct Scheduler {
-    router: Router,
+    pub(super) router: Router,
     queue: FairQueue,
     /// Requests in the queue.
     waiting: HashMap<JobId, NewRequest>,
     last_job: JobId,
-    running: RunningTable,
+    pub(super) running: RunningTable,
     /// Health of the targets that have had attempts.
-    health: HashMap<TargetIndex, TargetHealth>,
+    pub(super) health: HashMap<TargetIndex, TargetHealth>,
     workspace_budgets: RetryBudgets<WorkspaceId>,
     target_budgets: RetryBudgets<TargetIndex>,
     suspects: SuspectTable,
@@ -378,6 +378,9 @@
         };
         if model.first_token_at.replace(now).is_none() {
             let took_s = now.saturating_sub(sent_at).as_secs_f64();
+            let prefill_s = took_s - model.local_prefill_ahead_s;
+            self.router
+                .on_first_token(&model.model, &model.choice, prefill_s, now);
             let load = &mut self.router.targets_mut().get_mut(target).load;
             load.on_prefilled(now);
             let wait_s = (took_s - model.local_prefill_ahead_s - model.choice.prefill_s).max(0.0);
@@ -402,6 +405,9 @@
         self.release(&attempt, now);
         self.update_target_health(&attempt, end, now);
         let Some(model) = &attempt.model else {
+            if matches!(end, AttemptEnd::Completed { .. }) {
+                self.record_call_time(&attempt, now);
+            }
             return Retry::No;
         };
         if let AttemptEnd::Completed {
@@ -497,6 +503,7 @@
 
     /// Updates the traffic of ejected and returning targets. Called about once per second.
     pub fn on_tick(&mut self, now: Timestamp) {
+        self.router.on_tick(now);
         let targets: Vec<_> = self.health.keys().copied().collect();
         for target in targets {
             self.refresh_traffic_fraction(target, now);
@@ -533,8 +540,13 @@
         }
         if let Some(first) = model.first_token_at {
             let prefill = (first - attempt.sent_at).saturating_sub(model.silence);
-            self.router
-                .on_completed(&model.model, now - attempt.sent_at, prefill);
+            let occupied = now - attempt.sent_at;
+            // The usual times are those at a pace of 1.
+            let (occupied, prefill) = match model.choice.pace {
+                1.0 => (occupied, prefill),
+                pace => (occupied.div_f64(pace), prefill.div_f64(pace)),
+            };
+            self.router.on_completed(&model.model, occupied, prefill);
         }
         let fingerprint = model.prompt.whole;
         if self.suspects.clear(fingerprint, now) {
@@ -680,67 +692,6 @@
             self.router.targets_mut().get_mut(index).is_leaving = is_leaving;
         }
     }
-
-    /// Selects the least loaded target that accepts requests for a request to a plain service, and
-    /// records the attempt. `targets` are all targets of the service that take new work, as the limit on
-    /// ejected targets applies to them. Returns the identifier of the attempt and the target.
-    pub fn place_plain(
-        &mut self,
-        targets: &[TargetId],
-        excluded: &[TargetId],
-        random: u64,
-        now: Timestamp,
-    ) -> Option<(u64, TargetId)> {
-        if self.running.is_full() {
-            return None;
-        }
-        let table = self.router.targets();
-        let service: Rc<[TargetIndex]> = targets.iter().filter_map(|id| table.index(id)).collect();
-        // If the only ones left are ejected, a request may as well try them.
-        let are_all_out = !service
-            .iter()
-            .any(|index| table.get(*index).is_in_service());
-        let target = service
-            .iter()
-            .copied()
-            .filter(|index| {
-                let state = table.get(*index);
-                let accepts_requests = match are_all_out {
-                    true => state.is_ejected() && state.paused_until <= now,
-                    false => state.accepts_requests(now),
-                };
-                accepts_requests && !excluded.contains(&state.id)
-            })
-            .min_by(|a, b| {
-                let (a, b) = (table.get(*a), table.get(*b));
-                let load = |state: &crate::core::routing::TargetState| {
-                    (
-                        now < state.unreliable_until,
-                        state.load.total_requests(0.0, now),
-                    )
-                };
-                let tie_breaker = |hash: u64| rendezvous_score(random, hash);
-                let ((a_is_unreliable, a_load), (b_is_unreliable, b_load)) = (load(a), load(b));
-                a_is_unreliable
-                    .cmp(&b_is_unreliable)
-                    .then(a_load.total_cmp(&b_load))
-                    .then(tie_breaker(a.name_hash).cmp(&tie_breaker(b.name_hash)))
-            })?;
-        self.health.entry(target).or_default().on_sent(now);
-        let state = self.router.targets_mut().get_mut(target);
-        state.load.on_sent(Duration::ZERO, now);
-        state.load.on_prefilled(now);
-        let id = state.id.clone();
-        let attempt = Attempt {
-            target,
-            generation: state.generation,
-            incarnation: state.incarnation,
-            sent_at: now,
-            service,
-            model: None,
-        };
-        Some((self.running.add(attempt), id))
-    }
 }
 
 fn overloaded(retry_after: Duration) -> Refusal {
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -518,6 +518,7 @@
             running,
             waiting,
             max_running: slots,
+            pace: head.pace,
             ..LoadReport::default()
         };
         scheduler.record_load(&record.id, &report);
--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -11,6 +11,7 @@
     LAST_EVENT_ID, LEAVING, MODEL, NOT_RUN, PRIORITY, PROMPT_PARTS, RESERVED, RESPONSE_SIGNATURE,
     TARGET_ID, TARGET_LOAD, TOKEN_COUNT, WEIGHTS, WORKSPACE,
 };
+use crate::core::pace::ReportedPace;
 use crate::core::relay::{AttemptHead, PromptHead, PromptPart, RelayHead, ResponseHead};
 use crate::util::hash::{sha256_hex, stable_hash};
 
@@ -165,12 +166,24 @@
     headers
 }
 
+/// Decodes a percentage, which may have fractions. Values that are too large for the result are reduced
+/// to its largest one.
+fn decode_pace(value: &str) -> ReportedPace {
+    match value.trim().parse::<f64>() {
+        Ok(percent) if percent.is_finite() && percent >= 0.0 => {
+            ReportedPace::Permille((percent * 10.0).round() as u32)
+        }
+        _ => ReportedPace::Malformed,
+    }
+}
+
 /// Decodes the head of a target's response.
 pub fn decode_response_head(status: u16, headers: &HeaderMap) -> ResponseHead {
     let load = text(headers, TARGET_LOAD).and_then(|value| {
         let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
         Some((numbers.next()??, numbers.next()??, numbers.next()??))
     });
+    let pace = text(headers, TARGET_LOAD).and_then(|value| value.split(',').nth(3));
     ResponseHead {
         status,
         request_id: text(headers, ATTEMPT_ID).map(str::to_owned),
@@ -182,6 +195,7 @@
         is_leaving: text(headers, LEAVING).is_some_and(|value| value.trim() == "1"),
         target: text(headers, TARGET_ID).map(str::to_owned),
         load,
+        pace: pace.map_or(ReportedPace::Missing, decode_pace),
         weights: text(headers, WEIGHTS).and_then(|value| value.trim().parse().ok()),
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod openai_client;
 mod orders;
+mod pace;
 mod path;
 mod pausing_targets;
 mod peer;
--- /dev/null
+++ b/tests/testsuite/pace/mod.rs
@@ -0,0 +1,3 @@
+//! Paces of targets: what is learned from reported figures and observed times, and how placements use it.
+
+mod decisions;
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use jujubelink::core::fleet::{QuotaUnit, RequestKind};
 use jujubelink::core::kvcache::{PartChange, StoredPart};
+use jujubelink::core::pace::ReportedPace;
 use jujubelink::core::relay::{AttemptHead, EngineParams};
 use jujubelink::ops::store::TargetChange;
 use jujubelink::platform::{
@@ -422,6 +423,33 @@
     assert!(!headers.contains_key("jujubelink-cache-salt"));
 }
 
+/// Guards against a fourth figure that is decoded wrongly, and against one that makes the other three invalid.
+#[test]
+fn decodes_the_pace_of_a_target() {
+    for (value, expected) in [
+        ("3,0,8", ReportedPace::Missing),
+        ("3,0,8,100", ReportedPace::Permille(1_000)),
+        ("3, 0, 8, 137.5 ", ReportedPace::Permille(1_375)),
+        ("3,0,8,0", ReportedPace::Permille(0)),
+        ("3,0,8,1e300", ReportedPace::Permille(u32::MAX)),
+        ("3,0,8,-100", ReportedPace::Malformed),
+        ("3,0,8,NaN", ReportedPace::Malformed),
+        ("3,0,8,inf", ReportedPace::Malformed),
+        ("3,0,8,", ReportedPace::Malformed),
+        ("3,0,8,fast", ReportedPace::Malformed),
+        ("3,0,8,60,7", ReportedPace::Permille(600)),
+    ] {
+        let mut headers = HeaderMap::new();
+        headers.insert("jujubelink-server-load", value.parse().unwrap());
+        let head = decode_response_head(200, &headers);
+        assert_eq!(
+            (head.load, head.pace),
+            (Some((3, 0, 8)), expected),
+            "{value}"
+        );
+    }
+}
+
 /// Guards against response headers that are decoded wrongly.
 #[test]
 fn decodes_a_response() {
