--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod orders;
 pub mod overload;
+pub mod pace;
 pub mod prefix;
 pub mod prompt;
 pub mod queue;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod openai_client;
 mod orders;
 mod overload;
+mod pace;
 mod path;
 mod pausing_targets;
 mod peer;
