--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -18,6 +18,9 @@
 /// Maximum size of an object.
 const MAX_OBJECT_BYTES: usize = 1 << 20;
 
+/// End of the path at which the status of an object is written.
+const STATUS_SUFFIX: &str = "/status";
+
 /// Interval at which a watch checks for new changes, and a held write for a change of the mode.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -42,6 +45,8 @@
     spec: Vec<u8>,
     /// JSON, unless a test wrote something else.
     metadata: Vec<u8>,
+    /// Status as JSON; `null` after each write of the spec.
+    status: Value,
 }
 
 struct Change {
@@ -61,6 +66,8 @@
     revision: Cell<u64>,
     /// Number of upcoming writes that take effect but are never answered.
     lost_answers: Cell<u32>,
+    /// Statuses in the order of their writes, as name and status.
+    written_statuses: RefCell<Vec<(String, Value)>>,
 }
 
 impl ObjectStore {
@@ -101,6 +108,7 @@
                 Some(metadata) => metadata.to_owned(),
                 None => regular_metadata.to_string().into_bytes(),
             },
+            status: Value::Null,
         };
         self.record_change(kind, revision, render(&object), false);
         objects.insert(key, object);
@@ -122,6 +130,42 @@
         serde_json::from_slice(&object.spec).ok()
     }
 
+    /// Returns the status of an object; `null` if it has none.
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let objects = self.objects.borrow();
+        let object = objects.get(&(kind.to_owned(), name.to_owned()));
+        object.map_or(Value::Null, |object| object.status.clone())
+    }
+
+    /// Returns the statuses that were written, in their order, as name and status.
+    pub fn written_statuses(&self) -> Vec<(String, Value)> {
+        self.written_statuses.borrow().clone()
+    }
+
+    /// Writes the status of an object, which must have the stated revision.
+    fn write_status(&self, kind: &str, name: &str, body: &Value) -> Response<Body> {
+        let key = (kind.to_owned(), name.to_owned());
+        let expected_revision = body["metadata"]["revision"].as_u64();
+        let mut objects = self.objects.borrow_mut();
+        let Some(object) = objects.get_mut(&key) else {
+            return answer(StatusCode::NOT_FOUND, &json!({}));
+        };
+        if expected_revision.is_some_and(|revision| revision != object.revision) {
+            return answer(StatusCode::CONFLICT, &json!({ "error": "conflict" }));
+        }
+        object.revision = self.next_revision();
+        object.status = body["status"].clone();
+        object.metadata = json!({ "name": name, "revision": object.revision,
+            "create_rev": object.created_revision, "finalizers": [], "deleting": false })
+        .to_string()
+        .into_bytes();
+        self.record_change(kind, object.revision, render(object), false);
+        let written = (name.to_owned(), object.status.clone());
+        self.written_statuses.borrow_mut().push(written);
+        drop(objects);
+        self.read(kind, name)
+    }
+
     /// Discards the history. Watches that start at an earlier revision are answered with 410.
     pub fn compact(&self) {
         self.history.borrow_mut().clear();
@@ -242,6 +286,9 @@
                 let name = body["metadata"]["name"].as_str().unwrap_or_default();
                 self.write(kind, name, &body, true)
             }
+            (&Method::PUT, name, _) if name.ends_with(STATUS_SUFFIX) => {
+                self.write_status(kind, name.trim_end_matches(STATUS_SUFFIX), &body)
+            }
             (&Method::PUT, name, _) => self.write(kind, name, &body, false),
             (&Method::DELETE, name, _) => {
                 self.remove(kind, name);
@@ -321,12 +368,15 @@
 
 /// Returns the serialized object.
 fn render(object: &Object) -> Vec<u8> {
-    let parts: [&[u8]; 5] = [
+    let status = object.status.to_string();
+    let parts: [&[u8]; 7] = [
         b"{\"metadata\":",
         &object.metadata,
         b",\"spec\":",
         &object.spec,
-        b",\"status\":null}",
+        b",\"status\":",
+        status.as_bytes(),
+        b"}",
     ];
     parts.concat()
 }
--- a/src/jujubelink/core/fleet/records.rs
+++ b/src/jujubelink/core/fleet/records.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::core::canary::VersionId;
 use crate::core::ids::{Incarnation, ModelId, TargetId};
 
 /// Address at which a target listens.
@@ -30,6 +31,9 @@
     /// Incarnation of the target: its start time in milliseconds since the Unix epoch; 0 if
     /// unknown.
     pub incarnation: Incarnation,
+    /// Version of the target's software; empty if the entry states none.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub version: VersionId,
 }
 
 impl TargetRecord {
--- a/src/jujubelink/core/mod.rs
+++ b/src/jujubelink/core/mod.rs
@@ -16,6 +16,7 @@
 //!
 //! [`PluginScope`]: crate::ops::kernel::PluginScope
 
+pub mod canary;
 pub mod capacity;
 pub mod claim;
 pub mod config;
--- a/src/jujubelink/ops/mod.rs
+++ b/src/jujubelink/ops/mod.rs
@@ -1,6 +1,7 @@
 //! The server process and the operator commands.
 
 pub mod admin;
+pub mod canary;
 pub mod claims;
 pub mod commands;
 pub mod config_history;
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -129,7 +129,7 @@
     }
 
     /// Returns a target, and when the request was last sent there.
-    fn last_send(&self, target: &TargetId) -> Option<&(Rc<TargetRecord>, Timestamp)> {
+    pub(super) fn last_send(&self, target: &TargetId) -> Option<&(Rc<TargetRecord>, Timestamp)> {
         let mut sends = self.sent_to.iter().rev();
         sends.find(|(record, _)| record.id == *target)
     }
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! Processing of one relayed request, from its arrival to the response head.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use super::request_body::{BodyFailure, read_request_body};
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
+use crate::core::canary::VersionChoice;
 use crate::core::fleet::{PolicyRoute, TargetAddress, TargetRecord, model_key};
 use crate::core::ids::{TargetId, Timestamp};
 use crate::core::prefix::PromptFingerprints;
@@ -22,6 +24,7 @@
     AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
 };
 use crate::core::stop::RequestTimes;
+use crate::ops::canary::VersionUse;
 use crate::ops::proxy::connections::BodyReservation;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
@@ -93,6 +96,10 @@
     /// Targets to which the request was sent, and when.
     pub(super) sent_to: Vec<(Rc<TargetRecord>, Timestamp)>,
     pub(super) crash_check: CrashCheck,
+    /// Versions that the next send may use.
+    pub(super) version_choice: RefCell<VersionChoice>,
+    /// Counts the sends as open at the versions of their targets.
+    pub(super) version_uses: Rc<RefCell<Vec<VersionUse>>>,
     /// Whether the end of the request was logged.
     is_ended: bool,
 }
@@ -125,6 +132,8 @@
             progress: Rc::default(),
             sent_to: Vec::new(),
             crash_check: CrashCheck::default(),
+            version_choice: RefCell::default(),
+            version_uses: Rc::default(),
             is_ended: false,
         }
     }
@@ -173,6 +182,7 @@
                 Ok(SendOutcome::TargetFailure(response)) => {
                     let placement = self.placement.take();
                     if let Some(placement) = &placement {
+                        self.record_version_response(&placement.target, true);
                         self.record_failed_run(&placement.target);
                     }
                     if let Err(reason) = self.acquire_resend(Failure::MayHaveRun) {
@@ -307,6 +317,16 @@
 
     /// Obtains a placement at a target other than the current one.
     pub(super) async fn choose_target(&self) -> Result<Placement, Refusal> {
+        self.choose_version();
+        let placement = self.choose_permitted_target().await;
+        match placement {
+            Err(_) if self.choose_other_version() => self.choose_permitted_target().await,
+            placement => placement,
+        }
+    }
+
+    /// Obtains a placement at a target of the chosen version.
+    async fn choose_permitted_target(&self) -> Result<Placement, Refusal> {
         if !self.is_model_request() {
             return self.place_plain();
         }
@@ -380,6 +400,7 @@
     fn excluded_targets(&self) -> Vec<TargetId> {
         let failed = self.excluded.iter().chain(&self.asked).cloned();
         let mut excluded: Vec<_> = failed.chain(self.current_target()).collect();
+        excluded.extend(self.other_versions());
         if let Ok(allowed @ AllowedTargets::Only(_)) = self.check_attempts(Failure::NotSent) {
             let state = self.relay.fleet.state();
             let others = state.targets().map(|record| &record.id);
@@ -448,6 +469,7 @@
     fn place_plain(&self) -> Result<Placement, Refusal> {
         let service = self.admission()?.service.clone();
         let mut candidates = self.relay.fleet.state().serving_targets(&service);
+        candidates.retain(|target| self.permits_version(target));
         if let Ok(allowed) = self.check_attempts(Failure::NotSent) {
             candidates.retain(|target| allowed.contains(target));
         }
@@ -589,6 +611,9 @@
     ) {
         let target = placement.as_ref().map(|placement| placement.target.clone());
         if let (Failure::MayHaveRun, Some(target)) = (failure.kind, &target) {
+            if failure.outcome != AttemptOutcome::Interrupted {
+                self.record_version_response(target, true);
+            }
             self.record_failed_run(target);
         }
         if let (AttemptOutcome::ConnectFailed, Some(target)) = (&failure.outcome, &target) {
@@ -627,6 +652,9 @@
 
     /// Records the first event or byte of the response.
     pub(super) fn record_first_token(&self) {
+        if let Some(placement) = &self.placement {
+            self.record_version_response(&placement.target, false);
+        }
         if let (Some(placement), true) = (&self.placement, self.is_model_request()) {
             let scheduler = self.proxy.service::<dyn SchedulerService>();
             scheduler.record_first_token(placement);
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -18,6 +18,7 @@
 mod send;
 mod stop;
 mod takeover;
+mod versions;
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
@@ -38,6 +39,7 @@
 use crate::core::ids::{RequestId, TargetId};
 use crate::core::quota::{ResendBudget, ResendPolicy};
 use crate::core::routing::LoadReport;
+use crate::ops::canary::Canary;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::Context;
 use crate::ops::kvcache::CacheStores;
@@ -56,6 +58,7 @@
     peers: Rc<Peers>,
     cache_stores: Rc<CacheStores>,
     quarantine: Rc<Quarantine>,
+    canary: Rc<Canary>,
     /// Resend budgets by service.
     resend_budgets: RefCell<HashMap<Arc<str>, ResendBudget>>,
     /// Targets that are being polled for their weights version.
@@ -71,6 +74,7 @@
             peers: context.service(),
             cache_stores: context.service(),
             quarantine: context.service(),
+            canary: context.service(),
             resend_budgets: RefCell::default(),
             targets_being_polled: RefCell::default(),
         }))
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -15,6 +15,7 @@
 use super::body::TargetResponse;
 use super::exchange::Exchange;
 use super::takeover::SilentTarget;
+use super::versions::may_send_version;
 use crate::core::fleet::{RequestKind, TargetRecord, model_key};
 use crate::core::ids::{RequestId, TargetId, Timestamp};
 use crate::core::relay::{AttemptHead, Failure, ResponseHead, ResponseVerdict, classify_response};
@@ -94,6 +95,16 @@
         )
     }
 
+    /// The version of the target may not get requests any more. The request is placed again.
+    fn withheld() -> Self {
+        Self::new(
+            Failure::NotSent,
+            RefusalCode::NoTarget,
+            "the version of the target is not in force",
+            AttemptOutcome::Cancelled,
+        )
+    }
+
     fn paused(remaining: Duration) -> Self {
         let failure = Self::new(
             Failure::NotSent,
@@ -248,8 +259,14 @@
             let (record, sent_at) = (record.clone(), Rc::clone(&sent_at));
             let wait = self.progress.wait.clone();
             let is_refused = self.crash_refusal();
+            let version_uses = Rc::clone(&self.version_uses);
             move || {
                 let is_allowed = check_target(&proxy, &relay, &record).is_ok() && !is_refused();
+                if is_allowed {
+                    version_uses
+                        .borrow_mut()
+                        .extend(relay.canary.begin(&record));
+                }
                 sent_at.set(is_allowed.then(|| proxy.context.timers().boot_now()));
                 wait.on_connected();
                 is_allowed
@@ -590,6 +607,9 @@
     if relay.fleet.state().is_leaving(record) {
         return Err(SendFailure::removed());
     }
+    if !may_send_version(relay, record) {
+        return Err(SendFailure::withheld());
+    }
     let scheduler = proxy.service::<dyn SchedulerService>();
     match scheduler.remaining_pause(std::slice::from_ref(&record.id)) {
         Some(pause) => Err(SendFailure::paused(pause)),
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -298,6 +298,8 @@
         self.weights = winner.weights;
         let silent = std::mem::replace(&mut self.placement, winner.placement.take());
         if let Some(silent) = silent {
+            // Its response counts as slow, although it may still arrive.
+            self.record_version_response(&silent.target, false);
             // It has not failed, and may continue the response if the other one breaks off.
             self.record_cancelled_run(&silent.target);
             self.avoided.push(silent.target.clone());
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -13,6 +13,7 @@
     Engine, LeaseAction, LeaseRecord, LeaseRole, OrderLease, OrderLeaseTiming, OrderResult,
     Rollout, RolloutAction, RolloutParams,
 };
+use crate::ops::canary::Canary;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
@@ -78,6 +79,8 @@
     context: Context,
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
+    /// Roll-outs by version, whose steps the holder of the lease decides too.
+    canary: Rc<Canary>,
     client: Client,
     lease: RefCell<OrderLease>,
     /// Rollouts by service and model.
@@ -104,6 +107,7 @@
             lease: RefCell::new(OrderLease::new(peers.name().clone(), timing)),
             fleet,
             peers,
+            canary: context.service(),
             client: Client::new(),
             rollouts: RefCell::default(),
             accepted_by_engine: RefCell::default(),
@@ -146,6 +150,15 @@
     /// engines that load to the peers. Returns the time since which there have been engines with
     /// outdated weights.
     fn update_orders(self: &Rc<Self>) -> Option<Timestamp> {
+        let since = self.update_weights_orders();
+        let epoch = self.lease.borrow().epoch(self.now() + ORDER_MARGIN);
+        self.canary.drive(epoch);
+        let rollout_since = self.canary.work_since();
+        since.into_iter().chain(rollout_since).min()
+    }
+
+    /// [`Self::update_orders`] for weights.
+    fn update_weights_orders(self: &Rc<Self>) -> Option<Timestamp> {
         let models = self.models();
         self.remove_obsolete_rollouts(&models);
         let since = self.track_work(&models);
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -90,6 +90,37 @@
     /// Time between two writes of a target's entry in the store.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
+    /// Names of the features that the deployment asks for. Unknown ones are ignored.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub features: Vec<String>,
+    /// Part of the requests of a service that may reach a version which is rolled out and may be bad.
+    #[serde(default = "default_expose_share")]
+    pub expose_share: f64,
+    /// Requests that may reach such a version in addition to that part, over all instances.
+    #[serde(default = "default_expose_slack")]
+    pub expose_slack: f64,
+    /// Time after the 50th bad response of a version from which no request may reach it, in milliseconds.
+    #[serde(default = "default_rollback_ms")]
+    pub rollback_ms: u64,
+}
+
+impl FleetSettings {
+    /// Whether services are rolled out by version.
+    pub fn has_version_rollout(&self) -> bool {
+        self.features.iter().any(|feature| feature == "rollout")
+    }
+}
+
+fn default_expose_share() -> f64 {
+    0.1
+}
+
+fn default_expose_slack() -> f64 {
+    50.0
+}
+
+fn default_rollback_ms() -> u64 {
+    5_000
 }
 
 fn default_revocation_ms() -> u64 {
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -1,6 +1,7 @@
 //! Tasks that send and receive messages, register this instance in the store, and serve requests of
 //! peers.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,10 +57,22 @@
     let mut round = 0;
     loop {
         let addresses = peers.addresses_due(round);
-        let report_addresses = peers.short_report_addresses(&addresses, round);
+        let mut report_addresses = peers.short_report_addresses(&addresses, round);
+        let rollout_addresses = peers.canary().addresses_due(round);
+        let rollout_addresses = rollout_addresses.difference(&addresses).copied();
+        let rollout_addresses: BTreeSet<_> = rollout_addresses.collect();
+        report_addresses.retain(|address| !rollout_addresses.contains(address));
         round += 1;
         let confirmation = |address| peers.confirmation(address);
         send_to_all(&peers, &socket, addresses, Peers::message, confirmation);
+        // Shares count from the message that is confirmed.
+        send_to_all(
+            &peers,
+            &socket,
+            rollout_addresses,
+            Peers::short_report,
+            confirmation,
+        );
         let nothing = |_| PeerMessage::default();
         send_to_all(
             &peers,
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -1,5 +1,6 @@
 //! Protobuf messages that instances send to each other.
 
+use crate::ops::canary::RolloutsMessage;
 use crate::ops::quarantine::EvidenceMessage;
 
 /// Usage of the rate limit of one workspace.
@@ -101,6 +102,9 @@
     /// Recent crashes of targets, and what is known about their causes.
     #[prost(message, optional, tag = "18")]
     pub(super) evidence: Option<EvidenceMessage>,
+    /// Orders of roll-outs by version, with evidence and shares. Absent unless the deployment asks for them.
+    #[prost(message, optional, tag = "20")]
+    pub(super) rollouts: Option<RolloutsMessage>,
     /// Digest of the set of instances that the sender is in contact with, including itself; 0 in a
     /// short report.
     #[prost(fixed64, tag = "15")]
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -18,6 +18,7 @@
     ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
 };
 use crate::core::quota::{PeerUsage, contact_digest};
+use crate::ops::canary::Canary;
 use crate::ops::fleet::Fleet;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::quarantine::{Quarantine, StoredEvidence};
@@ -47,6 +48,10 @@
 /// Maximum number of peers. Messages of further instances are ignored.
 const MAX_PEERS: usize = 1_024;
 
+/// Instances, first in the order of [`Peers::rank`], that get reports on roll-outs beside the lease holder, as
+/// they may take the lease over.
+const MAX_LEASE_CANDIDATES: usize = 3;
+
 /// HTTP paths at which a peer serves the configuration, the target list and the causes of crashes.
 pub(super) const POLICY_PATH: &str = "/configuration";
 pub(super) const TARGETS_PATH: &str = "/targets";
@@ -217,6 +222,36 @@
         }
     }
 
+    /// The roll-outs by version.
+    pub(super) fn canary(&self) -> Rc<Canary> {
+        self.context.service()
+    }
+
+    /// Names of the instances in contact.
+    pub(crate) fn names_in_contact(&self) -> Vec<InstanceId> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let in_contact = table
+            .iter()
+            .filter(|(_, peer)| self.is_in_contact(peer, now));
+        in_contact.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Addresses of an instance and of those that may take the order lease over.
+    pub(crate) fn first_addresses(&self, holder: Option<&InstanceId>) -> BTreeSet<SocketAddr> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let mut in_contact: Vec<_> = table
+            .iter()
+            .filter(|(_, peer)| self.is_in_contact(peer, now))
+            .collect();
+        in_contact.sort_by_key(|(name, peer)| peer.position(name));
+        let holder = holder.and_then(|name| table.get(name));
+        let first = in_contact.into_iter().take(MAX_LEASE_CANDIDATES);
+        let first = first.map(|(_, peer)| peer.address);
+        first.chain(holder.map(|peer| peer.address)).collect()
+    }
+
     fn quarantine(&self) -> Rc<Quarantine> {
         self.context.service()
     }
@@ -376,7 +411,11 @@
     }
 
     /// Returns the addresses of the peers that get something sent at an interval in this round.
-    fn addresses_in_round(&self, interval: Duration, round: u64) -> BTreeSet<SocketAddr> {
+    pub(crate) fn addresses_in_round(
+        &self,
+        interval: Duration,
+        round: u64,
+    ) -> BTreeSet<SocketAddr> {
         let offset = stable_hash(0, self.name.as_bytes());
         let table = self.table.borrow();
         let in_turn = (0..)
@@ -431,6 +470,7 @@
                 .store_answered_at()
                 .map(|at| ms(now.saturating_sub(at))),
             evidence: self.quarantine().outgoing(),
+            rollouts: self.canary().outgoing(),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
             ..PeerMessage::default()
         }
@@ -561,6 +601,10 @@
         if let Some(evidence) = &message.evidence {
             self.quarantine().on_message(evidence);
         }
+        if let Some(rollouts) = &message.rollouts {
+            let from = (&name, message.incarnation);
+            self.canary().on_message(from, rollouts, echoed);
+        }
     }
 
     /// Applies the announced and observed weights of a message. `previously_confirmed_at` is the
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -13,6 +13,7 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 
+use crate::core::canary::{RolloutRecord, RolloutState};
 use crate::core::fleet::{FleetPolicy, TargetRecord};
 use crate::core::ids::{ModelId, ObjectVersion, TargetId};
 use crate::core::rollout::LeaseRecord;
@@ -162,6 +163,17 @@
     /// Lists the newest announced weights version of each model.
     fn list_announced_weights(&self) -> StoreFuture<Listed<(ModelId, u64)>>;
 
+    /// Lists the orders to move services to other versions.
+    fn list_rollouts(&self) -> StoreFuture<Listed<RolloutRecord>>;
+
+    /// Writes the status of an order if the object still has the revision of `record`. Returns the new
+    /// revision; 0 if the response does not state it.
+    fn write_rollout_status(
+        &self,
+        record: &RolloutRecord,
+        state: RolloutState,
+    ) -> StoreFuture<ObjectVersion>;
+
     /// Reads the lease for orders; `None` if it was never held.
     fn read_lease(&self) -> StoreFuture<Option<StoredLease>>;
 
--- a/src/jujubelink/platform/mod.rs
+++ b/src/jujubelink/platform/mod.rs
@@ -17,6 +17,7 @@
 pub mod names;
 mod objects;
 mod request;
+mod rollout_entry;
 mod store;
 mod target_entry;
 
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -70,6 +70,10 @@
 pub const KIND_TARGETS: &str = "servers";
 /// Kind of the announced weights: the versions that models are to run.
 pub const KIND_WEIGHTS: &str = "versions";
+/// Kind of the orders to move a service to another version, by the name of the service.
+pub const KIND_ROLLOUTS: &str = "rollouts";
+/// Last part of the path at which the status of an object is written.
+pub const STATUS_PATH: &str = "status";
 /// Kind of the entries of this program's instances.
 pub const KIND_INSTANCES: &str = "jujubelink-instances";
 /// Kind of this program's leases.
--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -18,6 +18,8 @@
     pub(super) revision: ObjectVersion,
     /// Contents as JSON; the format depends on the kind of the object.
     spec: String,
+    /// Status as JSON; `null` if there is none.
+    status: String,
 }
 
 /// An object of which only the name and the revision may be known.
@@ -92,6 +94,8 @@
     metadata: &'a RawValue,
     #[serde(borrow)]
     spec: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    status: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -147,6 +151,7 @@
             name: metadata.name,
             revision: metadata.revision,
             spec: object.spec.map_or("null", RawValue::get).to_owned(),
+            status: object.status.map_or("null", RawValue::get).to_owned(),
         })
     }
 }
@@ -168,7 +173,15 @@
         &self,
         decoder: impl FnOnce(&str) -> Result<T, String>,
     ) -> Result<T, UnreadableObject> {
-        decoder(&self.spec).map_err(|reason| UnreadableObject {
+        self.decode_with_status(|spec, _| decoder(spec))
+    }
+
+    /// [`Self::decode`] with the contents and the status, which is `null` if there is none.
+    pub(super) fn decode_with_status<T>(
+        &self,
+        decoder: impl FnOnce(&str, &str) -> Result<T, String>,
+    ) -> Result<T, UnreadableObject> {
+        decoder(&self.spec, &self.status).map_err(|reason| UnreadableObject {
             name: self.name.clone(),
             revision: self.revision,
             reason,
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -11,12 +11,14 @@
 
 use super::names::{
     CONFIG_NAME, CRASH_EVIDENCE, KIND_CONFIG, KIND_CRASHES, KIND_INSTANCES, KIND_LEASES,
-    KIND_TARGETS, KIND_WEIGHTS, OBJECTS_PATH, ORDER_LEASE,
+    KIND_ROLLOUTS, KIND_TARGETS, KIND_WEIGHTS, OBJECTS_PATH, ORDER_LEASE, STATUS_PATH,
 };
 use super::objects::{
     Object, UnreadableObject, decode_events, decode_owned, decode_page, invalid_response,
 };
+use super::rollout_entry::{decode_rollout, encode_status};
 use super::{decode_configuration, decode_target};
+use crate::core::canary::{RolloutRecord, RolloutState};
 use crate::core::ids::{ModelId, ObjectVersion};
 use crate::core::rollout::LeaseRecord;
 use crate::ops::quarantine::StoredEvidence;
@@ -334,6 +336,31 @@
         .boxed_local()
     }
 
+    fn list_rollouts(&self) -> StoreFuture<Listed<RolloutRecord>> {
+        let client = self.clone();
+        async move {
+            let decoder = |object: &Object| {
+                object.decode_with_status(|spec, status| {
+                    decode_rollout(&object.name, object.revision, spec, status)
+                })
+            };
+            client.list_decoded(KIND_ROLLOUTS, decoder).await
+        }
+        .boxed_local()
+    }
+
+    fn write_rollout_status(
+        &self,
+        record: &RolloutRecord,
+        state: RolloutState,
+    ) -> StoreFuture<ObjectVersion> {
+        let client = self.clone();
+        let name = encode_name(&record.order.service);
+        let path = format!("{OBJECTS_PATH}/{KIND_ROLLOUTS}/{name}/{STATUS_PATH}");
+        let body = encode_status(record, state);
+        async move { client.write(Method::PUT, &path, Some(body)).await }.boxed_local()
+    }
+
     fn read_lease(&self) -> StoreFuture<Option<StoredLease>> {
         let client = self.clone();
         async move {
--- a/src/jujubelink/platform/target_entry.rs
+++ b/src/jujubelink/platform/target_entry.rs
@@ -22,8 +22,9 @@
     /// Incarnation: start time of the target, in milliseconds since the Unix epoch.
     #[serde(default)]
     born: u64,
-    #[serde(default, rename = "version")]
-    _software_version: String,
+    /// Version of the target's software.
+    #[serde(default)]
+    version: String,
     #[serde(default, rename = "cold_remaining_ms")]
     _cold_remaining_ms: f64,
     #[serde(default, rename = "sequence")]
@@ -60,5 +61,6 @@
             .map(|model| (model.name.into(), model.version))
             .collect(),
         incarnation: entry.born,
+        version: entry.version.into(),
     })
 }
--- /dev/null
+++ b/tests/testsuite/canary.rs
@@ -0,0 +1,450 @@
+//! Decisions of the roll-out by version, without a network: the version in force, exposure, the test of a new
+//! version, and its steps. The simulation in `error_rates` runs whole roll-outs on 1, 8 and 60 instances.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubelink::core::canary::{
+    ExposureBounds, InForce, InstanceReport, InstanceRollouts, ListedVersion, Phase, PlanStep,
+    RolloutOrder, RolloutRecord, RolloutState, RolloutStatus, Share, VersionChoice, VersionId,
+    VersionResponse, VersionedTarget,
+};
+use jujubelink::core::ids::{InstanceId, TargetId, Timestamp};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SERVICE: &str = "app";
+const BOUNDS: ExposureBounds = ExposureBounds {
+    share: 0.1,
+    slack: 50.0,
+};
+
+fn order(state: Option<RolloutState>, revision: u64) -> RolloutRecord {
+    RolloutRecord {
+        revision,
+        order: RolloutOrder {
+            service: SERVICE.into(),
+            target: "v2".into(),
+            duration: Duration::from_secs(12),
+        },
+        status: state.map(|state| RolloutStatus {
+            state,
+            target: "v2".into(),
+        }),
+    }
+}
+
+fn listed(versions: &[(&str, u64)]) -> Vec<ListedVersion> {
+    let listed = versions.iter().map(|(version, born_ms)| ListedVersion {
+        version: (*version).into(),
+        born_ms: *born_ms,
+    });
+    listed.collect()
+}
+
+fn version_after(steps: &[(&[(&str, u64)], Option<RolloutRecord>)]) -> Option<VersionId> {
+    let mut in_force = InForce::new();
+    for (versions, record) in steps {
+        in_force.update(&listed(versions), record.as_ref());
+    }
+    in_force.version().cloned()
+}
+
+/// Guards against requests at a version that no order allows yet: its entries may be known before the order,
+/// also to an instance that starts meanwhile and sees both at once.
+#[test]
+fn servers_of_a_second_version_wait_for_an_order() {
+    let both: &[_] = &[("v2", 20), ("v1", 10), ("v2", 21), ("v2", 22)];
+    assert_eq!(
+        version_after(&[(&[("v1", 10)], None), (both, None)]),
+        Some("v1".into())
+    );
+    assert_eq!(version_after(&[(both, None)]), Some("v1".into()));
+    assert_eq!(
+        version_after(&[(both, Some(order(None, 1)))]),
+        Some("v1".into())
+    );
+    let rolled_back = Some(order(Some(RolloutState::RolledBack), 2));
+    assert_eq!(version_after(&[(both, rolled_back)]), Some("v1".into()));
+    let completed = Some(order(Some(RolloutState::Completed), 2));
+    assert_eq!(
+        version_after(&[(both, None), (both, completed)]),
+        Some("v2".into())
+    );
+}
+
+/// Guards against a service without any target: one whose servers all have a new version is served, also if
+/// an order was rolled back.
+#[test]
+fn a_service_with_one_version_is_always_served() {
+    let new: &[_] = &[("v2", 20)];
+    let old: &[_] = &[("v1", 10)];
+    for state in [
+        None,
+        Some(RolloutState::Running),
+        Some(RolloutState::RolledBack),
+    ] {
+        let record = Some(order(state, 1));
+        assert_eq!(
+            version_after(&[(old, None), (new, record)]),
+            Some("v2".into()),
+            "{state:?}"
+        );
+    }
+    assert_eq!(
+        version_after(&[(old, None), (new, None)]),
+        Some("v2".into())
+    );
+    assert_eq!(version_after(&[(&[("", 0)], None)]), None);
+}
+
+/// Guards against an ordinary release that leaves all requests to the last server of the old version.
+#[test]
+fn a_replacement_without_an_order_moves_on_before_the_last_server_leaves() {
+    let all_old: &[_] = &[("v1", 1), ("v1", 2), ("v1", 3), ("v1", 4)];
+    let half: &[_] = &[("v1", 3), ("v1", 4), ("v2", 5), ("v2", 6)];
+    let last: &[_] = &[("v1", 4), ("v2", 5), ("v2", 6), ("v2", 7)];
+    assert_eq!(
+        version_after(&[(all_old, None), (half, None)]),
+        Some("v1".into())
+    );
+    assert_eq!(
+        version_after(&[(all_old, None), (half, None), (last, None)]),
+        Some("v2".into())
+    );
+    // The version of a completed order is replaced in the same way.
+    let done = || Some(order(Some(RolloutState::Completed), 9));
+    let v2: &[_] = &[("v2", 1), ("v2", 2), ("v2", 3), ("v2", 4)];
+    let v3: &[_] = &[("v2", 4), ("v3", 5), ("v3", 6), ("v3", 7)];
+    assert_eq!(
+        version_after(&[(v2, done()), (v3, done())]),
+        Some("v3".into())
+    );
+    assert_eq!(
+        version_after(&[(v2, done()), (v3, done()), (v3, done())]),
+        Some("v3".into())
+    );
+}
+
+/// How a version is bad.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    /// It is good.
+    None,
+    /// From the start.
+    Immediate,
+    /// From a third of the time on.
+    Later,
+    /// While its targets have at least half of the requests.
+    UnderLoad,
+    /// On one of two routes.
+    OneRoute,
+}
+
+/// What happens beside the roll-out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    /// Failures of both versions for a second, and a burst of twice the requests.
+    Burst,
+    /// One target of the new version is slow.
+    SlowTarget,
+    /// An instance is cut off, another one suspended, and the holder dies.
+    Cuts,
+}
+
+struct Outcome {
+    state: Option<RolloutState>,
+    decided_at: Timestamp,
+    requests: u64,
+    exposed: u64,
+    /// Requests at the new version later than 5 s after its 50th bad response.
+    late: u64,
+    /// Requests at the old version after the order was completed.
+    old_after_completed: u64,
+    /// Requests at the new version before the order or after the roll-back was known to the instance.
+    unordered: u64,
+}
+
+fn targets() -> Vec<VersionedTarget> {
+    let ids = [
+        ("o1", "v1"),
+        ("o2", "v1"),
+        ("o3", "v1"),
+        ("n1", "v2"),
+        ("n2", "v2"),
+        ("n3", "v2"),
+    ];
+    let targets = ids.iter().map(|(id, version)| VersionedTarget {
+        id: (*id).into(),
+        listed: ListedVersion {
+            version: (*version).into(),
+            born_ms: u64::from(*version == "v2") + 1,
+        },
+    });
+    targets.collect()
+}
+
+/// Runs a roll-out of 12 s at 400 requests/s, in steps of 10 ms.
+fn simulate(seed: u64, instances: usize, fault: Fault, is_slow: bool, trouble: Trouble) -> Outcome {
+    let mut random = StdRng::seed_from_u64(seed);
+    let names: Vec<InstanceId> = (0..instances)
+        .map(|i| InstanceId::from(format!("i{i:02}")))
+        .collect();
+    let mut all: Vec<InstanceRollouts> = names
+        .iter()
+        .map(|_| InstanceRollouts::new(BOUNDS))
+        .collect();
+    let list = targets();
+    let by_service: BTreeMap<Arc<str>, Vec<VersionedTarget>> =
+        [(Arc::from(SERVICE), list.clone())].into();
+    for instance in &mut all {
+        instance.set_fleet(BOUNDS, instances);
+        instance.on_targets(by_service.clone());
+    }
+    let mut stored = order(None, 1);
+    let mut outcome = Outcome {
+        state: None,
+        decided_at: Duration::ZERO,
+        requests: 0,
+        exposed: 0,
+        late: 0,
+        old_after_completed: 0,
+        unordered: 0,
+    };
+    // Responses by the time at which they arrive.
+    type Pending = (Timestamp, usize, TargetId, VersionId, u32, bool, Duration);
+    let mut pending: VecDeque<Pending> = VecDeque::new();
+    let (mut bad_new, mut fiftieth_at, mut recent_new) = (0, None, 0.0f64);
+    let has_cuts = trouble == Trouble::Cuts && instances > 1;
+    let start = Duration::from_secs(100);
+    for tick in 0..1_300u64 {
+        let elapsed = Duration::from_millis(tick * 10);
+        let now = start + elapsed;
+        let seconds = elapsed.as_secs_f64();
+        // The first instance holds the lease. It dies after 4 s; the next one holds it 5.4 s later.
+        let is_dead = |i: usize| has_cuts && i == 0 && seconds >= 2.0;
+        let is_cut =
+            |i: usize| has_cuts && i == 1 && (3.0..4.5).contains(&seconds) && instances > 2;
+        let is_asleep = |i: usize| has_cuts && i == 2 && (2.0..5.0).contains(&seconds);
+        let holder = match (has_cuts, seconds) {
+            (true, s) if (2.0..4.0).contains(&s) => None,
+            (true, s) if s >= 4.0 => Some(instances - 1),
+            _ => Some(0),
+        };
+        while pending.front().is_some_and(|(at, ..)| *at <= now) {
+            let (_, i, target, version, route, is_failed, took) = pending.pop_front().unwrap();
+            if is_dead(i) {
+                continue;
+            }
+            let response = VersionResponse {
+                target: &target,
+                version: &version,
+                route,
+                is_failed,
+                took,
+            };
+            all[i].on_response(SERVICE, &response, now);
+            all[i].on_ended(SERVICE, &version);
+        }
+        // Reads of the order and messages: every 200 ms, one in twenty is lost.
+        if tick % 20 == 0 {
+            let reports: Vec<Option<InstanceReport>> = all
+                .iter()
+                .map(|instance| instance.report(SERVICE, now))
+                .collect();
+            let is_linked = |i: usize| !is_dead(i) && !is_cut(i) && !is_asleep(i);
+            for i in (0..instances).filter(|i| is_linked(*i)) {
+                if random.random_bool(0.95) {
+                    all[i].on_record(stored.clone(), Duration::ZERO, now);
+                }
+            }
+            if let Some(holder) = holder {
+                for i in (0..instances).filter(|i| *i != holder && is_linked(*i)) {
+                    if let Some(report) = &reports[i]
+                        && random.random_bool(0.95)
+                    {
+                        let from = (&names[i], 1);
+                        all[holder].on_report(SERVICE, "v2", from, report.clone(), now);
+                    }
+                }
+                let in_contact: Vec<InstanceId> = (0..instances)
+                    .filter(|i| *i != holder && is_linked(*i))
+                    .map(|i| names[i].clone())
+                    .collect();
+                if let Some((step, record)) = all[holder].decide(SERVICE, &in_contact, now) {
+                    let phase = match step {
+                        PlanStep::Share(phase) => Some(phase),
+                        PlanStep::Complete => Some(Phase::Commit),
+                        PlanStep::RollBack(_) => None,
+                    };
+                    for i in (0..instances).filter(|i| is_linked(*i)) {
+                        if let (Some(phase), true) = (phase, i == holder || random.random_bool(0.9))
+                        {
+                            let share = Share {
+                                epoch: 1 + u64::from(holder > 0),
+                                phase,
+                                until: now + Duration::from_millis(1_300),
+                            };
+                            all[i].on_share(SERVICE, "v2", share, now);
+                        }
+                    }
+                    let state = step.final_state().unwrap_or(RolloutState::Running);
+                    if record.revision == stored.revision && record.state() != Some(state) {
+                        stored = order(Some(state), stored.revision + 1);
+                        if state != RolloutState::Running {
+                            outcome.state = Some(state);
+                            outcome.decided_at = elapsed;
+                        }
+                    }
+                }
+            }
+        }
+        let burst = trouble == Trouble::Burst && (5.0..6.0).contains(&seconds);
+        let arrivals = if burst { 8 } else { 4 };
+        for _ in 0..arrivals {
+            let i = random.random_range(0..instances);
+            if is_dead(i) || is_asleep(i) {
+                continue;
+            }
+            outcome.requests += u64::from(seconds < 12.0);
+            let route = random.random_range(1..=2u32);
+            let choice = all[i].choose(SERVICE, random.random(), true, now);
+            let version: VersionId = match &choice {
+                VersionChoice::Only(version) => version.clone(),
+                VersionChoice::Any => "v1".into(),
+            };
+            if !all[i].may_send(SERVICE, &version, now) {
+                continue;
+            }
+            all[i].on_sent(SERVICE, &version);
+            let is_new = &*version == "v2";
+            recent_new = recent_new * 0.99 + if is_new { 0.01 } else { 0.0 };
+            let own: Vec<_> = list
+                .iter()
+                .filter(|target| target.listed.version == version)
+                .collect();
+            let target = own[random.random_range(0..own.len())].id.clone();
+            let is_bad_now = match fault {
+                Fault::None => false,
+                Fault::Immediate => true,
+                Fault::Later => seconds >= 4.0,
+                Fault::UnderLoad => recent_new >= 0.4,
+                Fault::OneRoute => route == 1,
+            };
+            let mut is_failed = random.random_bool(if burst { 0.2 } else { 0.005 });
+            // Work of 20 to 60 ms, with a tail.
+            let work = 20.0 + 40.0 * random.random::<f64>().powi(2);
+            let mut took = work * if random.random_bool(0.03) { 4.0 } else { 1.0 };
+            if burst {
+                took *= 1.5;
+            }
+            if trouble == Trouble::SlowTarget && *target == *"n1" {
+                took *= 5.0;
+            }
+            if is_new && is_bad_now {
+                match is_slow {
+                    true => took *= 3.0,
+                    false => is_failed |= random.random_bool(0.2),
+                }
+                if is_failed || is_slow {
+                    bad_new += 1;
+                    if bad_new == 50 {
+                        fiftieth_at = Some(now + Duration::from_secs_f64(took / 1_000.0));
+                    }
+                }
+            }
+            if is_new {
+                outcome.exposed += u64::from(seconds < 12.0);
+                let limit = fiftieth_at.map(|at| at + Duration::from_secs(5));
+                outcome.late += u64::from(limit.is_some_and(|limit| now > limit));
+                outcome.unordered += u64::from(
+                    outcome.state == Some(RolloutState::RolledBack)
+                        && elapsed > outcome.decided_at + Duration::from_millis(1_500),
+                );
+            } else if outcome.state == Some(RolloutState::Completed) {
+                outcome.old_after_completed += 1;
+            }
+            let took = Duration::from_secs_f64(took / 1_000.0);
+            let at = now + took;
+            let place = pending.partition_point(|(other, ..)| *other <= at);
+            pending.insert(place, (at, i, target, version, route, is_failed, took));
+        }
+    }
+    outcome
+}
+
+const SIZES: [usize; 3] = [1, 8, 60];
+const RUNS: u64 = 100;
+
+/// Guards against a test that rolls back good versions, or passes bad ones, more often than once in a hundred,
+/// and against exposure beyond the bounds. Prints what was counted.
+#[test]
+fn error_rates() {
+    let mut failures = Vec::new();
+    for instances in SIZES {
+        for trouble in [
+            Trouble::None,
+            Trouble::Burst,
+            Trouble::SlowTarget,
+            Trouble::Cuts,
+        ] {
+            let runs: Vec<_> = (0..RUNS)
+                .map(|seed| simulate(seed, instances, Fault::None, false, trouble))
+                .collect();
+            let completed = runs.iter().filter(|run| {
+                run.state == Some(RolloutState::Completed)
+                    && run.decided_at < Duration::from_secs(12)
+            });
+            let completed = completed.count() as u64;
+            let old = runs
+                .iter()
+                .map(|run| run.old_after_completed)
+                .max()
+                .unwrap();
+            let last = runs.iter().map(|run| run.decided_at).max().unwrap();
+            println!(
+                "good {trouble:?} {instances}: {completed} of {RUNS} completed, last {last:?}, {old} old"
+            );
+            if completed + 1 < RUNS || (old > 0 && trouble != Trouble::Cuts) {
+                failures.push(format!(
+                    "good {trouble:?} {instances}: {completed}, {old} old"
+                ));
+            }
+        }
+        for fault in [
+            Fault::Immediate,
+            Fault::Later,
+            Fault::UnderLoad,
+            Fault::OneRoute,
+        ] {
+            for is_slow in [false, true] {
+                for trouble in [Trouble::None, Trouble::Cuts] {
+                    let runs: Vec<_> = (0..RUNS)
+                        .map(|seed| simulate(seed, instances, fault, is_slow, trouble))
+                        .collect();
+                    let passed = runs
+                        .iter()
+                        .filter(|run| run.state != Some(RolloutState::RolledBack));
+                    let passed = passed.count();
+                    let over =
+                        |run: &&Outcome| run.exposed as f64 > 0.1 * run.requests as f64 + 50.0;
+                    let over = runs.iter().filter(over).count();
+                    let late: u64 = runs.iter().map(|run| run.late).sum();
+                    let unordered: u64 = runs.iter().map(|run| run.unordered).sum();
+                    let last = runs.iter().map(|run| run.decided_at).max().unwrap();
+                    let most = runs.iter().map(|run| run.exposed).max().unwrap();
+                    println!(
+                        "{fault:?} slow={is_slow} {trouble:?} {instances}: {passed} passed, {over} over \
+                              exposure (most {most}), {late} late, {unordered} after, last {last:?}"
+                    );
+                    if passed > 1 || over > 0 || late > 0 || unordered > 0 {
+                        failures.push(format!("{fault:?} slow={is_slow} {trouble:?} {instances}"));
+                    }
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -43,6 +43,7 @@
         is_leaving,
         weights: vec![("m".into(), 1)],
         incarnation,
+        version: "".into(),
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod abandoned;
 mod admin;
+mod canary;
 mod cli;
 mod connections;
 mod crash;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -22,6 +22,7 @@
 mod silent_targets;
 mod takeovers;
 mod unreachable_targets;
+mod version_rollout;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
