--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -26,6 +26,7 @@
 mod takeovers;
 mod unreachable_targets;
 mod urgency;
+mod version_rollout;
 
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
