--- a/tests/testsuite/canary.rs
+++ b/tests/testsuite/canary.rs
@@ -43,7 +43,10 @@
     listed.collect()
 }
 
-fn version_after(steps: &[(&[(&str, u64)], Option<RolloutRecord>)]) -> Option<VersionId> {
+/// Versions and start times of the listed servers, and the newest order.
+type Step<'a> = (&'a [(&'a str, u64)], Option<RolloutRecord>);
+
+fn version_after(steps: &[Step<'_>]) -> Option<VersionId> {
     let mut in_force = InForce::new();
     for (versions, record) in steps {
         in_force.update(&listed(versions), record.as_ref());
