routing: model of targets with changing speed, metrics and log line of paces

Cause: the effect of paces was not measured, and not visible in operation.

Change: a queueing model compares placement by pace with round robin, least outstanding and ideal weights. Placements by pace are logged with the estimates that decided; metrics show the range of paces and limits, the expected wait and ignored figures. The routing bench measures decisions with paces.

--- a/crates/jujubelink-bench/src/bin/routing.rs
+++ b/crates/jujubelink-bench/src/bin/routing.rs
@@ -5,7 +5,8 @@
 
 use bpaf::Bpaf;
 use jujubelink::core::config::{ConfigSnapshot, FleetConfig};
-use jujubelink::core::routing::{RouteRequest, Router};
+use jujubelink::core::pace::ReportedPace;
+use jujubelink::core::routing::{LoadReport, RouteRequest, Router};
 use jujubelink::util::hash::combine;
 use jujubelink_bench::model::{Baseline, Policy, RunMetrics, quantile, run};
 use jujubelink_bench::workload::{WorkRequest, WorkloadSpec, generate};
@@ -22,26 +23,35 @@
     router_only: bool,
     /// Leave out the cost of a decision
     no_decision_cost: bool,
+    /// Measure only the cost of a decision
+    decision_cost_only: bool,
 }
 
 fn main() {
     let options = options().run();
     println!("seed {}", options.seed);
-    for spec in [
-        WorkloadSpec::pedra_polida(),
-        WorkloadSpec::cartografia_pirata(),
-    ] {
-        measure(&spec.clone().without_crashes(), &options, "no faults");
-        measure(&spec, &options, "crashes");
+    if !options.decision_cost_only {
+        measure_workloads(&options);
     }
-    measure(&WorkloadSpec::full_size_model(), &options, "crashes");
     if !options.no_decision_cost {
         for (targets, models) in [(130, 12), (1300, 12), (1300, 1)] {
-            measure_decision(targets, models);
+            measure_decision(targets, models, false);
+            measure_decision(targets, models, true);
         }
     }
 }
 
+fn measure_workloads(options: &Options) {
+    for spec in [
+        WorkloadSpec::pedra_polida(),
+        WorkloadSpec::cartografia_pirata(),
+    ] {
+        measure(&spec.clone().without_crashes(), options, "no faults");
+        measure(&spec, options, "crashes");
+    }
+    measure(&WorkloadSpec::full_size_model(), options, "crashes");
+}
+
 fn measure(spec: &WorkloadSpec, options: &Options, faults: &str) {
     let requests = generate(spec, options.seed);
     println!(
@@ -146,7 +156,8 @@
 /// Number of distinct second levels (the next four blocks) for each prefix of the first level.
 const SECOND_LEVEL_PREFIXES: u64 = 20;
 
-fn measure_decision(targets: usize, models: usize) {
+/// Measures the time of a decision. With `reports_pace` each response reports the pace of its target.
+fn measure_decision(targets: usize, models: usize, reports_pace: bool) {
     let config = fleet(targets, models);
     let mut router = Router::new();
     let started = Instant::now();
@@ -174,12 +185,22 @@
         let choice = router.choose(&request, draw, now).expect("a target");
         router.on_sent(&request, &choice, now);
         times.push(started.elapsed());
+        if reports_pace {
+            let report = LoadReport {
+                running: 1 + (draw % 8) as u32,
+                max_running: 16,
+                pace: ReportedPace::Permille(600 + (draw % 1000) as u32),
+                ..LoadReport::default()
+            };
+            router.on_load(choice.target, &report, now);
+            router.on_first_token(request.model, &choice, choice.prefill_s, now);
+        }
         let load = &mut router.targets_mut().get_mut(choice.target).load;
         load.on_prefilled(now);
         load.on_ended();
     }
     println!(
-        "\ndecision, {targets} targets, {models} models: p50 {:.1} µs, p99 {:.1} µs, p99.9 {:.1} µs, table build {}",
+        "\ndecision, {targets} targets, {models} models, paces {reports_pace}: p50 {:.1} µs, p99 {:.1} µs, p99.9 {:.1} µs, table build {}",
         micros(quantile(times.iter().copied(), 0.5)),
         micros(quantile(times.iter().copied(), 0.99)),
         micros(quantile(times.iter().copied(), 0.999)),
--- a/src/jujubelink/core/routing/mod.rs
+++ b/src/jujubelink/core/routing/mod.rs
@@ -18,7 +18,9 @@
 pub use load::{LoadReport, ServiceTimes, TargetLoad};
 pub use prefix_table::{MAX_PREFIXES, PrefixTable};
 pub use ranking::RankTable;
-pub use router::{BLOCK_TOKENS, Choice, EstimateAges, RouteRequest, Router, TargetSpeed};
+pub use router::{
+    BLOCK_TOKENS, Choice, EstimateAges, RouteRequest, Router, SpeedRange, TargetSpeed,
+};
 pub use table::{ReportedState, TargetIndex, TargetSettings, TargetState, TargetTable};
 
 /// Combines two hashes into a rendezvous hashing score (the finalizer of SplitMix64).
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -10,7 +10,7 @@
 
 use self::hit_rates::ReplicaHitRates;
 pub(super) use self::pace::ExpectedShare;
-pub use self::pace::TargetSpeed;
+pub use self::pace::{SpeedRange, TargetSpeed};
 use super::scan::{FirstBlockDemand, PrefixScan, ScanInput};
 use super::{
     LoadReport, PrefixTable, RankTable, ServiceTimes, TargetIndex, TargetSettings, TargetTable,
--- a/src/jujubelink/core/routing/router/pace.rs
+++ b/src/jujubelink/core/routing/router/pace.rs
@@ -22,6 +22,17 @@
     pub limit: u32,
 }
 
+/// Range of the speeds of several targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SpeedRange {
+    /// Lowest pace, in percent of the usual time.
+    pub min_pace_percent: u64,
+    /// Highest pace, in percent of the usual time.
+    pub max_pace_percent: u64,
+    /// Lowest limit of concurrent requests.
+    pub min_limit: u64,
+}
+
 /// Part of a request in the expected work of one candidate.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::core::routing) struct ExpectedShare {
@@ -194,6 +205,30 @@
         }
     }
 
+    /// Returns the range of the speeds of all models' targets; `None` if no model uses paces.
+    pub fn speed_range(&self, now: Timestamp) -> Option<SpeedRange> {
+        let models = self.models.values();
+        let speeds = models.filter_map(|model| Some((model, model.service_pace.as_ref()?)));
+        let speeds = speeds.flat_map(|(model, usual)| {
+            let members = model.members.iter();
+            members.map(move |(target, _)| self.speed(self.targets.get(*target), usual, now))
+        });
+        speeds.fold(None, |range: Option<SpeedRange>, speed| {
+            let pace_percent = (speed.pace * 100.0).round() as u64;
+            let limit = u64::from(speed.limit);
+            let range = range.unwrap_or(SpeedRange {
+                min_pace_percent: pace_percent,
+                max_pace_percent: pace_percent,
+                min_limit: limit,
+            });
+            Some(SpeedRange {
+                min_pace_percent: range.min_pace_percent.min(pace_percent),
+                max_pace_percent: range.max_pace_percent.max(pace_percent),
+                min_limit: range.min_limit.min(limit),
+            })
+        })
+    }
+
     /// Returns the number of instances in the fleet, including this one.
     pub fn instances(&self) -> u32 {
         self.instances
--- a/src/jujubelink/core/scheduler/mod.rs
+++ b/src/jujubelink/core/scheduler/mod.rs
@@ -7,4 +7,6 @@
 
 pub use running::MAX_RUNNING_ATTEMPTS;
 pub use schedule::Scheduler;
-pub use types::{AttemptEnd, Dispatch, Effect, NewRequest, Refusal, Retry, SuspectUpdate};
+pub use types::{
+    AttemptEnd, Dispatch, Effect, NewRequest, PacedEstimate, Refusal, Retry, SuspectUpdate,
+};
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use super::running::{Attempt, ModelAttempt, RunningTable};
-use super::types::{AttemptEnd, Dispatch, Effect, NewRequest, Refusal, Retry, SuspectUpdate};
+use super::types::{
+    AttemptEnd, Dispatch, Effect, NewRequest, PacedEstimate, Refusal, Retry, SuspectUpdate,
+};
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::{Fingerprint, TargetId, Timestamp, Tokens, WorkspaceId};
 use crate::core::queue::{FairQueue, JobId, QueuedJob};
@@ -313,6 +315,15 @@
         let Some(request) = self.waiting.remove(&job) else {
             return false;
         };
+        let paced_estimate = self
+            .router
+            .uses_pace(&request.model)
+            .then(|| PacedEstimate {
+                pace_percent: (choice.pace * 100.0).round() as u32,
+                limit: choice.limit,
+                wait: Duration::from_secs_f64(choice.wait_s),
+                prefill: Duration::from_secs_f64(choice.prefill_s),
+            });
         let blocks = &request.prompt.blocks;
         let estimate_ages = self.router.estimate_ages(blocks, &choice, now);
         let local_prefill_ahead_s = self
@@ -358,6 +369,7 @@
             import_blocks: choice.import_blocks,
             fetch_from,
             expected_first_token: Duration::from_secs_f64(choice.first_token_s()),
+            paced_estimate,
         }));
         true
     }
--- a/src/jujubelink/core/scheduler/types.rs
+++ b/src/jujubelink/core/scheduler/types.rs
@@ -55,6 +55,21 @@
     pub fetch_from: Option<TargetId>,
     /// Expected time from now to the first token.
     pub expected_first_token: Duration,
+    /// Estimates of a choice by the paces of targets; `None` if the model uses none.
+    pub paced_estimate: Option<PacedEstimate>,
+}
+
+/// Estimates that decided a choice by the paces of targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PacedEstimate {
+    /// Time that work takes at the target, in percent of the usual time.
+    pub pace_percent: u32,
+    /// Limit of concurrent requests at the target.
+    pub limit: u32,
+    /// Expected time until the prefill starts.
+    pub wait: Duration,
+    /// Expected time of the prefill.
+    pub prefill: Duration,
 }
 
 /// Reason for which a request is refused without being sent.
--- a/src/jujubelink/ops/scheduler/plugin.rs
+++ b/src/jujubelink/ops/scheduler/plugin.rs
@@ -117,10 +117,26 @@
         metrics.gauge("scheduler.queued", scheduler.queued() as u64);
         metrics.gauge("scheduler.running", scheduler.running() as u64);
         drop(scheduler);
+        report_paces(&state);
         state.dispatch_waiting();
     }
 }
 
+/// Reports the paces and limits of the targets, as a few numbers for all of them.
+fn report_paces(state: &SchedulerState) {
+    let mut scheduler = state.scheduler.borrow_mut();
+    let router = scheduler.router_mut();
+    let metrics = state.context.metrics();
+    for (reason, count) in router.take_ignored_paces() {
+        metrics.count(&format!("scheduler.ignored_paces.{reason}"), count);
+    }
+    if let Some(range) = router.speed_range(state.now()) {
+        metrics.gauge("scheduler.pace_min", range.min_pace_percent);
+        metrics.gauge("scheduler.pace_max", range.max_pace_percent);
+        metrics.gauge("scheduler.limit_min", range.min_limit);
+    }
+}
+
 fn update_members(state: &SchedulerState) {
     let members = state.context.service::<dyn MemberService>();
     let live_members = members
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -15,7 +15,7 @@
 use super::log_limiter::LogRateLimiter;
 use super::oneshot::Oneshot;
 use crate::core::config::{ConfigSnapshot, TargetKind};
-use crate::core::ids::{Fingerprint, TargetId, Timestamp, WorkspaceId};
+use crate::core::ids::{Fingerprint, RequestId, TargetId, Timestamp, WorkspaceId};
 use crate::core::prompt::cache_namespace;
 use crate::core::queue::JobId;
 use crate::core::routing::LoadReport;
@@ -47,6 +47,7 @@
 }
 
 struct QueuedRequest {
+    request: RequestId,
     result: Oneshot<PlacementResult>,
     arrived: Timestamp,
     /// Workspace and blocks of the prompt, for a transfer from the KV cache store.
@@ -136,6 +137,7 @@
         self.context
             .metrics()
             .time("scheduler.queue_wait", queue_wait);
+        self.log_placement(&queued_request.request, &dispatch);
         let placement = Placement::from(&dispatch);
         if dispatch.import_blocks == 0 {
             queued_request.result.send(Ok(placement));
@@ -152,6 +154,21 @@
         .detach();
     }
 
+    /// Logs the estimates that decided a placement by the paces of targets.
+    fn log_placement(&self, request: &RequestId, dispatch: &Dispatch) {
+        let Some(estimate) = &dispatch.paced_estimate else {
+            return;
+        };
+        self.context
+            .metrics()
+            .time("scheduler.expected_wait", estimate.wait);
+        slog::info!(self.context.log(), "request placed by pace"; "request" => &**request,
+            "target" => &*dispatch.target, "pace_percent" => estimate.pace_percent,
+            "limit" => estimate.limit, "wait_ms" => estimate.wait.as_millis() as u64,
+            "prefill_ms" => estimate.prefill.as_millis() as u64,
+            "cached_blocks" => dispatch.cached_blocks);
+    }
+
     /// Has an engine fetch blocks from the KV cache store. A failure only costs time, because the
     /// engine computes the blocks instead.
     async fn import(&self, target: &TargetId, workspace: &str, blocks: &[Fingerprint]) {
@@ -210,6 +227,7 @@
         let mut scheduler = self.scheduler.borrow_mut();
         let job = scheduler.on_request(request.into(), now, &mut effects);
         let queued_request = QueuedRequest {
+            request: request.id.clone(),
             result: result.clone(),
             arrived: now,
             workspace: request.workspace.clone(),
--- a/tests/testsuite/pace/mod.rs
+++ b/tests/testsuite/pace/mod.rs
@@ -1,3 +1,4 @@
 //! Paces of targets: what is learned from reported figures and observed times, and how placements use it.
 
 mod decisions;
+mod queueing;
