clients: read one more frame of a response that its client does not read

Change: while the client has no room, one more frame is read. A write that the kernel takes in part does not allow a further one.

--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -401,6 +401,9 @@
     head_memory: RefCell<Option<(Reservation, usize)>>,
     /// Whether the client has no room for further bytes of an HTTP/1.1 response.
     is_write_blocked: Cell<bool>,
+    /// Whether a frame of the response was read while the client had no room. It shows that the request waits
+    /// for its client and not for the target.
+    has_frame_waiting: Cell<bool>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -423,6 +426,7 @@
             head_bytes: Cell::default(),
             head_memory: RefCell::default(),
             is_write_blocked: Cell::default(),
+            has_frame_waiting: Cell::default(),
             waker: RefCell::default(),
         }
     }
@@ -578,7 +582,7 @@
     }
 }
 
-/// A response body that is read only while the client has room. hyper would read on until its write buffer
+/// A response body of which one frame is read while the client has no room. hyper would read on until its write buffer
 /// is full, which is as large as the largest head.
 struct GatedBody<H> {
     body: Body,
@@ -594,10 +598,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         // HTTP/2 has windows. Under HTTP/1.1 hyper polls the body again after a write.
-        if self.state.is_write_blocked.get() && !self.state.is_http2.get() {
+        let is_blocked = self.state.is_write_blocked.get() && !self.state.is_http2.get();
+        if is_blocked && self.state.has_frame_waiting.get() {
             return Poll::Pending;
         }
-        self.body.as_mut().poll_frame(cx)
+        let frame = ready!(self.body.as_mut().poll_frame(cx));
+        self.state.has_frame_waiting.set(is_blocked);
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -647,7 +654,7 @@
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write(cx, data);
-        self.record_write(&written);
+        self.record_write(&written, data.len());
         written
     }
 
@@ -669,14 +676,22 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, slices);
-        self.record_write(&written);
+        self.record_write(&written, slices.iter().map(|slice| slice.len()).sum());
         written
     }
 }
 
 impl<I, H> ObservedIo<I, H> {
-    fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        self.state.is_write_blocked.set(written.is_pending());
+    fn record_write(&self, written: &Poll<io::Result<usize>>, length: usize) {
+        match written {
+            Poll::Pending => self.state.is_write_blocked.set(true),
+            // After a part, hyper writes the rest before it reads the body again.
+            Poll::Ready(Ok(count)) if *count < length => {}
+            Poll::Ready(_) => {
+                self.state.is_write_blocked.set(false);
+                self.state.has_frame_waiting.set(false);
+            }
+        }
         if let Poll::Ready(Err(_)) = written {
             self.state.connection.record(ConnectionLoss::Write);
         }
