Share the priority lookup and the refusal of queued requests

Change: Admission::priority serves both; try_dispatch refuses in one place; the speed is computed once; names and comments say probe. No behavior changes.

--- a/src/jujubelink/core/scheduler/plain.rs
+++ b/src/jujubelink/core/scheduler/plain.rs
@@ -109,16 +109,18 @@
     ) -> Option<TargetIndex> {
         let (usual, call_s) = self.usual_call(service, now);
         let table = self.router.targets();
-        let times: Vec<f64> = candidates
+        let times_and_limits: Vec<(f64, u32)> = candidates
             .iter()
-            .map(|index| call_s * self.router.speed(table.get(*index), &usual, now).pace)
+            .map(|index| {
+                let speed = self.router.speed(table.get(*index), &usual, now);
+                (call_s * speed.pace, speed.limit)
+            })
             .collect();
         let mut costs: Vec<(f64, f64)> = candidates
             .iter()
-            .zip(&times)
-            .map(|(index, time_s)| {
+            .zip(&times_and_limits)
+            .map(|(index, &(time_s, limit))| {
                 let state = table.get(*index);
-                let limit = self.router.speed(state, &usual, now).limit;
                 let requests = state.load.total_requests(0.0, now);
                 let excess = (requests + 1.0 - f64::from(limit)).max(0.0);
                 let queued_s = excess * time_s / f64::from(limit);
@@ -144,7 +146,9 @@
         }
         let chosen = choose_weighted(&mut costs, unit_random(random, SPREAD_SEED))?;
         let window = work_window(self.router.instances());
-        for ((index, time_s), (_, probability)) in candidates.iter().zip(&times).zip(&costs) {
+        for ((index, (time_s, _)), (_, probability)) in
+            candidates.iter().zip(&times_and_limits).zip(&costs)
+        {
             let pace = &mut self.router.targets_mut().get_mut(*index).pace;
             let placed = &mut pace.get_or_insert_default().placed;
             placed.add(*probability, *time_s, window, now);
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -280,27 +280,21 @@
         let choice = self
             .router
             .choose(&route, rendezvous_score(random, job), now);
-        match choice {
+        let refusal = match choice {
             Some(choice) => match self.decide(job, &choice, now) {
-                Decision::Place => self.dispatch(job, choice, now, effects),
-                Decision::Wait => false,
-                Decision::Refuse => {
-                    let request = &self.waiting[&job];
-                    self.queue.remove(&request.workspace.clone(), job, now);
-                    self.refuse(job, overloaded(DEFAULT_RETRY_AFTER), effects);
-                    true
-                }
-            },
-            None => match self.unavailability(job, now) {
-                None => false,
-                Some(reason) => {
-                    let request = &self.waiting[&job];
-                    self.queue.remove(&request.workspace.clone(), job, now);
-                    self.refuse(job, reason, effects);
-                    true
-                }
+                Decision::Place => return self.dispatch(job, choice, now, effects),
+                Decision::Wait => None,
+                Decision::Refuse => Some(overloaded(DEFAULT_RETRY_AFTER)),
             },
-        }
+            None => self.unavailability(job, now),
+        };
+        let Some(reason) = refusal else {
+            return false;
+        };
+        let workspace = self.waiting[&job].workspace.clone();
+        self.queue.remove(&workspace, job, now);
+        self.refuse(job, reason, effects);
+        true
     }
 
     /// Decides whether a queued request is sent to the selected target.
--- a/src/jujubelink/ops/proxy/relay/admission.rs
+++ b/src/jujubelink/ops/proxy/relay/admission.rs
@@ -26,6 +26,16 @@
     pub(super) workspace: Option<WorkspaceId>,
 }
 
+impl Admission {
+    /// Returns the configured priority: that of the workspace, otherwise that of the route.
+    pub(super) fn priority(&self) -> u8 {
+        let workspace = self.workspace.as_ref();
+        let policy = workspace.and_then(|name| self.policy.workspaces.get(name));
+        let priority = policy.and_then(|policy| policy.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+}
+
 /// Admits a request according to the active configuration. If the configuration may be outdated, a
 /// missing route or key is answered with a temporary refusal, because a newer version may contain
 /// it.
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -547,16 +547,12 @@
         let store = prompt
             .map(|prompt| stores.plan_usage(prompt, &cache_salt, cached_blocks * BLOCK_TOKENS));
         let store = store.unwrap_or_default();
-        let workspace = admission.workspace.as_ref();
-        let policy = workspace.and_then(|name| admission.policy.workspaces.get(name));
-        let rank = policy.and_then(|policy| policy.priority);
-        let rank = rank.unwrap_or(admission.route.priority);
         let aims = self.aims(admission);
         Ok(EngineParams {
             weights,
             cache_salt,
             priority: aims
-                .map_or(rank, |aims| aims.rank(self.now()))
+                .map_or_else(|| admission.priority(), |aims| aims.rank(self.now()))
                 .min(MAX_PRIORITY_RANK),
             fetch_from: self.fetch_address(weights).or(store.fetch_from),
             save_to: store.save_to,
--- a/src/jujubelink/ops/proxy/relay/overload.rs
+++ b/src/jujubelink/ops/proxy/relay/overload.rs
@@ -18,15 +18,12 @@
         if !self.has_pressure() {
             return None;
         }
-        let workspace = admission.workspace.as_ref();
-        let policy = workspace.and_then(|name| admission.policy.workspaces.get(name));
-        let priority = policy.and_then(|policy| policy.priority);
         let objective = admission.route.latency_objective;
         Some(Aims {
             arrived: self.arrived,
             latest_start: self.arrived + objective.mul_f64(QUEUE_TIME_RATIO),
             deadline: self.deadline,
-            priority: priority.unwrap_or(admission.route.priority),
+            priority: admission.priority(),
             is_begun: self.is_response_begun,
         })
     }
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -43,7 +43,7 @@
 /// times in it, also in a large fleet.
 const MAX_PUBLICATION: Duration = Duration::from_secs(1);
 
-/// Time for which a connection to a target is kept for the next question whether it lives.
+/// Time for which a connection to a target is kept for the next probe.
 const MAX_IDLE: Duration = Duration::from_secs(10);
 
 /// A request whose response was interrupted.
@@ -213,8 +213,8 @@
         }
     }
 
-    /// Asks a target whether it lives, with a question that is sent after now. Responses that end while
-    /// another question is unanswered share the next one.
+    /// Probes whether a target lives, after now. Responses that end while
+    /// another probe is unanswered share the next one.
     pub async fn probe_after_end(&self, target: &Rc<TargetRecord>) -> ProbeFinding {
         let (client, asked) = (self.client.clone(), Rc::clone(target));
         let context = self.context.clone();
