Let queued clients leave first in the test of abandoned requests

The test dropped the clients in the order of sending. The first ones freed places at the target, queued requests were placed there, and their own clients left while the connection was being opened. The log line was right. Change: the clients of queued requests leave first, and each line is checked against where its request was, with the reason of its end.

--- a/tests/testsuite/platform_path/abandoned_requests.rs
+++ b/tests/testsuite/platform_path/abandoned_requests.rs
@@ -23,7 +23,7 @@
 
 struct Site {
     deployment: Deployment,
-    _targets: Vec<ScriptedTarget>,
+    targets: Vec<ScriptedTarget>,
     instance: RunningInstance,
     log: LogFile,
 }
@@ -44,7 +44,7 @@
         wait_until_prompts_complete(&instance).await;
         Self {
             deployment,
-            _targets: targets,
+            targets,
             instance,
             log,
         }
@@ -130,23 +130,31 @@
     run(async {
         let site = Site::start(&["e1"], "", mute).await;
         let ids: Vec<_> = (0..20).map(|number| format!("q{number}")).collect();
-        let clients: Vec<_> = ids.iter().map(|id| site.send(id, "/tell/x")).collect();
+        let clients = ids.iter().map(|id| (id, site.send(id, "/tell/x")));
+        let clients: Vec<_> = clients.collect();
         compio::time::sleep(PATIENCE).await;
-        drop(clients);
-        let mut awaited = Vec::new();
-        for id in &ids {
-            let line = site.abandoned(id).await;
-            assert_eq!(line["reason"], CLIENT_CLOSED);
-            let is_queued = line["awaited"] == "a place in the queue";
-            assert_eq!(is_queued, line["sends"] == 0, "{line}");
-            awaited.push(line["awaited"].as_str().unwrap().to_owned());
+        let received = site.targets[0].received();
+        let (at_target, queued): (Vec<_>, Vec<_>) = clients
+            .into_iter()
+            .partition(|(id, _)| received.iter().any(|request| request.id == **id));
+        assert!(!at_target.is_empty() && !queued.is_empty());
+        // A place that becomes free is given to a queued request at once, whose line would then name the
+        // connection to the target. So the clients with queued requests leave first.
+        for (clients, awaited) in [
+            (queued, "a place in the queue"),
+            (at_target, "the head of the response"),
+        ] {
+            let ids: Vec<_> = clients.iter().map(|(id, _)| *id).collect();
+            drop(clients);
+            for id in ids {
+                let line = site.assert_abandoned(id, awaited).await;
+                assert_eq!(
+                    line["sends"] == 0,
+                    awaited == "a place in the queue",
+                    "{line}"
+                );
+            }
         }
-        awaited.sort();
-        awaited.dedup();
-        assert_eq!(
-            awaited,
-            ["a place in the queue", "the head of the response"]
-        );
     });
 }
 
