--- a/src/jujubelink/core/ids.rs
+++ b/src/jujubelink/core/ids.rs
@@ -42,6 +42,9 @@
 /// Version of a platform object; 0 means absent.
 pub type ObjectVersion = u64;
 
+/// Era of the platform's store; rises by one with each restore from an older copy.
+pub type StoreEra = u64;
+
 /// Fencing number of a lease; increases with each new holder.
 pub type Epoch = u64;
 
