Keep the targets through a restore of the store

After a restore from an older copy, revisions are lower than those seen before. Targets that the copy lacked counted as removed at once, entries and changes of the restored store were ignored as old, removed targets came back, and the entry of the instance and the evidence of crashes stayed lost.

Entries carry their position (era and revision). After a restore, entries are kept until they are replaced or 2.2 s have passed; an incarnation that was removed gets no work until it writes its entry again. The watch is given up and the full list read; lists between instances state their era. The entry of the instance and the evidence are written again. The stand-in store can be copied and restored, states an era and answers 410 for revisions that it lacks.

--- a/crates/jujubelink-standins/src/fleet/mod.rs
+++ b/crates/jujubelink-standins/src/fleet/mod.rs
@@ -6,5 +6,5 @@
 mod target;
 
 pub use cache::CacheStore;
-pub use store::{ObjectStore, StoreEndpoint, StoreMode};
+pub use store::{ObjectStore, StoreCopy, StoreEndpoint, StoreMode};
 pub use target::{CrashingPart, FaultPlan, FleetTarget, TargetFault};
--- a/crates/jujubelink-standins/src/fleet/store.rs
+++ b/crates/jujubelink-standins/src/fleet/store.rs
@@ -9,7 +9,7 @@
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use jujubelink::platform::names::OBJECTS_PATH;
+use jujubelink::platform::names::{OBJECTS_PATH, STORE_ERA};
 use jujubelink::util::http::{Body, collect_limited, full};
 use serde_json::{Value, json};
 
@@ -24,6 +24,9 @@
 /// Interval at which a watch checks for new changes, and a held write for a change of the mode.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Delay of a late response. It is below the time for which instances wait for one.
+const LATENESS: Duration = Duration::from_millis(900);
+
 /// How an endpoint of the store responds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StoreMode {
@@ -36,8 +39,11 @@
     Silent,
     /// Answers reads. Executes and answers writes only after the mode has changed.
     HoldingWrites,
+    /// Executes reads and sends their responses after [`LATENESS`]. Watches and writes are handled normally.
+    Late,
 }
 
+#[derive(Clone)]
 struct Object {
     revision: u64,
     created_revision: u64,
@@ -49,6 +55,7 @@
     status: Value,
 }
 
+#[derive(Clone)]
 struct Change {
     revision: u64,
     kind: String,
@@ -56,6 +63,14 @@
     is_removed: bool,
 }
 
+/// Copy of the objects at some time, to which the store can be restored.
+pub struct StoreCopy {
+    objects: BTreeMap<(String, String), Object>,
+    history: Vec<Change>,
+    compacted_revision: u64,
+    revision: u64,
+}
+
 /// The objects, shared by all endpoints of the store.
 #[derive(Default)]
 pub struct ObjectStore {
@@ -68,6 +83,10 @@
     lost_answers: Cell<u32>,
     /// Statuses in the order of their writes, as name and status.
     written_statuses: RefCell<Vec<(String, Value)>>,
+    /// Era that all responses state; `None` if they state none.
+    era: Cell<Option<u64>>,
+    /// Values of the era header that are sent in place of the era.
+    stated_eras: RefCell<Option<Vec<String>>>,
 }
 
 impl ObjectStore {
@@ -76,6 +95,48 @@
         Rc::default()
     }
 
+    /// Lets all responses state an era, which rises by one with each restore.
+    pub fn set_era(&self, era: u64) {
+        self.era.set(Some(era));
+    }
+
+    /// Sends these values of the era header, one header for each, in place of the era. `None` ends that.
+    pub fn state_eras(&self, values: Option<&[&str]>) {
+        let owned = |values: &[&str]| values.iter().map(|value| (*value).to_owned()).collect();
+        self.stated_eras.replace(values.map(owned));
+    }
+
+    /// Returns a copy of the objects, to which [`Self::restore`] can go back.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            objects: self.objects.borrow().clone(),
+            history: self.history.borrow().clone(),
+            compacted_revision: self.compacted_revision.get(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// Goes back to a copy. All later writes are lost, their revisions are issued again, and the era rises.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.objects.replace(copy.objects.clone());
+        self.history.replace(copy.history.clone());
+        self.compacted_revision.set(copy.compacted_revision);
+        self.revision.set(copy.revision);
+        self.era.set(self.era.get().map(|era| era + 1));
+    }
+
+    /// Adds the era to a response.
+    fn add_era(&self, response: &mut Response<Body>) {
+        let values = match &*self.stated_eras.borrow() {
+            Some(values) => values.clone(),
+            None => self.era.get().iter().map(u64::to_string).collect(),
+        };
+        for value in values {
+            let value = value.parse().expect("the value of a header");
+            response.headers_mut().append(STORE_ERA, value);
+        }
+    }
+
     /// Writes an object unconditionally, on behalf of an operator or a target.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.put_raw(kind, name, spec.to_string().as_bytes());
@@ -228,7 +289,7 @@
     async fn watch(&self, kind: &str, after: u64, limit: Duration) -> Response<Body> {
         let mut waited = Duration::ZERO;
         loop {
-            if after < self.compacted_revision.get() {
+            if after < self.compacted_revision.get() || after > self.revision.get() {
                 return answer(StatusCode::GONE, &json!({ "error": "forgotten" }));
             }
             let events = self.events(kind, after);
@@ -306,6 +367,7 @@
     mode: Cell<StoreMode>,
     calls: Cell<u64>,
     held_writes: Cell<u64>,
+    late_reads: Cell<u64>,
 }
 
 impl StoreEndpoint {
@@ -316,6 +378,7 @@
             mode: Cell::default(),
             calls: Cell::new(0),
             held_writes: Cell::new(0),
+            late_reads: Cell::new(0),
         })
     }
 
@@ -329,6 +392,11 @@
         self.held_writes.get()
     }
 
+    /// Returns the number of reads that arrived in [`StoreMode::Late`].
+    pub fn late_reads(&self) -> u64 {
+        self.late_reads.get()
+    }
+
     /// Sets how the endpoint responds.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.set(mode);
@@ -337,6 +405,26 @@
 
 impl StandIn for StoreEndpoint {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let store = Rc::clone(&self.store);
+        let is_watch = request
+            .uri()
+            .query()
+            .is_some_and(|query| query.contains("watch="));
+        let is_read = request.method() == Method::GET && !is_watch;
+        let is_late = is_read && self.mode.get() == StoreMode::Late;
+        let endpoint = Rc::clone(&self);
+        let mut response = self.respond(request).await;
+        store.add_era(&mut response);
+        if is_late {
+            endpoint.late_reads.set(endpoint.late_reads.get() + 1);
+            compio::time::sleep(LATENESS).await;
+        }
+        response
+    }
+}
+
+impl StoreEndpoint {
+    async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         self.calls.set(self.calls.get() + 1);
         let is_write = request.method() != Method::GET;
         match self.mode.get() {
@@ -350,7 +438,7 @@
                     compio::time::sleep(WATCH_POLL_INTERVAL).await;
                 }
             }
-            StoreMode::HoldingWrites | StoreMode::Up => {}
+            StoreMode::HoldingWrites | StoreMode::Up | StoreMode::Late => {}
         }
         let response = self.store.call(request).await;
         let lost = self.store.lost_answers.get();
@@ -359,7 +447,7 @@
             return pending().await;
         }
         match self.mode.get() {
-            StoreMode::Up | StoreMode::HoldingWrites => response,
+            StoreMode::Up | StoreMode::HoldingWrites | StoreMode::Late => response,
             // The mode changed during the call, such as a long watch: it is not answered either.
             _ => pending().await,
         }
--- a/src/jujubelink/core/fleet/era.rs
+++ b/src/jujubelink/core/fleet/era.rs
@@ -15,6 +15,14 @@
     pub revision: ObjectVersion,
 }
 
+impl StorePosition {
+    /// Whether this is not after a position of the present era, because it is of a former era or its
+    /// revision is not higher.
+    pub(super) fn is_before(&self, present: Self) -> bool {
+        self.era != present.era || self.revision <= present.revision
+    }
+}
+
 impl PartialOrd for StorePosition {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         (self.era == other.era).then(|| self.revision.cmp(&other.revision))
--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod order;
 mod policy;
 mod records;
+mod removals;
 mod schedule;
 mod state;
 
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Announcement, FleetPolicy, Freshness, FreshnessProof, TargetRecord};
+use super::removals::{Removals, is_written_after};
+use super::{Announcement, FleetPolicy, Freshness, FreshnessProof, StorePosition, TargetRecord};
 use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
-use crate::core::ids::{ConfigVersion, Incarnation, ModelId, TargetId, Timestamp};
+use crate::core::ids::{
+    ConfigVersion, Incarnation, ModelId, ObjectVersion, StoreEra, TargetId, Timestamp,
+};
 
 /// Assumed prefill rate of an engine whose description does not state one. The engines of both
 /// sites process 92.1 tokens per millisecond.
@@ -18,20 +21,13 @@
 /// a hundred to ten thousand tokens, and only complete parts are shared.
 const BLOCK_TOKENS: u32 = 1_000;
 
-/// Minimum time for which the removal of a target is remembered, so that a delayed update of its
-/// former entry cannot restore it.
-const REMOVED_RETENTION: Duration = Duration::from_secs(60);
-
-/// Time after the recovery of the store during which a missing entry may reappear: a running target
-/// whose entry expired during an outage writes it again within two seconds.
+/// Time after the recovery or a restore of the store during which a missing entry may reappear: a running
+/// target whose entry expired during an outage, or is not in the copy, writes it again within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Maximum number of announced weights versions kept for a model.
 const MAX_ANNOUNCED_VERSIONS: usize = 64;
 
-/// Maximum number of removed targets that are remembered; further ones are not recorded.
-const MAX_REMOVED: usize = 4_096;
-
 /// What happened to a target whose entry was removed from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Removal {
@@ -53,18 +49,25 @@
 }
 
 /// State of the fleet as seen by this instance. Versions of the configuration and of weights, and
-/// the revisions of target entries only increase.
+/// the revisions of target entries in an era of the store only increase.
 #[derive(Debug, Default)]
 pub struct FleetState {
     policy: Option<Rc<FleetPolicy>>,
     freshness: Freshness,
-    /// Targets by name, with the store revision of their entry.
-    targets: BTreeMap<TargetId, (u64, Rc<TargetRecord>)>,
-    /// Revision at which a target's entry was removed, and when this instance recorded it.
-    removed: HashMap<TargetId, (u64, Timestamp)>,
-    /// Entries that were missing after an outage of the store: the revision of their removal, and
-    /// the time at which they are removed here.
-    lapsed: BTreeMap<TargetId, (u64, Timestamp)>,
+    /// Present era of the store; 0 if it states none.
+    era: StoreEra,
+    /// Whether the store states an era.
+    has_era: bool,
+    /// Revision of the store at its first list of targets since a restore.
+    first_list: Option<ObjectVersion>,
+    /// When this instance learned of the last restore.
+    restored_at: Option<Timestamp>,
+    /// Targets by name, with the position of their entry in the store.
+    targets: BTreeMap<TargetId, (StorePosition, Rc<TargetRecord>)>,
+    removed: Removals,
+    /// Entries that were missing after an outage or a restore of the store: the position of their removal,
+    /// and the time at which they are removed here.
+    lapsed: BTreeMap<TargetId, (StorePosition, Timestamp)>,
     /// When the store last recovered from an outage.
     store_recovered_at: Option<Timestamp>,
     /// Targets, by name and incarnation, that announced their shutdown. An incarnation never
@@ -128,16 +131,69 @@
         self.freshness.age(self.config_version(), now)
     }
 
-    /// Applies one entry at a store revision. Older revisions are ignored.
-    pub fn on_target(&mut self, revision: u64, record: TargetRecord) {
-        let current = self
-            .targets
-            .get(&record.id)
-            .map_or(0, |(current, _)| *current);
-        let removed = self.removed.get(&record.id).map_or(0, |(at, _)| *at);
-        if revision <= current.max(removed) {
+    /// Enters an era of the store. After a restore, what was read before is kept until it is replaced, and
+    /// targets that the store no longer lists have time to write their entries again.
+    pub fn on_era(&mut self, era: StoreEra, is_restore: bool, now: Timestamp) {
+        self.era = era;
+        self.has_era = true;
+        if !is_restore {
+            // The store has stated no era so far.
+            for (position, _) in self.targets.values_mut() {
+                position.era = era;
+            }
+            for (position, _) in self.lapsed.values_mut() {
+                position.era = era;
+            }
+            self.removed.assign_era(era);
             return;
         }
+        self.first_list = None;
+        self.store_recovered_at = Some(now);
+        self.restored_at = Some(now);
+        for lapsed in self.lapsed.values_mut() {
+            *lapsed = (StorePosition { era, revision: 0 }, now + LAPSE_GRACE);
+        }
+    }
+
+    /// Returns the revision of the store at its first list of targets since the last restore. What has a
+    /// higher revision was written after the restore.
+    pub fn first_list_revision(&self) -> Option<ObjectVersion> {
+        self.first_list
+    }
+
+    /// Returns the position of a revision in the present era.
+    fn position(&self, revision: ObjectVersion) -> StorePosition {
+        let era = self.era;
+        StorePosition { era, revision }
+    }
+
+    /// Whether an entry was restored from the copy although its incarnation had been removed or replaced
+    /// before the restore.
+    fn is_outdated_copy(&self, revision: ObjectVersion, record: &TargetRecord) -> bool {
+        let current = self.targets.get(&record.id);
+        let is_replaced = current.is_some_and(|(position, current)| {
+            position.era != self.era && record.incarnation < current.incarnation
+        });
+        let (id, incarnation) = (&record.id, record.incarnation);
+        (is_replaced || self.removed.is_removed_before(id, incarnation, self.era))
+            && !is_written_after(self.first_list, revision)
+    }
+
+    /// Applies one entry at a revision of the present era. Older revisions are ignored.
+    pub fn on_target(&mut self, revision: ObjectVersion, record: TargetRecord) {
+        let position = self.position(revision);
+        let current = self.targets.get(&record.id);
+        // A revision of 0 is that of an entry without one.
+        let is_superseded = revision == 0
+            || current.is_some_and(|(current, _)| position <= *current)
+            || self.removed.supersedes(&record.id, position);
+        if is_superseded || self.is_outdated_copy(revision, &record) {
+            return;
+        }
+        let record = match current {
+            Some((former, known)) if former.era != self.era => with_newest_weights(record, known),
+            _ => record,
+        };
         let run = (record.id.clone(), record.incarnation);
         if record.is_leaving {
             self.leaving.insert(run);
@@ -149,7 +205,7 @@
         // only increase within an incarnation, so `weights_of` takes the larger one.
         let id = record.id.clone();
         self.lapsed.remove(&id);
-        self.targets.insert(id, (revision, Rc::new(record)));
+        self.targets.insert(id, (position, Rc::new(record)));
         self.generation += 1;
     }
 
@@ -161,91 +217,122 @@
     /// Removes the entries that have not reappeared within the grace period after an outage.
     /// Returns their names.
     pub fn expire_lapsed(&mut self, now: Timestamp) -> Vec<TargetId> {
-        let due: Vec<(TargetId, u64)> = self
+        let due: Vec<(TargetId, StorePosition)> = self
             .lapsed
             .iter()
             .filter(|(_, (_, at))| now >= *at)
-            .map(|(id, (revision, _))| (id.clone(), *revision))
+            .map(|(id, (position, _))| (id.clone(), *position))
             .collect();
         let mut removed = Vec::new();
-        for (id, revision) in due {
+        for (id, position) in due {
             self.lapsed.remove(&id);
-            self.remove_target(&id, revision, now);
+            let current = self.targets.get(&id);
+            if let Some((_, record)) = current.filter(|(current, _)| current.is_before(position)) {
+                let incarnation = record.incarnation;
+                self.on_departure(&id, incarnation, now);
+            }
+            self.remove_target(&id, position, now);
             removed.push(id);
         }
         removed
     }
 
+    /// Returns when the next target is removed whose entry is missing, after a restore of the store.
+    pub fn next_lapse_after_restore(&self) -> Option<Timestamp> {
+        self.restored_at?;
+        self.lapsed.values().map(|(_, due)| *due).min()
+    }
+
     /// Applies the removal of an entry at a store revision. Shortly after an outage of the store,
     /// the entry may merely have expired; the target is then kept until it has had time to write
     /// the entry again. Returns what happened to the target.
-    pub fn on_target_removed(&mut self, id: &TargetId, revision: u64, now: Timestamp) -> Removal {
-        let grace_end = self.store_recovered_at.map(|at| at + LAPSE_GRACE);
-        let is_known = self.targets.contains_key(id);
+    pub fn on_target_removed(
+        &mut self,
+        id: &TargetId,
+        revision: ObjectVersion,
+        now: Timestamp,
+    ) -> Removal {
+        let position = self.position(revision);
         let current = self.targets.get(id);
-        if let Some((_, record)) = current.filter(|(current, _)| *current <= revision) {
+        if let Some((_, record)) = current.filter(|(current, _)| current.is_before(position)) {
             let incarnation = record.incarnation;
             self.on_departure(id, incarnation, now);
         }
+        self.remove_or_postpone(id, position, now)
+    }
+
+    /// Removes a target, or postpones that shortly after an outage or a restore of the store.
+    fn remove_or_postpone(
+        &mut self,
+        id: &TargetId,
+        position: StorePosition,
+        now: Timestamp,
+    ) -> Removal {
+        let grace_end = self.store_recovered_at.map(|at| at + LAPSE_GRACE);
+        let is_known = self.targets.contains_key(id);
         if let Some(due) = grace_end.filter(|end| now < *end)
             && is_known
         {
-            self.lapsed.insert(id.clone(), (revision, due));
+            self.lapsed.insert(id.clone(), (position, due));
             return Removal::Postponed { until: due };
         }
-        self.remove_target(id, revision, now);
+        self.remove_target(id, position, now);
         match is_known && !self.targets.contains_key(id) {
             true => Removal::Removed,
             false => Removal::Unknown,
         }
     }
 
-    /// Removes a target unless its entry is newer than `revision`, and remembers the removal.
-    fn remove_target(&mut self, id: &TargetId, revision: u64, now: Timestamp) {
-        let is_superseded = self
-            .targets
-            .get(id)
-            .is_some_and(|(current, _)| *current <= revision);
-        if is_superseded {
+    /// Removes a target unless its entry is newer than `position`, and remembers the removal.
+    fn remove_target(&mut self, id: &TargetId, position: StorePosition, now: Timestamp) {
+        let current = self.targets.get(id);
+        let superseded = current.filter(|(current, _)| current.is_before(position));
+        let incarnation = superseded.map(|(_, record)| record.incarnation);
+        if incarnation.is_some() {
             self.targets.remove(id);
             self.generation += 1;
         }
         self.removed
-            .retain(|_, (_, at)| now.saturating_sub(*at) < REMOVED_RETENTION);
-        if self.removed.len() < MAX_REMOVED {
-            let entry = self.removed.entry(id.clone()).or_insert((0, now));
-            entry.0 = entry.0.max(revision);
-            entry.1 = now;
-        }
+            .record(id, position, incarnation, now, self.has_era);
         let (targets, removed) = (&self.targets, &self.removed);
         self.observed.retain(|(id, _), _| targets.contains_key(id));
         // An entry that expired may be written again by an incarnation that is shutting down.
-        let is_remembered = |id: &TargetId| targets.contains_key(id) || removed.contains_key(id);
+        let is_remembered = |id: &TargetId| targets.contains_key(id) || removed.contains(id);
         self.leaving.retain(|(id, _)| is_remembered(id));
         self.departures.retain(|(id, _), _| is_remembered(id));
     }
 
-    /// Applies a complete list at a store revision: targets that are missing in it are removed.
-    /// Returns what happened to these.
+    /// Applies a complete list at a revision of the present era: targets that are missing in it are
+    /// removed. Returns what happened to these.
     pub fn on_target_list(
         &mut self,
-        revision: u64,
-        entries: Vec<(u64, TargetRecord)>,
+        revision: ObjectVersion,
+        entries: Vec<(ObjectVersion, TargetRecord)>,
         now: Timestamp,
     ) -> Vec<(TargetId, Removal)> {
+        let position = self.position(revision);
+        self.first_list = self.first_list.or(Some(revision));
         let listed: BTreeSet<TargetId> = entries
             .iter()
+            .filter(|(revision, record)| !self.is_outdated_copy(*revision, record))
             .map(|(_, record)| record.id.clone())
             .collect();
         let missing: Vec<TargetId> = self
             .targets
             .iter()
-            .filter(|(id, (current, _))| !listed.contains(*id) && *current <= revision)
+            .filter(|(id, (current, _))| !listed.contains(*id) && current.is_before(position))
             .map(|(id, _)| id.clone())
             .collect();
+        // Targets whose entries the copy lacks have not left: it is known only after the grace period.
+        let is_restored = self
+            .restored_at
+            .is_some_and(|at| now.saturating_sub(at) < LAPSE_GRACE);
         let mut removals = Vec::new();
         for id in missing {
-            let removal = self.on_target_removed(&id, revision, now);
+            let removal = match is_restored {
+                true => self.remove_or_postpone(&id, position, now),
+                false => self.on_target_removed(&id, revision, now),
+            };
             removals.push((id, removal));
         }
         for (revision, record) in entries {
@@ -254,22 +341,23 @@
         removals
     }
 
-    /// Returns all entries with their store revisions, for other instances.
-    pub fn entries(&self) -> Vec<(u64, TargetRecord)> {
+    /// Returns all entries that were read in an era, with their store revisions, for other instances.
+    pub fn entries(&self, era: StoreEra) -> Vec<(ObjectVersion, TargetRecord)> {
         let entries = self.targets.values();
         entries
-            .map(|(revision, record)| (*revision, (**record).clone()))
+            .filter(|(position, _)| position.era == era)
+            .map(|(position, record)| (position.revision, (**record).clone()))
             .collect()
     }
 
     /// Records that another target responds at the address of this one, which is removed. Only a
     /// new entry written by the target restores it. Returns whether the target existed.
     pub fn on_replaced(&mut self, id: &TargetId, now: Timestamp) -> bool {
-        let Some((revision, _)) = self.targets.get(id) else {
+        let Some((position, _)) = self.targets.get(id) else {
             return false;
         };
-        let revision = *revision;
-        self.remove_target(id, revision, now);
+        let position = *position;
+        self.remove_target(id, position, now);
         true
     }
 
@@ -316,9 +404,9 @@
     pub fn departed_at(&self, record: &TargetRecord) -> Option<Timestamp> {
         let run = (record.id.clone(), record.incarnation);
         let known = self.departures.get(&run).copied();
-        // A removal is forgotten after `REMOVED_RETENTION`.
+        // Old removals are forgotten.
         let is_forgotten =
-            !self.targets.contains_key(&record.id) && !self.removed.contains_key(&record.id);
+            !self.targets.contains_key(&record.id) && !self.removed.contains(&record.id);
         known.or(is_forgotten.then_some(Timestamp::ZERO))
     }
 
@@ -438,7 +526,7 @@
         incarnation: Incarnation,
         weights: &[(ModelId, u64)],
     ) {
-        let Some((revision, record)) = self.targets.get(id) else {
+        let Some((position, record)) = self.targets.get(id) else {
             return;
         };
         if incarnation > record.incarnation {
@@ -447,7 +535,7 @@
                 weights: weights.to_vec(),
                 ..(**record).clone()
             };
-            let entry = (*revision, Rc::new(restarted));
+            let entry = (*position, Rc::new(restarted));
             self.targets.insert(id.clone(), entry);
             self.generation += 1;
         } else if incarnation == record.incarnation {
@@ -525,6 +613,17 @@
     }
 }
 
+/// Returns an entry with the newest weights that it or a former entry of the same incarnation states.
+/// Versions only increase within an incarnation, and the entry may be that of an older copy.
+fn with_newest_weights(mut record: TargetRecord, former: &TargetRecord) -> TargetRecord {
+    if record.incarnation == former.incarnation {
+        for (model, version) in &mut record.weights {
+            *version = former.weights_of(model).max(Some(*version)).unwrap_or(0);
+        }
+    }
+    record
+}
+
 /// Returns the scheduler's settings of a model. The length of prompts is counted in tokens here, so
 /// a token has one byte.
 fn scheduler_model(version: u64) -> Model {
--- a/src/jujubelink/ops/fleet/plugin.rs
+++ b/src/jujubelink/ops/fleet/plugin.rs
@@ -29,6 +29,12 @@
         let client = ObjectStoreClient::new(settings.platform.address, Rc::clone(&eras));
         let store: SharedStore = Rc::new(client);
         let fleet = Rc::new(Fleet::new(context, fleet_settings, store, eras));
+        let subscriber = Rc::downgrade(&fleet);
+        fleet.eras().subscribe(move |change| {
+            if let Some(fleet) = subscriber.upgrade() {
+                fleet.on_era(change);
+            }
+        });
         let service: Rc<dyn ConfigService> = Rc::new(FleetConfigService(Rc::clone(&fleet)));
         context.provide(fleet);
         context.provide(service);
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -13,15 +13,15 @@
 use super::faults::LoggedFaults;
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{
-    Announcement, FleetPolicy, FleetState, FreshnessProof, Removal, StoreContact, TargetRecord,
-    WeightsBounds,
+    Announcement, FleetPolicy, FleetState, FreshnessProof, Removal, StoreContact, StorePosition,
+    TargetRecord, WeightsBounds,
 };
-use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
+use crate::core::ids::{Incarnation, ModelId, StoreEra, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
 use crate::ops::store::{
-    EntryFault, SharedStore, StoreEras, StoredPolicy, TargetChange, TargetChanges,
+    EntryFault, EraChange, SharedStore, StoreEras, StoredPolicy, TargetChange, TargetChanges,
 };
 use crate::util::duration::ms;
 
@@ -38,6 +38,9 @@
 /// Target list that one instance sends to another. The field names are part of the peer protocol.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct TargetListUpdate {
+    /// Era of that revision; absent if the store states none, and in lists of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<StoreEra>,
     /// Revision of the store that the list reflects.
     revision: u64,
     /// Names of all targets.
@@ -56,8 +59,8 @@
     raw_policy: RefCell<Option<Bytes>>,
     snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
     snapshot_generation: Cell<u64>,
-    /// Revision of the store that the targets reflect.
-    target_revision: Cell<u64>,
+    /// Position of the store that the targets reflect.
+    target_position: Cell<StorePosition>,
     started_at: Timestamp,
     /// When the store last confirmed the target list, directly or through a peer.
     targets_confirmed_at: Cell<Timestamp>,
@@ -87,7 +90,10 @@
             raw_policy: RefCell::default(),
             snapshot: RefCell::default(),
             snapshot_generation: Cell::new(0),
-            target_revision: Cell::new(0),
+            target_position: Cell::new(StorePosition {
+                era: 0,
+                revision: 0,
+            }),
             started_at,
             targets_confirmed_at: Cell::new(Timestamp::ZERO),
             targets_confirmed: Notifier::new(),
@@ -107,6 +113,26 @@
         &self.eras
     }
 
+    /// Applies a change of the store's era.
+    pub(super) fn on_era(&self, change: EraChange) {
+        let is_restore = change.former.is_some();
+        self.state
+            .borrow_mut()
+            .on_era(change.era, is_restore, change.at);
+        if !is_restore {
+            // The store has stated no era so far.
+            let revision = self.target_position.get().revision;
+            let era = change.era;
+            self.target_position.set(StorePosition { era, revision });
+        }
+    }
+
+    /// Whether the targets reflect a list of the store's present era. Changes after a revision of a former
+    /// era cannot be requested.
+    pub(super) fn has_present_list(&self) -> bool {
+        self.target_position.get().era == self.eras.current().unwrap_or(0)
+    }
+
     /// Settings of the fleet.
     pub fn settings(&self) -> Rc<FleetSettings> {
         Rc::clone(&self.settings.borrow())
@@ -190,6 +216,10 @@
 
     /// Applies changes of targets. A complete list also removes the targets that are not in it.
     pub fn on_targets(&self, changes: TargetChanges, is_complete: bool) {
+        if changes.era != self.eras.current() {
+            self.context.metrics().count("store.discarded", 1);
+            return;
+        }
         self.log_entry_faults(&changes.faults);
         let now = self.context.timers().boot_now();
         let leaving: Vec<_> = changes
@@ -202,8 +232,13 @@
                 _ => None,
             })
             .collect();
-        let newest = self.target_revision.get().max(changes.revision);
-        self.target_revision.set(newest);
+        let position = StorePosition {
+            era: changes.era.unwrap_or(0),
+            revision: changes.revision,
+        };
+        if position.era != self.target_position.get().era || position > self.target_position.get() {
+            self.target_position.set(position);
+        }
         let mut state = self.state.borrow_mut();
         let mut entries = Vec::new();
         for change in changes.changes {
@@ -314,7 +349,13 @@
         self.context.timers().boot_now()
     }
 
-    /// Removes targets whose entries did not reappear after an outage of the store.
+    /// Time until the next target is removed whose entry is missing since a restore.
+    pub(super) fn next_lapse_after_restore(&self) -> Option<Duration> {
+        let due = self.state.borrow().next_lapse_after_restore()?;
+        Some(due.saturating_sub(self.now()))
+    }
+
+    /// Removes targets whose entries did not reappear after an outage or a restore of the store.
     pub fn expire_lapsed(&self) {
         let now = self.context.timers().boot_now();
         let removed = self.state.borrow_mut().expire_lapsed(now);
@@ -445,9 +486,15 @@
         self.publish_snapshot();
     }
 
-    /// Revision of the store that the targets reflect.
+    /// Revision of the store that the targets reflect, in the era of [`Self::target_era`].
     pub fn target_revision(&self) -> u64 {
-        self.target_revision.get()
+        self.target_position.get().revision
+    }
+
+    /// Era of the store that the targets reflect; `None` if the store states none.
+    pub fn target_era(&self) -> Option<StoreEra> {
+        let era = self.target_position.get().era;
+        self.eras.current().map(|_| era)
     }
 
     /// Time since the store last confirmed the target list.
@@ -468,14 +515,22 @@
         self.targets_confirmed.changed()
     }
 
-    /// Returns the target list for a peer that has the targets up to a revision.
-    pub fn target_update_since(&self, revision: u64) -> TargetListUpdate {
-        let mut entries = self.state.borrow().entries();
+    /// Returns the target list for a peer that has the targets up to a revision of an era. A peer that has
+    /// them of another era, or states none after a restore, gets all entries.
+    pub fn target_update_since(&self, revision: u64, era: Option<StoreEra>) -> TargetListUpdate {
+        let position = self.target_position.get();
+        let is_same_era = match era {
+            Some(_) => era == self.target_era(),
+            None => self.eras.restores() == 0,
+        };
+        let revision = if is_same_era { revision } else { 0 };
+        let mut entries = self.state.borrow().entries(position.era);
         let names = entries.iter().map(|(_, record)| record.id.clone());
         let names = names.collect();
         entries.retain(|(entry_revision, _)| *entry_revision > revision);
         TargetListUpdate {
-            revision: self.target_revision.get(),
+            era: self.target_era(),
+            revision: position.revision,
             names,
             entries,
         }
@@ -491,9 +546,9 @@
                 return;
             }
         };
-        if self.apply_newer_targets(list) == Some(true) {
+        if self.enter_era_of(&list, peer) && self.apply_newer_targets(list) == Some(true) {
             slog::info!(self.context.log(), "targets taken from a peer"; "peer" => peer,
-                "revision" => self.target_revision.get());
+                "revision" => self.target_revision());
         }
     }
 
@@ -505,22 +560,43 @@
         confirmed_at: Timestamp,
         peer: &str,
     ) -> Option<bool> {
+        if !self.enter_era_of(&list, peer) {
+            return None;
+        }
         let revision = list.revision;
         let applied = self.apply_newer_targets(list);
         match applied {
             // A list older than the local one does not confirm that the local one is current.
-            Some(_) if revision < self.target_revision.get() => {}
+            Some(_) if revision < self.target_revision() => {}
             Some(_) => self.record_targets_confirmed(confirmed_at),
             None => slog::info!(self.context.log(), "a peer's targets are incomplete";
-                "peer" => peer, "revision" => revision, "own" => self.target_revision.get()),
+                "peer" => peer, "revision" => revision, "own" => self.target_revision()),
         }
         applied
     }
 
+    /// Applies the era of a peer's list. Returns whether the list is of the present era. A list without an
+    /// era, which earlier versions send, counts until a restore: it may be from before that.
+    fn enter_era_of(&self, list: &TargetListUpdate, peer: &str) -> bool {
+        let is_present = match list.era {
+            None => self.eras.restores() == 0,
+            Some(era) => {
+                self.eras.on_peer_era(era, peer);
+                self.eras.current() == Some(era)
+            }
+        };
+        if !is_present {
+            slog::info!(self.context.log(), "a peer's targets are of a former era";
+                "peer" => peer, "era" => list.era, "own" => self.eras.current());
+            self.context.metrics().count("store.discarded", 1);
+        }
+        is_present
+    }
+
     /// Applies a list that is newer than the local one. Returns `None` if an entry is neither in
     /// the list nor present locally.
     fn apply_newer_targets(&self, list: TargetListUpdate) -> Option<bool> {
-        if list.revision <= self.target_revision.get() {
+        if self.has_present_list() && list.revision <= self.target_revision() {
             return Some(false);
         }
         let names: BTreeSet<TargetId> = list.names.into_iter().collect();
@@ -529,7 +605,8 @@
             .iter()
             .map(|(_, record)| record.id.clone())
             .collect();
-        let mut entries = self.state.borrow().entries();
+        let present_era = self.eras.current();
+        let mut entries = self.state.borrow().entries(present_era.unwrap_or(0));
         entries.retain(|(_, record)| names.contains(&record.id) && !updated.contains(&record.id));
         entries.extend(list.entries);
         if entries.len() < names.len() {
@@ -542,6 +619,7 @@
                 .collect(),
             faults: Vec::new(),
             revision: list.revision,
+            era: present_era,
         };
         self.on_targets(changes, true);
         Some(true)
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -3,11 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+
 use super::Fleet;
 use crate::core::fleet::MAX_RELAYED_AGE;
-use crate::ops::kernel::{Context, Lifecycle};
+use crate::core::ids::ObjectVersion;
+use crate::ops::kernel::{Context, Lifecycle, Timers};
 use crate::ops::share::Peers;
-use crate::ops::store::{StoreError, StoredPolicy};
+use crate::ops::store::{StoreError, StoreResult, StoredPolicy, TargetChanges};
 use crate::util::duration::ms;
 
 /// Maximum duration of a watch request. A hanging watch is detected after this time plus the
@@ -76,9 +79,16 @@
             false => WATCH_TIMEOUT,
         };
         let requested_at = timers.boot_now();
+        revision = revision.filter(|_| fleet.has_present_list());
         let result = match revision {
             None => fleet.store().list_targets().await,
-            Some(after) => fleet.store().watch_targets(after, watch_timeout).await,
+            Some(after) => match watch_targets(&timers, &fleet, after, watch_timeout).await {
+                Some(result) => result,
+                None => {
+                    revision = None;
+                    continue;
+                }
+            },
         };
         let is_complete = revision.is_none();
         match result {
@@ -121,6 +131,36 @@
     }
 }
 
+/// Waits for changes of the targets after a revision. Returns `None` once the store was restored, because
+/// the revision belongs to the former era. After a restore, targets that write no entry again are removed
+/// meanwhile.
+async fn watch_targets(
+    timers: &Timers,
+    fleet: &Fleet,
+    after: ObjectVersion,
+    limit: Duration,
+) -> Option<StoreResult<TargetChanges>> {
+    let restores = fleet.eras().restores();
+    let restored = Box::pin(fleet.eras().restored());
+    let watch = fleet.store().watch_targets(after, limit);
+    let mut call = select(watch, restored);
+    let outcome = loop {
+        let Some(remaining) = fleet.next_lapse_after_restore() else {
+            break call.await;
+        };
+        let lapse = Box::pin(timers.sleep(remaining));
+        match select(call, lapse).await {
+            Either::Left((outcome, _)) => break outcome,
+            Either::Right(((), pending)) => call = pending,
+        }
+        fleet.expire_lapsed();
+    };
+    match outcome {
+        Either::Left((result, _)) if fleet.eras().restores() == restores => Some(result),
+        _ => None,
+    }
+}
+
 /// Reads the configuration and the announced weights whenever no peer has relayed a recent read.
 pub(super) async fn refresh_config_and_weights(context: Context, fleet: Rc<Fleet>) {
     let timers = *context.timers();
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -348,17 +348,25 @@
         }
         let mut load = pin!(self.load());
         let mut stored = match timers.timeout(LOAD_TIMEOUT, load.as_mut()).await {
-            Some(stored) => stored,
+            Some(stored) => Some(stored),
             None => {
                 slog::warn!(self.context.log(), "earlier crashes of targets are not known";
                     "waited_ms" => ms(LOAD_TIMEOUT));
                 self.has_waited.set(true);
-                load.await
+                Some(load.await)
             }
         };
         self.is_loaded.set(true);
+        let eras = Rc::clone(self.fleet().eras());
+        let mut restores = eras.restores();
         loop {
             timers.sleep(MAINTENANCE_INTERVAL).await;
+            if eras.restores() != restores {
+                // All instances know the evidence that the store has lost, and what has been refuted since
+                // the copy. The first one to have rank 0 writes it once.
+                restores = eras.restores();
+                stored = None;
+            }
             if self.peers().rank() == 0 {
                 self.store(&mut stored).await;
             }
@@ -418,16 +426,19 @@
             "crashes" => stored.crashes.len(), "unreadable" => unreadable.get());
     }
 
-    /// Writes the evidence to the store if it has changed.
-    async fn store(&self, stored: &mut StoredEvidence) {
+    /// Writes the evidence to the store if that is not known to hold it.
+    async fn store(&self, stored: &mut Option<StoredEvidence>) {
         let evidence =
             StoredEvidence::new(&self.evidence.borrow(), self.now()).relative_to_last_crash();
-        if evidence == *stored {
+        if stored.as_ref() == Some(&evidence) {
             return;
         }
         let fleet = self.fleet();
+        let restores = fleet.eras().restores();
         match fleet.store().write_evidence(evidence.clone()).await {
-            Ok(_) => *stored = evidence,
+            // A write from before a restore may be lost.
+            Ok(_) if fleet.eras().restores() == restores => *stored = Some(evidence),
+            Ok(_) => {}
             Err(error) => {
                 slog::warn!(self.context.log(), "cannot write the crashes of targets to the store";
                     "error" => %error);
--- a/src/jujubelink/ops/share/exchange.rs
+++ b/src/jujubelink/ops/share/exchange.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::select;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use prost::Message;
@@ -117,18 +118,14 @@
 pub(super) async fn maintain_registration(peers: Rc<Peers>, local_record: InstanceRecord) {
     let timers = *peers.context.timers();
     let store = Rc::clone(peers.fleet.store());
-    let revision = loop {
-        match store.write_instance(local_record.clone()).await {
-            Ok(revision) => break revision,
-            Err(error) => {
-                slog::warn!(peers.context.log(), "cannot write the instance record to the store";
-                    "error" => %error);
-                timers.sleep(STORE_RETRY_DELAY).await;
-            }
-        }
-    };
-    peers.record_registration(revision);
+    let eras = Rc::clone(peers.fleet.eras());
+    let mut restores = register(&peers, &local_record).await;
     loop {
+        if eras.restores() != restores {
+            // The copy may lack the record. Its former revision has no place in the order of instances.
+            peers.record_registration(0);
+            restores = register(&peers, &local_record).await;
+        }
         match store.list_instances().await {
             Ok(listed) => {
                 peers.fleet.log_entry_faults(&listed.faults);
@@ -142,7 +139,11 @@
                         }
                     }
                 }
-                timers.sleep(INSTANCE_LIST_INTERVAL).await;
+                let next_read = Box::pin(timers.sleep(INSTANCE_LIST_INTERVAL));
+                let restored = eras.restored();
+                if eras.restores() == restores {
+                    select(next_read, Box::pin(restored)).await;
+                }
             }
             Err(error) => {
                 slog::warn!(peers.context.log(), "cannot read the list of instances from the store";
@@ -153,6 +154,27 @@
     }
 }
 
+/// Writes the record of this instance to the store. Returns the number of restores before the write that
+/// was accepted.
+async fn register(peers: &Peers, local_record: &InstanceRecord) -> u64 {
+    let timers = *peers.context.timers();
+    loop {
+        let restores = peers.fleet.eras().restores();
+        let written = peers.fleet.store().write_instance(local_record.clone());
+        match written.await {
+            Ok(revision) => {
+                peers.record_registration(revision);
+                return restores;
+            }
+            Err(error) => {
+                slog::warn!(peers.context.log(), "cannot write the instance record to the store";
+                    "error" => %error);
+                timers.sleep(STORE_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Updates the rate limits whenever the configuration changes.
 pub(super) async fn sync_limits(peers: Rc<Peers>) {
     let config = peers.context.service::<dyn ConfigService>();
@@ -180,7 +202,7 @@
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let body = match request.uri().path() {
             POLICY_PATH => self.0.fleet.raw_policy(),
-            TARGETS_PATH => self.0.encode(&self.0.fleet.target_update_since(0)),
+            TARGETS_PATH => self.0.encode(&self.0.fleet.target_update_since(0, None)),
             EVIDENCE_PATH => {
                 let quarantine = self.0.context.service::<Quarantine>();
                 let evidence = quarantine.stored_evidence();
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -137,13 +137,19 @@
         let (after_revision, after_version) = (fields.next()??, fields.next()??);
         // Earlier versions do not send the age.
         let requester_age = fields.next().flatten().map(Duration::from_millis);
+        // Earlier versions do not send the era, and it is absent if the store states none.
+        let after_era = fields.next().flatten();
         let received_at = self.now();
         let list_age = self.fleet.targets_age();
         let revision = self.fleet.target_revision();
+        let is_same_era = after_era.is_none() || after_era == self.fleet.target_era();
+        let is_newer_era = after_era.is_some() && after_era < self.fleet.target_era();
         // An older list, however recent, does not confirm that of the requester.
-        let is_more_recent = revision >= after_revision
+        let is_more_recent = is_same_era
+            && revision >= after_revision
             && requester_age.is_some_and(|age| age > list_age + CONFIRMATION_GAIN);
-        let has_update = revision > after_revision
+        let has_update = is_newer_era
+            || is_same_era && revision > after_revision
             || self.fleet.state().config_version() > after_version
             || is_more_recent;
         if !has_update {
@@ -162,7 +168,7 @@
             held_ms: age(received_at),
             targets_age_ms: ms(self.fleet.targets_age()),
             store_unanswered_ms: Some(ms(self.fleet.store_unanswered())),
-            targets: self.fleet.target_update_since(after_revision),
+            targets: self.fleet.target_update_since(after_revision, after_era),
             config_version: state.config_version(),
             config_age_ms: state.proof().map(|proof| age(proof.requested_at)),
             weights: state
@@ -184,8 +190,10 @@
         };
         let requested_at = self.now();
         let list_age = self.fleet.targets_age();
+        let era = self.fleet.target_era();
+        let era = era.map_or_else(String::new, |era| format!(",{era}"));
         let path = format!(
-            "{UPDATES_PATH}?{},{},{}",
+            "{UPDATES_PATH}?{},{},{}{era}",
             self.fleet.target_revision(),
             self.fleet.state().config_version(),
             ms(list_age)
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -2,8 +2,11 @@
 //!
 //! The store holds the configuration, the list of targets and the announced weights, all of which
 //! this program only reads, and three kinds of objects that this program writes: instance entries,
-//! the lease for orders and the causes of crashes of targets. It is the only state that outlives all processes. An absent object and an
-//! unavailable store are different results.
+//! the lease for orders and the causes of crashes of targets. It is the only state that outlives all
+//! processes, and it may be restored from an older copy. An absent object and an unavailable store are
+//! different results.
+//!
+//! The value of a completed call is of the era that [`StoreEras::current`] returns right after the call.
 
 mod era;
 
@@ -17,7 +20,7 @@
 
 use crate::core::canary::{RolloutRecord, RolloutState};
 use crate::core::fleet::{FleetPolicy, TargetRecord};
-use crate::core::ids::{ModelId, ObjectVersion, TargetId};
+use crate::core::ids::{ModelId, ObjectVersion, StoreEra, TargetId};
 use crate::core::rollout::LeaseRecord;
 use crate::ops::quarantine::StoredEvidence;
 
@@ -102,6 +105,8 @@
     pub faults: Vec<EntryFault>,
     /// Last included revision; the next watch continues after it.
     pub revision: ObjectVersion,
+    /// Era of the revisions; `None` if the store states none.
+    pub era: Option<StoreEra>,
 }
 
 /// An entry of the store that cannot be decoded.
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -157,6 +157,14 @@
         }
     }
 
+    /// Assigns changes of a response that has just arrived to the present era.
+    fn in_present_era(&self, changes: TargetChanges) -> TargetChanges {
+        TargetChanges {
+            era: self.eras.current(),
+            ..changes
+        }
+    }
+
     /// Writes an object, whether it exists or not.
     async fn create_or_replace(
         &self,
@@ -176,7 +184,8 @@
         }
     }
 
-    /// Returns all objects of a kind, and the revision of the store at the first page.
+    /// Returns all objects of a kind, and the revision of the store at the first page. A list whose pages are
+    /// of different eras is read again.
     async fn list(
         &self,
         kind: &str,
@@ -185,6 +194,7 @@
         let mut revision = None;
         // The next page starts after the last name that can be read.
         let mut last_name: Option<String> = None;
+        let mut era = self.eras.current();
         for _ in 0..MAX_PAGES {
             let path = match &last_name {
                 Some(name) => format!("{OBJECTS_PATH}/{kind}?after={}", encode_name(name)),
@@ -193,6 +203,14 @@
             let Some(body) = self.get(&path, RESPONSE_TIMEOUT).await? else {
                 return Ok((Vec::new(), 0));
             };
+            if self.eras.current() != era {
+                era = self.eras.current();
+                if last_name.take().is_some() {
+                    objects.clear();
+                    revision = None;
+                    continue;
+                }
+            }
             let page = decode_page(&body)?;
             let first = *revision.get_or_insert(page.revision);
             let is_last = !page.is_truncated || page.objects.is_empty();
@@ -296,6 +314,7 @@
             changes: self.changes,
             faults: self.faults,
             revision,
+            era: None,
         }
     }
 }
@@ -339,7 +358,7 @@
             for object in objects {
                 decoder.add(object, false);
             }
-            Ok(decoder.finish(revision))
+            Ok(client.in_present_era(decoder.finish(revision)))
         }
         .boxed_local()
     }
@@ -350,7 +369,8 @@
             let wait_ms = limit.as_millis();
             let path = format!("{OBJECTS_PATH}/{KIND_TARGETS}?watch={after}&wait_ms={wait_ms}");
             let body = client.get(&path, limit + RESPONSE_TIMEOUT).await?;
-            decode_target_events(&body.unwrap_or_default(), after)
+            let changes = decode_target_events(&body.unwrap_or_default(), after)?;
+            Ok(client.in_present_era(changes))
         }
         .boxed_local()
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod refusals;
 mod relay;
 mod response_end;
+mod restored_targets;
 mod retry;
 mod revocation;
 mod rollout;
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -23,6 +23,7 @@
 mod response_ends;
 mod scripted_deployment;
 mod silent_targets;
+mod store_restore;
 mod takeovers;
 mod unreachable_targets;
 mod urgency;
