Test that a lost lease is kept for its holder

After a restore to a copy without the lease, another instance takes it at once: 91 ms after the restore it gave an order with the fencing number 1, which the former holder used too.

--- a/tests/testsuite/platform_path/store_restore.rs
+++ b/tests/testsuite/platform_path/store_restore.rs
@@ -336,3 +336,67 @@
         wait_for_four_followers(&instances).await;
     });
 }
+
+/// Time after a restore within which no other instance may take a lost lease: its term and the pause between
+/// holders, with some reserve for the time at which the instance notices the restore.
+const LEASE_KEPT: Duration = Duration::from_millis(4_500);
+
+/// Guards against two holders, and against a fencing number that is issued twice, after a restore to a copy
+/// without the lease. The holder cannot reach the store and acts until the end of its term.
+#[test]
+fn a_lost_lease_is_taken_only_after_the_term_of_its_holder() {
+    run(async {
+        let deployment = Deployment::new();
+        deployment.store.set_era(1);
+        let copy = deployment.store.copy();
+        let instances = [
+            deployment.start("n1", "").await,
+            deployment.start("n2", "").await,
+        ];
+        for instance in &instances {
+            instance.wait_ready().await;
+        }
+        // One engine loads at a time, so the other one needs an order for as long.
+        for engine in &deployment.engines {
+            engine.set_load_duration(Duration::from_secs(12));
+        }
+        deployment.announce_weights(4);
+        let orders = || {
+            let engines = deployment.engines.iter();
+            engines
+                .flat_map(|engine| engine.orders())
+                .collect::<Vec<Value>>()
+        };
+        let first = eventually("an engine has an order", || async { orders().pop() }).await;
+        let holder = usize::from(first["holder"] != "n1");
+        let loading = deployment
+            .engines
+            .iter()
+            .position(|engine| !engine.orders().is_empty());
+        instances[holder].store_endpoint.set_mode(StoreMode::Silent);
+        deployment.store.restore(&copy);
+        let restored_at = Instant::now();
+        // The operator announces the weights again, and the first engine announces them as loaded.
+        deployment.announce_weights(4);
+        let id = ["e1", "e2"][loading.unwrap()];
+        deployment.put_target_with_weights(id, "ready", 1, 4);
+        let second = eventually("the other engine has an order", || async {
+            let found = orders();
+            (found.len() == 2).then(|| found.into_iter().find(|order| *order != first).unwrap())
+        })
+        .await;
+        let after = restored_at.elapsed();
+        println!("first {first}, then after {after:?} {second}");
+        assert!(
+            second["fence"].as_u64() >= first["fence"].as_u64(),
+            "{first} {second}"
+        );
+        if second["holder"] != first["holder"] {
+            assert!(after >= LEASE_KEPT, "after {after:?}: {first} {second}");
+            assert!(
+                second["fence"].as_u64() > first["fence"].as_u64(),
+                "{first} {second}"
+            );
+        }
+    });
+}
