Let the store confirm a jump of its era that a peer states

A peer whose first response had a faulty era would have raised the era of the whole fleet, which then discards all responses of the store. An era that is higher by more than one now counts once both a peer and the store state it.

Tests: a_peer_confirms_an_era_that_is_higher_by_more_than_one and a_peer_alone_does_not_raise_the_era_by_more_than_one failed before. The former expected the raise from the peer's statement alone; it now also requires that the store states the era. 63 tests of eras, targets, restores and large fleets passed.

--- a/src/jujubelink/core/fleet/era.rs
+++ b/src/jujubelink/core/fleet/era.rs
@@ -95,6 +95,8 @@
     current: Option<StoreEra>,
     /// Kinds of faults since the present era began. Each kind is logged once.
     faults: BTreeSet<EraFault>,
+    /// Era higher by more than one that a peer stated last.
+    stated_by_peer: Option<StoreEra>,
 }
 
 impl EraTracker {
@@ -120,16 +122,23 @@
                     fault: fault.map(|fault| (fault, self.faults.insert(fault))),
                 }
             }
-            Some(current) if era - current > 1 => self.faulty(EraFault::Jumped),
+            Some(current) if era - current > 1 && self.stated_by_peer != Some(era) => {
+                self.faulty(EraFault::Jumped)
+            }
             _ => self.enter(era),
         }
     }
 
-    /// Applies the era that a peer states. A higher one counts even if it is higher by more than one,
-    /// because this instance may have been cut off over several restores.
+    /// Applies the era that a peer states. One that is higher by more than one counts once the store states it
+    /// too, because this instance may have been cut off over several restores. The peer alone does not suffice:
+    /// its first response may have been faulty, and a wrong era discards all responses.
     pub fn on_peer(&mut self, era: StoreEra) -> EraOutcome {
         match self.current {
             Some(current) if era <= current => EraOutcome::Present,
+            Some(current) if era - current > 1 => {
+                self.stated_by_peer = Some(era);
+                EraOutcome::Present
+            }
             _ => self.enter(era),
         }
     }
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -586,7 +586,7 @@
             }
         };
         if !is_present {
-            slog::info!(self.context.log(), "a peer's targets are of a former era";
+            slog::info!(self.context.log(), "a peer's targets are of another era";
                 "peer" => peer, "era" => list.era, "own" => self.eras.current());
             self.context.metrics().count("store.discarded", 1);
         }
