Keep one lease holder through restores of the store

A store that is restored from an older copy loses the lease or shows an older one, and issues its versions again. Another instance could then take the lease while the former holder's term still ran, and fencing numbers could be issued twice.

A holder keeps its own term and renews over what the copy shows. All others wait takeover_after from the time at which they know the era. A write that was sent in a former era starts no term. Each era has its own range of fencing numbers, above all numbers of former eras. Without an era nothing changes.

--- a/src/jujubelink/core/ids.rs
+++ b/src/jujubelink/core/ids.rs
@@ -42,6 +42,9 @@
 /// Version of a platform object; 0 means absent.
 pub type ObjectVersion = u64;
 
+/// Number of times that the store was restored from a copy, as the store states it.
+pub type StoreEra = u64;
+
 /// Fencing number of a lease; increases with each new holder.
 pub type Epoch = u64;
 
--- a/src/jujubelink/core/rollout/lease.rs
+++ b/src/jujubelink/core/rollout/lease.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::core::ids::{Epoch, ObjectVersion, Timestamp};
+use crate::core::ids::{Epoch, ObjectVersion, StoreEra, Timestamp};
 
 /// Value of the lease object.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LeaseRecord {
     /// Name of the machine that holds the lease.
     pub holder: String,
-    /// Fencing number; increases with each change of the holder. Never above the version of the object.
+    /// Fencing number; increases with each change of the holder. Not above the version of the object, unless
+    /// the store was restored from a copy.
     pub epoch: Epoch,
     /// Whether the holder has given its last order and has released the lease.
     #[serde(default)]
@@ -87,24 +88,46 @@
     read_at: Timestamp,
     /// Whether the record can be relied on; false after a call whose outcome is unknown.
     is_current: bool,
+    /// Whether the object was read before the last restore. Its version does not compare with later ones.
+    is_former: bool,
     /// Times that apply to a takeover of this version. A change of the times while the version is
     /// unchanged lengthens the waits and never shortens them, because the holder counts by either value.
     timing: OrderLeaseTiming,
 }
 
+/// Term of the lease that this run acquired last.
+#[derive(Debug, Clone, Copy)]
+struct Term {
+    until: Timestamp,
+    epoch: Epoch,
+    /// Whether the term began before the last restore of the store. The store may no longer show it.
+    is_former: bool,
+}
+
 /// State of the lease as observed by one instance. Timestamps come from a clock that also runs
 /// while the machine is suspended.
 ///
 /// A holder keeps the lease without renewing it while there is no work. Another instance takes over
 /// only if it has observed the same version for `takeover_after`, because a holder that last
 /// renewed at that version may no longer give orders by then.
+///
+/// If the store states its era, the object may be lost or go back to an older one by a restore from a copy. No
+/// term starts from a write that was sent before the restore, so all terms of former eras have ended after
+/// `takeover_after` from the time at which this instance first knew the present era. Until then only an instance
+/// whose own term still runs writes the lease.
 #[derive(Debug)]
 pub struct OrderLease {
     local_name: Arc<str>,
     timing: OrderLeaseTiming,
     observed: Option<Observed>,
-    /// End of the current term and fencing number, while this run holds the lease.
-    held: Option<(Timestamp, Epoch)>,
+    /// Term of this run; kept after its end until another holder is observed.
+    held: Option<Term>,
+    /// When this instance first knew the present era of the store; `None` if the store states no era.
+    era_since: Option<Timestamp>,
+    /// Lowest fencing number of a holder that takes the lease in the present era.
+    min_epoch: Epoch,
+    /// Highest fencing number seen, in the lease or in reports of targets.
+    highest_epoch: Epoch,
     /// When the last renewal was sent.
     renewed_at: Timestamp,
     pending_nonce: Option<u64>,
@@ -119,6 +142,15 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// Highest fencing number that is taken for one of an instance. It leaves room for all that can be issued after
+/// it, so that none overflows.
+const MAX_EPOCH: Epoch = 1 << 62;
+
+/// Fencing numbers of one era of the store. Each era has its own range, so that an instance which never saw the
+/// numbers of the part that a restore has lost uses none of them again. Holders can change every few seconds for
+/// two months before a range is used up; the numbers seen then still only increase.
+const EPOCHS_PER_ERA: Epoch = 1 << 20;
+
 /// Time between reads of a lease that another instance holds.
 const POLL_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -130,6 +162,9 @@
             timing,
             observed: None,
             held: None,
+            era_since: None,
+            min_epoch: 0,
+            highest_epoch: 0,
             renewed_at: Timestamp::ZERO,
             pending_nonce: None,
             retry_at: Timestamp::ZERO,
@@ -145,11 +180,78 @@
         }
     }
 
+    /// Records that the first response of the store that states an era has arrived. The lease may have been lost
+    /// in a restore shortly before.
+    pub fn on_era_known(&mut self, era: StoreEra, now: Timestamp) {
+        self.start_era(era, now);
+        let record = self.observed.as_ref().and_then(|seen| seen.record.as_ref());
+        if let Some(epoch) = record.map(|record| record.epoch) {
+            self.on_epoch_seen(epoch);
+        }
+    }
+
+    /// Records that the store was restored from a copy, as noticed now. The own term and fencing number are kept.
+    /// The outcome of a write that is in flight or unanswered becomes unknown for good: if the store shows it
+    /// later, another holder may have taken the lease meanwhile, in the part that was lost.
+    pub fn on_restored(&mut self, era: StoreEra, now: Timestamp) {
+        self.start_era(era, now);
+        self.pending_nonce = None;
+        if let Some(term) = &mut self.held {
+            term.is_former = true;
+        }
+        if let Some(observed) = &mut self.observed {
+            observed.is_current = false;
+            observed.is_former = true;
+        }
+    }
+
+    fn start_era(&mut self, era: StoreEra, now: Timestamp) {
+        self.era_since = Some(now);
+        let min_epoch = era.checked_mul(EPOCHS_PER_ERA);
+        self.min_epoch = min_epoch.filter(|epoch| *epoch <= MAX_EPOCH).unwrap_or(0);
+    }
+
+    /// Records a fencing number that a target has seen. Ignored if the store states no era, because the lease
+    /// itself then never goes back.
+    pub fn on_epoch_seen(&mut self, epoch: Epoch) {
+        if self.era_since.is_some() && epoch <= MAX_EPOCH {
+            self.highest_epoch = self.highest_epoch.max(epoch);
+        }
+    }
+
+    /// Returns the highest fencing number seen; `None` if the store states no era.
+    pub fn highest_epoch(&self) -> Option<Epoch> {
+        self.era_since.map(|_| self.highest_epoch)
+    }
+
+    /// Returns the own term if it runs.
+    fn running_term(&self, now: Timestamp) -> Option<Term> {
+        self.held.filter(|term| now < term.until)
+    }
+
+    /// Whether a fencing number is below one that another holder may have used.
+    fn is_superseded(&self, epoch: Epoch) -> bool {
+        self.era_since.is_some() && epoch < self.highest_epoch
+    }
+
+    /// Returns the fencing number of the next write in an era. The one of the own last term is used again only
+    /// if no other holder can have had the lease since.
+    fn next_epoch(&self, now: Timestamp) -> Epoch {
+        match self.held {
+            Some(term)
+                if !self.is_superseded(term.epoch) && (now < term.until || !term.is_former) =>
+            {
+                term.epoch
+            }
+            _ => self.min_epoch.max(self.highest_epoch + 1),
+        }
+    }
+
     /// Returns the fencing number if orders may be given now. Checked immediately before each
     /// order.
     pub fn epoch(&self, now: Timestamp) -> Option<Epoch> {
-        let (until, epoch) = self.held?;
-        (now < until).then_some(epoch)
+        let term = self.running_term(now)?;
+        (!self.is_superseded(term.epoch)).then_some(term.epoch)
     }
 
     /// Returns the name of the holder as last read.
@@ -163,7 +265,8 @@
         if now < self.retry_at {
             return LeaseAction::Wait;
         }
-        let is_local = self.holder() == Some(&*self.local_name);
+        let running = self.running_term(now);
+        let is_local = self.holder() == Some(&*self.local_name) || running.is_some();
         if (is_local && role.work_since.is_none()) || (!is_local && !role.is_candidate) {
             return LeaseAction::Wait;
         }
@@ -183,29 +286,55 @@
                 nonce,
             },
         };
+        // No other instance can have written the lease since the restore while this term runs. A number above
+        // the own one was issued in the part that was lost.
+        if let Some(term) = running
+            && (term.is_former || self.is_superseded(term.epoch))
+        {
+            return write(self.next_epoch(now));
+        }
+        // The terms of former eras have ended by then.
+        let era_settled_at = self.era_since.map(|since| {
+            let wait = observed.timing.takeover_after;
+            since + wait.max(self.timing.takeover_after)
+        });
+        let is_era_settled = era_settled_at.is_none_or(|at| now >= at);
         let is_takeover_due = role
             .work_since
             .is_some_and(|at| now >= at + role.takeover_delay);
         let take_over = |wait: Duration, epoch: Epoch| {
-            let is_settled = now >= observed.since + wait;
+            let is_settled = is_era_settled && now >= observed.since + wait;
             match (is_settled, is_takeover_due) {
                 (true, true) => write(epoch),
                 (false, _) if now >= observed.read_at + POLL_PERIOD => LeaseAction::Read,
                 _ => LeaseAction::Wait,
             }
         };
+        let epoch_or = |without_era: Epoch| match self.era_since {
+            Some(_) => self.next_epoch(now),
+            None => without_era,
+        };
         match &observed.record {
-            None if observed.version == 0 && is_takeover_due => write(1),
-            None if observed.version == 0 => LeaseAction::Wait,
-            // Any instance may hold the lease. Its fencing number is below the version.
-            None => take_over(observed.timing.takeover_after, observed.version),
+            // The write fails if another instance creates the lease first, so it need not be read meanwhile.
+            None if observed.version == 0 => match is_takeover_due && is_era_settled {
+                true => write(epoch_or(1)),
+                false => LeaseAction::Wait,
+            },
+            // Any instance may hold the lease. Its fencing number is below the version, unless it was taken
+            // after a restore.
+            None => {
+                let epoch = epoch_or(observed.version).max(observed.version);
+                take_over(observed.timing.takeover_after, epoch)
+            }
             Some(record) if is_local => {
                 let renew_at = self.renewed_at + self.timing.renew_after;
-                match self.held {
-                    Some((until, _)) if now < until.min(renew_at) => LeaseAction::Wait,
+                match running {
+                    Some(term) if now < term.until.min(renew_at) => LeaseAction::Wait,
+                    // The copy may be from an earlier term of this instance.
+                    None if !is_era_settled => LeaseAction::Wait,
                     // An earlier run on this machine may have held the lease. It has ended, so its
                     // orders and those of this run count as those of one holder.
-                    _ => write(record.epoch),
+                    _ => write(epoch_or(record.epoch)),
                 }
             }
             Some(record) => {
@@ -213,7 +342,7 @@
                     true => observed.timing.takeover_after_release,
                     false => observed.timing.takeover_after,
                 };
-                take_over(wait, record.epoch + 1)
+                take_over(wait, epoch_or(record.epoch + 1))
             }
         }
     }
@@ -255,25 +384,41 @@
     ) {
         self.failures = 0;
         // Each write raises the fencing number by at most 1 and the version by at least 1. A record
-        // whose number is above its version was not written by an instance.
-        let record = record.filter(|record| record.epoch <= version);
+        // whose number is above its version was not written by an instance, unless a restore has set the
+        // versions back.
+        let max_epoch = match self.era_since {
+            Some(_) => MAX_EPOCH,
+            None => version,
+        };
+        let record = record.filter(|record| record.epoch <= max_epoch);
+        if let Some(record) = &record {
+            self.on_epoch_seen(record.epoch);
+        }
         let is_same = self
             .observed
             .as_ref()
-            .is_some_and(|observed| observed.version == version);
+            .is_some_and(|observed| observed.version == version && !observed.is_former);
+        // The store may no longer show a term of a former era.
+        let is_lost_term = self.running_term(now).is_some_and(|term| term.is_former);
         if let (Some(record), Some(nonce)) = (&record, self.pending_nonce)
             && record.nonce == nonce
             && !record.is_released
         {
             // The write whose response was lost was applied. Its term is counted from before its
             // request was sent.
-            self.held = Some((self.renewed_at + self.timing.term, record.epoch));
+            self.start_term(record.epoch);
             self.pending_nonce = None;
-        } else if record.as_ref().map(|record| &*record.holder) != Some(&*self.local_name) {
+        } else if !is_lost_term
+            && record.as_ref().map(|record| &*record.holder) != Some(&*self.local_name)
+        {
             self.held = None;
         }
         let (since, timing) = match &self.observed {
             Some(observed) if is_same => (observed.since, observed.timing),
+            // Holders of the former era may count by the former times.
+            Some(observed) if observed.is_former => {
+                (now, self.timing.with_longer_waits(observed.timing))
+            }
             _ => (now, self.timing),
         };
         self.observed = Some(Observed {
@@ -282,23 +427,37 @@
             since,
             read_at: requested_at,
             is_current: true,
+            is_former: false,
             timing,
         });
     }
 
-    /// Records that the write was applied at `version`.
+    /// Starts a term of the write that was sent last. It counts from before the request was sent.
+    fn start_term(&mut self, epoch: Epoch) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+        self.held = Some(Term {
+            until: self.renewed_at + self.timing.term,
+            epoch,
+            is_former: false,
+        });
+    }
+
+    /// Records that the write was applied at `version`. If the store was restored after it was sent, its outcome
+    /// is unknown, and no term starts.
     pub fn on_written(&mut self, version: ObjectVersion, record: LeaseRecord, now: Timestamp) {
-        self.failures = 0;
-        if self.pending_nonce == Some(record.nonce) {
-            self.pending_nonce = None;
+        if self.pending_nonce != Some(record.nonce) {
+            return self.on_failed(true, now);
         }
-        self.held = Some((self.renewed_at + self.timing.term, record.epoch));
+        self.failures = 0;
+        self.pending_nonce = None;
+        self.start_term(record.epoch);
         self.observed = Some(Observed {
             version,
             record: Some(record),
             since: now,
             read_at: now,
             is_current: true,
+            is_former: false,
             timing: self.timing,
         });
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod history;
 mod http2;
 mod kvcache;
+mod lease_restore;
 mod limit_slots;
 mod membership;
 mod openai_client;
