Read the era of the store

The store states in Store-Era how often it was restored from an older copy. Nothing read the header, so a revision that is issued again after a restore looked like an older one, and a late response like a newer one.

EraTracker turns the header of each response into an effect; StoreEras counts and logs it, and notifies subscribers before the response is returned. The client of the store discards responses of a former era and reports the outcome of a conditional write as unknown if the era rose during the call. Without the header nothing changes.

--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 mod announcement;
 mod contact;
+mod era;
 mod freshness;
 mod order;
 mod policy;
@@ -19,6 +20,7 @@
 
 pub use announcement::{Announcement, WeightsBounds};
 pub use contact::{MAX_RELAYED_AGE, StoreContact};
+pub use era::{EraFault, EraOutcome, EraTracker, StatedEra, StorePosition};
 pub use freshness::{Freshness, FreshnessProof};
 pub use order::InstancePosition;
 pub use policy::{
--- a/src/jujubelink/core/ids.rs
+++ b/src/jujubelink/core/ids.rs
@@ -42,7 +42,7 @@
 /// Version of a platform object; 0 means absent.
 pub type ObjectVersion = u64;
 
-/// Number of times that the store was restored from a copy, as the store states it.
+/// Era of the platform's store; rises by one with each restore from an older copy.
 pub type StoreEra = u64;
 
 /// Fencing number of a lease; increases with each new holder.
--- a/src/jujubelink/ops/fleet/plugin.rs
+++ b/src/jujubelink/ops/fleet/plugin.rs
@@ -8,7 +8,7 @@
 use super::{Fleet, sync};
 use crate::ops::kernel::{Context, Plugin, PluginEntry, PluginScope};
 use crate::ops::services::ConfigService;
-use crate::ops::store::SharedStore;
+use crate::ops::store::{SharedStore, StoreEras};
 use crate::platform::ObjectStoreClient;
 
 inventory::submit! {
@@ -25,8 +25,10 @@
     fn register(&self, context: &Context) -> Result<()> {
         let settings = context.settings();
         let fleet_settings = settings.fleet.clone().context("no fleet is configured")?;
-        let store: SharedStore = Rc::new(ObjectStoreClient::new(settings.platform.address));
-        let fleet = Rc::new(Fleet::new(context, fleet_settings, store));
+        let eras = Rc::new(StoreEras::new(context));
+        let client = ObjectStoreClient::new(settings.platform.address, Rc::clone(&eras));
+        let store: SharedStore = Rc::new(client);
+        let fleet = Rc::new(Fleet::new(context, fleet_settings, store, eras));
         let service: Rc<dyn ConfigService> = Rc::new(FleetConfigService(Rc::clone(&fleet)));
         context.provide(fleet);
         context.provide(service);
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -20,7 +20,9 @@
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
-use crate::ops::store::{EntryFault, SharedStore, StoredPolicy, TargetChange, TargetChanges};
+use crate::ops::store::{
+    EntryFault, SharedStore, StoreEras, StoredPolicy, TargetChange, TargetChanges,
+};
 use crate::util::duration::ms;
 
 /// Part of the revocation bound that is reserved for sending the request to the target.
@@ -49,6 +51,7 @@
     context: Context,
     settings: RefCell<Rc<FleetSettings>>,
     store: SharedStore,
+    eras: Rc<StoreEras>,
     state: RefCell<FleetState>,
     raw_policy: RefCell<Option<Bytes>>,
     snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
@@ -67,13 +70,19 @@
 
 impl Fleet {
     /// Creates an empty view.
-    pub fn new(context: &Context, settings: FleetSettings, store: SharedStore) -> Self {
+    pub fn new(
+        context: &Context,
+        settings: FleetSettings,
+        store: SharedStore,
+        eras: Rc<StoreEras>,
+    ) -> Self {
         let started_at = context.timers().boot_now();
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         Self {
             context: context.clone(),
             settings: RefCell::new(Rc::new(settings)),
             store,
+            eras,
             state: RefCell::default(),
             raw_policy: RefCell::default(),
             snapshot: RefCell::default(),
@@ -93,6 +102,11 @@
         &self.store
     }
 
+    /// Era of the store.
+    pub fn eras(&self) -> &Rc<StoreEras> {
+        &self.eras
+    }
+
     /// Settings of the fleet.
     pub fn settings(&self) -> Rc<FleetSettings> {
         Rc::clone(&self.settings.borrow())
--- /dev/null
+++ b/src/jujubelink/ops/store/era.rs
@@ -0,0 +1,136 @@
+//! Present era of the store, which the client of the store and the tasks of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use crate::core::fleet::{EraFault, EraOutcome, EraTracker, StatedEra};
+use crate::core::ids::{StoreEra, Timestamp};
+use crate::ops::kernel::{Context, Notifier};
+
+/// A change of the present era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EraChange {
+    /// Present era.
+    pub era: StoreEra,
+    /// Era before a restore of the store; `None` for the first era that is known, which shows no restore.
+    pub former: Option<StoreEra>,
+    /// When this instance learned of it. It is not before the store returned.
+    pub at: Timestamp,
+}
+
+type Subscriber = Rc<dyn Fn(EraChange)>;
+
+/// Present era of the store. Effects of a restore are applied by subscribers, before any value of the new
+/// era is.
+pub struct StoreEras {
+    context: Context,
+    tracker: RefCell<EraTracker>,
+    restores: Cell<u64>,
+    restored_at: Cell<Option<Timestamp>>,
+    subscribers: RefCell<Vec<Subscriber>>,
+    changed: Notifier,
+}
+
+impl StoreEras {
+    /// Creates the state of a process that has not called the store yet.
+    pub fn new(context: &Context) -> Self {
+        Self {
+            context: context.clone(),
+            tracker: RefCell::default(),
+            restores: Cell::new(0),
+            restored_at: Cell::new(None),
+            subscribers: RefCell::default(),
+            changed: Notifier::new(),
+        }
+    }
+
+    /// Returns the present era; `None` until a response or a peer has stated one.
+    pub fn current(&self) -> Option<StoreEra> {
+        self.tracker.borrow().current()
+    }
+
+    /// Returns the number of restores that this process has noticed.
+    pub fn restores(&self) -> u64 {
+        self.restores.get()
+    }
+
+    /// Returns when this process noticed the last restore.
+    pub fn restored_at(&self) -> Option<Timestamp> {
+        self.restored_at.get()
+    }
+
+    /// Calls `subscriber` at each change of the era, before the response that states it is returned to its
+    /// caller. It must not call the store.
+    pub fn subscribe(&self, subscriber: impl Fn(EraChange) + 'static) {
+        self.subscribers.borrow_mut().push(Rc::new(subscriber));
+    }
+
+    /// Completes at the next restore. One between two calls is seen only by [`Self::restores`].
+    pub fn restored(&self) -> impl Future<Output = ()> + 'static {
+        self.changed.changed()
+    }
+
+    /// Applies the era of a complete response to a request that was sent in the era `sent_in`. Returns
+    /// whether the response may be used; otherwise it is of a former era.
+    pub fn on_response(&self, stated: StatedEra, sent_in: Option<StoreEra>) -> bool {
+        let outcome = self.tracker.borrow_mut().on_response(stated, sent_in);
+        match outcome {
+            EraOutcome::Former { fault } => {
+                self.context.metrics().count("store.discarded", 1);
+                if let Some((fault, is_first)) = fault {
+                    self.on_fault(fault, is_first, stated);
+                }
+                return false;
+            }
+            EraOutcome::Faulty { fault, is_first } => self.on_fault(fault, is_first, stated),
+            outcome => self.on_outcome(outcome, "store"),
+        }
+        true
+    }
+
+    /// Applies the era that a peer states.
+    pub fn on_peer_era(&self, era: StoreEra, peer: &str) {
+        let outcome = self.tracker.borrow_mut().on_peer(era);
+        self.on_outcome(outcome, peer);
+    }
+
+    fn on_outcome(&self, outcome: EraOutcome, source: &str) {
+        let at = self.context.timers().boot_now();
+        let change = match outcome {
+            EraOutcome::First { era } => EraChange {
+                era,
+                former: None,
+                at,
+            },
+            EraOutcome::Raised { former, era } => EraChange {
+                era,
+                former: Some(former),
+                at,
+            },
+            _ => return,
+        };
+        if let Some(former) = change.former {
+            slog::warn!(self.context.log(), "store restored from an older copy";
+                "era" => change.era, "former" => former, "source" => source);
+            self.context.metrics().count("store.restores", 1);
+            self.restores.set(self.restores.get() + 1);
+            self.restored_at.set(Some(at));
+        }
+        let subscribers = self.subscribers.borrow().clone();
+        for subscriber in subscribers {
+            subscriber(change);
+        }
+        if change.former.is_some() {
+            self.changed.notify();
+        }
+    }
+
+    fn on_fault(&self, fault: EraFault, is_first: bool, stated: StatedEra) {
+        self.context.metrics().count("store.era_faults", 1);
+        if is_first {
+            slog::warn!(self.context.log(), "faulty era of the store; the last one stays in effect";
+                "fault" => format!("{fault:?}"), "stated" => format!("{stated:?}"),
+                "era" => self.current());
+        }
+    }
+}
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -5,6 +5,8 @@
 //! the lease for orders and the causes of crashes of targets. It is the only state that outlives all processes. An absent object and an
 //! unavailable store are different results.
 
+mod era;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use crate::core::rollout::LeaseRecord;
 use crate::ops::quarantine::StoredEvidence;
 
+pub use era::{EraChange, StoreEras};
+
 /// Failure of a call to the store.
 #[derive(Debug, Clone, Display, Error)]
 pub enum StoreError {
@@ -41,6 +45,10 @@
     /// removed.
     #[display("the object has a different version")]
     Conflict,
+    /// The response was sent before a restore of the store that is known here. A write may have been
+    /// undone by the restore.
+    #[display("the response is of an era before the last restore of the store")]
+    FormerEra,
     /// The response cannot be parsed.
     #[display("invalid response of the store: {reason}")]
     InvalidResponse {
--- a/src/jujubelink/platform/names.rs
+++ b/src/jujubelink/platform/names.rs
@@ -1,5 +1,8 @@
 //! Names on the wire: headers, paths, and kinds of stored objects.
 
+/// Era of the store, an integer in all of its responses.
+pub const STORE_ERA: &str = "store-era";
+
 /// Path of the readiness check.
 pub const READY_PATH: &str = "/api/ready";
 
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -1,17 +1,18 @@
 //! Client of the platform's object store.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::names::{
     CONFIG_NAME, CRASH_EVIDENCE, KIND_CONFIG, KIND_CRASHES, KIND_INSTANCES, KIND_LEASES,
-    KIND_ROLLOUTS, KIND_TARGETS, KIND_WEIGHTS, OBJECTS_PATH, ORDER_LEASE, STATUS_PATH,
+    KIND_ROLLOUTS, KIND_TARGETS, KIND_WEIGHTS, OBJECTS_PATH, ORDER_LEASE, STATUS_PATH, STORE_ERA,
 };
 use super::objects::{
     Object, UnreadableObject, decode_events, decode_owned, decode_page, invalid_response,
@@ -19,12 +20,13 @@
 use super::rollout_entry::{decode_rollout, encode_status};
 use super::{decode_configuration, decode_target};
 use crate::core::canary::{RolloutRecord, RolloutState};
-use crate::core::ids::{ModelId, ObjectVersion};
+use crate::core::fleet::StatedEra;
+use crate::core::ids::{ModelId, ObjectVersion, StoreEra};
 use crate::core::rollout::LeaseRecord;
 use crate::ops::quarantine::StoredEvidence;
 use crate::ops::store::{
-    EntryFault, FleetStore, InstanceRecord, Listed, StoreError, StoreFuture, StoreResult,
-    StoredLease, StoredPolicy, TargetChange, TargetChanges,
+    EntryFault, FleetStore, InstanceRecord, Listed, StoreEras, StoreError, StoreFuture,
+    StoreResult, StoredLease, StoredPolicy, TargetChange, TargetChanges,
 };
 use crate::util::http::{Body, CallError, Client, empty, full};
 
@@ -55,14 +57,16 @@
 pub struct ObjectStoreClient {
     address: SocketAddr,
     http: Client,
+    eras: Rc<StoreEras>,
 }
 
 impl ObjectStoreClient {
-    /// Creates a client of the store at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the store at `address` that applies the eras of all responses to `eras`.
+    pub fn new(address: SocketAddr, eras: Rc<StoreEras>) -> Self {
         Self {
             address,
             http: Client::new(),
+            eras,
         }
     }
 
@@ -84,10 +88,11 @@
             None => builder.body(empty()),
         }
         .map_err(|error| invalid_response(error.to_string()))?;
+        let sent_in = self.eras.current();
         let call = self
             .http
-            .call(self.address, request, limit, MAX_RESPONSE_BYTES);
-        call.await.map_err(|error| match error {
+            .call_with_head(self.address, request, limit, MAX_RESPONSE_BYTES);
+        let (head, body) = call.await.map_err(|error| match error {
             CallError::Failed(error) => no_response(error.to_string()),
             CallError::Body(error) => no_response(error.to_string()),
             CallError::TooLarge => invalid_response("response exceeds the size limit".to_owned()),
@@ -99,7 +104,14 @@
                     limit.as_millis()
                 ))
             }
-        })
+        })?;
+        let stated = stated_era(&head.headers);
+        // An error page in place of the store's response says nothing about its era.
+        let is_error_page = head.status.is_server_error() && stated == StatedEra::Absent;
+        if !is_error_page && !self.eras.on_response(stated, sent_in) {
+            return Err(StoreError::FormerEra);
+        }
+        Ok((head.status, body))
     }
 
     async fn get(&self, path: &str, limit: Duration) -> StoreResult<Option<Bytes>> {
@@ -128,6 +140,23 @@
         }
     }
 
+    /// Returns the outcome of a conditional write that was sent in the era `sent_in`. If the era has risen
+    /// since, the outcome is unknown: the revision that it states may match by accident in the new era, and
+    /// a write that was executed before the restore may be lost.
+    fn conditional(
+        &self,
+        written: StoreResult<ObjectVersion>,
+        sent_in: Option<StoreEra>,
+    ) -> StoreResult<ObjectVersion> {
+        let is_restored = sent_in.is_some() && self.eras.current() != sent_in;
+        match written {
+            Ok(_) | Err(StoreError::Conflict | StoreError::FormerEra) if is_restored => Err(
+                no_response("the store was restored during the call".to_owned()),
+            ),
+            written => written,
+        }
+    }
+
     /// Writes an object, whether it exists or not.
     async fn create_or_replace(
         &self,
@@ -358,7 +387,12 @@
         let name = encode_name(&record.order.service);
         let path = format!("{OBJECTS_PATH}/{KIND_ROLLOUTS}/{name}/{STATUS_PATH}");
         let body = encode_status(record, state);
-        async move { client.write(Method::PUT, &path, Some(body)).await }.boxed_local()
+        let sent_in = self.eras.current();
+        async move {
+            let written = client.write(Method::PUT, &path, Some(body)).await;
+            client.conditional(written, sent_in)
+        }
+        .boxed_local()
     }
 
     fn read_lease(&self) -> StoreFuture<Option<StoredLease>> {
@@ -389,15 +423,18 @@
         record: LeaseRecord,
     ) -> StoreFuture<ObjectVersion> {
         let client = self.clone();
+        let sent_in = self.eras.current();
         async move {
             let path = format!("{OBJECTS_PATH}/{KIND_LEASES}");
             let mut body = json!({ "metadata": { "name": ORDER_LEASE }, "spec": record });
             if if_version == 0 {
-                return client.write(Method::POST, &path, Some(body)).await;
+                let written = client.write(Method::POST, &path, Some(body)).await;
+                return client.conditional(written, sent_in);
             }
             body["metadata"]["revision"] = if_version.into();
             let path = format!("{path}/{ORDER_LEASE}");
-            client.write(Method::PUT, &path, Some(body)).await
+            let written = client.write(Method::PUT, &path, Some(body)).await;
+            client.conditional(written, sent_in)
         }
         .boxed_local()
     }
@@ -460,6 +497,23 @@
     }
 }
 
+/// Returns the era that a response states.
+fn stated_era(headers: &HeaderMap) -> StatedEra {
+    let mut values = headers.get_all(STORE_ERA).iter();
+    let (first, second) = (values.next(), values.next());
+    let Some(value) = first else {
+        return StatedEra::Absent;
+    };
+    if second.is_some() {
+        return StatedEra::Repeated;
+    }
+    let text = value.to_str().unwrap_or_default().trim();
+    // `parse` also accepts a sign.
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    let number = text.parse().ok().filter(|_| is_number);
+    number.map_or(StatedEra::Invalid, StatedEra::Number)
+}
+
 fn unexpected_status(status: StatusCode) -> StoreError {
     StoreError::Refused {
         status: status.as_u16(),
--- a/src/jujubelink/util/http/buffered_call.rs
+++ b/src/jujubelink/util/http/buffered_call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{Request, StatusCode};
 
 use super::body::{Body, BodyError, collect_limited};
@@ -32,17 +33,30 @@
         timeout: Duration,
         limit_bytes: usize,
     ) -> Result<(StatusCode, Bytes), CallError> {
+        let call = self.call_with_head(address, request, timeout, limit_bytes);
+        let (head, body) = call.await?;
+        Ok((head.status, body))
+    }
+
+    /// [`Self::call`] that also returns the headers of the response.
+    pub async fn call_with_head(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        timeout: Duration,
+        limit_bytes: usize,
+    ) -> Result<(Parts, Bytes), CallError> {
         let exchange = async {
             let response = self
                 .send(address, request, RequestOptions::default())
                 .await
                 .map_err(CallError::Failed)?;
-            let status = response.status();
-            let body = collect_limited(response.into_body(), limit_bytes)
+            let (head, body) = response.into_parts();
+            let body = collect_limited(body, limit_bytes)
                 .await
                 .map_err(CallError::Body)?
                 .ok_or(CallError::TooLarge)?;
-            Ok((status, body))
+            Ok((head, body))
         };
         compio::time::timeout(timeout, exchange)
             .await
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -46,6 +46,7 @@
 mod soak;
 mod spread;
 mod stop_schedule;
+mod store_era;
 mod streams;
 mod telemetry;
 mod tls;
