Keep configuration and orders through restores of the store

After a restore the store shows an older configuration for a while, and the operator may use versions again that the copy lacks. The program compared versions only: such a change was ignored, while a read of it confirmed other contents under the same version as the newest.

Each configuration has a digest. After a restore only the active contents are confirmed, contents that were written since replace the active ones, and keys that the last configuration before the restore did not grant are withheld until its version is exceeded. Instances exchange the era (tag 19) and the digest (tag 22).

The coordinator applies eras to the lease before each result. Engines' reports state fencing numbers. While responses state an era that is too high by more than one, calls for the lease count as unanswered.

--- a/src/jujubelink/core/fleet/era.rs
+++ b/src/jujubelink/core/fleet/era.rs
@@ -87,6 +87,8 @@
     current: Option<StoreEra>,
     /// Kinds of faults since the present era began. Each kind is logged once.
     faults: BTreeSet<EraFault>,
+    /// Whether the last response stated an era that is higher by more than one.
+    is_ahead: bool,
 }
 
 impl EraTracker {
@@ -95,6 +97,12 @@
         self.current
     }
 
+    /// Whether the store may have been restored more than once since the present era began, as its last response
+    /// stated an era that is too high. Until a peer confirms it, revisions may be those of another era.
+    pub fn is_doubtful(&self) -> bool {
+        self.is_ahead
+    }
+
     /// Applies the era of a response to a request that was sent when the present era was `sent_in`.
     pub fn on_response(&mut self, stated: StatedEra, sent_in: Option<StoreEra>) -> EraOutcome {
         let era = match (stated, self.current) {
@@ -112,7 +120,10 @@
                     fault: fault.map(|fault| (fault, self.faults.insert(fault))),
                 }
             }
-            Some(current) if era - current > 1 => self.faulty(EraFault::Jumped),
+            Some(current) if era - current > 1 => {
+                self.is_ahead = true;
+                self.faulty(EraFault::Jumped)
+            }
             _ => self.enter(era),
         }
     }
@@ -129,6 +140,7 @@
     /// Enters an era that is not below the present one.
     fn enter(&mut self, era: StoreEra) -> EraOutcome {
         let former = self.current.replace(era);
+        self.is_ahead = false;
         if former == Some(era) {
             return EraOutcome::Present;
         }
--- a/src/jujubelink/core/fleet/freshness.rs
+++ b/src/jujubelink/core/fleet/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::core::ids::{ConfigVersion, Timestamp};
+use crate::core::ids::{ConfigDigest, ConfigVersion, Timestamp};
 
 /// Confirmation that no version newer than `version` had been acknowledged at `requested_at`.
 ///
@@ -12,6 +12,9 @@
 pub struct FreshnessProof {
     /// Newest version.
     pub version: ConfigVersion,
+    /// Digest of its contents; `None` if the one who confirms it knows of no restore of the store. After a
+    /// restore, versions are used again for other contents.
+    pub digest: Option<ConfigDigest>,
     /// When the version was requested.
     pub requested_at: Timestamp,
 }
--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! [`ConfigSnapshot`](super::config::ConfigSnapshot).
 
 mod announcement;
+mod configuration;
 mod contact;
 mod era;
 mod freshness;
@@ -19,6 +20,7 @@
 mod state;
 
 pub use announcement::{Announcement, WeightsBounds};
+pub use configuration::{ConfigCandidate, ConfigOutcome};
 pub use contact::{MAX_RELAYED_AGE, StoreContact};
 pub use era::{EraFault, EraOutcome, EraTracker, StatedEra, StorePosition};
 pub use freshness::{Freshness, FreshnessProof};
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Announcement, FleetPolicy, Freshness, FreshnessProof, TargetRecord};
+use super::configuration::{ActiveConfiguration, ConfigCandidate, ConfigOutcome};
+use super::{Announcement, FleetPolicy, FreshnessProof, TargetRecord};
 use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
-use crate::core::ids::{ConfigVersion, Incarnation, ModelId, TargetId, Timestamp};
+use crate::core::ids::{
+    ConfigDigest, ConfigVersion, Incarnation, ModelId, ObjectVersion, TargetId, Timestamp,
+};
 
 /// Assumed prefill rate of an engine whose description does not state one. The engines of both
 /// sites process 92.1 tokens per millisecond.
@@ -56,8 +59,7 @@
 /// the revisions of target entries only increase.
 #[derive(Debug, Default)]
 pub struct FleetState {
-    policy: Option<Rc<FleetPolicy>>,
-    freshness: Freshness,
+    config: ActiveConfiguration,
     /// Targets by name, with the store revision of their entry.
     targets: BTreeMap<TargetId, (u64, Rc<TargetRecord>)>,
     /// Revision at which a target's entry was removed, and when this instance recorded it.
@@ -89,12 +91,28 @@
 
     /// Returns the active configuration.
     pub fn policy(&self) -> Option<&Rc<FleetPolicy>> {
-        self.policy.as_ref()
+        self.config.policy()
     }
 
     /// Returns the version of the active configuration; 0 if there is none.
     pub fn config_version(&self) -> ConfigVersion {
-        self.policy.as_ref().map_or(0, |policy| policy.version)
+        self.config.version()
+    }
+
+    /// Returns the highest version that was ever active. The active one is lower if the operator used versions
+    /// again after a restore of the store.
+    pub fn highest_config_version(&self) -> ConfigVersion {
+        self.config.highest_version()
+    }
+
+    /// Returns the digest of the active configuration; 0 if there is none.
+    pub fn config_digest(&self) -> ConfigDigest {
+        self.config.digest()
+    }
+
+    /// Whether a restore of the store is known. From then on, confirmations have to name the contents.
+    pub fn is_config_restored(&self) -> bool {
+        self.config.has_restored()
     }
 
     /// Returns a number that increases with each change that affects the scheduler.
@@ -102,30 +120,50 @@
         self.generation
     }
 
-    /// Activates a configuration if its version is newer. Returns whether it was.
+    /// Activates a configuration that does not come from the store if its version is newer. Returns whether it
+    /// was.
     pub fn apply_policy(&mut self, policy: FleetPolicy) -> bool {
-        if policy.version <= self.config_version() {
-            return false;
+        let outcome = self.apply_config(ConfigCandidate {
+            policy,
+            digest: 0,
+            revision: None,
+        });
+        outcome != ConfigOutcome::Ignored
+    }
+
+    /// Activates a configuration if it is newer.
+    pub fn apply_config(&mut self, candidate: ConfigCandidate) -> ConfigOutcome {
+        let outcome = self.config.apply(candidate);
+        if outcome != ConfigOutcome::Ignored {
+            self.generation += 1;
         }
-        self.policy = Some(Rc::new(policy));
-        self.generation += 1;
-        true
+        outcome
+    }
+
+    /// Records that the store was restored from a copy, which may contain an older configuration.
+    pub fn on_config_restored(&mut self) {
+        self.config.on_restored();
+    }
+
+    /// Records a revision that the store stated in the present era. A configuration above it was written after
+    /// the last restore.
+    pub fn on_store_revision(&mut self, revision: ObjectVersion) {
+        self.config.on_revision(revision);
     }
 
     /// Applies a confirmation of the newest version.
     pub fn on_proof(&mut self, proof: FreshnessProof) {
-        let active_version = self.config_version();
-        self.freshness.on_proof(proof, active_version);
+        self.config.on_proof(proof);
     }
 
     /// Returns the latest confirmation of the active version.
     pub fn proof(&self) -> Option<FreshnessProof> {
-        self.freshness.proof(self.config_version())
+        self.config.proof()
     }
 
     /// Returns the time since the active version was last confirmed to be the newest.
     pub fn config_age(&self, now: Timestamp) -> Option<Duration> {
-        self.freshness.age(self.config_version(), now)
+        self.config.age(now)
     }
 
     /// Applies one entry at a store revision. Older revisions are ignored.
@@ -472,7 +510,7 @@
     /// targets.
     pub fn snapshot(&self) -> ConfigSnapshot {
         let mut fleet = FleetConfig::default();
-        let Some(policy) = &self.policy else {
+        let Some(policy) = self.config.policy() else {
             return ConfigSnapshot::new(0, fleet);
         };
         for (name, workspace) in &policy.workspaces {
--- a/src/jujubelink/core/ids.rs
+++ b/src/jujubelink/core/ids.rs
@@ -39,6 +39,9 @@
 /// Version of the fleet configuration; increases with each change.
 pub type ConfigVersion = u64;
 
+/// Hash of the contents of a fleet configuration as stored.
+pub type ConfigDigest = u64;
+
 /// Version of a platform object; 0 means absent.
 pub type ObjectVersion = u64;
 
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -13,10 +13,10 @@
 use super::faults::LoggedFaults;
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{
-    Announcement, FleetPolicy, FleetState, FreshnessProof, Removal, StoreContact, TargetRecord,
-    WeightsBounds,
+    Announcement, ConfigCandidate, ConfigOutcome, FleetPolicy, FleetState, FreshnessProof, Removal,
+    StoreContact, TargetRecord, WeightsBounds,
 };
-use crate::core::ids::{Incarnation, ModelId, TargetId, Timestamp};
+use crate::core::ids::{ConfigDigest, Incarnation, ModelId, ObjectVersion, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
@@ -54,6 +54,8 @@
     eras: Rc<StoreEras>,
     state: RefCell<FleetState>,
     raw_policy: RefCell<Option<Bytes>>,
+    /// Restores of the store that have been applied to the configuration.
+    config_restores: Cell<u64>,
     snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
     snapshot_generation: Cell<u64>,
     /// Revision of the store that the targets reflect.
@@ -85,6 +87,7 @@
             eras,
             state: RefCell::default(),
             raw_policy: RefCell::default(),
+            config_restores: Cell::new(0),
             snapshot: RefCell::default(),
             snapshot_generation: Cell::new(0),
             target_revision: Cell::new(0),
@@ -165,26 +168,76 @@
         self.config_age().is_some_and(|age| age < limit)
     }
 
-    /// Applies a configuration that was the newest one at `requested_at`; zero if it comes from a
-    /// peer and that time is unknown.
-    pub fn on_policy(&self, stored: StoredPolicy, requested_at: Timestamp, source: &str) {
-        let version = stored.policy.version;
-        let is_new = self.state.borrow_mut().apply_policy(stored.policy);
-        if is_new {
-            self.raw_policy.replace(Some(stored.raw));
-            slog::info!(self.context.log(), "configuration in force"; "version" => version,
-                "source" => source);
-            self.context.metrics().gauge("config.version", version);
-        }
+    /// Applies a configuration that the store showed in its present era, as the newest one at `requested_at`.
+    pub fn on_policy(&self, stored: StoredPolicy, requested_at: Timestamp) {
+        self.note_config_restore();
+        let (version, digest) = (stored.policy.version, stored.digest);
+        let revision = (!self.eras.is_doubtful()).then_some(stored.revision);
+        self.activate_policy(stored, revision, "store");
+        // Without a restore, what the store shows under the active version counts whatever its contents.
+        let digest = self.state.borrow().is_config_restored().then_some(digest);
         self.on_proof(FreshnessProof {
             version,
+            digest,
             requested_at,
         });
         self.publish_snapshot();
     }
 
+    /// Applies a configuration that a peer passed on. When it was the newest one is unknown.
+    pub fn on_peer_policy(&self, stored: StoredPolicy, peer: &str) {
+        self.note_config_restore();
+        self.activate_policy(stored, None, peer);
+        self.publish_snapshot();
+    }
+
+    fn activate_policy(&self, stored: StoredPolicy, revision: Option<ObjectVersion>, source: &str) {
+        let version = stored.policy.version;
+        let former_version = self.state.borrow().config_version();
+        let outcome = self.state.borrow_mut().apply_config(ConfigCandidate {
+            policy: stored.policy,
+            digest: stored.digest,
+            revision,
+        });
+        let ConfigOutcome::Active { withheld_keys } = outcome else {
+            return;
+        };
+        self.raw_policy.replace(Some(stored.raw));
+        slog::info!(self.context.log(), "configuration in force"; "version" => version,
+            "source" => source);
+        if version <= former_version || withheld_keys > 0 {
+            slog::warn!(self.context.log(), "configuration changed under a version used before a restore";
+                "version" => version, "former_version" => former_version,
+                "withheld_keys" => withheld_keys);
+        }
+        self.context.metrics().gauge("config.version", version);
+    }
+
+    /// Digest of the active configuration, for peers. `None` if the store states no era.
+    pub fn config_digest(&self) -> Option<ConfigDigest> {
+        self.eras().current()?;
+        Some(self.state.borrow().config_digest()).filter(|digest| *digest > 0)
+    }
+
+    /// Applies a restore of the store to the configuration, if there was one.
+    fn note_config_restore(&self) {
+        let restores = self.eras().restores();
+        if self.config_restores.replace(restores) != restores {
+            self.state.borrow_mut().on_config_restored();
+        }
+    }
+
+    /// Records a revision that the store stated in its present era.
+    pub fn on_store_revision(&self, revision: ObjectVersion) {
+        self.note_config_restore();
+        if !self.eras.is_doubtful() {
+            self.state.borrow_mut().on_store_revision(revision);
+        }
+    }
+
     /// Applies a proof that a version is the newest.
     pub fn on_proof(&self, proof: FreshnessProof) {
+        self.note_config_restore();
         self.state.borrow_mut().on_proof(proof);
     }
 
--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -7,7 +7,7 @@
 use crate::core::fleet::MAX_RELAYED_AGE;
 use crate::ops::kernel::{Context, Lifecycle};
 use crate::ops::share::Peers;
-use crate::ops::store::{StoreError, StoredPolicy};
+use crate::ops::store::StoreError;
 use crate::util::duration::ms;
 
 /// Maximum duration of a watch request. A hanging watch is detected after this time plus the
@@ -93,6 +93,9 @@
                 if is_newer {
                     revision = Some(changes.revision);
                 }
+                if is_complete {
+                    fleet.on_store_revision(changes.revision);
+                }
                 let has_changes = !changes.changes.is_empty();
                 fleet.on_targets(changes, is_complete);
                 fleet.record_targets_confirmed(confirmed_at);
@@ -126,7 +129,7 @@
     let timers = *context.timers();
     let mut failed_at = None;
     let mut failed_request_at = None;
-    let mut undecodable_at = None;
+    let mut unusable_at = None;
     loop {
         let peers = context.service::<Peers>();
         let now = timers.boot_now();
@@ -135,10 +138,11 @@
             _ if peers.update_source().is_some() => follower_read_age(&fleet),
             rank => SECOND_INSTANCE_READ_AGE + READ_AGE_STEP * (rank - 1).min(MAX_READ_AGE_STEPS),
         };
-        let is_behind = peers.newest_config_version() > fleet.state().config_version();
+        let is_behind = is_behind(&fleet, &peers);
         let is_old = fleet.config_age().is_none_or(|age| age >= max_age);
-        // No read proves a configuration that cannot be decoded to be the newest one.
-        let is_repeated = undecodable_at.is_some_and(|at| {
+        // No read proves a configuration that cannot be decoded, or that is older than that of a peer, to be the
+        // newest one.
+        let is_repeated = unusable_at.is_some_and(|at| {
             let period = if is_behind { RETRY_DELAY } else { max_age };
             now.saturating_sub(at) < period
         });
@@ -148,7 +152,7 @@
             let read_at = Some(timers.boot_now());
             failed_at = read_at.filter(|_| outcome == PolicyRead::Failed);
             failed_request_at = failed_at.map(|_| now).or(failed_request_at);
-            undecodable_at = read_at.filter(|_| outcome == PolicyRead::Undecodable);
+            unusable_at = read_at.filter(|_| outcome == PolicyRead::Unusable);
         }
         let weights_age = peers
             .weights_confirmed_at()
@@ -186,13 +190,19 @@
     Duration::from_millis(fleet.settings().config_ms).mul_f64(FOLLOWER_READ_RATIO)
 }
 
+/// Whether a peer has a configuration that is newer than any that was active here.
+fn is_behind(fleet: &Fleet, peers: &Peers) -> bool {
+    peers.newest_config_version() > fleet.state().highest_config_version()
+}
+
 /// Outcome of a read of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PolicyRead {
     /// The store answered with a configuration, or has none yet.
     Done,
-    /// The store answered with a configuration that cannot be decoded.
-    Undecodable,
+    /// The store answered with a configuration that cannot be decoded, or that is older than that of a peer, as
+    /// after a restore.
+    Unusable,
     /// The store did not answer, or refused.
     Failed,
 }
@@ -202,8 +212,11 @@
     let outcome = match fleet.store().read_policy().await {
         Ok(Some(Ok(stored))) => {
             fleet.on_store_answer(requested_at);
-            fleet.on_policy(stored, requested_at, "store");
-            PolicyRead::Done
+            fleet.on_policy(stored, requested_at);
+            match is_behind(fleet, peers) {
+                true => PolicyRead::Unusable,
+                false => PolicyRead::Done,
+            }
         }
         // The store has no configuration until the operator writes the first one.
         Ok(None) => {
@@ -213,7 +226,7 @@
         Ok(Some(Err(fault))) => {
             fleet.on_store_answer(requested_at);
             fleet.log_entry_faults(&[fault]);
-            PolicyRead::Undecodable
+            PolicyRead::Unusable
         }
         Err(error) => {
             slog::warn!(context.log(), "cannot read the configuration"; "error" => %error,
@@ -221,8 +234,7 @@
             PolicyRead::Failed
         }
     };
-    if outcome != PolicyRead::Done && peers.newest_config_version() > fleet.state().config_version()
-    {
+    if outcome != PolicyRead::Done && is_behind(fleet, peers) {
         fetch_from_peer(context, fleet, peers).await;
     }
     outcome
@@ -235,11 +247,10 @@
         return;
     };
     match fleet.store().decode_policy(&raw) {
-        Ok(StoredPolicy { policy, raw }) => {
-            let version = policy.version;
-            let stored = StoredPolicy { policy, raw };
+        Ok(stored) => {
+            let version = stored.policy.version;
             // The peer's next message contains the freshness proof of this version.
-            fleet.on_policy(stored, Duration::ZERO, &name);
+            fleet.on_peer_policy(stored, &name);
             peers.apply_peer_proofs(version);
         }
         Err(fault) => {
--- a/src/jujubelink/ops/rollout/coordinator.rs
+++ b/src/jujubelink/ops/rollout/coordinator.rs
@@ -1,6 +1,6 @@
 //! Acquires the lease and sends engines the orders to load weights.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,6 +101,8 @@
     accepted_by_engine: RefCell<BTreeMap<(TargetId, u64), u64>>,
     /// Time since which there have been engines with outdated weights.
     work_since: RefCell<Option<Timestamp>>,
+    /// Whether the store states an era, and the restores that have been applied to the lease.
+    lease_era: Cell<(bool, u64)>,
 }
 
 impl Coordinator {
@@ -118,6 +120,30 @@
             rollouts: RefCell::default(),
             accepted_by_engine: RefCell::default(),
             work_since: RefCell::default(),
+            lease_era: Cell::default(),
+        }
+    }
+
+    /// Applies a change of the store's era to the lease, if there was one. Called after each call to the store,
+    /// before its result is applied.
+    fn note_era(&self) {
+        let eras = self.fleet.eras();
+        let Some(era) = eras.current() else {
+            return;
+        };
+        let (has_era, restores) = self.lease_era.replace((true, eras.restores()));
+        let mut lease = self.lease.borrow_mut();
+        if !has_era {
+            lease.on_era_known(era, self.now());
+        }
+        if eras.restores() != restores {
+            // Reports of engines state fencing numbers that the store may have lost.
+            self.accepted_by_engine.borrow_mut().clear();
+            let noticed_at = eras.restored_at().unwrap_or(self.now());
+            lease.on_restored(era, noticed_at);
+            slog::info!(self.context.log(), "lease for orders may be lost; it is read again";
+                "era" => era, "epoch" => lease.highest_epoch(),
+                "is_held" => lease.epoch(self.now()).is_some());
         }
     }
 
@@ -260,6 +286,7 @@
 
     /// Returns the call to the store that reads, acquires or renews the lease, if one is due.
     fn next_lease_call(&self, work_since: Option<Timestamp>) -> Option<LocalBoxFuture<'_, ()>> {
+        self.note_era();
         let now = self.now();
         let role = self.role(work_since);
         let timing = lease_timing(&self.fleet.settings());
@@ -278,7 +305,9 @@
     async fn write_lease(&self, if_version: ObjectVersion, record: LeaseRecord) {
         let is_takeover = self.lease.borrow().holder() != Some(&record.holder);
         let written = self.fleet.store().write_lease(if_version, record.clone());
-        match written.await {
+        let written = written.await;
+        self.note_era();
+        match written {
             Ok(version) => {
                 if is_takeover {
                     slog::info!(self.context.log(), "lease for orders taken";
@@ -293,7 +322,9 @@
 
     async fn read_lease(&self) {
         let requested_at = self.now();
-        match self.fleet.store().read_lease().await {
+        let found = self.fleet.store().read_lease().await;
+        self.note_era();
+        match found {
             Ok(found) => {
                 let (version, record) = match found {
                     Some(StoredLease { version, record }) => (version, Some(record)),
@@ -484,6 +515,7 @@
     async fn poll_engine(&self, target: &TargetId) -> Option<EngineReport> {
         let record = self.fleet.state().target(target).cloned()?;
         let report = read_report(&self.client, record.address).await?;
+        self.lease.borrow_mut().on_epoch_seen(report.highest_epoch);
         self.fleet
             .on_report(target, report.incarnation, &report.weights);
         if report.incarnation != record.incarnation {
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -102,6 +102,12 @@
     /// Recent crashes of targets, and what is known about their causes.
     #[prost(message, optional, tag = "18")]
     pub(super) evidence: Option<EvidenceMessage>,
+    /// Era of the store as the sender knows it; absent if unknown.
+    #[prost(uint64, optional, tag = "19")]
+    pub(super) store_era: Option<u64>,
+    /// Digest of the contents of the active configuration; absent if the store states no era.
+    #[prost(fixed64, optional, tag = "22")]
+    pub(super) config_digest: Option<u64>,
     /// Orders of roll-outs by version, with evidence and shares. Absent unless the deployment asks for them.
     #[prost(message, optional, tag = "20")]
     pub(super) rollouts: Option<RolloutsMessage>,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -470,6 +470,7 @@
                 .store_answered_at()
                 .map(|at| ms(now.saturating_sub(at))),
             evidence: self.quarantine().outgoing(),
+            store_era: self.fleet.eras().current(),
             rollouts: self.canary().outgoing(),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
             ..PeerMessage::default()
@@ -505,6 +506,7 @@
         PeerMessage {
             uses: self.buckets.totals(),
             config_age_ms: proof.map(|proof| age(proof.requested_at)),
+            config_digest: self.fleet.config_digest(),
             named: state
                 .announcements()
                 .map(|(model, version, at)| ModelWeights {
@@ -526,6 +528,10 @@
         if name == self.name {
             return;
         }
+        // What follows counts by the newest era.
+        if let Some(era) = message.store_era {
+            self.fleet.eras().on_peer_era(era, &name);
+        }
         let now = self.now();
         let previously_confirmed_at = self.weights_confirmed_at();
         let local_hash = stable_hash(0, self.name.as_bytes());
@@ -566,6 +572,7 @@
                 .and_then(requested_at)
                 .map(|requested_at| FreshnessProof {
                     version: message.config_version,
+                    digest: message.config_digest,
                     requested_at,
                 });
             if let Some(proof) = peer.proof {
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -74,6 +74,9 @@
     config_version: ConfigVersion,
     /// Age of the freshness proof of this version.
     config_age_ms: Option<u64>,
+    /// Digest of its contents; `None` if the store states no era.
+    #[serde(default)]
+    config_digest: Option<u64>,
     /// Announced weights as model, version and time since the announcement, if known.
     weights: Vec<(String, u64, Option<u64>)>,
     weights_age_ms: Option<u64>,
@@ -165,6 +168,7 @@
             targets: self.fleet.target_update_since(after_revision),
             config_version: state.config_version(),
             config_age_ms: state.proof().map(|proof| age(proof.requested_at)),
+            config_digest: self.fleet.config_digest(),
             weights: state
                 .announcements()
                 .map(|(model, version, at)| (model.to_string(), version, at.map(age)))
@@ -263,6 +267,7 @@
         if let Some(age_ms) = update.config_age_ms {
             self.fleet.on_proof(FreshnessProof {
                 version: update.config_version,
+                digest: update.config_digest,
                 requested_at: time_of(age_ms),
             });
         }
--- a/src/jujubelink/ops/store/era.rs
+++ b/src/jujubelink/ops/store/era.rs
@@ -49,6 +49,13 @@
         self.tracker.borrow().current()
     }
 
+    /// Whether the last response stated an era that is higher than the present one by more than one. The
+    /// revisions of such responses do not compare with others, and a conditional write may have matched by
+    /// accident.
+    pub fn is_doubtful(&self) -> bool {
+        self.tracker.borrow().is_doubtful()
+    }
+
     /// Returns the number of restores that this process has noticed.
     pub fn restores(&self) -> u64 {
         self.restores.get()
--- a/src/jujubelink/ops/store/mod.rs
+++ b/src/jujubelink/ops/store/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::core::canary::{RolloutRecord, RolloutState};
 use crate::core::fleet::{FleetPolicy, TargetRecord};
-use crate::core::ids::{ModelId, ObjectVersion, TargetId};
+use crate::core::ids::{ConfigDigest, ModelId, ObjectVersion, TargetId};
 use crate::core::rollout::LeaseRecord;
 use crate::ops::quarantine::StoredEvidence;
 
@@ -68,6 +68,10 @@
 pub struct StoredPolicy {
     /// Parsed configuration.
     pub policy: FleetPolicy,
+    /// Digest of its contents.
+    pub digest: ConfigDigest,
+    /// Revision of the object. One that a peer passes on may be of another era.
+    pub revision: ObjectVersion,
     /// Serialized form, which is passed on to peers that cannot reach the store.
     pub raw: Bytes,
 }
--- a/src/jujubelink/platform/engine.rs
+++ b/src/jujubelink/platform/engine.rs
@@ -52,6 +52,8 @@
     pub weights: Vec<(ModelId, u64)>,
     /// Incarnation of the engine; 0 if unknown.
     pub incarnation: Incarnation,
+    /// Highest fencing token that the engine has seen; 0 if it states none.
+    pub highest_epoch: Epoch,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +68,9 @@
     /// Incarnation of the engine.
     #[serde(default)]
     born: u64,
+    /// Highest fencing token seen, under the name that it has in orders. A value of another type is ignored.
+    #[serde(default)]
+    fence: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -119,6 +124,7 @@
             .map(|model| (model.name.into(), model.version))
             .collect(),
         incarnation: report.born,
+        highest_epoch: report.fence.as_u64().unwrap_or(0),
     })
 }
 
--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -9,6 +9,7 @@
 
 use crate::core::ids::ObjectVersion;
 use crate::ops::store::{EntryFault, StoreError, StoreResult};
+use crate::util::hash::stable_hash;
 
 /// An object of the store.
 #[derive(Debug)]
@@ -168,6 +169,11 @@
         response.object(raw)
     }
 
+    /// Returns a hash of the contents as stored; never 0.
+    pub(super) fn digest(&self) -> u64 {
+        stable_hash(0, self.spec.as_bytes()).max(1)
+    }
+
     /// Decodes the contents with a decoder that returns a description of the error.
     pub(super) fn decode<T>(
         &self,
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -149,6 +149,7 @@
         sent_in: Option<StoreEra>,
     ) -> StoreResult<ObjectVersion> {
         let is_restored = sent_in.is_some() && self.eras.current() != sent_in;
+        let is_restored = is_restored || self.eras.is_doubtful();
         match written {
             Ok(_) | Err(StoreError::Conflict | StoreError::FormerEra) if is_restored => Err(
                 no_response("the store was restored during the call".to_owned()),
@@ -322,11 +323,16 @@
     }
 
     fn decode_policy(&self, raw: &Bytes) -> Result<StoredPolicy, EntryFault> {
-        let policy = Object::from_response(raw)
-            .and_then(|object| object.decode(decode_configuration))
+        let (object, policy) = Object::from_response(raw)
+            .and_then(|object| {
+                let policy = object.decode(decode_configuration)?;
+                Ok((object, policy))
+            })
             .map_err(|unreadable| unreadable.into_fault(KIND_CONFIG))?;
         Ok(StoredPolicy {
             policy,
+            digest: object.digest(),
+            revision: object.revision,
             raw: raw.clone(),
         })
     }
@@ -399,7 +405,12 @@
         let client = self.clone();
         async move {
             let path = format!("{OBJECTS_PATH}/{KIND_LEASES}/{ORDER_LEASE}");
-            let Some(body) = client.get(&path, RESPONSE_TIMEOUT).await? else {
+            let body = client.get(&path, RESPONSE_TIMEOUT).await?;
+            if client.eras.is_doubtful() {
+                let reason = "the store states an era that is too high";
+                return Err(invalid_response(reason.to_owned()));
+            }
+            let Some(body) = body else {
                 return Ok(None);
             };
             let decoded = Object::from_response(&body)
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -73,6 +73,7 @@
     let mut freshness = Freshness::default();
     let proof = |version, at| FreshnessProof {
         version,
+        digest: None,
         requested_at: secs(at),
     };
     freshness.on_proof(proof(4, 10), 5);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod canary;
 mod cli;
+mod config_restore;
 mod connections;
 mod crash;
 mod drain;
