Follow the operator's changes after a restore without going back

An instance that missed a revocation could confirm its own configuration by the copy, although a peer had stated a newer version. An instance whose first read after a restore already showed the change of the operator ignored it, and refused keys until the next change.

After a restore a confirmation counts only if no peer has stated a newer version. Contents that differ from the known ones of their version are adopted at the first read. An instance states the revision of what it adopted (tag 23), above which others know that contents were written after the restore.

--- a/src/jujubelink/core/fleet/configuration.rs
+++ b/src/jujubelink/core/fleet/configuration.rs
@@ -12,38 +12,40 @@
 /// were revoked since would stay withheld.
 const MAX_FORMER_CONFIGS: usize = 256;
 
-/// What a restore of the store from an older copy changes, until a version above all former ones is active.
+/// What a restore of the store from an older copy changes.
 #[derive(Debug)]
 struct Restored {
-    /// Highest version that was active before the restore.
+    /// Highest version that was active, before or after the restore.
     former_version: ConfigVersion,
-    /// Digest of the last configuration before the restore.
+    /// Digest of the last configuration before the restore, or of a later one of a newer version.
     former_digest: ConfigDigest,
-    /// Keys that the last configuration before the restore granted.
+    /// Keys that it granted.
     former_keys: HashSet<KeyHash>,
     /// A revision of the store in the present era. Objects above it were written after the restore.
     known_revision: Option<ObjectVersion>,
-    /// Revision of the configuration that was adopted last in the present era; 0 if there is none.
-    adopted_revision: ObjectVersion,
+    /// Revision and digest of the last configuration that became active and was written after the restore.
+    adopted: Option<(ObjectVersion, ConfigDigest)>,
 }
 
 /// The active configuration and its latest confirmation.
 ///
-/// Versions only increase, with one exception: after a restore of the store, the operator may use versions again
-/// that the copy does not contain. Contents that were written after the restore replace the active ones even if
-/// their version is not newer, unless they were active before and then replaced. They grant no keys that the last
-/// configuration before the restore did not grant, because the operator may be repeating former changes, in
+/// Versions only increase, until a restore of the store is known: then the operator may use versions again that the
+/// copy does not contain. Contents that were written after the restore replace the active ones even if their version
+/// is not newer, unless that would be a step back to contents that were active before. They grant no keys that the
+/// last configuration before the restore did not grant, because the operator may be repeating former changes, in
 /// which a key that was revoked later is still granted.
 #[derive(Debug, Default)]
 pub(super) struct ActiveConfiguration {
     policy: Option<Rc<FleetPolicy>>,
     digest: ConfigDigest,
     freshness: Freshness,
-    /// Digests of configurations that were active, oldest first; including the active one.
-    former: VecDeque<ConfigDigest>,
+    /// Versions and digests of configurations that were active, oldest first; including the active one.
+    former: VecDeque<(ConfigVersion, ConfigDigest)>,
     restored: Option<Restored>,
     /// Whether any restore is known.
     has_restored: bool,
+    /// Highest version that a peer stated.
+    peer_version: ConfigVersion,
 }
 
 /// A configuration, and what is known about it.
@@ -107,7 +109,7 @@
             former_digest: self.digest,
             former_keys: keys.cloned().collect(),
             known_revision: None,
-            adopted_revision: 0,
+            adopted: None,
         });
     }
 
@@ -118,6 +120,18 @@
         }
     }
 
+    /// Records a version that a peer stated.
+    pub(super) fn on_peer_version(&mut self, version: ConfigVersion) {
+        // A peer that has not adopted the change yet still states the former version.
+        let has_adopted = self
+            .restored
+            .as_ref()
+            .is_some_and(|restored| restored.adopted.is_some());
+        if !has_adopted {
+            self.peer_version = self.peer_version.max(version);
+        }
+    }
+
     /// Applies a configuration.
     pub(super) fn apply(&mut self, candidate: ConfigCandidate) -> ConfigOutcome {
         let ConfigCandidate {
@@ -126,7 +140,7 @@
             revision,
         } = candidate;
         let is_newer = policy.version > self.highest_version();
-        let is_written_anew = self.is_written_anew(digest, revision);
+        let is_written_anew = self.is_written_anew(policy.version, digest, revision);
         // What the first read of an era shows may be the copy. What replaces it later is not.
         if let Some(revision) = revision {
             self.on_revision(revision);
@@ -135,14 +149,24 @@
             return ConfigOutcome::Ignored;
         }
         let keys = policy.keys.len();
-        if is_newer {
-            self.restored = None;
-        } else if let (Some(restored), Some(revision)) = (&mut self.restored, revision) {
-            let former_keys = &restored.former_keys;
-            policy.keys.retain(|key, _| former_keys.contains(key));
-            restored.adopted_revision = revision;
+        if let Some(restored) = &mut self.restored {
+            if is_newer {
+                // Also this one may be of the former era: from the copy, or from a peer that read it before.
+                restored.former_version = policy.version;
+                restored.former_digest = digest;
+                restored.former_keys = policy.keys.keys().cloned().collect();
+            } else {
+                let former_keys = &restored.former_keys;
+                policy.keys.retain(|key, _| former_keys.contains(key));
+            }
+            if is_written_anew {
+                restored.adopted = revision.map(|revision| (revision, digest));
+                // What peers stated was written before.
+                self.peer_version = 0;
+            }
         }
         let withheld_keys = keys - policy.keys.len();
+        let version = policy.version;
         self.policy = Some(Rc::new(policy));
         self.digest = digest;
         // A proof of other contents under the same version does not count.
@@ -150,30 +174,69 @@
         if self.former.len() >= MAX_FORMER_CONFIGS {
             self.former.pop_front();
         }
-        self.former.push_back(digest);
+        self.former.push_back((version, digest));
         ConfigOutcome::Active { withheld_keys }
     }
 
     /// Whether contents were written after the restore, and later than those adopted before.
-    fn is_written_anew(&self, digest: ConfigDigest, revision: Option<ObjectVersion>) -> bool {
+    fn is_written_anew(
+        &self,
+        version: ConfigVersion,
+        digest: ConfigDigest,
+        revision: Option<ObjectVersion>,
+    ) -> bool {
         let (Some(restored), Some(revision)) = (&self.restored, revision) else {
             return false;
         };
+        if digest == self.digest {
+            return false;
+        }
+        if let Some(adopted) = restored.adopted
+            && revision <= adopted.0
+        {
+            // They may have been replaced by those of a peer that had not noticed the restore.
+            return (revision, digest) == adopted;
+        }
+        let is_former = self.former.iter().any(|(_, former)| *former == digest);
+        // The copy has the former contents of a version that was active before.
+        let has_changed = !is_former && self.former.iter().any(|(former, _)| *former == version);
         let is_after_restore = restored
             .known_revision
-            .is_some_and(|known| revision > known.max(restored.adopted_revision));
-        // The last contents before the restore are no step back, also if others were written in between.
-        let is_allowed = digest == restored.former_digest || !self.former.contains(&digest);
-        is_after_restore && digest != self.digest && is_allowed
+            .is_some_and(|known| revision > known);
+        // The last contents before the restore, and former ones under a higher version, are no step back: the
+        // operator repeats its changes.
+        let is_repeated = digest == restored.former_digest || version > self.version();
+        let is_allowed = !is_former || is_repeated;
+        has_changed || (is_after_restore && is_allowed)
+    }
+
+    /// Revision of the last contents that are active and were written after the last restore; 0 if there are none.
+    pub(super) fn adopted_revision(&self) -> ObjectVersion {
+        let restored = self.restored.as_ref();
+        let adopted = restored.and_then(|restored| restored.adopted);
+        adopted.map_or(0, |(revision, _)| revision)
+    }
+
+    /// Records that a peer has adopted contents of this revision in the present era.
+    pub(super) fn on_peer_adoption(&mut self, revision: ObjectVersion) {
+        if let Some(restored) = &mut self.restored {
+            let written_after = revision.saturating_sub(1);
+            let known = restored
+                .known_revision
+                .map(|known| known.min(written_after));
+            restored.known_revision = Some(known.unwrap_or(written_after));
+        }
     }
 
-    /// Applies a confirmation. After a restore it has to name the active contents.
+    /// Applies a confirmation. After a restore it has to name the active contents, and counts only if no peer
+    /// stated a newer version: the store may show the copy.
     pub(super) fn on_proof(&mut self, proof: FreshnessProof) {
         let is_active = match proof.digest {
             Some(digest) => digest == self.digest,
             None => !self.has_restored,
         };
-        if is_active {
+        let is_behind = self.has_restored && self.peer_version > self.highest_version();
+        if is_active && !is_behind {
             self.freshness.on_proof(proof, self.version());
         }
     }
--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -151,6 +151,23 @@
         self.config.on_revision(revision);
     }
 
+    /// Returns the revision of the configuration that became active last of those which were written after the
+    /// last restore of the store; 0 if there is none.
+    pub fn adopted_config_revision(&self) -> ObjectVersion {
+        self.config.adopted_revision()
+    }
+
+    /// Records that a peer has adopted such a configuration in the present era. What has this or a later revision
+    /// was written after the restore.
+    pub fn on_peer_adoption(&mut self, revision: ObjectVersion) {
+        self.config.on_peer_adoption(revision);
+    }
+
+    /// Records a version that a peer stated.
+    pub fn on_peer_config_version(&mut self, version: ConfigVersion) {
+        self.config.on_peer_version(version);
+    }
+
     /// Applies a confirmation of the newest version.
     pub fn on_proof(&mut self, proof: FreshnessProof) {
         self.config.on_proof(proof);
--- a/src/jujubelink/ops/fleet/state.rs
+++ b/src/jujubelink/ops/fleet/state.rs
@@ -14,9 +14,11 @@
 use crate::core::config::ConfigSnapshot;
 use crate::core::fleet::{
     Announcement, ConfigCandidate, ConfigOutcome, FleetPolicy, FleetState, FreshnessProof, Removal,
-    StoreContact, TargetRecord, WeightsBounds,
+    StoreContact, StorePosition, TargetRecord, WeightsBounds,
+};
+use crate::core::ids::{
+    ConfigDigest, ConfigVersion, Incarnation, ModelId, ObjectVersion, TargetId, Timestamp,
 };
-use crate::core::ids::{ConfigDigest, Incarnation, ModelId, ObjectVersion, TargetId, Timestamp};
 use crate::ops::kernel::{Context, Notifier};
 use crate::ops::services::ConfigService;
 use crate::ops::settings::FleetSettings;
@@ -235,6 +237,26 @@
         }
     }
 
+    /// Records a version of the configuration that a peer stated, and a position of contents that the peer knows to
+    /// be written after the last restore.
+    pub fn on_peer_config(&self, version: ConfigVersion, adopted_at: Option<StorePosition>) {
+        self.note_config_restore();
+        let mut state = self.state.borrow_mut();
+        state.on_peer_config_version(version);
+        if let Some(position) = adopted_at
+            && Some(position.era) == self.eras.current()
+        {
+            state.on_peer_adoption(position.revision);
+        }
+    }
+
+    /// Position of the last active configuration that was written after the last restore.
+    pub fn adopted_config_position(&self) -> Option<StorePosition> {
+        let revision = self.state.borrow().adopted_config_revision();
+        let era = self.eras.current()?;
+        (revision > 0).then_some(StorePosition { era, revision })
+    }
+
     /// Applies a proof that a version is the newest.
     pub fn on_proof(&self, proof: FreshnessProof) {
         self.note_config_restore();
--- a/src/jujubelink/ops/share/message.rs
+++ b/src/jujubelink/ops/share/message.rs
@@ -108,6 +108,10 @@
     /// Digest of the contents of the active configuration; absent if the store states no era.
     #[prost(fixed64, optional, tag = "22")]
     pub(super) config_digest: Option<u64>,
+    /// Revision, in the era `store_era`, of a configuration that the sender knows to be written after the last
+    /// restore of the store.
+    #[prost(uint64, optional, tag = "23")]
+    pub(super) adopted_revision: Option<u64>,
     /// Orders of roll-outs by version, with evidence and shares. Absent unless the deployment asks for them.
     #[prost(message, optional, tag = "20")]
     pub(super) rollouts: Option<RolloutsMessage>,
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -13,7 +13,9 @@
 use super::limits::Buckets;
 use super::message::{LastReceived, LoadingEngine, ModelWeights, PeerMessage, WorkspaceUsage};
 use crate::core::crash::InstancePlace;
-use crate::core::fleet::{Announcement, FreshnessProof, InstancePosition, MessageSchedule};
+use crate::core::fleet::{
+    Announcement, FreshnessProof, InstancePosition, MessageSchedule, StorePosition,
+};
 use crate::core::ids::{
     ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
 };
@@ -507,6 +509,10 @@
             uses: self.buckets.totals(),
             config_age_ms: proof.map(|proof| age(proof.requested_at)),
             config_digest: self.fleet.config_digest(),
+            adopted_revision: self
+                .fleet
+                .adopted_config_position()
+                .map(|position| position.revision),
             named: state
                 .announcements()
                 .map(|(model, version, at)| ModelWeights {
@@ -559,6 +565,10 @@
         peer.remote_sent_at_ms = message.sent_at_ms;
         peer.last_received_at = now;
         peer.config_version = message.config_version;
+        let adopted_at = message.store_era.zip(message.adopted_revision);
+        let adopted_at = adopted_at.map(|(era, revision)| StorePosition { era, revision });
+        self.fleet
+            .on_peer_config(message.config_version, adopted_at);
         peer.is_leaving = message.is_leaving;
         peer.registered_revision = message.registered_revision;
         if let Some(echoed) = echoed {
--- a/src/jujubelink/ops/share/updates.rs
+++ b/src/jujubelink/ops/share/updates.rs
@@ -264,6 +264,7 @@
         if now.saturating_sub(confirmed_at) > MAX_RELAYED_AGE {
             return None;
         }
+        self.fleet.on_peer_config(update.config_version, None);
         if let Some(age_ms) = update.config_age_ms {
             self.fleet.on_proof(FreshnessProof {
                 version: update.config_version,
