Withhold keys that were revoked before a restore

A copy can contain a configuration that an instance missed, of a version above all that were active there. The instance remembers revoked keys and withholds them if contents may be those of the copy.

--- a/src/jujubelink/core/fleet/configuration.rs
+++ b/src/jujubelink/core/fleet/configuration.rs
@@ -12,6 +12,10 @@
 /// were revoked since would stay withheld.
 const MAX_FORMER_CONFIGS: usize = 256;
 
+/// Maximum number of revoked keys that are remembered; the oldest is forgotten first. One that is forgotten could be
+/// granted again only by a copy whose version is above all that were active here.
+const MAX_REVOKED_KEYS: usize = 4_096;
+
 /// What a restore of the store from an older copy changes.
 #[derive(Debug)]
 struct Restored {
@@ -33,7 +37,8 @@
 /// copy does not contain. Contents that were written after the restore replace the active ones even if their version
 /// is not newer, unless that would be a step back to contents that were active before. They grant no keys that the
 /// last configuration before the restore did not grant, because the operator may be repeating former changes, in
-/// which a key that was revoked later is still granted.
+/// which a key that was revoked later is still granted. Keys that are known to be revoked stay so in what may be the
+/// copy.
 #[derive(Debug, Default)]
 pub(super) struct ActiveConfiguration {
     policy: Option<Rc<FleetPolicy>>,
@@ -46,6 +51,8 @@
     has_restored: bool,
     /// Highest version that a peer stated.
     peer_version: ConfigVersion,
+    /// Keys that were granted and are not any more, oldest first.
+    revoked: VecDeque<KeyHash>,
 }
 
 /// A configuration, and what is known about it.
@@ -149,11 +156,16 @@
             return ConfigOutcome::Ignored;
         }
         let keys = policy.keys.len();
+        self.record_revoked(&policy);
+        let revoked = &self.revoked;
         if let Some(restored) = &mut self.restored {
             if is_newer {
                 // Also this one may be of the former era: from the copy, or from a peer that read it before.
                 restored.former_version = policy.version;
                 restored.former_digest = digest;
+                if !is_written_anew {
+                    policy.keys.retain(|key, _| !revoked.contains(key));
+                }
                 restored.former_keys = policy.keys.keys().cloned().collect();
             } else {
                 let former_keys = &restored.former_keys;
@@ -178,6 +190,22 @@
         ConfigOutcome::Active { withheld_keys }
     }
 
+    /// Records the keys that are granted now but not by the next configuration.
+    fn record_revoked(&mut self, next: &FleetPolicy) {
+        let Some(active) = &self.policy else {
+            return;
+        };
+        for key in active.keys.keys() {
+            if next.keys.contains_key(key) || self.revoked.contains(key) {
+                continue;
+            }
+            if self.revoked.len() >= MAX_REVOKED_KEYS {
+                self.revoked.pop_front();
+            }
+            self.revoked.push_back(key.clone());
+        }
+    }
+
     /// Whether contents were written after the restore, and later than those adopted before.
     fn is_written_anew(
         &self,
