--- a/src/jujubelink/core/fleet/state.rs
+++ b/src/jujubelink/core/fleet/state.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::configuration::{ActiveConfiguration, ConfigCandidate, ConfigOutcome};
 use super::removals::{Removals, is_written_after};
-use super::{Announcement, FleetPolicy, Freshness, FreshnessProof, StorePosition, TargetRecord};
+use super::{Announcement, FleetPolicy, FreshnessProof, StorePosition, TargetRecord};
 use crate::core::config::{ConfigSnapshot, FleetConfig, Model, Target, TargetKind, Workspace};
 use crate::core::ids::{
-    ConfigVersion, Incarnation, ModelId, ObjectVersion, StoreEra, TargetId, Timestamp,
+    ConfigDigest, ConfigVersion, Incarnation, ModelId, ObjectVersion, StoreEra, TargetId, Timestamp,
 };
 
 /// Assumed prefill rate of an engine whose description does not state one. The engines of both
@@ -52,8 +53,7 @@
 /// the revisions of target entries in an era of the store only increase.
 #[derive(Debug, Default)]
 pub struct FleetState {
-    policy: Option<Rc<FleetPolicy>>,
-    freshness: Freshness,
+    config: ActiveConfiguration,
     /// Present era of the store; 0 if it states none.
     era: StoreEra,
     /// Whether the store states an era.
@@ -92,12 +92,28 @@
 
     /// Returns the active configuration.
     pub fn policy(&self) -> Option<&Rc<FleetPolicy>> {
-        self.policy.as_ref()
+        self.config.policy()
     }
 
     /// Returns the version of the active configuration; 0 if there is none.
     pub fn config_version(&self) -> ConfigVersion {
-        self.policy.as_ref().map_or(0, |policy| policy.version)
+        self.config.version()
+    }
+
+    /// Returns the highest version that was ever active. The active one is lower if the operator used versions
+    /// again after a restore of the store.
+    pub fn highest_config_version(&self) -> ConfigVersion {
+        self.config.highest_version()
+    }
+
+    /// Returns the digest of the active configuration; 0 if there is none.
+    pub fn config_digest(&self) -> ConfigDigest {
+        self.config.digest()
+    }
+
+    /// Whether a restore of the store is known. From then on, confirmations have to name the contents.
+    pub fn is_config_restored(&self) -> bool {
+        self.config.has_restored()
     }
 
     /// Returns a number that increases with each change that affects the scheduler.
@@ -105,30 +121,67 @@
         self.generation
     }
 
-    /// Activates a configuration if its version is newer. Returns whether it was.
+    /// Activates a configuration that does not come from the store if its version is newer. Returns whether it
+    /// was.
     pub fn apply_policy(&mut self, policy: FleetPolicy) -> bool {
-        if policy.version <= self.config_version() {
-            return false;
+        let outcome = self.apply_config(ConfigCandidate {
+            policy,
+            digest: 0,
+            revision: None,
+        });
+        outcome != ConfigOutcome::Ignored
+    }
+
+    /// Activates a configuration if it is newer.
+    pub fn apply_config(&mut self, candidate: ConfigCandidate) -> ConfigOutcome {
+        let outcome = self.config.apply(candidate);
+        if outcome != ConfigOutcome::Ignored {
+            self.generation += 1;
         }
-        self.policy = Some(Rc::new(policy));
-        self.generation += 1;
-        true
+        outcome
+    }
+
+    /// Records that the store was restored from a copy, which may contain an older configuration.
+    pub fn on_config_restored(&mut self) {
+        self.config.on_restored();
+    }
+
+    /// Records a revision that the store stated in the present era. A configuration above it was written after
+    /// the last restore.
+    pub fn on_store_revision(&mut self, revision: ObjectVersion) {
+        self.config.on_revision(revision);
+    }
+
+    /// Returns the revision of the configuration that became active last of those which were written after the
+    /// last restore of the store; 0 if there is none.
+    pub fn adopted_config_revision(&self) -> ObjectVersion {
+        self.config.adopted_revision()
+    }
+
+    /// Records that a peer has adopted such a configuration in the present era. What has this or a later revision
+    /// was written after the restore.
+    pub fn on_peer_adoption(&mut self, revision: ObjectVersion) {
+        self.config.on_peer_adoption(revision);
+    }
+
+    /// Records a version that a peer stated.
+    pub fn on_peer_config_version(&mut self, version: ConfigVersion) {
+        self.config.on_peer_version(version);
     }
 
     /// Applies a confirmation of the newest version.
     pub fn on_proof(&mut self, proof: FreshnessProof) {
-        let active_version = self.config_version();
-        self.freshness.on_proof(proof, active_version);
+        self.config.on_proof(proof);
     }
 
     /// Returns the latest confirmation of the active version.
     pub fn proof(&self) -> Option<FreshnessProof> {
-        self.freshness.proof(self.config_version())
+        self.config.proof()
     }
 
     /// Returns the time since the active version was last confirmed to be the newest.
     pub fn config_age(&self, now: Timestamp) -> Option<Duration> {
-        self.freshness.age(self.config_version(), now)
+        self.config.age(now)
     }
 
     /// Enters an era of the store. After a restore, what was read before is kept until it is replaced, and
@@ -560,7 +613,7 @@
     /// targets.
     pub fn snapshot(&self) -> ConfigSnapshot {
         let mut fleet = FleetConfig::default();
-        let Some(policy) = &self.policy else {
+        let Some(policy) = self.config.policy() else {
             return ConfigSnapshot::new(0, fleet);
         };
         for (name, workspace) in &policy.workspaces {
--- a/src/jujubelink/ops/share/peers.rs
+++ b/src/jujubelink/ops/share/peers.rs
@@ -13,7 +13,9 @@
 use super::limits::Buckets;
 use super::message::{LastReceived, LoadingEngine, ModelWeights, PeerMessage, WorkspaceUsage};
 use crate::core::crash::InstancePlace;
-use crate::core::fleet::{Announcement, FreshnessProof, InstancePosition, MessageSchedule};
+use crate::core::fleet::{
+    Announcement, FreshnessProof, InstancePosition, MessageSchedule, StorePosition,
+};
 use crate::core::ids::{
     ConfigVersion, Incarnation, InstanceId, ModelId, ObjectVersion, TargetId, Timestamp,
 };
@@ -470,6 +472,7 @@
                 .store_answered_at()
                 .map(|at| ms(now.saturating_sub(at))),
             evidence: self.quarantine().outgoing(),
+            store_era: self.fleet.eras().current(),
             rollouts: self.canary().outgoing(),
             is_leaving: self.context.shutdown().lifecycle() != Lifecycle::Running,
             ..PeerMessage::default()
@@ -505,6 +508,11 @@
         PeerMessage {
             uses: self.buckets.totals(),
             config_age_ms: proof.map(|proof| age(proof.requested_at)),
+            config_digest: self.fleet.config_digest(),
+            adopted_revision: self
+                .fleet
+                .adopted_config_position()
+                .map(|position| position.revision),
             named: state
                 .announcements()
                 .map(|(model, version, at)| ModelWeights {
@@ -526,6 +534,10 @@
         if name == self.name {
             return;
         }
+        // What follows counts by the newest era.
+        if let Some(era) = message.store_era {
+            self.fleet.eras().on_peer_era(era, &name);
+        }
         let now = self.now();
         let previously_confirmed_at = self.weights_confirmed_at();
         let local_hash = stable_hash(0, self.name.as_bytes());
@@ -553,6 +565,10 @@
         peer.remote_sent_at_ms = message.sent_at_ms;
         peer.last_received_at = now;
         peer.config_version = message.config_version;
+        let adopted_at = message.store_era.zip(message.adopted_revision);
+        let adopted_at = adopted_at.map(|(era, revision)| StorePosition { era, revision });
+        self.fleet
+            .on_peer_config(message.config_version, adopted_at);
         peer.is_leaving = message.is_leaving;
         peer.registered_revision = message.registered_revision;
         if let Some(echoed) = echoed {
@@ -566,6 +582,7 @@
                 .and_then(requested_at)
                 .map(|requested_at| FreshnessProof {
                     version: message.config_version,
+                    digest: message.config_digest,
                     requested_at,
                 });
             if let Some(proof) = peer.proof {
