Test generated requests as bytes, and refuse two that targets may read differently

Cause: nothing sent malformed heads, chunk sizes and trailers through the real parser and relay. The new property tests found two requests that were forwarded: one with two headers that decide where or for whom it runs (two of host, attempt id, ...: the instance went by the first), and one whose body has a further transfer coding ("gzip, chunked"): its coded body was forwarded without the header that states the coding.

Change: both get 400 before a target is called. The scripted target keeps bytes beyond a body, so that a request hidden behind one is recorded; before, they were dropped.

--- a/src/jujubelink/platform/request.rs
+++ b/src/jujubelink/platform/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::{AUTHORIZATION, HOST, HeaderName, RETRY_AFTER};
+use http::header::{AUTHORIZATION, HOST, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
@@ -41,9 +41,35 @@
     "expect",
 ];
 
+/// Headers that decide for whom, where and from which point a request runs. A request with two of one is invalid: this
+/// program would go by the first one, and a target might go by the other.
+const SINGLE_HEADERS: [&str; 6] = [
+    "host",
+    "authorization",
+    ATTEMPT_ID,
+    MODEL,
+    TOKEN_COUNT,
+    LAST_EVENT_ID,
+];
+
 /// Decodes the head of a client's request. The error states which header is invalid.
 pub fn decode_request(head: &Parts) -> Result<RelayHead, String> {
     let headers = &head.headers;
+    for name in SINGLE_HEADERS {
+        if headers.get_all(name).iter().nth(1).is_some() {
+            return Err(format!("the header {name} occurs more than once"));
+        }
+    }
+    // Targets get the body without its transfer coding, and would take one that is still coded for the body.
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_known = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        (Some(_), Some(_)) => false,
+    };
+    if !is_known {
+        return Err("the transfer coding of the body is not known".to_owned());
+    }
     let id = text(headers, ATTEMPT_ID).filter(|id| !id.is_empty());
     let id = id.ok_or_else(|| format!("the header {ATTEMPT_ID} is missing"))?;
     let host = match head.uri.authority() {
--- a/tests/testsuite/platform_path/faulty_responses.rs
+++ b/tests/testsuite/platform_path/faulty_responses.rs
@@ -225,6 +225,8 @@
             id: "r".to_owned(),
             last_event: None,
             priority: None,
+            head: String::new(),
+            body: Vec::new(),
         };
         let complete = success(&request, &expected_events(1..=1));
         let is_boundary = |length: &usize| {
--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -20,6 +20,8 @@
 mod planned_stop;
 mod reload;
 mod request_ends;
+mod request_forms;
+mod request_wire;
 mod response_ends;
 mod scripted_deployment;
 mod silent_targets;
--- a/tests/testsuite/support/scripted.rs
+++ b/tests/testsuite/support/scripted.rs
@@ -22,6 +22,9 @@
     pub(crate) last_event: Option<u64>,
     /// Priority of the request at an engine; `None` if absent.
     pub(crate) priority: Option<u8>,
+    /// Request line and headers.
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
 }
 
 /// A part of a reply.
@@ -150,12 +153,16 @@
     fn serve(&self, connection: usize, mut stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut index = 0;
-        while let Some(RequestHead {
+        // Bytes that follow the body of a request are the start of the next one.
+        let mut unread = Vec::new();
+        while let Some(RequestParts {
             path,
             id,
             last_event,
             priority,
-        }) = read_request(stream)
+            head,
+            body,
+        }) = read_request(stream, &mut unread)
         {
             let reply = if path.starts_with("/api/") {
                 self.control_calls.fetch_add(1, Ordering::Relaxed);
@@ -169,6 +176,8 @@
                     id,
                     last_event,
                     priority,
+                    head,
+                    body,
                 };
                 self.received.lock().unwrap().push(request.clone());
                 (self.script)(&request)
@@ -216,40 +225,47 @@
     }
 }
 
-struct RequestHead {
+struct RequestParts {
     path: String,
     id: String,
     last_event: Option<u64>,
     priority: Option<u8>,
+    head: String,
+    body: Vec<u8>,
 }
 
-/// Reads a request with a body of stated length. Returns what is used of its head, or `None` if the
-/// connection ends.
-fn read_request(mut stream: &TcpStream) -> Option<RequestHead> {
-    let mut data = Vec::new();
+/// Reads a request with a body of stated length, or returns `None` if the connection ends. `unread` holds what
+/// was read beyond the request before, and afterwards what was read beyond this one.
+fn read_request(mut stream: &TcpStream, unread: &mut Vec<u8>) -> Option<RequestParts> {
     let mut buffer = [0; 4096];
     loop {
-        let text = String::from_utf8_lossy(&data);
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+        let head_end = unread.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        if let Some(head_end) = head_end {
+            let head = String::from_utf8_lossy(&unread[..head_end]).into_owned();
             let header = |name: &str| {
                 let mut lines = head.lines();
                 lines.find_map(|line| Some(line.strip_prefix(name)?.trim().to_owned()))
             };
             let length = header("content-length:").map_or(0, |text| text.parse().unwrap_or(0));
-            if body.len() >= length {
+            let body_start = head_end + 4;
+            if unread.len() >= body_start + length {
+                let rest = unread.split_off(body_start + length);
+                let body = std::mem::replace(unread, rest).split_off(body_start);
                 let path = head.split(' ').nth(1)?.to_owned();
                 let id = header("jujubelink-attempt-id:").unwrap_or_default();
                 let last_event = header("last-event-id:").and_then(|text| text.parse().ok());
                 let priority = header("jujubelink-request-priority:");
-                return Some(RequestHead {
+                return Some(RequestParts {
                     path,
                     id,
                     last_event,
                     priority: priority.and_then(|text| text.parse().ok()),
+                    head,
+                    body,
                 });
             }
         }
         let length = stream.read(&mut buffer).ok().filter(|length| *length > 0)?;
-        data.extend_from_slice(&buffer[..length]);
+        unread.extend_from_slice(&buffer[..length]);
     }
 }
