Charge unread responses and HTTP/2 requests to the memory for clients

Cause: the bytes of a response that its client does not read, and the windows and send buffers of HTTP/2, counted against no bound. A stream held 400 KiB for a client with open windows, so that 100 unread streams of one connection held 46.6 MB.

Change: while a client's socket is full, what was read of its response counts against the budget, and without memory no further frame is read until the client takes some. A request under HTTP/2 is charged 32 KiB, and a connection with request bodies its window of 128 KiB (before: 1 MiB); without memory the request gets 503 with Retry-After. The send buffer of a stream is 16 KiB, and larger frames are passed on in parts. These charges end no other transfer.

Constants of attempts and the largest head move to core, where the check of configurations uses them.

--- a/src/jujubelink/core/capacity/ledger.rs
+++ b/src/jujubelink/core/capacity/ledger.rs
@@ -140,6 +140,21 @@
         Grant::Granted { ended }
     }
 
+    /// Grants further bytes to a transfer as far as they are left, so that no other transfer ends for them. They leave
+    /// a quarter of the memory to small transfers. Returns whether they were granted.
+    pub fn grow_if_free(&mut self, id: TransferId, bytes: usize) -> bool {
+        let needed = self.held_bytes.saturating_add(bytes);
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return false;
+        };
+        let is_free = needed <= self.limit_bytes / 4 * 3;
+        if is_free {
+            transfer.held_bytes += bytes;
+            self.held_bytes = needed;
+        }
+        is_free
+    }
+
     /// Releases what a transfer holds beyond `bytes`.
     pub fn shrink_to(&mut self, id: TransferId, bytes: usize) {
         if let Some(transfer) = self.transfers.get_mut(&id) {
--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -24,6 +24,9 @@
 /// after a read that fills it, so reads are one byte shorter.
 const MIN_READ_BYTES: usize = 8 * 1024 - 1;
 
+/// Largest head of a request that a connection accepts, also if the configuration allows more.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// What an instance may use of its machine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MachineLimits {
--- a/src/jujubelink/core/relay/attempts.rs
+++ b/src/jujubelink/core/relay/attempts.rs
@@ -14,6 +14,15 @@
 /// are unreachable.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 
+/// Limit on the wait for a response head, as a fraction of the remaining time, while another target
+/// could still be tried. A request that is sent again may wait in the queue for at least the same
+/// fraction, even if the latency objective has passed.
+pub const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
+
+/// A request is not sent if less time remains before its deadline, because no target could respond
+/// in time.
+pub const MIN_SEND_TIME: Duration = Duration::from_millis(10);
+
 /// Targets to which a request may be sent next, besides those that are excluded for other reasons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AllowedTargets {
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -9,9 +9,9 @@
 mod head;
 mod response;
 
-pub use attempts::{AllowedTargets, Attempts};
+pub use attempts::{AllowedTargets, Attempts, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
 pub use end::{DRAIN_MARGIN, EndReason, ProbeFinding, ResponseEnd, judge_end};
 pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, PromptPart, RelayHead};
 pub use response::{
-    Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
+    Failure, MAX_SENDS, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
 };
--- a/src/jujubelink/core/relay/response.rs
+++ b/src/jujubelink/core/relay/response.rs
@@ -154,4 +154,4 @@
 
 /// Maximum number of sends of one request, including those that no target ran, but without the first failed
 /// connection to each target.
-pub(super) const MAX_SENDS: u32 = 4;
+pub const MAX_SENDS: u32 = 4;
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -48,6 +48,14 @@
         })
     }
 
+    /// Starts the reservation for what a client does not take or has not sent yet. It does not have to end in favor
+    /// of transfers.
+    pub(super) fn begin_held(&self, address: Option<IpAddr>) -> Reservation {
+        let reservation = self.begin_transfer(address);
+        reservation.complete();
+        reservation
+    }
+
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
     pub(super) fn reserve_body(&self, bytes: usize) -> Option<Reservation> {
         let reservation = self.begin_transfer(None);
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -13,11 +13,12 @@
 use super::client_address::ClientAddress;
 use super::client_limits::ClientLimits;
 use super::connections::Load;
+use super::http2_memory::{Http2Grant, Http2Memory};
 use super::key_revocation::KeyRevocations;
 use super::model::{Endpoint, handle_model_list, handle_model_request};
 use super::plain::handle_plain_request;
 use super::refusal::{Refusal, RefusalCode};
-use super::relay::{Relay, handle_relayed_request};
+use super::relay::{NO_TARGET_RETRY_AFTER, Relay, handle_relayed_request, refuse_relayed_request};
 use super::request_id::{REQUEST_ID_HEADER, request_id};
 use super::request_log::RequestLog;
 use super::waits::CurrentWait;
@@ -30,7 +31,8 @@
 use crate::ops::telemetry::{TraceContext, attach_span};
 use crate::ops::upstream::EngineClient;
 use crate::util::http::{
-    Body, Client, ConnectionEnd, DEFAULT_SEND_TIME, DEFAULT_WAIT_LIMITS, Handler, UnreadBody, empty,
+    Body, Client, ConnectionEnd, DEFAULT_SEND_TIME, DEFAULT_WAIT_LIMITS, Handler, UnreadBody,
+    attach_guard, empty,
 };
 use crate::util::memory_budget::Reservation;
 
@@ -180,11 +182,41 @@
     proxy: Rc<Proxy>,
     /// Address of the client, if it is known.
     address: Option<IpAddr>,
+    http2_memory: Rc<Http2Memory>,
 }
 
 impl ClientHandler {
     pub(super) fn new(proxy: Rc<Proxy>, address: Option<IpAddr>) -> Self {
-        Self { proxy, address }
+        Self {
+            proxy,
+            address,
+            http2_memory: Rc::default(),
+        }
+    }
+}
+
+impl ClientHandler {
+    /// Charges the memory that a request needs under HTTP/2. Returns `None` if too little is left.
+    fn begin_http2(&self, request: &Request<Incoming>) -> Option<Http2Grant> {
+        let has_body = !http_body::Body::is_end_stream(request.body());
+        let begin = || self.proxy.load.begin_held(self.address);
+        self.http2_memory.begin(has_body, begin)
+    }
+
+    /// Refuses a request for which no memory is left.
+    fn refuse(&self, request: Request<Incoming>) -> Response<Body> {
+        let proxy = &self.proxy;
+        proxy.context.metrics().count("http2_refused", 1);
+        slog::info!(proxy.context.log(), "request refused"; "reason" => "no memory is left for its stream",
+            "connections" => proxy.load.connections());
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the stream")
+            .with_retry_after(NO_TARGET_RETRY_AFTER);
+        if proxy.relay.is_some() {
+            return refuse_relayed_request(&refusal, request);
+        }
+        let mut response = refusal.to_response(&request_id(request.headers()));
+        UnreadBody::attach(&mut response, request.into_body(), DEFAULT_SEND_TIME);
+        response
     }
 }
 
@@ -193,18 +225,30 @@
         self,
         mut request: Request<Incoming>,
     ) -> impl Future<Output = Response<Body>> + 'static {
+        let memory = match request.version() {
+            Version::HTTP_2 => match self.begin_http2(&request) {
+                Some(grant) => Some(grant),
+                None => return std::future::ready(self.refuse(request)).left_future(),
+            },
+            _ => None,
+        };
         // hyper reserves space for the future in every connection. Boxing limits this to the time
         // until the response head is ready.
         let proxy = self.proxy;
         if let Some(address) = self.address {
             request.extensions_mut().insert(ClientAddress(address));
         }
-        Box::pin(async move {
-            match proxy.relay.clone() {
+        let handled = async move {
+            let response = match proxy.relay.clone() {
                 Some(relay) => handle_relayed_request(proxy, relay, request).await,
                 None => proxy.handle_request(request).await,
+            };
+            match memory {
+                Some(grant) => response.map(|body| attach_guard(body, grant)),
+                None => response,
             }
-        })
+        };
+        handled.boxed_local().right_future()
     }
 
     fn known_limits(&self) -> KnownLimits {
@@ -223,6 +267,17 @@
         Some(self.proxy.load.begin_transfer(self.address))
     }
 
+    fn begin_response(&self) -> Option<Reservation> {
+        Some(self.proxy.load.begin_held(self.address))
+    }
+
+    fn on_held_back(&self) {
+        let context = &self.proxy.context;
+        slog::info!(context.log(), "response held back"; "reason" => "no memory is left for more of it",
+            "connections" => self.proxy.load.connections());
+        context.metrics().count("responses_held_back", 1);
+    }
+
     fn on_end(&self, end: &ConnectionEnd<'_>) {
         let context = &self.proxy.context;
         match end {
--- a/src/jujubelink/ops/proxy/mod.rs
+++ b/src/jujubelink/ops/proxy/mod.rs
@@ -5,6 +5,7 @@
 mod client_limits;
 mod connections;
 mod handler;
+mod http2_memory;
 mod key_revocation;
 mod model;
 mod plain;
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -10,6 +10,8 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::handler::{ClientHandler, Proxy};
+use super::http2_memory::{SEND_BUFFER_BYTES, WINDOW_BYTES};
+use crate::core::capacity::MAX_HEAD_BYTES;
 use crate::core::stop::HANDSHAKE_COMPLETION_TIME;
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
@@ -19,9 +21,6 @@
 /// Accepting a connection fails mostly because the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Largest head of a request that a connection accepts, also if the configuration allows more.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
-
 /// Closes connections whose client has disappeared, which may otherwise stay open for as long as the
 /// store is unreachable. The times exceed the deadlines of requests, as a link may be down for a while.
 const CLIENT_KEEPALIVE: KeepaliveSettings = KeepaliveSettings {
@@ -222,9 +221,11 @@
         // The limit of the configuration is checked for each request, as it may be raised while the
         // connection is open.
         max_header_bytes: match proxy.relay {
-            Some(_) => MAX_HEADER_BYTES,
+            Some(_) => MAX_HEAD_BYTES,
             None => defaults.max_header_bytes,
         },
+        window_bytes: WINDOW_BYTES as u32,
+        send_buffer_bytes: SEND_BUFFER_BYTES,
         // The platform's entry proxy half-closes a connection only after its client has disconnected.
         allows_half_close: proxy.relay.is_none(),
         ..defaults
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -22,7 +22,8 @@
 use crate::core::overload::{queue_deadline, retry_after};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{
-    AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
+    AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, FIRST_ATTEMPT_TIME_RATIO, Failure,
+    MIN_SEND_TIME, NoResend, PromptHead, RelayHead,
 };
 use crate::core::stop::RequestTimes;
 use crate::ops::canary::VersionUse;
@@ -44,20 +45,11 @@
 /// the client better.
 pub(super) const QUEUE_TIME_RATIO: f64 = 0.75;
 
-/// Limit on the wait for a response head, as a fraction of the remaining time, while another target
-/// could still be tried. A request that is sent again may wait in the queue for at least the same
-/// fraction, even if the latency objective has passed.
-pub(super) const FIRST_ATTEMPT_TIME_RATIO: f64 = 0.45;
-
 /// Time after which an avoided target may be asked again for the rest of a stream.
 const AVOIDANCE_TIME: Duration = Duration::from_millis(400);
 
-/// A request is not sent if less time remains before its deadline, because no target could respond
-/// in time.
-pub(super) const MIN_SEND_TIME: Duration = Duration::from_millis(10);
-
 /// Retry delay for clients if no target is available.
-pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(in crate::ops::proxy) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Priorities sent to engines range from 0, the most urgent, to this value. Larger priorities of
 /// routes and workspaces are clamped.
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -33,6 +33,7 @@
 use hyper::body::Incoming;
 
 use self::exchange::Exchange;
+pub(super) use self::exchange::NO_TARGET_RETRY_AFTER;
 use self::stop::no_time_left;
 use super::handler::Proxy;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -191,6 +192,18 @@
     response.map(|body| guard.attach_to(body))
 }
 
+/// Refuses a request that has not been looked at.
+pub(super) fn refuse_relayed_request(
+    refusal: &Refusal,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let id = decode_request(&head).map_or_else(|_| "".into(), |relayed| relayed.id);
+    let mut response = refusal_response(refusal, &id);
+    UnreadBody::attach(&mut response, body, DEFAULT_SEND_TIME);
+    response
+}
+
 /// Builds the response for a refusal. Statuses that promise that the request was not run are used
 /// only if that is certain.
 fn refusal_response(refusal: &Refusal, id: &RequestId) -> Response<Body> {
--- a/src/jujubelink/ops/proxy/relay/resend.rs
+++ b/src/jujubelink/ops/proxy/relay/resend.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
+use super::exchange::Exchange;
 use crate::core::ids::Timestamp;
 use crate::core::quota::ResendBudget;
-use crate::core::relay::{AllowedTargets, Failure, NoResend};
+use crate::core::relay::{
+    AllowedTargets, FIRST_ATTEMPT_TIME_RATIO, Failure, MIN_SEND_TIME, NoResend,
+};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::util::duration::ms;
 
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use super::body::TargetResponse;
-use super::exchange::{Exchange, FIRST_ATTEMPT_TIME_RATIO};
+use super::exchange::Exchange;
 use super::placement::HeldPlacement;
 use super::send::{EvaluationFuture, PendingResponse, SendFailure, SendOutcome};
 use crate::core::ids::{TargetId, Timestamp};
+use crate::core::relay::FIRST_ATTEMPT_TIME_RATIO;
 use crate::ops::proxy::waits::Awaited;
 use crate::ops::services::AttemptOutcome;
 
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -8,6 +8,7 @@
 mod executor;
 mod server;
 pub mod sse;
+mod unsent;
 
 pub use body::{
     Body, BodyError, DEFAULT_SEND_TIME, UnreadBody, attach_guard, collect_limited, discard, empty,
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -9,18 +9,17 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use cyper_core::CompioTimer;
 use derive_more::Display;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderValue, Request, Response, Version, header};
-use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
 
+use super::unsent::{GatedBody, Unsent, UnsentEvent};
 use super::{
     Body, BodyError, ClientConnection, ConnectionLoss, LocalExecutor, UnreadBody, attach_guard,
 };
@@ -87,6 +86,16 @@
         None
     }
 
+    /// Begins the reservation of memory for the bytes of a response that the client does not take. Without one, they
+    /// are not counted.
+    fn begin_response(&self) -> Option<Reservation> {
+        None
+    }
+
+    /// Called when a response is not read further until its client takes what has been read, as no memory is left
+    /// for more.
+    fn on_held_back(&self) {}
+
     /// Called when a connection ends while it waits for a client, other than by the client's close
     /// between two requests.
     fn on_end(&self, _end: &ConnectionEnd<'_>) {}
@@ -128,6 +137,11 @@
     pub max_header_bytes: usize,
     /// Maximum number of concurrent HTTP/2 streams of a connection.
     pub max_concurrent_streams: u32,
+    /// Size of the HTTP/2 windows of a connection and of each of its streams: bytes of requests that are received
+    /// before they are read.
+    pub window_bytes: u32,
+    /// Bytes of a response on an HTTP/2 stream that are held until the client's window has room for them.
+    pub send_buffer_bytes: usize,
     /// Interval of HTTP/2 pings on a connection with open streams.
     pub ping_interval: Duration,
     /// Timeout of the response to a ping, after which the connection is closed.
@@ -142,6 +156,8 @@
         Self {
             max_header_bytes: 64 * 1024,
             max_concurrent_streams: 128,
+            window_bytes: 1024 * 1024,
+            send_buffer_bytes: 400 * 1024,
             ping_interval: Duration::from_secs(10),
             ping_timeout: Duration::from_secs(10),
             allows_half_close: true,
@@ -209,6 +225,9 @@
         .timer(CompioTimer)
         .max_header_list_size(options.max_header_bytes as u32)
         .max_concurrent_streams(options.max_concurrent_streams)
+        .initial_connection_window_size(options.window_bytes)
+        .initial_stream_window_size(options.window_bytes)
+        .max_send_buf_size(options.send_buffer_bytes)
         .keep_alive_interval(options.ping_interval)
         .keep_alive_timeout(options.ping_timeout);
     let state = Rc::new(ConnectionState::new(handler));
@@ -235,9 +254,10 @@
             if let Some(unread) = unread {
                 compio::runtime::spawn(discard_unread(unread, Rc::clone(&exchange))).detach();
             }
-            let state = Rc::clone(&exchange.state);
+            let unsent = Rc::clone(&exchange.state.unsent);
             let body = response.map(|body| attach_guard(body, exchange));
-            Ok::<_, Infallible>(body.map(|body| GatedBody { body, state }))
+            let is_http2 = version == Version::HTTP_2;
+            Ok::<_, Infallible>(body.map(|body| GatedBody::new(body, unsent, is_http2)))
         }
     });
     let io = ObservedIo {
@@ -399,17 +419,22 @@
     head_bytes: Cell<usize>,
     /// Memory for the head that has begun, and how much is reserved.
     head_memory: RefCell<Option<(Reservation, usize)>>,
-    /// Whether the client has no room for further bytes of an HTTP/1.1 response.
-    is_write_blocked: Cell<bool>,
-    /// Whether a frame of the response was read while the client had no room. It shows that the request waits
-    /// for its client and not for the target.
-    has_frame_waiting: Cell<bool>,
+    /// Responses of which the client has not taken everything.
+    unsent: Rc<Unsent>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
 
 impl<H: Handler> ConnectionState<H> {
     fn new(handler: H) -> Self {
+        let memory_handler = handler.clone();
+        let unsent = Rc::new(Unsent::new(Box::new(move |event| match event {
+            UnsentEvent::Begun => memory_handler.begin_response(),
+            UnsentEvent::HeldBack => {
+                memory_handler.on_held_back();
+                None
+            }
+        })));
         Self {
             handler,
             connection: ClientConnection::default(),
@@ -425,8 +450,7 @@
             is_polled: Cell::default(),
             head_bytes: Cell::default(),
             head_memory: RefCell::default(),
-            is_write_blocked: Cell::default(),
-            has_frame_waiting: Cell::default(),
+            unsent,
             waker: RefCell::default(),
         }
     }
@@ -582,40 +606,6 @@
     }
 }
 
-/// A response body of which one frame is read while the client has no room. hyper would read on until its write buffer
-/// is full, which is as large as the largest head.
-struct GatedBody<H> {
-    body: Body,
-    state: Rc<ConnectionState<H>>,
-}
-
-impl<H> http_body::Body for GatedBody<H> {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        // HTTP/2 has windows. Under HTTP/1.1 hyper polls the body again after a write.
-        let is_blocked = self.state.is_write_blocked.get() && !self.state.is_http2.get();
-        if is_blocked && self.state.has_frame_waiting.get() {
-            return Poll::Pending;
-        }
-        let frame = ready!(self.body.as_mut().poll_frame(cx));
-        self.state.has_frame_waiting.set(is_blocked);
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Reports the bytes that arrive to the state of a connection.
 struct ObservedIo<I, H> {
     io: I,
@@ -683,15 +673,7 @@
 
 impl<I, H> ObservedIo<I, H> {
     fn record_write(&self, written: &Poll<io::Result<usize>>, length: usize) {
-        match written {
-            Poll::Pending => self.state.is_write_blocked.set(true),
-            // After a part, hyper writes the rest before it reads the body again.
-            Poll::Ready(Ok(count)) if *count < length => {}
-            Poll::Ready(_) => {
-                self.state.is_write_blocked.set(false);
-                self.state.has_frame_waiting.set(false);
-            }
-        }
+        self.state.unsent.on_write(written, length);
         if let Poll::Ready(Err(_)) = written {
             self.state.connection.record(ConnectionLoss::Write);
         }
--- a/src/jujubelink/util/memory_budget.rs
+++ b/src/jujubelink/util/memory_budget.rs
@@ -84,6 +84,12 @@
         true
     }
 
+    /// Reserves further memory as far as it is left, so that no other transfer ends for it. Returns whether it is.
+    pub fn grow_if_free(&self, bytes: usize) -> bool {
+        let mut ledger = self.shared.ledger.borrow_mut();
+        ledger.grow_if_free(self.id, bytes)
+    }
+
     /// Counts the transfer for a workspace.
     pub fn set_workspace(&self, workspace: Option<WorkspaceId>) {
         let mut ledger = self.shared.ledger.borrow_mut();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,4 +48,5 @@
 mod streams;
 mod telemetry;
 mod tls;
+mod unread_responses;
 mod untrusted_clients;
