--- a/src/bin/jujubelink/config.rs
+++ b/src/bin/jujubelink/config.rs
@@ -8,9 +8,11 @@
 use anyhow::Result;
 use bpaf::{Parser, construct, long, positional};
 use jujubelink::ops::commands::{
-    ApplyOptions, SettingsKind, config_apply, config_check, config_check_against_current,
-    config_diff, config_history, config_render, config_rollback,
+    ApplyOptions, PlatformBase, SettingsKind, config_apply, config_check,
+    config_check_against_current, config_check_platform, config_diff, config_history,
+    config_render, config_rollback,
 };
+use jujubelink::ops::kernel;
 
 use crate::common::{
     Connection, connection, finish, json_switch, key_file, run, run_confirmed, yes_switch,
@@ -24,7 +26,9 @@
 pub(crate) enum Options {
     Check {
         is_process: bool,
-        against: Option<SocketAddr>,
+        is_platform: bool,
+        against: Option<String>,
+        in_force: Option<SocketAddr>,
         key_file: Option<PathBuf>,
         is_json: bool,
         files: Vec<PathBuf>,
@@ -75,10 +79,41 @@
         .fallback(DEFAULT_WAIT_S)
 }
 
+/// Whether the options of a check go together.
+fn is_valid_check(options: &Options) -> bool {
+    let Options::Check {
+        is_process,
+        is_platform,
+        against,
+        in_force,
+        key_file,
+        files,
+        ..
+    } = options
+    else {
+        return true;
+    };
+    if *is_platform {
+        let is_one_base = against.is_none() || in_force.is_none();
+        return !is_process && is_one_base && key_file.is_none() && files.len() == 1;
+    }
+    let address = against
+        .as_ref()
+        .map(|address| address.parse::<SocketAddr>());
+    in_force.is_none() && !matches!(address, Some(Err(_)))
+}
+
 fn check() -> impl Parser<Options> {
     let is_process = process_switch();
+    let is_platform = long("platform")
+        .help("The file is the configuration in the store of a platform with its own format")
+        .switch();
     let against = long("against")
-        .help("Also check the step from the configuration that this instance's platform holds")
+        .help("Also check the step from the configuration that the platform of the instance at this IP:PORT holds; with --platform, from that in this file")
+        .argument::<String>("BASE")
+        .optional();
+    let in_force = long("in-force")
+        .help("With --platform: also check the step from the configuration in the store at this address")
         .argument::<SocketAddr>("IP:PORT")
         .optional();
     let key_file = key_file();
@@ -86,11 +121,14 @@
     let files = files();
     construct!(Options::Check {
         is_process,
+        is_platform,
         against,
+        in_force,
         key_file,
         is_json,
         files
     })
+    .guard(is_valid_check, "--platform takes one FILE, and --against FILE or --in-force IP:PORT; without it, --against takes IP:PORT")
     .to_options()
     .descr("Report all faults of files together")
     .footer("Example: jujubelink config check --against 10.0.0.1:8401 fleet.toml recife.toml")
@@ -196,14 +234,32 @@
 /// Runs the subcommand.
 pub(crate) fn exec(options: Options) -> Result<ExitCode> {
     match options {
+        Options::Check {
+            is_platform: true,
+            against,
+            in_force,
+            is_json,
+            files,
+            ..
+        } => {
+            let base = match (against, in_force) {
+                (Some(file), _) => PlatformBase::File(file.into()),
+                (None, Some(address)) => PlatformBase::InForce(address),
+                (None, None) => PlatformBase::None,
+            };
+            let file = files.into_iter().next().unwrap_or_default();
+            let checked = kernel::run(async move { config_check_platform(&file, &base).await })?;
+            Ok(finish(checked, is_json))
+        }
         Options::Check {
             is_process: false,
             against: Some(address),
             key_file,
             is_json,
             files,
+            ..
         } => {
-            let connection = Connection::new(address, key_file, is_json);
+            let connection = Connection::new(address.parse()?, key_file, is_json);
             run(&connection, async |client| {
                 config_check_against_current(&client, &files).await
             })
--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 mod announcement;
 mod contact;
+mod draft;
 mod freshness;
 mod order;
 mod policy;
@@ -19,6 +20,7 @@
 
 pub use announcement::{Announcement, WeightsBounds};
 pub use contact::{MAX_RELAYED_AGE, StoreContact};
+pub use draft::{DraftContext, DraftEntry, DraftFinding, DraftSetting, PolicyDraft, check_draft};
 pub use freshness::{Freshness, FreshnessProof};
 pub use order::InstancePosition;
 pub use policy::{
--- a/src/jujubelink/ops/commands/config_diff.rs
+++ b/src/jujubelink/ops/commands/config_diff.rs
@@ -25,14 +25,15 @@
     changes.iter().map(change_text).collect()
 }
 
-fn change_text(change: &Value) -> String {
+/// Formats one changed setting as a line.
+pub(super) fn change_text(change: &Value) -> String {
     let keys: Vec<&str> = change["path"]
         .as_array()
         .into_iter()
         .flatten()
         .filter_map(Value::as_str)
         .collect();
-    let path = keys.join(".");
+    let path = keys.join(".").escape_debug().to_string();
     match (change.get("before"), change.get("after")) {
         (Some(before), Some(after)) => format!("~ {path}: {before} -> {after}\n"),
         (Some(before), None) => format!("- {path}: {before}\n"),
--- a/src/jujubelink/ops/commands/mod.rs
+++ b/src/jujubelink/ops/commands/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod config_apply;
 mod config_check;
+mod config_check_platform;
 mod config_diff;
 mod config_history;
 mod config_render;
@@ -22,6 +23,7 @@
 pub use client::{AdminClient, ConnectionOptions};
 pub use config_apply::{ApplyOptions, config_apply};
 pub use config_check::{SettingsKind, config_check, config_check_against_current};
+pub use config_check_platform::{PlatformBase, config_check_platform};
 pub use config_diff::config_diff;
 pub use config_history::{config_history, config_rollback};
 pub use config_render::config_render;
--- a/src/jujubelink/platform/configuration.rs
+++ b/src/jujubelink/platform/configuration.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -13,6 +14,7 @@
     EngineTraits, FleetPolicy, PolicyRoute, PolicyService, PolicyWorkspace, QuotaUnit, RequestKind,
     WeightedService, shared_cache_namespace,
 };
+use crate::core::ids::{KeyHash, WorkspaceId};
 use crate::util::hash::sha256_hex;
 
 /// Defaults of optional settings.
@@ -38,9 +40,9 @@
 }
 
 #[derive(Deserialize)]
-struct Route {
+pub(super) struct Route {
     name: String,
-    host: String,
+    pub(super) host: String,
     path_prefix: String,
     kind: String,
     timeout_ms: Option<f64>,
@@ -67,7 +69,7 @@
 }
 
 #[derive(Deserialize)]
-struct Service {
+pub(super) struct Service {
     name: String,
     engine: Option<Engine>,
     kv_store_addr: Option<SocketAddr>,
@@ -91,8 +93,8 @@
 
 /// A workspace.
 #[derive(Deserialize)]
-struct Tenant {
-    name: String,
+pub(super) struct Tenant {
+    pub(super) name: String,
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u8>,
@@ -112,7 +114,7 @@
 }
 
 #[derive(Default, Deserialize)]
-struct Limits {
+pub(super) struct Limits {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
     header_timeout_ms: Option<f64>,
@@ -133,31 +135,19 @@
     let mut routes: HashMap<String, Vec<Rc<PolicyRoute>>> = HashMap::new();
     for route in document.routes {
         let host = route.host.to_ascii_lowercase();
-        routes
-            .entry(host)
-            .or_default()
-            .push(Rc::new(decode_route(route)?));
+        let name = route.name.clone();
+        let decoded = decode_route(route).map_err(|(_, fault)| format!("route {name}: {fault}"))?;
+        routes.entry(host).or_default().push(Rc::new(decoded));
     }
     for host_routes in routes.values_mut() {
         host_routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
     }
-    let services = document.services.into_iter().map(|service| {
-        let decoded = PolicyService {
-            engine: service.engine.map(decode_engine),
-            kv_store: service.kv_store_addr,
-            kv_link_bytes_per_s: service
-                .link_mbps
-                .map_or(f64::INFINITY, |mbps| amount(mbps) * BYTES_PER_MEGABIT),
-        };
-        (service.name.into(), decoded)
-    });
+    let services = document.services.into_iter().map(decode_service);
     let mut keys = HashMap::new();
     let mut workspaces = BTreeMap::new();
     for tenant in document.tenants {
-        let name: std::sync::Arc<str> = tenant.name.as_str().into();
-        for key in &tenant.api_keys {
-            keys.insert(sha256_hex(key.as_bytes()).into(), name.clone());
-        }
+        let name: WorkspaceId = tenant.name.as_str().into();
+        keys.extend(decode_keys(&tenant).map(|key| (key, name.clone())));
         workspaces.insert(name, decode_workspace(&tenant));
     }
     Ok(FleetPolicy {
@@ -180,14 +170,20 @@
     })
 }
 
-fn decode_route(route: Route) -> Result<PolicyRoute, String> {
+/// Decodes a route. The error names a field and states what is wrong with it.
+pub(super) fn decode_route(route: Route) -> Result<PolicyRoute, (&'static str, String)> {
     let kind = match route.kind.as_str() {
         "idempotent" => RequestKind::Idempotent,
         "non_idempotent" => RequestKind::SingleRun,
         "streaming" => RequestKind::Stream {
             is_resumable: route.resumable,
         },
-        other => return Err(format!("route {}: unknown kind {other:?}", route.name)),
+        other => {
+            let fault = format!(
+                "unknown kind {other:?}; it must be `idempotent`, `non_idempotent` or `streaming`"
+            );
+            return Err(("kind", fault));
+        }
     };
     let mut services: Vec<WeightedService> = route
         .traffic_split
@@ -198,9 +194,12 @@
         })
         .collect();
     if services.is_empty() {
-        let service = route
-            .service
-            .ok_or_else(|| format!("route {} has no service", route.name))?;
+        let service = route.service.ok_or_else(|| {
+            (
+                "service",
+                "is missing, and `traffic_split` names none".to_owned(),
+            )
+        })?;
         services.push(WeightedService {
             service: service.into(),
             weight: 1,
@@ -220,6 +219,17 @@
     })
 }
 
+pub(super) fn decode_service(service: Service) -> (Arc<str>, PolicyService) {
+    let decoded = PolicyService {
+        engine: service.engine.map(decode_engine),
+        kv_store: service.kv_store_addr,
+        kv_link_bytes_per_s: service
+            .link_mbps
+            .map_or(f64::INFINITY, |mbps| amount(mbps) * BYTES_PER_MEGABIT),
+    };
+    (service.name.into(), decoded)
+}
+
 fn decode_engine(engine: Engine) -> EngineTraits {
     let models = engine.models.into_iter().map(|model| model.name.into());
     EngineTraits {
@@ -228,7 +238,13 @@
     }
 }
 
-fn decode_workspace(tenant: &Tenant) -> PolicyWorkspace {
+/// Returns the hashes of a workspace's keys.
+pub(super) fn decode_keys(tenant: &Tenant) -> impl Iterator<Item = KeyHash> {
+    let keys = tenant.api_keys.iter();
+    keys.map(|key| sha256_hex(key.as_bytes()).into())
+}
+
+pub(super) fn decode_workspace(tenant: &Tenant) -> PolicyWorkspace {
     PolicyWorkspace {
         unit: match tenant.unit.as_str() {
             "tokens" => QuotaUnit::Tokens,
--- a/src/jujubelink/platform/mod.rs
+++ b/src/jujubelink/platform/mod.rs
@@ -13,6 +13,7 @@
 
 mod cache_events;
 mod configuration;
+mod configuration_check;
 mod engine;
 pub mod names;
 mod objects;
@@ -23,6 +24,10 @@
 
 pub use cache_events::{CacheEventsResponse, decode_cache_events, read_cache_events};
 pub use configuration::decode_configuration;
+pub use configuration_check::{
+    CheckedConfiguration, ConfigurationFault, MAX_CONFIGURATION_BYTES, check_configuration,
+    configuration_by_name, read_configuration_file,
+};
 pub use engine::{
     EngineReport, TargetStatus, WeightsOrder, read_report, read_status, send_weights_order,
 };
--- a/src/jujubelink/platform/objects.rs
+++ b/src/jujubelink/platform/objects.rs
@@ -226,7 +226,7 @@
 
 /// Decodes a JSON object. Unknown fields are skipped without recursion, however deeply nested they
 /// are. An array, which derived decoders accept as the fields in order, is invalid.
-fn decode<'a, T: Deserialize<'a>>(json: &'a str) -> Result<T, String> {
+pub(super) fn decode<'a, T: Deserialize<'a>>(json: &'a str) -> Result<T, String> {
     if !json.trim_ascii_start().starts_with('{') {
         return Err("not a JSON object".to_owned());
     }
@@ -234,7 +234,7 @@
 }
 
 /// Describes an error without the value that caused it, which may be a key.
-fn describe(error: &serde_json::Error) -> String {
+pub(super) fn describe(error: &serde_json::Error) -> String {
     let text = error.to_string();
     let without_value = ["invalid type", "invalid value", "invalid length"]
         .into_iter()
--- a/src/jujubelink/platform/store.rs
+++ b/src/jujubelink/platform/store.rs
@@ -33,7 +33,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Maximum size of a response. A page of a list has about 1 MB.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Maximum number of pages read of a list; a longer list is treated as an invalid response.
 const MAX_PAGES: usize = 64;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -14,7 +14,7 @@
 use crate::support::{ADMIN_KEY, Instance, eventually, run, send, spawn};
 
 /// Runs a subcommand on a thread of its own, so that the stand-ins on the event loop can respond to it.
-async fn run_subcommand(args: &[&str], input: &str) -> Output {
+pub(crate) async fn run_subcommand(args: &[&str], input: &str) -> Output {
     let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
     let input = input.to_owned();
     let thread = std::thread::spawn(move || {
@@ -40,26 +40,26 @@
     thread.join().expect("a subcommand")
 }
 
-fn stdout(output: &Output) -> String {
+pub(crate) fn stdout(output: &Output) -> String {
     String::from_utf8(output.stdout.clone()).expect("text")
 }
 
-fn stderr(output: &Output) -> String {
+pub(crate) fn stderr(output: &Output) -> String {
     String::from_utf8(output.stderr.clone()).expect("text")
 }
 
 /// A file that is removed at the end of the test.
-struct TempFile(PathBuf);
+pub(crate) struct TempFile(PathBuf);
 
 impl TempFile {
-    fn new(name: &str, text: &str) -> Self {
+    pub(crate) fn new(name: &str, text: &str) -> Self {
         let name = format!("jujubelink-cli-{}-{name}", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, text).expect("a written file");
         Self(path)
     }
 
-    fn path(&self) -> &str {
+    pub(crate) fn path(&self) -> &str {
         self.0.to_str().expect("a text path")
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod pausing_targets;
 mod peer;
 mod plain;
+mod platform_check;
 mod platform_format;
 mod platform_names;
 mod platform_path;
