--- a/src/jujubelink/core/fleet/mod.rs
+++ b/src/jujubelink/core/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod announcement;
 mod configuration;
 mod contact;
+mod draft;
 mod era;
 mod freshness;
 mod order;
@@ -23,6 +24,7 @@
 pub use announcement::{Announcement, WeightsBounds};
 pub use configuration::{ConfigCandidate, ConfigOutcome};
 pub use contact::{MAX_RELAYED_AGE, StoreContact};
+pub use draft::{DraftContext, DraftEntry, DraftFinding, DraftSetting, PolicyDraft, check_draft};
 pub use era::{EraFault, EraOutcome, EraTracker, StatedEra, StorePosition};
 pub use freshness::{Freshness, FreshnessProof};
 pub use order::InstancePosition;
