Count and log shared blocks that targets lack, by cause

A placement did not state why its target lacks shared parts of the prompt, so the causes of repeated prefills could not be told apart. The router now classifies each placement by what this instance knows of the targets that hold the last shared block: first use, evicted, out, full, failure or spread. The counters scheduler.missing_blocks.* and scheduler.shared_blocks and the fields missing and missing_blocks of the placement lines show it. The counters kvcache.missing_tokens.* show for what part of the missing tokens a KV cache store was asked. Decisions are unchanged.

--- a/src/jujubelink/core/routing/mod.rs
+++ b/src/jujubelink/core/routing/mod.rs
@@ -8,6 +8,7 @@
 
 mod demand;
 mod load;
+mod missing;
 mod prefix_table;
 mod ranking;
 mod router;
@@ -16,6 +17,7 @@
 
 pub use demand::{Demand, MAX_REPLICAS};
 pub use load::{LoadReport, ServiceTimes, TargetLoad};
+pub use missing::{MissingBlocks, MissingCause};
 pub use prefix_table::{MAX_PREFIXES, PrefixTable};
 pub use ranking::RankTable;
 pub use router::{
--- a/src/jujubelink/core/routing/prefix_table.rs
+++ b/src/jujubelink/core/routing/prefix_table.rs
@@ -7,6 +7,7 @@
 
 use lru::LruCache;
 
+use super::missing::HolderUse;
 use super::{Demand, TargetIndex, TargetTable};
 use crate::core::ids::{Fingerprint, Timestamp};
 
@@ -50,6 +51,25 @@
             .map(|holder| holder.target)
     }
 
+    /// Returns the use of each target that has an entry; `use_of` classifies those whose entry is valid.
+    pub(super) fn holder_uses(
+        &self,
+        targets: &TargetTable,
+        now: Timestamp,
+        use_of: impl Fn(TargetIndex) -> HolderUse,
+    ) -> impl Iterator<Item = HolderUse> {
+        self.holders.iter().map(move |holder| {
+            let target = targets.get(holder.target);
+            if holder.generation != target.generation {
+                return HolderUse::Out;
+            }
+            match target.is_estimate_valid(holder.generation, holder.seen_at, now) {
+                true => use_of(holder.target),
+                false => HolderUse::Expired,
+            }
+        })
+    }
+
     /// Records that a target uses or stored the block.
     pub(super) fn store(&mut self, target: TargetIndex, generation: u32, now: Timestamp) {
         let entry = Holder {
--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use crate::core::ids::{Fingerprint, Timestamp};
+use crate::core::routing::missing::{HolderUse, missing_cause};
 use crate::core::routing::scan::{FirstBlockDemand, PrefixScan, ScanInput};
-use crate::core::routing::{TargetIndex, TargetState, rendezvous_score, unit_random};
+use crate::core::routing::{
+    MissingBlocks, MissingCause, TargetIndex, TargetState, rendezvous_score, unit_random,
+};
 
 /// Random candidates in addition to the replica set, so that requests can move away from an
 /// overloaded set.
@@ -220,6 +223,55 @@
         is_sampled && state.accepts_requests(now) && may_run(model, request, state)
     }
 
+    /// Returns the shared blocks that the selected target is not estimated to have cached, and why none of
+    /// the targets that hold them was selected. Must be called before [`Self::on_sent`], which adds the
+    /// target to the cache index.
+    pub fn missing_blocks(
+        &self,
+        request: &RouteRequest<'_>,
+        choice: &Choice,
+        now: Timestamp,
+    ) -> Option<MissingBlocks> {
+        let blocks = (request.blocks.len() as u32).checked_sub(choice.cached_blocks)?;
+        let last = *request.blocks.last().filter(|_| blocks > 0)?;
+        let model = self.models.get(request.model)?;
+        let use_of = |target: TargetIndex| {
+            let state = self.targets.get(target);
+            if request.excluded.contains(&state.id) {
+                return HolderUse::Excluded;
+            }
+            let is_out = !state.accepts_requests(now)
+                || state.busy_until > now
+                || !may_run(model, request, state)
+                || !has_weights(model, state);
+            if is_out {
+                return HolderUse::Out;
+            }
+            let TargetSpeed { pace, limit } = self.speed_of(model, state, now);
+            let times = model.times.at_pace(pace);
+            let wait_s = state.load.wait_s(limit, &times, self.unreported(), now);
+            match has_capacity(state, wait_s) {
+                true => HolderUse::Available,
+                false => HolderUse::Full,
+            }
+        };
+        let cause = match self.prefixes.get(last) {
+            Some(prefix) => missing_cause(prefix.holder_uses(&self.targets, now, use_of)),
+            None => MissingCause::FirstUse,
+        };
+        Some(MissingBlocks { blocks, cause })
+    }
+
+    fn speed_of(&self, model: &ModelState, state: &TargetState, now: Timestamp) -> TargetSpeed {
+        match &model.service_pace {
+            Some(usual) => self.speed(state, usual, now),
+            None => TargetSpeed {
+                pace: 1.0,
+                limit: state.settings.map_or(1, |settings| settings.max_running),
+            },
+        }
+    }
+
     /// Estimates the wait and the prefill time of a request at a target.
     pub(super) fn evaluate(
         &self,
@@ -230,18 +282,11 @@
         now: Timestamp,
     ) -> Choice {
         let state = self.targets.get(target);
-        let max_running = state.settings.map_or(1, |settings| settings.max_running);
         let unreported = self.unreported();
-        let TargetSpeed { pace, limit } = match &model.service_pace {
-            Some(usual) => self.speed(state, usual, now),
-            None => TargetSpeed {
-                pace: 1.0,
-                limit: max_running,
-            },
-        };
+        let TargetSpeed { pace, limit } = self.speed_of(model, state, now);
         let times = model.times.at_pace(pace);
         let mut wait_s = state.load.wait_s(limit, &times, unreported, now);
-        let has_capacity = wait_s <= MAX_ENGINE_WAIT_S || state.load.local_requests() == 0;
+        let has_capacity = has_capacity(state, wait_s);
         if model.service_pace.is_some() {
             wait_s += self.expected_wait_s(state, 1, now);
         }
@@ -252,7 +297,7 @@
         if now < state.unreliable_until {
             wait_s += UNRELIABLE_PENALTY_S;
         }
-        let has_weights = [0, model.weights_hash].contains(&state.reported.weights_hash);
+        let has_weights = has_weights(model, state);
         if !has_weights {
             wait_s += UNRELIABLE_PENALTY_S;
         }
@@ -334,6 +379,16 @@
     }
 }
 
+/// Whether a target with the given wait can start a request without a long wait.
+fn has_capacity(state: &TargetState, wait_s: f64) -> bool {
+    wait_s <= MAX_ENGINE_WAIT_S || state.load.local_requests() == 0
+}
+
+/// Whether a target has the configured weights, as far as it has reported them.
+fn has_weights(model: &ModelState, state: &TargetState) -> bool {
+    [0, model.weights_hash].contains(&state.reported.weights_hash)
+}
+
 /// Whether a target that accepts requests may run this one.
 fn may_run(model: &ModelState, request: &RouteRequest<'_>, state: &TargetState) -> bool {
     [0, model.model_hash].contains(&state.reported.model_hash)
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -354,7 +354,11 @@
                 prefill: Duration::from_secs_f64(choice.prefill_s),
             });
         let blocks = &request.prompt.blocks;
+        let shared_blocks = blocks.len() as u32;
         let estimate_ages = self.router.estimate_ages(blocks, &choice, now);
+        let missing = self
+            .router
+            .missing_blocks(&route_request(&request), &choice, now);
         let local_prefill_ahead_s = self
             .router
             .targets()
@@ -402,6 +406,8 @@
             import_blocks: choice.import_blocks,
             fetch_from,
             expected_first_token: Duration::from_secs_f64(choice.first_token_s()),
+            missing,
+            shared_blocks,
             paced_estimate,
         }));
         true
--- a/src/jujubelink/core/scheduler/types.rs
+++ b/src/jujubelink/core/scheduler/types.rs
@@ -9,6 +9,7 @@
 use crate::core::overload::Aims;
 use crate::core::prefix::PromptFingerprints;
 use crate::core::queue::JobId;
+use crate::core::routing::MissingBlocks;
 
 /// A model request that needs a target.
 #[derive(Debug, Clone)]
@@ -59,6 +60,10 @@
     pub fetch_from: Option<TargetId>,
     /// Expected time from now to the first token.
     pub expected_first_token: Duration,
+    /// Shared blocks that the target is not estimated to have cached; `None` if it has them all.
+    pub missing: Option<MissingBlocks>,
+    /// Number of blocks of the prompt's shared parts.
+    pub shared_blocks: u32,
     /// Estimates of a choice by the paces of targets; `None` if the model uses none.
     pub paced_estimate: Option<PacedEstimate>,
 }
--- a/src/jujubelink/ops/kvcache/watch.rs
+++ b/src/jujubelink/ops/kvcache/watch.rs
@@ -83,20 +83,34 @@
             .map(|(address, _)| *address);
         let chosen = choose_store(available, &parts)
             .and_then(|address| Some((address, stores.get_mut(&address)?)));
+        let shared: Tokens = parts.iter().map(|(_, tokens)| tokens).sum();
+        let missing = shared.saturating_sub(cached_tokens);
         let Some((address, store)) = chosen else {
+            self.count_missing("no_store", missing);
             return StoreUsage::default();
         };
         let now = self.context.timers().boot_now();
         let should_save = store.contents.reserve_save(&parts, now);
-        let shared: Tokens = parts.iter().map(|(_, tokens)| tokens).sum();
-        let missing = shared.saturating_sub(cached_tokens);
         let should_fetch = self.has_link_capacity(address, &mut store.link, missing, now);
+        let result = match should_fetch {
+            true => "asked",
+            false => "link_full",
+        };
+        self.count_missing(result, missing);
         StoreUsage {
             fetch_from: should_fetch.then_some(address),
             save_to: should_save.then_some(address),
         }
     }
 
+    /// Counts the shared tokens that a target is estimated to lack, by whether a store is asked for them.
+    fn count_missing(&self, result: &str, missing: Tokens) {
+        if missing > 0 {
+            let name = format!("kvcache.missing_tokens.{result}");
+            self.context.metrics().count(&name, missing);
+        }
+    }
+
     /// Whether the store's network link has capacity to transfer the missing tokens to a target.
     fn has_link_capacity(
         &self,
--- a/src/jujubelink/ops/scheduler/service.rs
+++ b/src/jujubelink/ops/scheduler/service.rs
@@ -137,7 +137,7 @@
         self.context
             .metrics()
             .time("scheduler.queue_wait", queue_wait);
-        self.log_placement(&queued_request.request, &dispatch);
+        self.record_placement(&queued_request.request, &dispatch);
         let placement = Placement::from(&dispatch);
         if dispatch.import_blocks == 0 {
             queued_request.result.send(Ok(placement));
@@ -154,9 +154,29 @@
         .detach();
     }
 
-    /// Logs the estimates that decided a placement by the paces of targets.
+    /// Counts the shared blocks that the target of a placement lacks, by cause, and logs the placement.
+    fn record_placement(&self, request: &RequestId, dispatch: &Dispatch) {
+        let metrics = self.context.metrics();
+        metrics.count("scheduler.shared_blocks", dispatch.shared_blocks.into());
+        if let Some(missing) = &dispatch.missing {
+            let name = format!("scheduler.missing_blocks.{}", missing.cause);
+            metrics.count(&name, missing.blocks.into());
+        }
+        self.log_placement(request, dispatch);
+    }
+
+    /// Logs the estimates that decided a placement by the paces of targets, and otherwise a placement at a
+    /// target that lacks shared blocks.
     fn log_placement(&self, request: &RequestId, dispatch: &Dispatch) {
+        let missing_blocks = dispatch.missing.map_or(0, |missing| missing.blocks);
+        let cause = dispatch.missing.map(|missing| missing.cause.to_string());
         let Some(estimate) = &dispatch.paced_estimate else {
+            if dispatch.missing.is_some() {
+                slog::info!(self.context.log(), "request placed without cached parts";
+                    "request" => &**request, "target" => &*dispatch.target,
+                    "cached_blocks" => dispatch.cached_blocks,
+                    "missing_blocks" => missing_blocks, "missing" => cause);
+            }
             return;
         };
         self.context
@@ -166,7 +186,8 @@
             "target" => &*dispatch.target, "pace_percent" => estimate.pace_percent,
             "limit" => estimate.limit, "wait_ms" => estimate.wait.as_millis() as u64,
             "prefill_ms" => estimate.prefill.as_millis() as u64,
-            "cached_blocks" => dispatch.cached_blocks);
+            "cached_blocks" => dispatch.cached_blocks,
+            "missing_blocks" => missing_blocks, "missing" => cause);
     }
 
     /// Has an engine fetch blocks from the KV cache store. A failure only costs time, because the
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -6,7 +6,7 @@
 
 use jujubelink::core::ids::Timestamp;
 use jujubelink::core::routing::{
-    Demand, LoadReport, MAX_REPLICAS, RankTable, RouteRequest, Router, TargetIndex,
+    Demand, LoadReport, MAX_REPLICAS, MissingCause, RankTable, RouteRequest, Router, TargetIndex,
 };
 use jujubelink::util::hash::stable_hash;
 use proptest::prelude::*;
@@ -296,3 +296,77 @@
     }
     choice.cached_blocks
 }
+
+/// Returns the blocks that the choice of a second request for a prompt lacks, after `change` at the target
+/// that holds them.
+fn missing_after(
+    change: impl FnOnce(&mut Router, TargetIndex),
+    excludes_holder: bool,
+    now: Timestamp,
+) -> Option<(u32, MissingCause)> {
+    let mut router = router(50);
+    let blocks = prompt("large", "1", &prompt_text("long", 8)).blocks;
+    let holder = send(&mut router, &blocks, 1, NOW);
+    let state = router.targets_mut().get_mut(holder);
+    state.load.on_prefilled(NOW);
+    state.load.on_ended();
+    change(&mut router, holder);
+    let excluded = [router.targets().get(holder).id.clone()];
+    let request = RouteRequest {
+        excluded: if excludes_holder { &excluded } else { &[] },
+        ..route_request(&blocks, 800)
+    };
+    let choice = router.choose(&request, 2, now).expect("a target");
+    let missing = router.missing_blocks(&request, &choice, now);
+    missing.map(|missing| (missing.blocks, missing.cause))
+}
+
+/// Guards against an account of missing blocks that names the wrong cause, so that the wrong fault is fixed.
+#[test]
+fn missing_blocks_have_a_cause() {
+    let nothing = |_: &mut Router, _| {};
+    assert_eq!(missing_after(nothing, false, NOW), None);
+    let later = NOW + Duration::from_secs(60);
+    let evicted = missing_after(nothing, false, later);
+    assert_eq!(evicted, Some((8, MissingCause::Evicted)));
+    let failure = missing_after(nothing, true, NOW);
+    assert_eq!(failure, Some((8, MissingCause::Failure)));
+    let leave = |router: &mut Router, holder| {
+        router.targets_mut().get_mut(holder).is_leaving = true;
+    };
+    let out = Some((8, MissingCause::Out));
+    assert_eq!(missing_after(leave, false, NOW), out);
+    let load_weights = |router: &mut Router, holder| {
+        router.targets_mut().get_mut(holder).busy_until = NOW + Duration::from_secs(9);
+    };
+    assert_eq!(missing_after(load_weights, false, NOW), out);
+    let restart = |router: &mut Router, holder| router.on_event_gap(holder);
+    assert_eq!(missing_after(restart, false, NOW), out);
+    let fill = |router: &mut Router, holder| {
+        let load = &mut router.targets_mut().get_mut(holder).load;
+        (0..20).for_each(|_| load.on_sent(Duration::from_millis(100), NOW));
+    };
+    let full = missing_after(fill, false, NOW);
+    assert_eq!(full, Some((8, MissingCause::Full)));
+
+    let mut router = router(50);
+    let blocks = prompt("large", "1", &prompt_text("long", 8)).blocks;
+    let request = route_request(&blocks, 800);
+    let choice = router.choose(&request, 1, NOW).expect("a target");
+    let first = router.missing_blocks(&request, &choice, NOW);
+    assert_eq!(
+        first.map(|missing| missing.cause),
+        Some(MissingCause::FirstUse)
+    );
+    router.on_sent(&request, &choice, NOW);
+    let load = &mut router.targets_mut().get_mut(choice.target).load;
+    load.on_prefilled(NOW);
+    load.on_ended();
+    let mut others = router.explain(&request, NOW).into_iter();
+    let other = others.find(|other| other.target != choice.target);
+    let spread = router.missing_blocks(&request, &other.expect("another target"), NOW);
+    assert_eq!(
+        spread.map(|missing| missing.cause),
+        Some(MissingCause::Spread)
+    );
+}
