Expect cached blocks at the replica set in large fleets

In a fleet of 85 instances each one sees a hundredth of the requests for a shared part. Where responses do not state cached tokens, the hit rates of replicas stayed at their initial 0.5 and 0.3, so a member of the set seemed hardly cheaper than any other target, and requests left the set: by the account of missing blocks mostly with the causes first_use and evicted. In more than 32 instances members now count as hits until a response states cached tokens.

New test hot_parts::engines_of_different_speed_prefill_few_shared_parts_again: 85 instances, 90 engines, no network.

--- a/src/jujubelink/core/routing/demand.rs
+++ b/src/jujubelink/core/routing/demand.rs
@@ -24,7 +24,7 @@
 }
 
 /// Largest fleet in which each instance sees enough of the traffic to track the load of targets.
-pub(super) const MAX_SMALL_FLEET_INSTANCES: u32 = 32;
+pub const MAX_SMALL_FLEET_INSTANCES: u32 = 32;
 
 /// Fraction of a target's time that one prefix may use before its replica set grows. The rest is
 /// left for other prefixes and for bursts.
--- a/src/jujubelink/core/routing/mod.rs
+++ b/src/jujubelink/core/routing/mod.rs
@@ -15,7 +15,7 @@
 mod scan;
 mod table;
 
-pub use demand::{Demand, MAX_REPLICAS};
+pub use demand::{Demand, MAX_REPLICAS, MAX_SMALL_FLEET_INSTANCES};
 pub use load::{LoadReport, ServiceTimes, TargetLoad};
 pub use missing::{MissingBlocks, MissingCause};
 pub use prefix_table::{MAX_PREFIXES, PrefixTable};
--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -305,10 +305,12 @@
         let cached_blocks = only_with_weights(scan.cached_blocks(target));
         let replica_blocks = only_with_weights(scan.replica_blocks(target));
         let recent_blocks = scan.recent_blocks;
-        let expected_hits =
-            model
-                .replica_hit_rates
-                .expected_blocks(cached_blocks, recent_blocks, replica_blocks);
+        let expected_hits = model.replica_hit_rates.expected_blocks(
+            cached_blocks,
+            recent_blocks,
+            replica_blocks,
+            self.instances,
+        );
         let total = request.prompt_bytes as f64 / f64::from(model.block_bytes);
         let missing = (total - f64::from(cached_blocks) - expected_hits).max(0.0);
         let fetched = self.fetched_blocks(request, cached_blocks, expected_hits);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod endless_bytes;
 mod fleet;
 mod history;
+mod hot_parts;
 mod http2;
 mod kvcache;
 mod limit_slots;
