Count blocks of small shared parts by their tokens in large fleets

Each shared part had at least one block of 1,000 tokens. Requests with 198 shared tokens therefore went to the few members of that part's replica set, also to slow ones, as if 1,000 tokens were cached there; in a fleet of 85 instances this is what makes the load of engines most uneven. In more than 32 instances the sum of the parts is now rounded, so such requests have no blocks and go to the shortest wait, while several small parts still add up to a block.

--- a/src/jujubelink/core/relay/head.rs
+++ b/src/jujubelink/core/relay/head.rs
@@ -6,6 +6,7 @@
 use crate::core::fleet::TargetAddress;
 use crate::core::ids::{Fingerprint, KeyHash, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
 use crate::core::prefix::PromptFingerprints;
+use crate::core::routing::MAX_SMALL_FLEET_INSTANCES;
 use crate::util::hash::{combine, stable_hash};
 
 /// Tokens per block of the router's prefix table.
@@ -28,6 +29,33 @@
     pub tokens: Tokens,
 }
 
+/// How the number of blocks of a prompt's shared parts is rounded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BlockCounting {
+    /// Each part is rounded by itself and yields at least one block.
+    PerPart,
+    /// The sum of the parts is rounded, so that a prompt with few shared tokens has no blocks and goes to the
+    /// target with the shortest wait.
+    Total,
+}
+
+impl BlockCounting {
+    /// Returns the counting for a fleet. In a large one, blocks for small parts made the load of targets
+    /// uneven: requests with 198 shared tokens went to the few targets of the part's replica set as if 1,000
+    /// tokens were cached there, and waited longer than their prefill takes.
+    pub fn for_fleet(instances: usize) -> Self {
+        match instances > MAX_SMALL_FLEET_INSTANCES as usize {
+            true => Self::Total,
+            false => Self::PerPart,
+        }
+    }
+}
+
+/// Returns the nearest number of blocks for a number of tokens.
+fn rounded_blocks(tokens: Tokens) -> u64 {
+    tokens.saturating_add(BLOCK_TOKENS / 2) / BLOCK_TOKENS
+}
+
 /// Description of the prompt in the request headers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptHead {
@@ -66,18 +94,25 @@
         names[..end].to_owned()
     }
 
-    /// Computes the fingerprints of the shared parts within `scope`. Each part yields one block per
-    /// [`BLOCK_TOKENS`] tokens, and at least one, so that targets are compared by their cached
-    /// tokens.
-    pub fn fingerprints(&self, scope: &str) -> PromptFingerprints {
+    /// Computes the fingerprints of the shared parts within `scope`, one block per [`BLOCK_TOKENS`] tokens, so
+    /// that targets are compared by their cached tokens.
+    pub fn fingerprints(&self, scope: &str, counting: BlockCounting) -> PromptFingerprints {
         let seed = stable_hash(0, scope.as_bytes());
         let mut chained = seed;
         let mut blocks = Vec::new();
+        let mut tokens: Tokens = 0;
         for part in self.shared_parts() {
             chained = combine(chained, part.hash);
-            let count = part.tokens.saturating_add(BLOCK_TOKENS / 2) / BLOCK_TOKENS;
+            let count = match counting {
+                BlockCounting::PerPart => rounded_blocks(part.tokens).max(1),
+                BlockCounting::Total => {
+                    let before = rounded_blocks(tokens);
+                    tokens = tokens.saturating_add(part.tokens);
+                    rounded_blocks(tokens) - before
+                }
+            };
             let free = MAX_BLOCKS - blocks.len();
-            let numbers = (0..count.max(1)).take(free);
+            let numbers = (0..count).take(free);
             blocks.extend(numbers.map(|block| combine(chained, block)));
         }
         let whole = self
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -11,7 +11,9 @@
 
 pub use attempts::{AllowedTargets, Attempts};
 pub use end::{DRAIN_MARGIN, EndReason, ProbeFinding, ResponseEnd, judge_end};
-pub use head::{AttemptHead, BLOCK_TOKENS, EngineParams, PromptHead, PromptPart, RelayHead};
+pub use head::{
+    AttemptHead, BLOCK_TOKENS, BlockCounting, EngineParams, PromptHead, PromptPart, RelayHead,
+};
 pub use response::{
     Failure, NoResend, ResponseHead, ResponseVerdict, check_resend, classify_response,
 };
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -22,7 +22,8 @@
 use crate::core::overload::{queue_deadline, retry_after};
 use crate::core::prefix::PromptFingerprints;
 use crate::core::relay::{
-    AllowedTargets, Attempts, BLOCK_TOKENS, EngineParams, Failure, NoResend, PromptHead, RelayHead,
+    AllowedTargets, Attempts, BLOCK_TOKENS, BlockCounting, EngineParams, Failure, NoResend,
+    PromptHead, RelayHead,
 };
 use crate::core::stop::RequestTimes;
 use crate::ops::canary::VersionUse;
@@ -438,7 +439,8 @@
         let admission = self.admission()?;
         let key = model_key(&admission.service, &prompt.model);
         let scope = format!("{}/{}", key, self.cache_namespace(admission));
-        let fingerprints: Rc<PromptFingerprints> = Rc::new(prompt.fingerprints(&scope));
+        let counting = BlockCounting::for_fleet(self.relay.peers.fleet_size());
+        let fingerprints: Rc<PromptFingerprints> = Rc::new(prompt.fingerprints(&scope, counting));
         // The scheduler's clock stops while the machine is suspended, so it is given the remaining
         // time only. `check_send` computes the remaining time again after the wait.
         let latency_objective = admission.route.latency_objective.mul_f64(QUEUE_TIME_RATIO);
--- a/tests/testsuite/hot_parts.rs
+++ b/tests/testsuite/hot_parts.rs
@@ -11,7 +11,7 @@
 use jujubelink::core::config::ConfigSnapshot;
 use jujubelink::core::ids::Timestamp;
 use jujubelink::core::pace::ReportedPace;
-use jujubelink::core::relay::{PromptHead, PromptPart};
+use jujubelink::core::relay::{BlockCounting, PromptHead, PromptPart};
 use jujubelink::core::routing::LoadReport;
 use jujubelink::core::scheduler::{AttemptEnd, Effect, NewRequest, Scheduler};
 use jujubelink::util::hash::combine;
@@ -371,7 +371,9 @@
         let new = NewRequest {
             workspace: format!("w{}", request.workspace).into(),
             model: MODEL.into(),
-            prompt: head.fingerprints("scope").into(),
+            prompt: head
+                .fingerprints("scope", BlockCounting::for_fleet(INSTANCES))
+                .into(),
             cost_tokens: head.prompt_tokens + head.max_output_tokens,
             deadline: request.arrived + kind.objective.mul_f64(0.75),
             excluded: Vec::new(),
@@ -515,13 +517,16 @@
 
 /// Guards against requests that leave the replica set of their shared part although its members have it: with
 /// 85 instances that learn nothing about caches from responses, 0.13 of the prompt tokens were shared ones that
-/// were prefilled again.
+/// were prefilled again. Also guards against requests with small shared parts that wait at the few members of
+/// a set, some of them slow, while other engines are free: 0.005 were late, and 0.010 once requests kept to
+/// their sets.
 #[test]
 fn engines_of_different_speed_prefill_few_shared_parts_again() {
     let outcome = play("paced", PACED, Policy::Router);
     assert!(outcome.again() < 0.06, "{}", outcome.again());
     assert!(outcome.p95_ms(0) < 260.0, "{}", outcome.p95_ms(0));
-    assert!(outcome.late_share() < 0.03, "{}", outcome.late_share());
+    assert!(outcome.p95_ms(1) < 80.0, "{}", outcome.p95_ms(1));
+    assert!(outcome.late_share() < 0.003, "{}", outcome.late_share());
     let oracle = play("paced, oracle", PACED, Policy::Oracle);
     assert!(oracle.again() < outcome.again(), "{}", oracle.again());
 }
--- a/tests/testsuite/platform_format.rs
+++ b/tests/testsuite/platform_format.rs
@@ -8,7 +8,7 @@
 use jujubelink::core::fleet::{QuotaUnit, RequestKind};
 use jujubelink::core::kvcache::{PartChange, StoredPart};
 use jujubelink::core::pace::ReportedPace;
-use jujubelink::core::relay::{AttemptHead, EngineParams};
+use jujubelink::core::relay::{AttemptHead, BlockCounting, EngineParams};
 use jujubelink::ops::store::TargetChange;
 use jujubelink::platform::{
     decode_cache_events, decode_configuration, decode_request, decode_response_head, decode_target,
@@ -324,7 +324,29 @@
     assert_eq!(tokens, [800, 2410, 250]);
     // The last part belongs to this request alone and has no blocks. The other parts have a number of
     // blocks that follows from their tokens.
-    assert_eq!(prompt.fingerprints("s").blocks.len(), 1 + 2);
+    let blocks = |counting| prompt.fingerprints("s", counting).blocks.len();
+    assert_eq!(blocks(BlockCounting::PerPart), 1 + 2);
+    assert_eq!(blocks(BlockCounting::Total), 3);
+}
+
+/// Guards against prompts with few shared tokens that go to the few targets of a replica set, and against
+/// several small parts that count as none.
+#[test]
+fn blocks_of_a_large_fleet_correspond_to_the_shared_tokens() {
+    let mut prompt = decode_request(&client_request()).unwrap().prompt.unwrap();
+    let mut blocks = |tokens: [u64; 3], instances| {
+        for (part, tokens) in prompt.parts.iter_mut().zip(tokens) {
+            part.tokens = tokens;
+        }
+        prompt
+            .fingerprints("s", BlockCounting::for_fleet(instances))
+            .blocks
+    };
+    assert_eq!(blocks([100, 98, 628], 32).len(), 2);
+    assert_eq!(blocks([100, 98, 628], 33).len(), 0);
+    assert_eq!(blocks([300, 300, 628], 33).len(), 1);
+    assert_eq!(blocks([800, 2410, 628], 33).len(), 3);
+    assert_eq!(blocks([100_000, 200_000, 628], 33).len(), 256);
 }
 
 /// Guards against malformed request headers that stop an instance or are taken for a valid request.
