--- a/src/jujubelink/core/routing/mod.rs
+++ b/src/jujubelink/core/routing/mod.rs
@@ -8,14 +8,16 @@
 
 mod demand;
 mod load;
+mod missing;
 mod prefix_table;
 mod ranking;
 mod router;
 mod scan;
 mod table;
 
-pub use demand::{Demand, MAX_REPLICAS};
+pub use demand::{Demand, MAX_REPLICAS, MAX_SMALL_FLEET_INSTANCES};
 pub use load::{LoadReport, ServiceTimes, TargetLoad};
+pub use missing::{MissingBlocks, MissingCause};
 pub use prefix_table::{MAX_PREFIXES, PrefixTable};
 pub use ranking::RankTable;
 pub use router::{
