canary: simulate 100 roll-outs in each case

Cause: the error rates were counted over 20, 100 and 10 roll-outs with 1, 8 and 60 instances, which says little about one in a hundred. Change: 100 in each case, on two threads for each of the two tests.

--- a/tests/testsuite/canary.rs
+++ b/tests/testsuite/canary.rs
@@ -385,24 +385,50 @@
     outcome
 }
 
-/// Numbers of instances with the number of simulated roll-outs of each kind.
-const SIZES: [(usize, u64); 3] = [(1, 20), (8, 100), (60, 10)];
+/// Numbers of instances of the simulated roll-outs.
+const SIZES: [usize; 3] = [1, 8, 60];
+
+/// Simulated roll-outs of each kind, and how many of them may end with the wrong state.
+const RUNS: u64 = 100;
+const MAX_WRONG: u64 = 1;
+
+/// Threads that simulate, in each of two tests.
+const THREADS: u64 = 2;
+
+/// Runs the simulation with each seed.
+fn simulate_all(simulate: impl Fn(u64) -> Outcome + Sync) -> Vec<Outcome> {
+    let run = |first: u64| -> Vec<Outcome> {
+        let seeds = (first..RUNS).step_by(THREADS as usize);
+        seeds.map(&simulate).collect()
+    };
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|first| scope.spawn({
+                let run = &run;
+                move || run(first)
+            }))
+            .collect();
+        let outcomes = threads
+            .into_iter()
+            .flat_map(|thread| thread.join().unwrap());
+        outcomes.collect()
+    })
+}
 
 /// Guards against a test that rolls back good versions more often than once in a hundred, also beside a burst, a
 /// slow target, kills, cuts and a suspended instance. Prints what was counted.
 #[test]
 fn error_rates_of_good_versions() {
     let mut failures = Vec::new();
-    for (instances, runs) in SIZES {
+    for instances in SIZES {
         for trouble in [
             Trouble::None,
             Trouble::Burst,
             Trouble::SlowTarget,
             Trouble::Cuts,
         ] {
-            let outcomes: Vec<_> = (0..runs)
-                .map(|seed| simulate(seed, instances, Fault::None, false, trouble))
-                .collect();
+            let run = |seed| simulate(seed, instances, Fault::None, false, trouble);
+            let outcomes = simulate_all(run);
             let completed = outcomes.iter().filter(|run| {
                 run.state == Some(RolloutState::Completed)
                     && run.decided_at < Duration::from_secs(12)
@@ -413,11 +439,11 @@
             let last = outcomes.iter().map(|run| run.decided_at).max().unwrap();
             let reasons: Vec<_> = outcomes.iter().filter_map(|run| run.reason).collect();
             let line = format!(
-                "good {trouble:?} {instances}: {completed} of {runs} completed, last {last:?}, \
+                "good {trouble:?} {instances}: {completed} of {RUNS} completed, last {last:?}, \
                  {old} at the old version afterwards, {reasons:?}"
             );
             println!("{line}");
-            if completed + runs / 100 < runs || (old > 0 && trouble != Trouble::Cuts) {
+            if completed + MAX_WRONG < RUNS || (old > 0 && trouble != Trouble::Cuts) {
                 failures.push(line);
             }
         }
@@ -430,7 +456,7 @@
 #[test]
 fn error_rates_of_bad_versions() {
     let mut failures = Vec::new();
-    for (instances, runs) in SIZES {
+    for instances in SIZES {
         for (fault, is_slow, trouble) in [
             (Fault::Immediate, false, Trouble::None),
             (Fault::Immediate, true, Trouble::Cuts),
@@ -441,9 +467,8 @@
             (Fault::OneRoute, false, Trouble::None),
             (Fault::OneRoute, true, Trouble::Cuts),
         ] {
-            let outcomes: Vec<_> = (0..runs)
-                .map(|seed| simulate(seed, instances, fault, is_slow, trouble))
-                .collect();
+            let run = |seed| simulate(seed, instances, fault, is_slow, trouble);
+            let outcomes = simulate_all(run);
             let passed = outcomes
                 .iter()
                 .filter(|run| run.state != Some(RolloutState::RolledBack));
@@ -455,11 +480,11 @@
             let last = outcomes.iter().map(|run| run.decided_at).max().unwrap();
             let most = outcomes.iter().map(|run| run.exposed).max().unwrap();
             let line = format!(
-                "{fault:?} slow={is_slow} {trouble:?} {instances}: {passed} of {runs} passed, {over} over \
+                "{fault:?} slow={is_slow} {trouble:?} {instances}: {passed} of {RUNS} passed, {over} over \
                  the exposure (most {most}), {late} late, {unordered} after, last {last:?}"
             );
             println!("{line}");
-            if passed > runs / 100 || over > 0 || late > 0 || unordered > 0 {
+            if passed > MAX_WRONG || over > 0 || late > 0 || unordered > 0 {
                 failures.push(line);
             }
         }
