Fetch a newer configuration from a peer only after a second read

An instance that read the configuration just before it was changed, and then heard of the new version from a peer, would have fetched it from that peer and refused keys until it had a confirmation.

--- a/src/jujubelink/ops/fleet/sync.rs
+++ b/src/jujubelink/ops/fleet/sync.rs
@@ -7,7 +7,7 @@
 
 use super::Fleet;
 use crate::core::fleet::MAX_RELAYED_AGE;
-use crate::core::ids::ObjectVersion;
+use crate::core::ids::{ObjectVersion, Timestamp};
 use crate::ops::kernel::{Context, Lifecycle, Timers};
 use crate::ops::share::Peers;
 use crate::ops::store::{StoreError, StoreResult, TargetChanges};
@@ -169,7 +169,8 @@
     let timers = *context.timers();
     let mut failed_at = None;
     let mut failed_request_at = None;
-    let mut unusable_at = None;
+    let mut undecodable_at = None;
+    let mut behind_at: Option<Timestamp> = None;
     loop {
         let peers = context.service::<Peers>();
         let now = timers.boot_now();
@@ -180,19 +181,22 @@
         };
         let is_behind = is_behind(&fleet, &peers);
         let is_old = fleet.config_age().is_none_or(|age| age >= max_age);
-        // No read proves a configuration that cannot be decoded, or that is older than that of a peer, to be the
-        // newest one.
-        let is_repeated = unusable_at.is_some_and(|at| {
+        // No read proves a configuration that cannot be decoded to be the newest one.
+        let is_repeated = undecodable_at.is_some_and(|at| {
             let period = if is_behind { RETRY_DELAY } else { max_age };
             now.saturating_sub(at) < period
         });
+        // After a restore, the store shows the older configuration until the operator writes it again.
+        let is_repeated =
+            is_repeated || behind_at.is_some_and(|at| now.saturating_sub(at) < RETRY_DELAY);
         let is_backing_off = failed_at.is_some_and(|at| now.saturating_sub(at) < RETRY_DELAY);
         if (is_behind || is_old) && !is_repeated && !is_backing_off {
-            let outcome = read_policy(&context, &fleet, &peers).await;
+            let outcome = read_policy(&context, &fleet, &peers, behind_at.is_some()).await;
             let read_at = Some(timers.boot_now());
             failed_at = read_at.filter(|_| outcome == PolicyRead::Failed);
             failed_request_at = failed_at.map(|_| now).or(failed_request_at);
-            unusable_at = read_at.filter(|_| outcome == PolicyRead::Unusable);
+            undecodable_at = read_at.filter(|_| outcome == PolicyRead::Undecodable);
+            behind_at = read_at.filter(|_| outcome == PolicyRead::Behind);
         }
         let weights_age = peers
             .weights_confirmed_at()
@@ -240,21 +244,28 @@
 enum PolicyRead {
     /// The store answered with a configuration, or has none yet.
     Done,
-    /// The store answered with a configuration that cannot be decoded, or that is older than that of a peer, as
-    /// after a restore.
-    Unusable,
+    /// The store answered with a configuration that cannot be decoded.
+    Undecodable,
+    /// The store states an era, and answered with a configuration that is older than that of a peer.
+    Behind,
     /// The store did not answer, or refused.
     Failed,
 }
 
-async fn read_policy(context: &Context, fleet: &Fleet, peers: &Peers) -> PolicyRead {
+/// Reads the configuration. `was_behind` tells whether the last read showed an older one than that of a peer.
+async fn read_policy(
+    context: &Context,
+    fleet: &Fleet,
+    peers: &Peers,
+    was_behind: bool,
+) -> PolicyRead {
     let requested_at = context.timers().boot_now();
     let outcome = match fleet.store().read_policy().await {
         Ok(Some(Ok(stored))) => {
             fleet.on_store_answer(requested_at);
             fleet.on_policy(stored, requested_at);
-            match is_behind(fleet, peers) {
-                true => PolicyRead::Unusable,
+            match fleet.eras().current().is_some() && is_behind(fleet, peers) {
+                true => PolicyRead::Behind,
                 false => PolicyRead::Done,
             }
         }
@@ -266,7 +277,7 @@
         Ok(Some(Err(fault))) => {
             fleet.on_store_answer(requested_at);
             fleet.log_entry_faults(&[fault]);
-            PolicyRead::Unusable
+            PolicyRead::Undecodable
         }
         Err(error) => {
             slog::warn!(context.log(), "cannot read the configuration"; "error" => %error,
@@ -274,7 +285,13 @@
             PolicyRead::Failed
         }
     };
-    if outcome != PolicyRead::Done && is_behind(fleet, peers) {
+    // The peer may have read a version that was written after the first of two reads.
+    let is_usable = match outcome {
+        PolicyRead::Done => true,
+        PolicyRead::Behind => !was_behind,
+        PolicyRead::Undecodable | PolicyRead::Failed => false,
+    };
+    if !is_usable && is_behind(fleet, peers) {
         fetch_from_peer(context, fleet, peers).await;
     }
     outcome
