Let commands read the store without a log

Cause: config check --in-force and the era of the store were built side by side; a command has neither log nor metrics for the changes of the era. Change: the state of the era takes these only where a process has them.

--- a/src/jujubelink/ops/commands/config_check_platform.rs
+++ b/src/jujubelink/ops/commands/config_check_platform.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use serde_json::json;
@@ -15,7 +16,7 @@
 use crate::core::config::{Change, diff_values};
 use crate::core::fleet::DraftContext;
 use crate::ops::settings::Finding;
-use crate::ops::store::{FleetStore, TargetChange};
+use crate::ops::store::{FleetStore, StoreEras, TargetChange};
 use crate::platform::{
     ConfigurationFault, MAX_CONFIGURATION_BYTES, ObjectStoreClient, check_configuration,
     configuration_by_name, read_configuration_file,
@@ -110,7 +111,7 @@
 
 async fn read_in_force(address: SocketAddr) -> Result<Base, CommandError> {
     let source = format!("the store at {address}");
-    let store = ObjectStoreClient::new(address);
+    let store = ObjectStoreClient::new(address, Rc::new(StoreEras::for_command()));
     let stored = store.read_policy().await;
     let stored = stored.map_err(|error| unreadable(&source, error))?;
     let stored = stored.ok_or_else(|| unreadable(&source, "holds no configuration"))?;
--- a/src/jujubelink/ops/store/era.rs
+++ b/src/jujubelink/ops/store/era.rs
@@ -23,7 +23,8 @@
 /// Present era of the store. Effects of a restore are applied by subscribers, before any value of the new
 /// era is.
 pub struct StoreEras {
-    context: Context,
+    /// `None` in commands, which have no log and no metrics.
+    context: Option<Context>,
     tracker: RefCell<EraTracker>,
     restores: Cell<u64>,
     restored_at: Cell<Option<Timestamp>>,
@@ -34,8 +35,17 @@
 impl StoreEras {
     /// Creates the state of a process that has not called the store yet.
     pub fn new(context: &Context) -> Self {
+        Self::with_context(Some(context.clone()))
+    }
+
+    /// Creates the state of a command.
+    pub fn for_command() -> Self {
+        Self::with_context(None)
+    }
+
+    fn with_context(context: Option<Context>) -> Self {
         Self {
-            context: context.clone(),
+            context,
             tracker: RefCell::default(),
             restores: Cell::new(0),
             restored_at: Cell::new(None),
@@ -83,7 +93,7 @@
         let outcome = self.tracker.borrow_mut().on_response(stated, sent_in);
         match outcome {
             EraOutcome::Former { fault } => {
-                self.context.metrics().count("store.discarded", 1);
+                self.count("store.discarded");
                 if let Some((fault, is_first)) = fault {
                     self.on_fault(fault, is_first, stated);
                 }
@@ -102,7 +112,8 @@
     }
 
     fn on_outcome(&self, outcome: EraOutcome, source: &str) {
-        let at = self.context.timers().boot_now();
+        let context = self.context.as_ref();
+        let at = context.map_or(Timestamp::ZERO, |context| context.timers().boot_now());
         let change = match outcome {
             EraOutcome::First { era } => EraChange {
                 era,
@@ -117,9 +128,11 @@
             _ => return,
         };
         if let Some(former) = change.former {
-            slog::warn!(self.context.log(), "store restored from an older copy";
-                "era" => change.era, "former" => former, "source" => source);
-            self.context.metrics().count("store.restores", 1);
+            if let Some(context) = context {
+                slog::warn!(context.log(), "store restored from an older copy";
+                    "era" => change.era, "former" => former, "source" => source);
+            }
+            self.count("store.restores");
             self.restores.set(self.restores.get() + 1);
             self.restored_at.set(Some(at));
         }
@@ -133,11 +146,17 @@
     }
 
     fn on_fault(&self, fault: EraFault, is_first: bool, stated: StatedEra) {
-        self.context.metrics().count("store.era_faults", 1);
-        if is_first {
-            slog::warn!(self.context.log(), "faulty era of the store; the last one stays in effect";
+        self.count("store.era_faults");
+        if let (true, Some(context)) = (is_first, &self.context) {
+            slog::warn!(context.log(), "faulty era of the store; the last one stays in effect";
                 "fault" => format!("{fault:?}"), "stated" => format!("{stated:?}"),
                 "era" => self.current());
         }
     }
+
+    fn count(&self, name: &'static str) {
+        if let Some(context) = &self.context {
+            context.metrics().count(name, 1);
+        }
+    }
 }
