Assume cached blocks at replica sets only where responses do not state them

The assumption now begins with a complete response that states none, so decisions where responses state them are those of before.

--- a/src/jujubelink/core/routing/router/hit_rates.rs
+++ b/src/jujubelink/core/routing/router/hit_rates.rs
@@ -12,6 +12,8 @@
     other: f64,
     /// Whether a response has stated how much was cached.
     is_observed: bool,
+    /// Whether a complete response has not stated it.
+    is_unstated: bool,
 }
 
 impl Default for ReplicaHitRates {
@@ -20,12 +22,13 @@
             recent: 0.5,
             other: 0.3,
             is_observed: false,
+            is_unstated: false,
         }
     }
 }
 
-/// Hit rate that is assumed in a fleet of more than [`MAX_SMALL_FLEET_INSTANCES`] instances until responses
-/// state how much was cached, which on the platform they never do. The other instances send nearly all
+/// Hit rate that is assumed in a fleet of more than [`MAX_SMALL_FLEET_INSTANCES`] instances whose responses do
+/// not state how much was cached, as on the platform. The other instances send nearly all
 /// requests for a prefix, to the same members. With 0.5 and 0.3, the members seemed hardly cheaper than other
 /// targets, and a simulated fleet of 85 instances prefilled three times as many shared tokens again.
 const LARGE_FLEET_HIT_RATE: f64 = 1.0;
@@ -45,12 +48,18 @@
         instances: u32,
     ) -> f64 {
         let (recent_part, other_part) = split(estimated, recent, replica);
-        if !self.is_observed && instances > MAX_SMALL_FLEET_INSTANCES {
+        let is_unknown = self.is_unstated && !self.is_observed;
+        if is_unknown && instances > MAX_SMALL_FLEET_INSTANCES {
             return LARGE_FLEET_HIT_RATE * f64::from(recent_part + other_part);
         }
         self.recent * f64::from(recent_part) + self.other * f64::from(other_part)
     }
 
+    /// Records a complete response that does not state how much was cached.
+    pub(super) fn on_unstated(&mut self) {
+        self.is_unstated = true;
+    }
+
     /// Updates the hit rates with the number of cached blocks that a response reported.
     pub(super) fn observe(&mut self, estimated: u32, recent: u32, replica: u32, found: u32) {
         self.is_observed = true;
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -357,6 +357,13 @@
         }
     }
 
+    /// Records a completed request whose response does not state how much of the prompt was cached.
+    pub fn on_cached_unstated(&mut self, model: &str) {
+        if let Some(model) = self.models.get_mut(model) {
+            model.replica_hit_rates.on_unstated();
+        }
+    }
+
     /// Records the durations of a completed request.
     pub fn on_completed(&mut self, model: &str, occupied: Duration, prefill: Duration) {
         if let Some(state) = self.models.get_mut(model) {
--- a/src/jujubelink/core/scheduler/schedule.rs
+++ b/src/jujubelink/core/scheduler/schedule.rs
@@ -587,6 +587,8 @@
                     cached,
                     now,
                 );
+            } else {
+                self.router.on_cached_unstated(&model.model);
             }
         }
         if let Some(first) = model.first_token_at {
