Spread requests while few engines have new weights

Cause: in the first seconds of a roll-out of weights all instances sent to the few engines that already had them, as the others cost 0.5 s more and counted as having nothing cached. On Llano Vista lateness was concentrated in these seconds: a request waited 1.5 s and ran for 3.7 s at an engine that was full of long prompts while the other engines were nearly idle. Change: the part of the requests that avoids engines with outdated weights is twice the share of the engines that have the new ones. Cached blocks of engines with outdated weights count; a change of weights still clears them. The new test fails if all requests avoid outdated weights, as before: a tenth of the engines gets 0.90 of them.

--- a/src/jujubelink/core/routing/router/choose.rs
+++ b/src/jujubelink/core/routing/router/choose.rs
@@ -34,10 +34,21 @@
 /// request of this instance.
 const MAX_UNREPORTED: f64 = 2.0;
 
-/// Wait added for a target whose last connection failed, or whose weights differ from the
-/// configured ones, in seconds. Such a target is not excluded, because it may be the only one.
+/// Wait added for a target whose last connection failed, in seconds. Such a target is not excluded,
+/// because it may be the only one.
 const UNRELIABLE_PENALTY_S: f64 = 0.5;
 
+/// Wait added for a target whose weights differ from the configured ones, in seconds.
+const OUTDATED_WEIGHTS_PENALTY_S: f64 = 0.5;
+
+/// Ratio of the requests that avoid targets with outdated weights to the share of the targets that have the
+/// configured ones. If all requests avoid them from the start of a roll-out, its first targets get the requests
+/// of all instances, and their queues take seconds while other targets are idle.
+const AVOIDING_RATIO: f64 = 2.0;
+
+/// Seed that makes this choice independent of the random candidates.
+const AVOIDING_SEED: u64 = 0x7765_6967;
+
 /// Maximum random addition to a wait, in seconds. It spreads requests over targets of equal cost.
 /// Without it, an instance that has no recent load reports would send all requests to the same
 /// target.
@@ -69,6 +80,7 @@
         random: u64,
         now: Timestamp,
     ) -> Option<Choice> {
+        self.count_updated_targets(request.model, now);
         let mut scan = std::mem::take(&mut self.scan);
         let mut choice = self.choose_among_candidates(&mut scan, request, random, now);
         if let (Some(choice), true) = (&mut choice, self.has_engine_fetch) {
@@ -243,7 +255,7 @@
             let is_out = !state.accepts_requests(now)
                 || state.busy_until > now
                 || !may_run(model, request, state)
-                || !has_weights(model, state);
+                || !model.has_weights(state);
             if is_out {
                 return HolderUse::Out;
             }
@@ -297,13 +309,13 @@
         if now < state.unreliable_until {
             wait_s += UNRELIABLE_PENALTY_S;
         }
-        let has_weights = has_weights(model, state);
-        if !has_weights {
-            wait_s += UNRELIABLE_PENALTY_S;
+        let avoids_outdated =
+            unit_random(scan.random, AVOIDING_SEED) < AVOIDING_RATIO * model.updated.share;
+        if avoids_outdated && !model.has_weights(state) {
+            wait_s += OUTDATED_WEIGHTS_PENALTY_S;
         }
-        let only_with_weights = |blocks: u32| if has_weights { blocks } else { 0 };
-        let cached_blocks = only_with_weights(scan.cached_blocks(target));
-        let replica_blocks = only_with_weights(scan.replica_blocks(target));
+        let cached_blocks = scan.cached_blocks(target);
+        let replica_blocks = scan.replica_blocks(target);
         let recent_blocks = scan.recent_blocks;
         let expected_hits = model.replica_hit_rates.expected_blocks(
             cached_blocks,
@@ -386,11 +398,6 @@
     wait_s <= MAX_ENGINE_WAIT_S || state.load.local_requests() == 0
 }
 
-/// Whether a target has the configured weights, as far as it has reported them.
-fn has_weights(model: &ModelState, state: &TargetState) -> bool {
-    [0, model.weights_hash].contains(&state.reported.weights_hash)
-}
-
 /// Whether a target that accepts requests may run this one.
 fn may_run(model: &ModelState, request: &RouteRequest<'_>, state: &TargetState) -> bool {
     [0, model.model_hash].contains(&state.reported.model_hash)
--- a/src/jujubelink/core/routing/router/mod.rs
+++ b/src/jujubelink/core/routing/router/mod.rs
@@ -13,7 +13,8 @@
 pub use self::pace::{SpeedRange, TargetSpeed};
 use super::scan::{FirstBlockDemand, PrefixScan, ScanInput};
 use super::{
-    LoadReport, PrefixTable, RankTable, ServiceTimes, TargetIndex, TargetSettings, TargetTable,
+    LoadReport, PrefixTable, RankTable, ServiceTimes, TargetIndex, TargetSettings, TargetState,
+    TargetTable,
 };
 use crate::core::config::ConfigSnapshot;
 use crate::core::ids::{Fingerprint, Incarnation, ModelId, TargetId, Timestamp, Tokens};
@@ -118,8 +119,36 @@
     work_per_token_s: f64,
     /// Usual values of the model's targets; `None` until one of them has reported a pace.
     service_pace: Option<ServicePace>,
+    updated: UpdatedTargets,
 }
 
+impl ModelState {
+    /// Whether a target has the configured weights, as far as is known.
+    fn has_weights(&self, state: &TargetState) -> bool {
+        [0, self.weights_hash].contains(&state.reported.weights_hash)
+    }
+}
+
+/// Share of a model's targets in service that have the configured weights, as last counted.
+#[derive(Debug, Clone, Copy)]
+struct UpdatedTargets {
+    share: f64,
+    counted_at: Option<Timestamp>,
+}
+
+impl Default for UpdatedTargets {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            counted_at: None,
+        }
+    }
+}
+
+/// Time between counts of the targets that have the configured weights. A decision must not visit all
+/// targets, and a load takes 0.4 s or more.
+const COUNT_PERIOD: Duration = Duration::from_millis(100);
+
 /// Assumed fraction of a prompt that is computed (not cached) until requests have been observed.
 const INITIAL_COMPUTED_RATIO: f64 = 0.5;
 
@@ -176,6 +205,7 @@
                 replica_hit_rates: ReplicaHitRates::default(),
                 work_per_token_s: INITIAL_COMPUTED_RATIO / rate,
                 service_pace: None,
+                updated: UpdatedTargets::default(),
             });
             state.block_bytes = model.block_bytes.max(1);
             state.block_prefill_s = BLOCK_TOKENS / rate;
@@ -273,6 +303,31 @@
             .collect()
     }
 
+    /// Counts the targets that have the configured weights, unless that was done a moment ago.
+    fn count_updated_targets(&mut self, model: &str, now: Timestamp) {
+        let Some(model) = self.models.get_mut(model) else {
+            return;
+        };
+        let last = model.updated.counted_at;
+        if last.is_some_and(|last| now.saturating_sub(last) < COUNT_PERIOD) {
+            return;
+        }
+        let states = model.members.iter();
+        let states = states.map(|(target, _)| self.targets.get(*target));
+        let (mut in_service, mut updated) = (0u32, 0u32);
+        for state in states.filter(|state| state.is_in_service()) {
+            in_service += 1;
+            updated += u32::from(model.has_weights(state));
+        }
+        model.updated = UpdatedTargets {
+            share: match in_service {
+                0 => 1.0,
+                _ => f64::from(updated) / f64::from(in_service),
+            },
+            counted_at: Some(now),
+        };
+    }
+
     /// Records a sent request, whose blocks will be cached at the target.
     pub fn on_sent(&mut self, request: &RouteRequest<'_>, choice: &Choice, now: Timestamp) {
         let Some(model) = self.models.get_mut(request.model) else {
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -212,6 +212,47 @@
     assert_eq!(cached_blocks_at(&mut router, &blocks, target), 0);
 }
 
+/// Guards against instances that all send to the few targets that already have new weights, where requests
+/// then wait for seconds while the other targets are idle.
+#[test]
+fn the_first_targets_with_new_weights_do_not_get_all_requests() {
+    const INSTANCES: u64 = 85;
+    const REQUESTS: u64 = 5;
+    let share_of_updated = |updated: u32| {
+        let mut count = 0;
+        for instance in 0..INSTANCES {
+            let mut router = router(40);
+            router.set_instance_count(INSTANCES as u32);
+            for target in 0..40 {
+                let version = if target < updated { "1" } else { "0" };
+                let report = LoadReport {
+                    incarnation: 7,
+                    model: MODEL.to_owned(),
+                    weights_version: version.to_owned(),
+                    ..LoadReport::default()
+                };
+                router.on_load(target, &report, NOW);
+            }
+            for request in 0..REQUESTS {
+                let seed = stable_hash(instance, &request.to_le_bytes());
+                let text = prompt_text(&format!("{instance} {request}"), 8);
+                let blocks = prompt("large", "1", &text).blocks;
+                let route = RouteRequest {
+                    rate_tokens_per_s: 1_000_000,
+                    ..route_request(&blocks, 800)
+                };
+                let choice = router.choose(&route, seed, NOW).expect("a target");
+                router.on_sent(&route, &choice, NOW);
+                count += u64::from(choice.target < updated);
+            }
+        }
+        count as f64 / (INSTANCES * REQUESTS) as f64
+    };
+    let shares = [4, 20, 36].map(share_of_updated);
+    assert!(shares[0] < 0.4, "{shares:?}");
+    assert!(shares[1] > 0.9 && shares[2] > 0.95, "{shares:?}");
+}
+
 /// Guards against a cached estimate that outlives the blocks, and against digests of another
 /// incarnation.
 #[test]
