Count received bytes and open crowds in the tests of untrusted clients

The tests of crowds looked at resident memory only and asked for an ordinary request after the crowd had gone. Bytes that were received and not read count towards the memory of a machine, and crowds stay open.

The tests now sum resident memory and unread bytes of all sockets of the process, with those of the backlog, and ask for an ordinary request while the crowd stays open and again afterwards. New crowds: complete requests whose endless responses are read slowly or not at all, several crowds at the same time, HTTP/2, and the deployment with a configuration of its own. The machine has 64 MB and 2,400 descriptors as before.

--- a/tests/testsuite/endless_bytes/site.rs
+++ b/tests/testsuite/endless_bytes/site.rs
@@ -12,7 +12,9 @@
 use jujubelink_standins::fleet::{CacheStore, FaultPlan, FleetTarget, ObjectStore, StoreEndpoint};
 use serde_json::json;
 
-use crate::support::{Flood, FloodProxy, Instance, WAIT_TIMEOUT, eventually, free_address};
+use crate::support::{
+    Flood, FloodProxy, Instance, WAIT_TIMEOUT, eventually, free_address, process_memory_bytes,
+};
 
 /// Time that clients of flooded requests wait. It ends the floods that no limit of size ends.
 pub(crate) const FLOODED_DEADLINE_MS: u64 = 1_000;
@@ -176,12 +178,7 @@
 
     /// Returns a field of the process' status, in bytes.
     pub(crate) fn memory_bytes(&self, field: &str) -> u64 {
-        let path = format!("/proc/{}/status", self.instance.pid());
-        let status = std::fs::read_to_string(path).unwrap();
-        let mut lines = status.lines();
-        let value = lines.find_map(|line| line.strip_prefix(field)).unwrap();
-        let kib = value.trim_start_matches(':').trim().strip_suffix(" kB");
-        kib.unwrap().parse::<u64>().unwrap() * 1024
+        process_memory_bytes(self.instance.pid(), field).expect("a running process")
     }
 
     /// Checks that the peak of the process' memory has not exceeded its size before the floods by more
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,8 +4,10 @@
 pub(crate) mod decisions;
 mod fleet;
 mod flood;
+pub(crate) mod http2;
 mod instance;
 mod log;
+mod process;
 mod scripted;
 mod unresponsive;
 
@@ -17,6 +19,7 @@
 pub(crate) use instance::{ADMIN_KEY, Instance};
 pub(crate) use jujubelink_standins::ports::{free_address, spawn};
 pub(crate) use log::LogFile;
+pub(crate) use process::{ProcessSockets, process_memory_bytes};
 pub(crate) use scripted::{ReceivedRequest, Reply, ScriptedTarget, Step};
 pub(crate) use unresponsive::UnresponsivePort;
 
@@ -63,26 +66,31 @@
     request: http::request::Builder,
     body: Option<String>,
 ) -> TestResponse {
+    let response = try_send(address, request, body).await;
+    response.expect("a complete response")
+}
+
+/// Like [`send`]. Returns `None` if the connection ends before the response does.
+pub(crate) async fn try_send(
+    address: SocketAddr,
+    request: http::request::Builder,
+    body: Option<String>,
+) -> Option<TestResponse> {
     let body = body.map_or_else(empty, full);
     let request = request
         .header("host", address.to_string())
         .body(body)
         .expect("a valid request");
     let options = RequestOptions::default().with_new_connection();
-    let response = Client::new()
-        .send(address, request, options)
-        .await
-        .expect("a response");
+    let response = Client::new().send(address, request, options).await.ok()?;
     let (head, body) = response.into_parts();
-    let body = collect_limited(body, 64 << 20)
-        .await
-        .expect("a complete body")
-        .expect("a body of at most 64 MiB");
-    TestResponse {
+    let body = collect_limited(body, 64 << 20).await.ok()?;
+    let body = body.expect("a body of at most 64 MiB");
+    Some(TestResponse {
         status: head.status.as_u16(),
         headers: head.headers,
         body: String::from_utf8(body.to_vec()).expect("text"),
-    }
+    })
 }
 
 /// Calls `probe` every 10 ms until it returns a value; panics after [`WAIT_TIMEOUT`]. `what`
--- a/tests/testsuite/unread_responses.rs
+++ b/tests/testsuite/unread_responses.rs
@@ -23,6 +23,9 @@
 use jujubelink::util::net::{Listener, Stream};
 
 use crate::endless_bytes::site::Site;
+use crate::support::http2::{
+    END_HEADERS, END_STREAM, HEADERS, HTTP2_PREFACE, SETTINGS, http2_frame,
+};
 use crate::support::{Flood, WAIT_TIMEOUT, eventually, run};
 
 const FRAME_BYTES: usize = 16 * 1024;
@@ -194,13 +197,6 @@
     assert!(!ledger.grow_if_free(response, 1));
 }
 
-/// Returns an HTTP/2 frame.
-fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
-    let header = [length[1], length[2], length[3], kind, flags];
-    [&header[..], &stream.to_be_bytes(), payload].concat()
-}
-
 /// Guards against streams whose windows are open and whose connection is not read, each of which would hold a large
 /// send buffer.
 #[test]
@@ -210,14 +206,21 @@
     const KERNEL_BYTES: usize = 8 << 20;
     run(async {
         let server = LongResponses::new(1_000_000);
-        let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+        let mut bytes = HTTP2_PREFACE.to_vec();
         let largest_window = (i32::MAX as u32).to_be_bytes();
-        bytes.extend(frame(4, 0, 0, &[&[0, 4], &largest_window[..]].concat()));
+        bytes.extend(http2_frame(
+            SETTINGS,
+            0,
+            0,
+            &[&[0, 4], &largest_window[..]].concat(),
+        ));
         let increment = (i32::MAX as u32 - 65_535).to_be_bytes();
-        bytes.extend(frame(8, 0, 0, &increment));
+        bytes.extend(http2_frame(8, 0, 0, &increment));
         for stream in 0..STREAMS {
             // `:method: GET`, `:scheme: http`, `:path: /` and `:authority: h`.
-            bytes.extend(frame(1, 5, 2 * stream + 1, b"\x82\x86\x84\x41\x01h"));
+            let flags = END_HEADERS | END_STREAM;
+            let head = b"\x82\x86\x84\x41\x01h";
+            bytes.extend(http2_frame(HEADERS, flags, 2 * stream + 1, head));
         }
         let options = ServerOptions {
             send_buffer_bytes: FRAME_BYTES,
--- a/tests/testsuite/untrusted_clients/bodies.rs
+++ b/tests/testsuite/untrusted_clients/bodies.rs
@@ -10,7 +10,7 @@
 const SMALLEST_MEMORY_MB: u64 = 88;
 
 /// Largest body that the configuration allows.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub(super) const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Number of clients. Their bodies together are more than ten times the memory of the machine.
 const CLIENTS: usize = 200;
@@ -32,11 +32,11 @@
     )
 }
 
-fn head_with_length(bytes: usize) -> String {
+pub(super) fn head_with_length(bytes: usize) -> String {
     head(&format!("content-length: {bytes}"))
 }
 
-fn chunked_head() -> String {
+pub(super) fn chunked_head() -> String {
     head("transfer-encoding: chunked")
 }
 
