Let connections that wait for their clients give way to others

Callers saw: with a crowd of 2,000 connections open whose clients read nothing, no further request was served as long as the crowd stayed, and the process held 147.7 MB on a machine of 64 MB.

Cause: connections, requests and bodies had bounds of their own that did not add up to the memory of the machine. States of requests, their connections to targets and their heads were not counted. No connection was closed for another one, and no unread response ended.

Change: one ledger charges connections, requests with three times their heads, and bodies, and is derived from what the program leaves of the memory. A connection that has waited for its client for 3 s (idle, within a head, or stalled with an unread response or a refused body) ends in favor of a new connection or request. Connections without a request go first, the address with most connections before others. A request without memory gets 503 with Retry-After before it is looked at. hyper gets no more of a response while 32 KiB of it are not written.

bounds_follow_the_size_of_the_machine expected bounds whose sum exceeds the memory. It pins the new ones, and another test checks the sum itself.

--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -1,18 +1,39 @@
 //! How much of its machine an instance uses for clients.
 
+mod connection;
 mod ledger;
 
-pub use ledger::{Grant, Ledger, Owner, TransferId};
+pub use connection::ConnectionPhase;
+pub use ledger::{Admission, ConnectionId, Grant, Ledger, LedgerLimits, Owner, TransferId};
 
 /// Most connections of clients, on a machine of any size.
 const MAX_CONNECTIONS: u64 = 16_384;
 
-/// Most memory for heads and bodies of requests, on a machine of any size, in bytes.
-const MAX_BODY_BYTES: u64 = 128 * 1024 * 1024;
+/// Most memory for requests, on a machine of any size, in bytes.
+const MAX_REQUEST_BYTES: u64 = 128 * 1024 * 1024;
 
-/// Memory that a connection without a request needs, in bytes, including its part of the allocator's
-/// overhead.
-const CONNECTION_BYTES: u64 = 32 * 1024;
+/// Memory of the process without clients, in bytes, on a machine of any size. A sixteenth of the memory is added for
+/// what grows with the deployment, and for gaps in the heap.
+pub const PROGRAM_BYTES: usize = 28_000_000;
+
+/// Memory that a connection over HTTP/1.1 holds beside its request, in bytes: its state (16 KiB), two reads of
+/// [`MIN_READ_BYTES`], and 16 KiB in its receive buffer.
+pub const CONNECTION_BYTES: usize = 48 * 1024;
+
+/// Memory that a connection with TLS holds in addition, in bytes: its buffers and the state of its handshake.
+pub const TLS_BYTES: usize = 48 * 1024;
+
+/// Memory that a request holds beside its head and body, in bytes: its state, its connection to the target with
+/// receive and read buffers, and [`UNSENT_BYTES`].
+pub const REQUEST_BYTES: usize = 64 * 1024 + UNSENT_BYTES;
+
+/// Part of the response that is held until the client takes it, in bytes. It is charged for each request, under
+/// HTTP/2 when the stream begins.
+pub const UNSENT_BYTES: usize = 32 * 1024;
+
+/// Memory that a byte of a head holds while its request is in progress: the head as it arrived, in parts, and as it
+/// is sent to the target.
+pub const HEAD_FACTOR: usize = 3;
 
 /// Descriptors for files and for connections to the store, to other instances and of operators.
 const RESERVED_DESCRIPTORS: u64 = 400;
@@ -37,48 +58,61 @@
 }
 
 /// Bounds on what an instance holds for all clients together.
+///
+/// With a limited memory, the program, the buffers that exceed their smallest size, and `total_bytes` together are at
+/// most that memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientBounds {
-    /// Open connections. Idle ones use at most half of the memory, and all of them leave a third of the
-    /// descriptors to connections to targets.
+    /// Open connections. They leave a third of the descriptors to connections to targets.
     pub connections: usize,
-    /// Heads and bodies of requests, in bytes. A quarter of the memory, unless the settings state it.
-    pub body_bytes: usize,
+    /// Connections and requests together, in bytes.
+    pub total_bytes: usize,
+    /// Requests in progress with their heads and bodies, in bytes. Three quarters of `total_bytes`, unless the
+    /// settings state it.
+    pub request_bytes: usize,
+    /// Read buffers beyond their smallest size, in bytes.
+    read_bytes: usize,
 }
 
 impl ClientBounds {
     /// Derives the bounds from the size of the machine.
     pub fn new(limits: &MachineLimits) -> Self {
-        let by_memory = limits
-            .memory_bytes
-            .map(|bytes| bytes / 2 / CONNECTION_BYTES);
         let by_descriptors = limits
             .descriptors
             .map(|count| count.saturating_sub(RESERVED_DESCRIPTORS) / 3 * 2);
-        let connections = [by_memory, by_descriptors]
-            .into_iter()
-            .flatten()
-            .fold(MAX_CONNECTIONS, u64::min);
-        let body_bytes = limits
-            .memory_bytes
-            .map_or(MAX_BODY_BYTES, |bytes| MAX_BODY_BYTES.min(bytes / 4));
+        let connections = by_descriptors.unwrap_or(MAX_CONNECTIONS);
+        let total_bytes = limits.memory_bytes.map(client_bytes);
+        let request_bytes = total_bytes.map_or(MAX_REQUEST_BYTES, |bytes| {
+            MAX_REQUEST_BYTES.min(bytes / 4 * 3)
+        });
+        let buffer_bytes = limits.memory_bytes.map(|bytes| (bytes / 32) as usize);
         Self {
-            connections: connections as usize,
-            body_bytes: body_bytes as usize,
+            connections: connections.min(MAX_CONNECTIONS) as usize,
+            total_bytes: total_bytes.map_or(usize::MAX, |bytes| bytes as usize),
+            request_bytes: request_bytes as usize,
+            read_bytes: buffer_bytes.unwrap_or(MAX_REQUEST_BYTES as usize / 4),
         }
     }
 
-    /// Replaces the memory for heads and bodies of requests.
-    pub fn with_body_bytes(mut self, body_bytes: usize) -> Self {
-        self.body_bytes = body_bytes;
+    /// Replaces the memory for requests with their heads and bodies.
+    pub fn with_request_bytes(mut self, request_bytes: usize) -> Self {
+        self.request_bytes = request_bytes;
         self
     }
 
-    /// Returns the most bytes of a read from a client, so that the read buffers of all connections together
-    /// use at most a quarter of the memory for bodies, as far as reads of [`MIN_READ_BYTES`] allow. Each
-    /// connection may hold two reads: one in the buffer and one that is taken from it.
+    /// Returns the most bytes of a read from a client, as far as reads of [`MIN_READ_BYTES`] allow. Each connection
+    /// may hold two reads: one in the buffer and one that is taken from it.
     pub fn read_bytes(&self, connections: usize) -> usize {
-        let share = self.body_bytes / 4 / 2 / connections.max(1);
+        let share = self.read_bytes / 2 / connections.max(1);
         share.clamp(MIN_READ_BYTES, MAX_READ_BYTES)
     }
 }
+
+/// Returns what is left to clients of a machine's memory.
+fn client_bytes(memory_bytes: u64) -> u64 {
+    let buffer_bytes = memory_bytes / 16;
+    let program_bytes = PROGRAM_BYTES as u64 + memory_bytes / 16;
+    let rest = memory_bytes.saturating_sub(program_bytes + buffer_bytes);
+    // A machine that is too small for the program still serves single requests.
+    rest.max(memory_bytes / 8)
+}
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -4,20 +4,26 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
-use crate::core::capacity::{ClientBounds, Owner};
+use http::Version;
+use http::request::Parts;
+
+use crate::core::capacity::{
+    CONNECTION_BYTES, ClientBounds, HEAD_FACTOR, LedgerLimits, Owner, REQUEST_BYTES, TLS_BYTES,
+    UNSENT_BYTES,
+};
 use crate::util::http::{Body, attach_guard};
-use crate::util::memory_budget::{MemoryBudget, Reservation};
+use crate::util::memory_budget::{ConnectionMemory, MemoryBudget, OpenedConnection, Reservation};
 
 /// Current load from clients.
 pub(super) struct Load {
-    /// Further connections are closed at once, so that clients without a key cannot exhaust memory and
-    /// file descriptors. Requests whose bodies exceed the bound for them are refused as overloaded: a body
+    /// Connections beyond the bound are closed at once if no other one gives way to them, so that clients without a
+    /// key cannot exhaust memory and file descriptors. Requests that exceed it are refused as overloaded: a body
     /// stays buffered until its response has ended, because it may be needed to continue the response at
     /// another target.
     bounds: ClientBounds,
     connections: Rc<Cell<usize>>,
     requests: Rc<Cell<usize>>,
-    /// Memory for heads and bodies.
+    /// Memory for connections and requests.
     memory: MemoryBudget,
 }
 
@@ -30,35 +36,33 @@
             bounds,
             connections: Rc::default(),
             requests: Rc::default(),
-            memory: MemoryBudget::new(bounds.body_bytes),
+            memory: MemoryBudget::with_limits(LedgerLimits {
+                transfer_bytes: bounds.request_bytes,
+                total_bytes: bounds.total_bytes,
+                connections: bounds.connections,
+            }),
         }
     }
 
-    /// Counts a connection. Returns `None` at the limit.
-    pub(super) fn begin_connection(&self) -> Option<LoadGuard> {
-        (self.connections.get() < self.bounds.connections)
-            .then(|| LoadGuard::new(&self.connections))
-    }
-
-    /// Starts the reservation for a head or body of unknown size.
-    pub(super) fn begin_transfer(&self, address: Option<IpAddr>) -> Reservation {
-        self.memory.begin(Owner {
-            address,
-            workspace: None,
-        })
+    /// Opens a connection. Returns `None` at the limit if no other connection gives way.
+    pub(super) fn open_connection(
+        &self,
+        address: Option<IpAddr>,
+        has_tls: bool,
+    ) -> Option<OpenedConnection> {
+        let tls_bytes = if has_tls { TLS_BYTES } else { 0 };
+        self.memory
+            .open_connection(address, CONNECTION_BYTES + tls_bytes)
     }
 
-    /// Starts the reservation for what a client does not take or has not sent yet. It does not have to end in favor
-    /// of transfers.
-    pub(super) fn begin_held(&self, address: Option<IpAddr>) -> Reservation {
-        let reservation = self.begin_transfer(address);
-        reservation.complete();
-        reservation
+    /// Counts a connection until it is closed.
+    pub(super) fn count_connection(&self) -> LoadGuard {
+        LoadGuard::new(&self.connections)
     }
 
     /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
     pub(super) fn reserve_body(&self, bytes: usize) -> Option<Reservation> {
-        let reservation = self.begin_transfer(None);
+        let reservation = self.memory.begin(Owner::default());
         reservation.complete();
         reservation.grow(bytes).then_some(reservation)
     }
@@ -71,6 +75,7 @@
     /// closed also if the limit may have been raised meanwhile.
     pub(super) fn is_crowded(&self) -> bool {
         self.connections.get() >= self.bounds.connections / 2
+            || self.memory.total_bytes() >= self.bounds.total_bytes / 2
     }
 
     /// Most bytes of a read from a client.
@@ -89,6 +94,23 @@
     }
 }
 
+/// Reserves the memory that a request needs beside its body. Returns `None` if too little is left.
+pub(super) fn reserve_request(connection: &ConnectionMemory, head: &Parts) -> Option<Reservation> {
+    let request_bytes = match head.version {
+        Version::HTTP_2 => REQUEST_BYTES - UNSENT_BYTES,
+        _ => REQUEST_BYTES,
+    };
+    let values = head.headers.iter();
+    let header_bytes = values.map(|(name, value)| name.as_str().len() + value.len());
+    let uri = head.uri.path_and_query();
+    let uri_bytes = uri.map_or(0, |path| path.as_str().len());
+    let head_bytes = header_bytes.sum::<usize>() + uri_bytes;
+    let reservation = connection.begin();
+    reservation
+        .grow(request_bytes + HEAD_FACTOR * head_bytes)
+        .then_some(reservation)
+}
+
 impl LoadGuard {
     fn new(count: &Rc<Cell<usize>>) -> Self {
         count.set(count.get() + 1);
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -1,18 +1,17 @@
 //! Routes client requests to the model, plain and relay handlers.
 
 use std::future::Future;
-use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task;
 
 use futures_util::FutureExt;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 
-use super::client_address::ClientAddress;
 use super::client_limits::ClientLimits;
-use super::connections::Load;
+use super::connections::{Load, reserve_request};
 use super::http2_memory::{Http2Grant, Http2Memory};
 use super::key_revocation::KeyRevocations;
 use super::model::{Endpoint, handle_model_list, handle_model_request};
@@ -22,7 +21,7 @@
 use super::request_id::{REQUEST_ID_HEADER, request_id};
 use super::request_log::RequestLog;
 use super::waits::CurrentWait;
-use crate::core::capacity::{ClientBounds, MachineLimits};
+use crate::core::capacity::{ClientBounds, ConnectionPhase, MachineLimits};
 use crate::core::config::ConfigSnapshot;
 use crate::core::connection::KnownLimits;
 use crate::core::ids::RequestId;
@@ -34,7 +33,7 @@
     Body, Client, ConnectionEnd, DEFAULT_SEND_TIME, DEFAULT_WAIT_LIMITS, Handler, UnreadBody,
     attach_guard, empty,
 };
-use crate::util::memory_budget::Reservation;
+use crate::util::memory_budget::{ConnectionMemory, Reservation};
 
 /// State shared by all client requests.
 pub(super) struct Proxy {
@@ -51,6 +50,7 @@
 
 impl Proxy {
     pub(super) fn new(context: &Context) -> Rc<Self> {
+        let bounds = client_bounds(context);
         let client = Client::new();
         let relay = Relay::new(context);
         Rc::new(Self {
@@ -58,7 +58,7 @@
             engines: EngineClient::new(client.clone()),
             client,
             key_revocations: KeyRevocations::default(),
-            load: Load::new(client_bounds(context)),
+            load: Load::new(bounds),
             client_limits: relay.as_ref().map(|_| ClientLimits::new(context)),
             relay,
         })
@@ -92,6 +92,19 @@
         }
     }
 
+    /// Reserves the memory that a request needs beside its body.
+    pub(super) fn reserve_request(
+        &self,
+        connection: &ConnectionMemory,
+        head: &Parts,
+    ) -> Result<Reservation, Refusal> {
+        reserve_request(connection, head).ok_or_else(|| {
+            self.context.metrics().count("requests_without_memory", 1);
+            Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the request")
+                .with_retry_after(NO_TARGET_RETRY_AFTER)
+        })
+    }
+
     async fn route_request(
         self: &Rc<Self>,
         head: Parts,
@@ -180,16 +193,16 @@
 #[derive(Clone)]
 pub(super) struct ClientHandler {
     proxy: Rc<Proxy>,
-    /// Address of the client, if it is known.
-    address: Option<IpAddr>,
+    /// Room for the connection.
+    memory: Rc<ConnectionMemory>,
     http2_memory: Rc<Http2Memory>,
 }
 
 impl ClientHandler {
-    pub(super) fn new(proxy: Rc<Proxy>, address: Option<IpAddr>) -> Self {
+    pub(super) fn new(proxy: Rc<Proxy>, memory: Rc<ConnectionMemory>) -> Self {
         Self {
             proxy,
-            address,
+            memory,
             http2_memory: Rc::default(),
         }
     }
@@ -199,8 +212,15 @@
     /// Charges the memory that a request needs under HTTP/2. Returns `None` if too little is left.
     fn begin_http2(&self, request: &Request<Incoming>) -> Option<Http2Grant> {
         let has_body = !http_body::Body::is_end_stream(request.body());
-        let begin = || self.proxy.load.begin_held(self.address);
-        self.http2_memory.begin(has_body, begin)
+        self.http2_memory.begin(has_body, || self.begin_held())
+    }
+
+    /// Starts the reservation for what the client does not take or has not sent yet. It does not have to end in favor
+    /// of transfers, unless the connection does.
+    fn begin_held(&self) -> Reservation {
+        let reservation = self.memory.begin();
+        reservation.complete();
+        reservation
     }
 
     /// Refuses a request for which no memory is left.
@@ -221,11 +241,8 @@
 }
 
 impl Handler for ClientHandler {
-    fn handle(
-        self,
-        mut request: Request<Incoming>,
-    ) -> impl Future<Output = Response<Body>> + 'static {
-        let memory = match request.version() {
+    fn handle(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + 'static {
+        let http2_grant = match request.version() {
             Version::HTTP_2 => match self.begin_http2(&request) {
                 Some(grant) => Some(grant),
                 None => return std::future::ready(self.refuse(request)).left_future(),
@@ -235,15 +252,13 @@
         // hyper reserves space for the future in every connection. Boxing limits this to the time
         // until the response head is ready.
         let proxy = self.proxy;
-        if let Some(address) = self.address {
-            request.extensions_mut().insert(ClientAddress(address));
-        }
+        let connection = self.memory;
         let handled = async move {
             let response = match proxy.relay.clone() {
-                Some(relay) => handle_relayed_request(proxy, relay, request).await,
+                Some(relay) => handle_relayed_request(proxy, relay, &connection, request).await,
                 None => proxy.handle_request(request).await,
             };
-            match memory {
+            match http2_grant {
                 Some(grant) => response.map(|body| attach_guard(body, grant)),
                 None => response,
             }
@@ -264,11 +279,11 @@
     }
 
     fn begin_head(&self) -> Option<Reservation> {
-        Some(self.proxy.load.begin_transfer(self.address))
+        Some(self.memory.begin())
     }
 
     fn begin_response(&self) -> Option<Reservation> {
-        Some(self.proxy.load.begin_held(self.address))
+        Some(self.begin_held())
     }
 
     fn on_held_back(&self) {
@@ -278,6 +293,14 @@
         context.metrics().count("responses_held_back", 1);
     }
 
+    fn on_phase(&self, phase: ConnectionPhase) {
+        self.memory.set_phase(phase);
+    }
+
+    fn poll_end(&self, cx: &mut task::Context<'_>) -> task::Poll<()> {
+        self.memory.poll_end(cx)
+    }
+
     fn on_end(&self, end: &ConnectionEnd<'_>) {
         let context = &self.proxy.context;
         match end {
@@ -295,6 +318,11 @@
                     "reason" => %end, "connections" => self.proxy.load.connections());
                 context.metrics().count("heads_ended", 1);
             }
+            ConnectionEnd::GaveWay { phase } => {
+                slog::info!(context.log(), "client connection gave way"; "reason" => %end,
+                    "phase" => %phase, "connections" => self.proxy.load.connections());
+                context.metrics().count("connections_gave_way", 1);
+            }
             ConnectionEnd::EndlessBody => {
                 slog::info!(context.log(), "client connection closed within a refused body";
                     "connections" => self.proxy.load.connections());
@@ -312,7 +340,7 @@
         descriptors: machine.max_descriptors,
     });
     match machine.client_memory_mb {
-        Some(mb) => bounds.with_body_bytes(bytes(mb) as usize),
+        Some(mb) => bounds.with_request_bytes(bytes(mb) as usize),
         None => bounds,
     }
 }
--- a/src/jujubelink/ops/proxy/http2_memory.rs
+++ b/src/jujubelink/ops/proxy/http2_memory.rs
@@ -3,17 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use crate::core::capacity::UNSENT_BYTES;
 use crate::util::memory_budget::Reservation;
 
 /// Size of the windows of a connection and of each of its streams. It is the amount that is on its way on a link of
 /// 10 Mbit/s with a delay of 100 ms.
 pub(super) const WINDOW_BYTES: usize = 128 * 1024;
 
-/// Send buffer of a stream.
-pub(super) const SEND_BUFFER_BYTES: usize = 16 * 1024;
-
-/// Charge for a request: its send buffer, and a frame that exceeds it.
-const REQUEST_BYTES: usize = 2 * SEND_BUFFER_BYTES;
+/// Send buffer of a stream. With a frame that exceeds it, a stream holds [`UNSENT_BYTES`].
+pub(super) const SEND_BUFFER_BYTES: usize = UNSENT_BYTES / 2;
 
 /// What the requests in progress of a connection hold.
 #[derive(Default)]
@@ -45,7 +43,7 @@
             let mut reservation = self.reservation.borrow_mut();
             let granted = reservation
                 .get_or_insert_with(begin)
-                .grow_if_free(REQUEST_BYTES + window_bytes);
+                .grow_if_free(UNSENT_BYTES + window_bytes);
             if !granted {
                 if self.requests.get() == 0 {
                     reservation.take();
@@ -74,7 +72,7 @@
             reservation.take();
         } else if let Some(reservation) = &*reservation {
             let window_bytes = if with_body > 0 { WINDOW_BYTES } else { 0 };
-            reservation.shrink_to(memory.requests.get() * REQUEST_BYTES + window_bytes);
+            reservation.shrink_to(memory.requests.get() * UNSENT_BYTES + window_bytes);
         }
     }
 }
--- a/src/jujubelink/ops/proxy/mod.rs
+++ b/src/jujubelink/ops/proxy/mod.rs
@@ -1,7 +1,6 @@
 //! Client-facing proxy: accepts connections, authenticates requests and forwards them to targets.
 
 mod auth;
-mod client_address;
 mod client_limits;
 mod connections;
 mod handler;
@@ -12,6 +11,7 @@
 mod plugin;
 mod refusal;
 mod relay;
+mod request_body;
 mod request_id;
 mod request_log;
 mod waits;
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -1,6 +1,8 @@
 //! The client listener and its graceful shutdown.
 
 use std::cell::{OnceCell, RefCell};
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -167,7 +169,7 @@
 
 /// Accepts and serves connections until `end` completes.
 async fn accept_until(proxy: &Rc<Proxy>, listener: &Listener, end: impl Future<Output = ()>) {
-    let mut end = std::pin::pin!(end.fuse());
+    let mut end = pin!(end.fuse());
     loop {
         let accepted = futures_util::select_biased! {
             () = end => return,
@@ -185,30 +187,43 @@
 }
 
 fn serve(proxy: &Rc<Proxy>, stream: Stream) {
-    let Some(guard) = proxy.load.begin_connection() else {
+    let address = stream.peer_addr().ok().map(|address| address.ip());
+    let tls = proxy.context.find_service::<ServerTls>();
+    let Some(opened) = proxy.load.open_connection(address, tls.is_some()) else {
         proxy.context.metrics().count("connections_refused", 1);
         slog::warn!(proxy.context.log(), "client connection refused";
             "connections" => proxy.load.connections());
         return;
     };
+    if opened.ended_connections > 0 {
+        slog::debug!(proxy.context.log(), "client connections give way to another one";
+            "ended" => opened.ended_connections, "connections" => proxy.load.connections());
+    }
+    let guard = proxy.load.count_connection();
     if let Err(error) = stream.set_keepalive(CLIENT_KEEPALIVE) {
         slog::warn!(proxy.context.log(), "cannot set keepalive of a client connection";
             "error" => %error);
     }
     let shutdown = proxy.context.shutdown().clone();
-    let address = stream.peer_addr().ok().map(|address| address.ip());
-    let handler = ClientHandler::new(Rc::clone(proxy), address);
+    let memory = Rc::new(opened.memory);
+    let handler = ClientHandler::new(Rc::clone(proxy), Rc::clone(&memory));
     let drain = async move { shutdown.closing().await };
-    let tls = proxy.context.find_service::<ServerTls>();
     let options = connection_options(proxy);
     compio::runtime::spawn(async move {
         // A client that drops its connection is not an error of this instance.
         let _ = match tls {
             None => serve_connection(stream, handler, options, drain).await,
-            Some(tls) => match tls.accept(stream).await {
-                Some(stream) => serve_connection(stream, handler, options, drain).await,
-                None => Ok(()),
-            },
+            Some(tls) => {
+                let mut gave_way = poll_fn(|cx| memory.poll_end(cx)).fuse();
+                let accepted = futures_util::select_biased! {
+                    accepted = pin!(tls.accept(stream).fuse()) => accepted,
+                    () = gave_way => None,
+                };
+                match accepted {
+                    Some(stream) => serve_connection(stream, handler, options, drain).await,
+                    None => Ok(()),
+                }
+            }
         };
         drop(guard);
     })
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -13,7 +13,6 @@
 use super::admission::{Admission, admit, body_too_large, check_key, check_size, quota_units};
 use super::body::TargetResponse;
 use super::crashes::CrashCheck;
-use super::request_body::{BodyFailure, read_request_body};
 use super::send::{SendFailure, SendOutcome};
 use super::stop::Progress;
 use crate::core::canary::VersionChoice;
@@ -27,9 +26,9 @@
 };
 use crate::core::stop::RequestTimes;
 use crate::ops::canary::VersionUse;
-use crate::ops::proxy::client_address::ClientAddress;
 use crate::ops::proxy::handler::Proxy;
 use crate::ops::proxy::refusal::{Outcome, Refusal, RefusalCode};
+use crate::ops::proxy::request_body::read_request_body;
 use crate::ops::proxy::waits::{Awaited, ClientSide};
 use crate::ops::services::{
     AttemptOutcome, Charge, ChargeError, LimitService, ModelRequest, Placement, PlacementError,
@@ -62,7 +61,8 @@
     pub(super) parts: Parts,
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
-    body_reservation: Reservation,
+    /// What the request holds until its response has ended.
+    memory: Reservation,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
@@ -100,9 +100,15 @@
 }
 
 impl Exchange {
-    pub(super) fn new(proxy: &Rc<Proxy>, relay: &Rc<Relay>, parts: Parts, head: RelayHead) -> Self {
+    /// Creates the exchange of a request that has arrived. `memory` is what was reserved for it.
+    pub(super) fn new(
+        proxy: &Rc<Proxy>,
+        relay: &Rc<Relay>,
+        parts: Parts,
+        head: RelayHead,
+        memory: Reservation,
+    ) -> Self {
         let arrived = proxy.context.timers().boot_now();
-        let address = ClientAddress::of(&parts.extensions);
         Self {
             proxy: Rc::clone(proxy),
             relay: Rc::clone(relay),
@@ -110,7 +116,7 @@
             last_event: head.last_event,
             head,
             body: Bytes::new(),
-            body_reservation: proxy.load.begin_transfer(address),
+            memory,
             arrived,
             deadline: Timestamp::MAX,
             admission: None,
@@ -230,8 +236,8 @@
         let remaining = self.remaining();
         let admission = self.admission.as_ref();
         let workspace = admission.and_then(|admission| admission.workspace.clone());
-        self.body_reservation.set_workspace(workspace);
-        let read = read_request_body(incoming, limit, &self.body_reservation);
+        self.memory.set_workspace(workspace);
+        let read = read_request_body(incoming, limit, &self.memory);
         let read = self.proxy.context.timers().timeout(remaining, read).await;
         match read {
             Some(Ok(Some(bytes))) => {
@@ -240,25 +246,7 @@
                 Ok(())
             }
             Some(Ok(None)) => Err(body_too_large(&self.relay.fleet, limit)),
-            Some(Err(BodyFailure::NoMemory)) => {
-                self.proxy.context.metrics().count("bodies_refused", 1);
-                Err(
-                    Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the body")
-                        .with_retry_after(NO_TARGET_RETRY_AFTER),
-                )
-            }
-            Some(Err(BodyFailure::TooSlow)) => {
-                self.proxy.context.metrics().count("bodies_ended", 1);
-                Err(Refusal::not_run(
-                    RefusalCode::Overloaded,
-                    "the memory of the body was needed, and it arrived more slowly than others",
-                )
-                .with_retry_after(NO_TARGET_RETRY_AFTER))
-            }
-            Some(Err(BodyFailure::Broken)) => Err(Refusal::not_run(
-                RefusalCode::InvalidRequest,
-                "the body broke off",
-            )),
+            Some(Err(failure)) => Err(failure.refuse(self.proxy.context.metrics())),
             None => Err(Refusal::not_run(
                 RefusalCode::DeadlineExceeded,
                 "the body did not arrive in time",
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -14,7 +14,6 @@
 mod placement;
 mod readmission;
 mod ready;
-mod request_body;
 mod resend;
 mod send;
 mod stop;
@@ -50,6 +49,7 @@
 use crate::ops::share::Peers;
 use crate::platform::decode_request;
 use crate::util::http::{Body, DEFAULT_SEND_TIME, UnreadBody};
+use crate::util::memory_budget::ConnectionMemory;
 
 /// Time after a configuration change by which the scheduler has applied it.
 const SCHEDULER_UPDATE_DELAY: Duration = Duration::from_millis(5);
@@ -143,15 +143,22 @@
 pub(super) async fn handle_relayed_request(
     proxy: Rc<Proxy>,
     relay: Rc<Relay>,
+    connection: &ConnectionMemory,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let guard = proxy.load.begin_request();
     let version = request.version();
     let (head, body) = request.into_parts();
     let mut body = Some(body);
-    let result = match decode_request(&head) {
-        Ok(relayed) => {
-            let mut exchange = Exchange::new(&proxy, &relay, head, relayed);
+    let memory = proxy.reserve_request(connection, &head);
+    let result = match (decode_request(&head), memory) {
+        (Ok(relayed), Err(refusal)) => {
+            slog::info!(proxy.context.log(), "request refused"; "request" => &*relayed.id,
+                "reason" => &refusal.message, "connections" => proxy.load.connections());
+            Err((refusal, relayed.id, DEFAULT_SEND_TIME))
+        }
+        (Ok(relayed), Ok(memory)) => {
+            let mut exchange = Exchange::new(&proxy, &relay, head, relayed, memory);
             let stopped = no_time_left(proxy.context.clone(), Rc::clone(&exchange.progress));
             let ran = {
                 let mut run = pin!(exchange.run(&mut body).fuse());
@@ -169,7 +176,7 @@
                 }
             }
         }
-        Err(fault) => {
+        (Err(fault), _) => {
             slog::info!(proxy.context.log(), "request malformed"; "fault" => &fault);
             let refusal = Refusal::not_run(RefusalCode::InvalidRequest, fault);
             Err((refusal, "".into(), DEFAULT_SEND_TIME))
--- a/src/jujubelink/ops/proxy/relay/request_body.rs
+++ b/src/jujubelink/ops/proxy/request_body.rs
@@ -8,16 +8,16 @@
 use http_body::Body as _;
 use hyper::body::Incoming;
 
+use super::refusal::{Refusal, RefusalCode};
+use super::relay::NO_TARGET_RETRY_AFTER;
+use crate::ops::telemetry::Metrics;
 use crate::util::memory_budget::Reservation;
 
-/// Memory that a request with a body needs beside the body, for its buffers and those of the connection to
-/// the target, in bytes.
-const REQUEST_BYTES: usize = 32 * 1024;
-
 /// Size from which the buffer of a body of unknown size is as large as the largest body.
 const MAPPED_BODY_BYTES: usize = 64 * 1024;
 
 /// Why a request body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum BodyFailure {
     /// The requests of all clients together are too large.
     NoMemory,
@@ -27,6 +27,29 @@
     Broken,
 }
 
+impl BodyFailure {
+    /// Returns the refusal of the request, and counts it.
+    pub(super) fn refuse(self, metrics: &Metrics) -> Refusal {
+        let overloaded = |message: &str| {
+            Refusal::not_run(RefusalCode::Overloaded, message)
+                .with_retry_after(NO_TARGET_RETRY_AFTER)
+        };
+        match self {
+            Self::NoMemory => {
+                metrics.count("bodies_refused", 1);
+                overloaded("no memory is left for the body")
+            }
+            Self::TooSlow => {
+                metrics.count("bodies_ended", 1);
+                overloaded(
+                    "the memory of the body was needed, and it arrived more slowly than others",
+                )
+            }
+            Self::Broken => Refusal::not_run(RefusalCode::InvalidRequest, "the body broke off"),
+        }
+    }
+}
+
 /// Reads a body of at most `limit_bytes`, and reserves the memory for it as it arrives. Returns `None` if
 /// it is larger.
 pub(super) async fn read_request_body(
@@ -34,9 +57,6 @@
     limit_bytes: usize,
     reservation: &Reservation,
 ) -> Result<Option<Bytes>, BodyFailure> {
-    if !reservation.grow(REQUEST_BYTES) {
-        return Err(BodyFailure::NoMemory);
-    }
     // Growth by doubling would hold up to twice the size of a long body. Memory that is not written to is not
     // in use yet.
     let declared_bytes = body.size_hint().exact().unwrap_or(0);
@@ -53,12 +73,12 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > limit_bytes {
-            return Ok(None);
-        }
         if !reservation.grow(data.len()) {
             return Err(BodyFailure::NoMemory);
         }
+        if collected.len() + data.len() > limit_bytes {
+            return Ok(None);
+        }
         // Growth by doubling leaves gaps in the heap. A buffer of this size is mapped, and the part of it that
         // is not written to is not in use.
         let length = collected.len() + data.len();
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -23,6 +23,7 @@
 use super::{
     Body, BodyError, ClientConnection, ConnectionLoss, LocalExecutor, UnreadBody, attach_guard,
 };
+use crate::core::capacity::ConnectionPhase;
 use crate::core::connection::{KnownLimits, Wait, WaitDecision, WaitKind, WaitLimits};
 use crate::util::duration::ms;
 use crate::util::memory_budget::Reservation;
@@ -96,6 +97,14 @@
     /// for more.
     fn on_held_back(&self) {}
 
+    /// Called when the connection begins to do something else.
+    fn on_phase(&self, _phase: ConnectionPhase) {}
+
+    /// Completes once the connection has to end in favor of others.
+    fn poll_end(&self, _cx: &mut Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+
     /// Called when a connection ends while it waits for a client, other than by the client's close
     /// between two requests.
     fn on_end(&self, _end: &ConnectionEnd<'_>) {}
@@ -125,6 +134,12 @@
     /// The memory for the head of a request is needed for others.
     #[display("no memory is left for the head")]
     NoMemory,
+    /// The room of the connection is needed for others.
+    #[display("its room is needed for others")]
+    GaveWay {
+        /// What the connection did.
+        phase: ConnectionPhase,
+    },
     /// The rest of a body that was refused did not end within the bounds for it.
     #[display("the refused body does not end")]
     EndlessBody,
@@ -280,6 +295,9 @@
             if state.lacks_memory(cx) {
                 return Poll::Ready(ConnectionEvent::NoMemory);
             }
+            if state.handler.poll_end(cx).is_ready() {
+                return Poll::Ready(ConnectionEvent::GaveWay);
+            }
             if drain.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(ConnectionEvent::DrainBegan);
             }
@@ -293,6 +311,12 @@
                 state.handler.on_end(&ConnectionEnd::NoMemory);
                 return Ok(());
             }
+            ConnectionEvent::GaveWay => {
+                let phase = state.phase.get();
+                state.connection.record(ConnectionLoss::Server);
+                state.handler.on_end(&ConnectionEnd::GaveWay { phase });
+                return Ok(());
+            }
             ConnectionEvent::CheckDue => {}
         }
         match state.check_wait() {
@@ -338,6 +362,8 @@
 /// Discards the rest of a request's body beside its response.
 async fn discard_unread<H: Handler>(unread: UnreadBody, exchange: Rc<OpenExchange<H>>) {
     let state = &exchange.state;
+    state.discards.set(state.discards.get() + 1);
+    state.update_phase();
     let mut discarded = pin!(unread.discard());
     let has_ended = loop {
         let was_draining = state.is_draining.get();
@@ -351,6 +377,8 @@
         state.handler.on_end(&ConnectionEnd::EndlessBody);
     }
     state.may_have_begun_head.set(false);
+    state.discards.set(state.discards.get() - 1);
+    state.update_phase();
 }
 
 /// What a connection is served for next.
@@ -359,6 +387,8 @@
     DrainBegan,
     /// No memory is left for the head that its client sends.
     NoMemory,
+    /// The room of the connection is needed for others.
+    GaveWay,
     /// The connection may have waited for its client for too long.
     CheckDue,
 }
@@ -407,6 +437,10 @@
     has_begun_exchange: Cell<bool>,
     /// Number of requests in progress.
     exchanges: Cell<usize>,
+    /// Number of refused bodies that are still read.
+    discards: Cell<usize>,
+    /// What was reported to the handler.
+    phase: Cell<ConnectionPhase>,
     /// The wait for the client and when it began. `None` while a request is in progress.
     wait: Cell<Option<(Wait, Instant)>>,
     /// When the wait is checked next.
@@ -444,6 +478,8 @@
             may_have_begun_head: Cell::default(),
             has_begun_exchange: Cell::default(),
             exchanges: Cell::default(),
+            discards: Cell::default(),
+            phase: Cell::new(ConnectionPhase::Idle),
             wait: Cell::default(),
             check_at: Cell::default(),
             is_last_read: Cell::default(),
@@ -465,12 +501,20 @@
         }
     }
 
+    /// Makes the task of the connection poll it again.
+    fn wake(&self) {
+        if let Some(waker) = &*self.waker.borrow() {
+            waker.wake_by_ref();
+        }
+    }
+
     fn begin_wait(&self, kind: WaitKind) {
         let wait = Wait::new(kind, &self.handler.known_limits().limits);
         let now = Instant::now();
         self.wait.set(Some((wait, now)));
         self.check_at.set(Some(now + wait.allowed()));
         self.is_last_read.set(false);
+        self.update_phase();
     }
 
     fn end_wait(&self) {
@@ -478,6 +522,21 @@
         self.check_at.set(None);
     }
 
+    /// Reports what the connection does, if that has changed.
+    fn update_phase(&self) {
+        let exchanges = self.exchanges.get();
+        let is_stalled = self.discards.get() > 0 || self.unsent.is_write_blocked();
+        let phase = match exchanges {
+            0 if self.head_wait().is_some() => ConnectionPhase::ReceivingHead,
+            0 => ConnectionPhase::Idle,
+            _ if is_stalled => ConnectionPhase::Stalled,
+            _ => ConnectionPhase::Serving,
+        };
+        if self.phase.replace(phase) != phase {
+            self.handler.on_phase(phase);
+        }
+    }
+
     fn on_bytes(&self, bytes: &[u8]) {
         // Empty lines before a request are no part of its head.
         if bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n')) {
@@ -584,6 +643,7 @@
         state.exchanges.set(state.exchanges.get() + 1);
         state.end_wait();
         state.release_head();
+        state.update_phase();
         Self {
             state: Rc::clone(state),
         }
@@ -597,11 +657,10 @@
         if state.exchanges.get() == 0 && !state.is_http2.get() {
             state.begin_wait(WaitKind::Request);
         }
+        state.update_phase();
         // hyper does not notice by itself that nobody reads the body any more.
-        if !state.is_polled.get()
-            && let Some(waker) = &*state.waker.borrow()
-        {
-            waker.wake_by_ref();
+        if !state.is_polled.get() {
+            state.wake();
         }
     }
 }
@@ -671,9 +730,13 @@
     }
 }
 
-impl<I, H> ObservedIo<I, H> {
+impl<I, H: Handler> ObservedIo<I, H> {
     fn record_write(&self, written: &Poll<io::Result<usize>>, length: usize) {
         self.state.unsent.on_write(written, length);
+        if self.state.unsent.take_readable() {
+            self.state.wake();
+        }
+        self.state.update_phase();
         if let Poll::Ready(Err(_)) = written {
             self.state.connection.record(ConnectionLoss::Write);
         }
--- a/src/jujubelink/util/http/unsent.rs
+++ b/src/jujubelink/util/http/unsent.rs
@@ -10,6 +10,7 @@
 use http_body::{Frame, SizeHint};
 
 use super::{Body, BodyError};
+use crate::core::capacity::UNSENT_BYTES;
 use crate::util::memory_budget::Reservation;
 
 /// Largest frame that is passed on to HTTP/2. A larger one would be held whole, whatever the size of the send
@@ -35,6 +36,8 @@
     has_frame_waiting: Cell<bool>,
     /// Memory for the bytes, and how much is reserved. `None` while the client has room.
     memory: RefCell<Option<(Reservation, usize)>>,
+    /// Whether a frame was not read because a write has to come first. The connection is polled again after it.
+    awaits_write: Cell<bool>,
     /// Whether [`UnsentEvent::HeldBack`] was reported since the client last had room.
     is_held_back: Cell<bool>,
     report: Box<dyn Fn(UnsentEvent) -> Option<Reservation>>,
@@ -47,6 +50,7 @@
             is_write_blocked: Cell::default(),
             has_frame_waiting: Cell::default(),
             memory: RefCell::default(),
+            awaits_write: Cell::default(),
             is_held_back: Cell::default(),
             report,
         }
@@ -70,6 +74,16 @@
         }
     }
 
+    /// Whether the connection has to be polled again, as a frame may be read now that was not read before.
+    pub(super) fn take_readable(&self) -> bool {
+        self.bytes.get() < UNSENT_BYTES && self.awaits_write.replace(false)
+    }
+
+    /// Whether the client has no room for further bytes.
+    pub(super) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
+
     fn on_room(&self) {
         self.is_write_blocked.set(false);
         self.has_frame_waiting.set(false);
@@ -97,7 +111,10 @@
     /// Whether a further frame of the response may be read.
     fn may_read(&self) -> bool {
         if !self.is_write_blocked.get() {
-            return true;
+            // Under HTTP/1.1 they are written before more of the response is read.
+            let is_full = self.bytes.get() >= UNSENT_BYTES;
+            self.awaits_write.set(is_full);
+            return !is_full;
         }
         if self.has_frame_waiting.get() {
             return false;
--- a/tests/testsuite/untrusted_clients/mod.rs
+++ b/tests/testsuite/untrusted_clients/mod.rs
@@ -12,4 +12,5 @@
 mod mixed;
 mod own_deployment;
 mod responses;
+mod room;
 mod shares;
