Limit the receive buffers of clients and targets

Callers saw: the memory of a machine was exceeded by bytes that the process had received and not read, up to 54 MB with 900 slow readers on a machine of 64 MB. The platform ends a process for that.

Cause: the kernel enlarges receive buffers to megabytes, and nothing limited them, on the side of clients as on that of targets.

Change: if the memory is limited, the listener states the size of the receive buffers, and connections to targets have 16 KiB. The size for clients falls with the number of open connections, so that the sum over all of them has a bound whatever order they come and go in.

--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -17,7 +17,7 @@
 pub const PROGRAM_BYTES: usize = 28_000_000;
 
 /// Memory that a connection over HTTP/1.1 holds beside its request, in bytes: its state (16 KiB), two reads of
-/// [`MIN_READ_BYTES`], and 16 KiB in its receive buffer.
+/// [`MIN_READ_BYTES`], and a receive buffer of [`MIN_RECEIVE_BYTES`], of which the kernel fills up to twice as much.
 pub const CONNECTION_BYTES: usize = 48 * 1024;
 
 /// Memory that a connection with TLS holds in addition, in bytes: its buffers and the state of its handshake.
@@ -45,6 +45,15 @@
 /// after a read that fills it, so reads are one byte shorter.
 const MIN_READ_BYTES: usize = 8 * 1024 - 1;
 
+/// Size of the receive buffer of a connection while there are many.
+const MIN_RECEIVE_BYTES: usize = 8 * 1024;
+
+/// Largest receive buffer of a connection on a machine whose memory is limited.
+const MAX_RECEIVE_BYTES: usize = 128 * 1024;
+
+/// Size of the receive buffer of a connection to a target on a machine whose memory is limited.
+const TARGET_RECEIVE_BYTES: usize = 16 * 1024;
+
 /// Largest head of a request that a connection accepts, also if the configuration allows more.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -72,6 +81,8 @@
     pub request_bytes: usize,
     /// Read buffers beyond their smallest size, in bytes.
     read_bytes: usize,
+    /// Receive buffers of the kernel beyond their smallest size, in bytes. `None` if they are not limited.
+    receive_bytes: Option<usize>,
 }
 
 impl ClientBounds {
@@ -91,6 +102,7 @@
             total_bytes: total_bytes.map_or(usize::MAX, |bytes| bytes as usize),
             request_bytes: request_bytes as usize,
             read_bytes: buffer_bytes.unwrap_or(MAX_REQUEST_BYTES as usize / 4),
+            receive_bytes: buffer_bytes,
         }
     }
 
@@ -106,6 +118,22 @@
         let share = self.read_bytes / 2 / connections.max(1);
         share.clamp(MIN_READ_BYTES, MAX_READ_BYTES)
     }
+
+    /// Returns the size of the receive buffer of the next connection. `None` leaves it to the kernel.
+    ///
+    /// A buffer keeps its size as long as its connection is open. The sum over all of them stays within
+    /// `receive_bytes` as the size falls with the number of connections, and as the kernel fills up to twice as much.
+    pub fn receive_bytes(&self, connections: usize) -> Option<usize> {
+        let bytes = self.receive_bytes?;
+        let share = bytes / 4 / (connections + 1);
+        let largest = (bytes / 128).clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
+        Some(share.clamp(MIN_RECEIVE_BYTES, largest))
+    }
+
+    /// Returns the size of the receive buffer of connections to targets. `None` leaves it to the kernel.
+    pub fn target_receive_bytes(&self) -> Option<usize> {
+        self.receive_bytes.map(|_| TARGET_RECEIVE_BYTES)
+    }
 }
 
 /// Returns what is left to clients of a machine's memory.
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -83,6 +83,11 @@
         self.bounds.read_bytes(self.connections.get())
     }
 
+    /// Size of the receive buffer of the next connection; `None` if the kernel chooses it.
+    pub(super) fn receive_bytes(&self) -> Option<usize> {
+        self.bounds.receive_bytes(self.connections.get())
+    }
+
     /// Number of open connections.
     pub(super) fn connections(&self) -> usize {
         self.connections.get()
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -51,7 +51,7 @@
 impl Proxy {
     pub(super) fn new(context: &Context) -> Rc<Self> {
         let bounds = client_bounds(context);
-        let client = Client::new();
+        let client = Client::new().with_receive_bytes(bounds.target_receive_bytes());
         let relay = Relay::new(context);
         Rc::new(Self {
             context: context.clone(),
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -170,7 +170,13 @@
 /// Accepts and serves connections until `end` completes.
 async fn accept_until(proxy: &Rc<Proxy>, listener: &Listener, end: impl Future<Output = ()>) {
     let mut end = pin!(end.fuse());
+    let mut receive_bytes = None;
     loop {
+        let next_bytes = proxy.load.receive_bytes();
+        if let Some(bytes) = next_bytes.filter(|_| next_bytes != receive_bytes) {
+            limit_receive_buffer(proxy, listener, bytes);
+            receive_bytes = next_bytes;
+        }
         let accepted = futures_util::select_biased! {
             () = end => return,
             accepted = listener.accept().fuse() => accepted,
@@ -186,6 +192,14 @@
     }
 }
 
+/// Sets the receive buffer of the next connections.
+fn limit_receive_buffer(proxy: &Proxy, listener: &Listener, bytes: usize) {
+    if let Err(error) = listener.set_receive_buffer(bytes) {
+        slog::warn!(proxy.context.log(), "cannot limit the receive buffer of client connections";
+            "error" => %error, "bytes" => bytes);
+    }
+}
+
 fn serve(proxy: &Rc<Proxy>, stream: Stream) {
     let address = stream.peer_addr().ok().map(|address| address.ip());
     let tls = proxy.context.find_service::<ServerTls>();
--- a/src/jujubelink/util/http/client.rs
+++ b/src/jujubelink/util/http/client.rs
@@ -216,6 +216,8 @@
 pub struct Client {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connection_use: Rc<Cell<ConnectionUse>>,
+    /// Size of the receive buffer of new connections; `None` if the kernel chooses it.
+    receive_bytes: Option<usize>,
 }
 
 impl Client {
@@ -224,6 +226,13 @@
         Self::default()
     }
 
+    /// Limits the receive buffer of new connections to this size, of which the kernel fills up to twice as much.
+    /// `None` leaves the size to the kernel.
+    pub fn with_receive_bytes(mut self, receive_bytes: Option<usize>) -> Self {
+        self.receive_bytes = receive_bytes;
+        self
+    }
+
     /// Sends a request and returns the response once its head has arrived. There is no timeout; the
     /// caller has to set one.
     ///
@@ -286,7 +295,7 @@
             }
         };
         self.count_connection(Some(reason));
-        let mut sender = match connect(address).await {
+        let mut sender = match connect(address, self.receive_bytes).await {
             Ok(sender) => sender,
             Err(error) => return Err(SendFailure::unsent(error, request)),
         };
@@ -401,12 +410,18 @@
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
 
-async fn connect(address: SocketAddr) -> Result<http1::SendRequest<Body>, ClientError> {
+async fn connect(
+    address: SocketAddr,
+    receive_bytes: Option<usize>,
+) -> Result<http1::SendRequest<Body>, ClientError> {
     let failed = |source| ClientError::Connect { address, source };
-    let stream = timeout(CONNECT_TIMEOUT, Stream::connect(address))
-        .await
-        .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
-        .map_err(failed)?;
+    let stream = timeout(
+        CONNECT_TIMEOUT,
+        Stream::connect_with(address, receive_bytes),
+    )
+    .await
+    .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
+    .map_err(failed)?;
     stream
         .set_keepalive(KeepaliveSettings::default())
         .map_err(failed)?;
--- a/src/jujubelink/util/net/listener.rs
+++ b/src/jujubelink/util/net/listener.rs
@@ -49,6 +49,12 @@
         })
     }
 
+    /// Sets the receive buffer of connections whose handshake begins later. The kernel keeps up to twice as many
+    /// bytes that were received and not read, and does not enlarge the buffer of such a connection.
+    pub fn set_receive_buffer(&self, bytes: usize) -> io::Result<()> {
+        SockRef::from(&*self.fd).set_recv_buffer_size(bytes)
+    }
+
     /// Waits for the next connection.
     pub async fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
         let (socket, peer) =
--- a/src/jujubelink/util/net/stream.rs
+++ b/src/jujubelink/util/net/stream.rs
@@ -66,11 +66,23 @@
 
     /// Connects to `address`. There is no timeout; the caller has to set one.
     pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        Self::connect_with(address, None).await
+    }
+
+    /// Like [`Self::connect`] with a receive buffer of this size, of which the kernel fills up to twice as much.
+    /// `None` leaves the size to the kernel.
+    pub async fn connect_with(
+        address: SocketAddr,
+        receive_bytes: Option<usize>,
+    ) -> io::Result<Self> {
         let socket = Socket::new(
             Domain::for_address(address),
             Type::STREAM,
             Some(Protocol::TCP),
         )?;
+        if let Some(bytes) = receive_bytes {
+            socket.set_recv_buffer_size(bytes)?;
+        }
         socket.set_nonblocking(true)?;
         match socket.connect(&address.into()) {
             Ok(()) => {}
--- a/tests/testsuite/platform_path/held_requests.rs
+++ b/tests/testsuite/platform_path/held_requests.rs
@@ -106,18 +106,21 @@
 /// Guards against bounds that each are kept and together exceed the memory of the machine.
 #[test]
 fn the_bounds_together_stay_within_the_memory() {
-    /// Smallest read of a connection, which its own charge covers.
+    /// Smallest read of a connection, and smallest receive buffer, both of which its own charge covers.
     const COVERED_BYTES: usize = 8 * 1024;
     for memory_mb in [64, 88, 110, 260, 512, 4_000] {
         let bounds = client_bounds(Some(memory_mb), Some(1_000_000));
         let most_connections = bounds
             .connections
             .min(bounds.total_bytes / CONNECTION_BYTES);
+        let receive_bytes: usize = (0..most_connections)
+            .map(|open| 2 * (bounds.receive_bytes(open).unwrap() - COVERED_BYTES))
+            .sum();
         let read_bytes = (1..=most_connections)
             .map(|open| 2 * open * bounds.read_bytes(open).saturating_sub(COVERED_BYTES))
             .max()
             .unwrap();
-        let sum_bytes = bounds.total_bytes + read_bytes + PROGRAM_BYTES;
+        let sum_bytes = bounds.total_bytes + receive_bytes + read_bytes + PROGRAM_BYTES;
         let memory_bytes = memory_mb as usize * MEGABYTE;
         assert!(
             sum_bytes <= memory_bytes,
