Charge the requests of the own deployment like those of the platform

Callers saw: 200 clients with an idempotency key made an instance hold 263 MB on a machine of 64 MB, and 900 model requests whose responses nobody read 106.9 MB.

Cause: plain requests held up to 1 MiB of their bodies against no bound. Model requests reserved the length that they announced, so that clients which send nothing held the memory for 30 s, and their states were not charged.

Change: both use the reservation that a relayed request has. It is made when the head has arrived, grows as the body does, ends in favor of others, and is held until the response has ended.

--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 
 use crate::core::capacity::{
-    CONNECTION_BYTES, ClientBounds, HEAD_FACTOR, LedgerLimits, Owner, REQUEST_BYTES, TLS_BYTES,
+    CONNECTION_BYTES, ClientBounds, HEAD_FACTOR, LedgerLimits, REQUEST_BYTES, TLS_BYTES,
     UNSENT_BYTES,
 };
 use crate::util::http::{Body, attach_guard};
@@ -60,13 +60,6 @@
         LoadGuard::new(&self.connections)
     }
 
-    /// Reserves memory for a request body. Returns `None` if that exceeds the limit.
-    pub(super) fn reserve_body(&self, bytes: usize) -> Option<Reservation> {
-        let reservation = self.memory.begin(Owner::default());
-        reservation.complete();
-        reservation.grow(bytes).then_some(reservation)
-    }
-
     pub(super) fn begin_request(&self) -> LoadGuard {
         LoadGuard::new(&self.requests)
     }
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -48,6 +48,14 @@
     pub(super) client_limits: Option<ClientLimits>,
 }
 
+/// What accompanies a request of the own deployment.
+pub(super) struct RequestState {
+    pub(super) id: RequestId,
+    pub(super) wait: CurrentWait,
+    /// What the request holds until its response has ended.
+    pub(super) memory: Reservation,
+}
+
 impl Proxy {
     pub(super) fn new(context: &Context) -> Rc<Self> {
         let bounds = client_bounds(context);
@@ -107,21 +115,27 @@
 
     async fn route_request(
         self: &Rc<Self>,
+        connection: &ConnectionMemory,
         head: Parts,
         body: &mut Option<Incoming>,
         id: &RequestId,
         wait: &CurrentWait,
     ) -> Result<Response<Body>, Refusal> {
+        let state = RequestState {
+            id: id.clone(),
+            wait: wait.clone(),
+            memory: self.reserve_request(connection, &head)?,
+        };
         let config = self.config()?;
         let path = head.uri.path();
         match (&head.method, Endpoint::from_path(path)) {
             (&Method::POST, Some(endpoint)) => {
-                handle_model_request(self, &config, endpoint, &head, body, id, wait).await
+                handle_model_request(self, &config, endpoint, &head, body, state).await
             }
             (&Method::GET, None) if path == "/v1/models" => {
                 handle_model_list(self, &config, &head.headers)
             }
-            _ => handle_plain_request(self, &config, head, body, id, wait).await,
+            _ => handle_plain_request(self, &config, head, body, state).await,
         }
     }
 
@@ -139,7 +153,11 @@
         )
     }
 
-    async fn handle_request(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn handle_request(
+        self: Rc<Self>,
+        connection: Rc<ConnectionMemory>,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
         match request.uri().path() {
             "/healthz" => return status(StatusCode::OK),
             "/readyz" => return self.readiness(),
@@ -157,7 +175,8 @@
         let log = RequestLog::new(&self.context, &id, &head, span.context());
         let wait = log.wait();
         let routed = {
-            let mut routed = pin!(self.route_request(head, &mut body, &id, &wait).fuse());
+            let routed = self.route_request(&connection, head, &mut body, &id, &wait);
+            let mut routed = pin!(routed.fuse());
             let mut stopped = pin!(self.stop_ends().fuse());
             futures_util::select_biased! {
                 routed = routed => routed,
@@ -256,7 +275,7 @@
         let handled = async move {
             let response = match proxy.relay.clone() {
                 Some(relay) => handle_relayed_request(proxy, relay, &connection, request).await,
-                None => proxy.handle_request(request).await,
+                None => proxy.handle_request(connection, request).await,
             };
             match http2_grant {
                 Some(grant) => response.map(|body| attach_guard(body, grant)),
--- a/src/jujubelink/ops/proxy/model/exchange.rs
+++ b/src/jujubelink/ops/proxy/model/exchange.rs
@@ -94,8 +94,8 @@
     usage: Option<Usage>,
     is_complete: bool,
     pub(super) wait: CurrentWait,
-    /// Memory reserved for the request body.
-    pub(super) reservation: Option<Reservation>,
+    /// What the request holds until its response has ended.
+    pub(super) memory: Option<Reservation>,
     /// Last data to send to the client after the request is complete.
     pub(super) final_data: Option<Bytes>,
 }
@@ -142,7 +142,7 @@
             usage: None,
             is_complete: false,
             wait: CurrentWait::default(),
-            reservation: None,
+            memory: None,
             final_data: None,
         }
     }
--- a/src/jujubelink/ops/proxy/model/handler.rs
+++ b/src/jujubelink/ops/proxy/model/handler.rs
@@ -16,10 +16,12 @@
 use crate::core::ids::RequestId;
 use crate::core::prompt::cache_namespace;
 use crate::ops::proxy::auth::authenticate;
-use crate::ops::proxy::handler::Proxy;
+use crate::ops::proxy::handler::{Proxy, RequestState};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
-use crate::ops::proxy::waits::{Awaited, CurrentWait};
-use crate::util::http::{Body, collect_limited, full};
+use crate::ops::proxy::request_body::read_request_body;
+use crate::ops::proxy::waits::Awaited;
+use crate::util::http::{Body, full};
+use crate::util::memory_budget::Reservation;
 
 const MAX_MODEL_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -33,29 +35,25 @@
     endpoint: Endpoint,
     head: &Parts,
     body: &mut Option<Incoming>,
-    id: &RequestId,
-    wait: &CurrentWait,
+    state: RequestState,
 ) -> Result<Response<Body>, Refusal> {
+    let RequestState { id, wait, memory } = state;
     let caller = authenticate(proxy, config, &head.headers)?;
-    let declared = declared_body_size(&head.headers)?;
-    let reservation = proxy
-        .load
-        .reserve_body(declared)
-        .ok_or_else(|| Refusal::not_run(RefusalCode::Overloaded, "too many requests are held"))?;
+    check_declared_size(&head.headers)?;
+    memory.set_workspace(Some(caller.workspace.clone()));
     wait.set(Awaited::Body);
-    let bytes = read_body(body).await?;
-    reservation.shrink_to(bytes.len());
+    let bytes = read_body(proxy, body, &memory).await?;
     let namespace = cache_namespace(&caller.workspace);
     let call = ModelCall::parse(endpoint, &bytes, config, &namespace)?;
     drop(bytes);
     let is_stream = call.is_stream;
     let traceparent = head.headers.get("traceparent").cloned();
-    let mut exchange = Exchange::new(proxy, config, caller, call, namespace, id, traceparent);
-    exchange.reservation = Some(reservation);
-    exchange.wait = wait.clone();
+    let mut exchange = Exchange::new(proxy, config, caller, call, namespace, &id, traceparent);
+    exchange.memory = Some(memory);
+    exchange.wait = wait;
     exchange.open().await?;
     if is_stream {
-        streamed_response(exchange, id).await
+        streamed_response(exchange, &id).await
     } else {
         complete_response(exchange).await
     }
@@ -87,34 +85,34 @@
     Ok(response)
 }
 
-/// Returns the body size to reserve: the declared content length, or the limit if there is none.
-fn declared_body_size(headers: &HeaderMap) -> Result<usize, Refusal> {
+/// Refuses a body whose declared size exceeds the limit.
+fn check_declared_size(headers: &HeaderMap) -> Result<(), Refusal> {
     let declared = headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     match declared {
         Some(bytes) if bytes > MAX_MODEL_BODY_BYTES => Err(too_large()),
-        Some(bytes) => Ok(bytes),
-        None => Ok(MAX_MODEL_BODY_BYTES),
+        _ => Ok(()),
     }
 }
 
 /// Reads the whole body. On an error, the partly read body stays in `body`.
-async fn read_body(body: &mut Option<Incoming>) -> Result<Bytes, Refusal> {
+async fn read_body(
+    proxy: &Proxy,
+    body: &mut Option<Incoming>,
+    memory: &Reservation,
+) -> Result<Bytes, Refusal> {
     let Some(incoming) = body.as_mut() else {
         return Ok(Bytes::new());
     };
-    let read = collect_limited(incoming, MAX_MODEL_BODY_BYTES);
+    let read = read_request_body(incoming, MAX_MODEL_BODY_BYTES, memory);
     match compio::time::timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(Some(bytes))) => {
             body.take();
             Ok(bytes)
         }
         Ok(Ok(None)) => Err(too_large()),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            RefusalCode::InvalidRequest,
-            "the body broke off",
-        )),
+        Ok(Err(failure)) => Err(failure.refuse(proxy.context.metrics())),
         Err(_) => Err(Refusal::not_run(
             RefusalCode::DeadlineExceeded,
             "the body did not arrive in time",
--- a/src/jujubelink/ops/proxy/plain/mod.rs
+++ b/src/jujubelink/ops/proxy/plain/mod.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 
 use super::auth::{Caller, authenticate};
-use super::handler::Proxy;
+use super::handler::{Proxy, RequestState};
 use super::model::charge_refusal;
 use super::refusal::{Refusal, RefusalCode};
 use super::waits::{Awaited, CurrentWait};
@@ -22,6 +22,7 @@
 use crate::core::ids::{RequestId, RouteId, Timestamp};
 use crate::ops::services::{Charge, LimitService};
 use crate::util::http::Body;
+use crate::util::memory_budget::Reservation;
 use body::UnreadRest;
 use prepare::{PlainRequest, prepare, request_host};
 
@@ -37,6 +38,8 @@
     deadline: Timestamp,
     charge: ChargeGuard,
     wait: CurrentWait,
+    /// What the request holds until its response has ended.
+    memory: Reservation,
 }
 
 /// Settles a charge exactly once: in full if the request was sent, with zero otherwise.
@@ -69,15 +72,16 @@
     config: &Rc<ConfigSnapshot>,
     head: Parts,
     body: &mut Option<Incoming>,
-    id: &RequestId,
-    wait: &CurrentWait,
+    state: RequestState,
 ) -> Result<Response<Body>, Refusal> {
+    let RequestState { id, wait, memory } = state;
     let host = request_host(&head);
     let route_match = config.match_route(host.as_deref(), head.uri.path());
     let (route_id, route) = route_match
         .filter(|_| head.method != http::Method::CONNECT)
         .ok_or_else(|| Refusal::not_run(RefusalCode::UnknownRoute, "no such route"))?;
     let caller = authorize(proxy, config, route, &head.headers)?;
+    memory.set_workspace(caller.as_ref().map(|caller| caller.workspace.clone()));
     let now = proxy.context.timers().now();
     let deadline = now + std::time::Duration::from_millis(route.response_timeout_ms);
     let call = PlainCall {
@@ -86,18 +90,20 @@
         route_id: route_id.clone(),
         route: route.clone(),
         caller,
-        id: id.clone(),
+        id,
         deadline,
         charge: ChargeGuard {
             proxy: Rc::clone(proxy),
             charge: None,
             is_sent: false,
         },
-        wait: wait.clone(),
+        wait,
+        memory,
     };
-    wait.set(Awaited::Body);
+    call.wait.set(Awaited::Body);
     let unread = UnreadRest::default();
-    let prepared = prepare(&call.route, head, body, host, &unread).await?;
+    let prepared = prepare(&call, head, body, host, &unread).await?;
+    call.memory.complete();
     let result = execute(call, prepared).await;
     if result.is_err() {
         *body = unread.take();
--- a/src/jujubelink/ops/proxy/plain/prepare.rs
+++ b/src/jujubelink/ops/proxy/plain/prepare.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use super::PlainCall;
 use super::body::{IdleTimeoutBody, UnreadRest, with_prefix};
 use crate::core::config::Route;
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
+use crate::ops::proxy::request_body::read_start;
 use crate::ops::upstream::strip_request_headers;
 use crate::util::hash::{combine, stable_hash};
 use crate::util::http::{Body, empty, full};
@@ -88,12 +89,13 @@
 /// Reads the idempotency key and the required part of the body, and builds the request for the
 /// targets. A body that is streamed goes to `unread` when its reader is dropped.
 pub(super) async fn prepare(
-    route: &Route,
+    call: &PlainCall,
     head: Parts,
     incoming: &mut Option<Incoming>,
     host: Option<String>,
     unread: &UnreadRest,
 ) -> Result<PlainRequest, Refusal> {
+    let route = &call.route;
     let is_safe = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let is_idempotent = route.is_idempotent || is_safe;
     let key_from_header = key_from_header(route, &head.headers, is_idempotent)?;
@@ -104,15 +106,19 @@
         .map_or(Some(0), |body| declared_body_size(&head.headers, body));
     let is_short = declared.is_some_and(|bytes| bytes <= MAX_REPEATABLE_BYTES);
     let (body, idempotency_key, body_hash) = if key_is_in_body {
-        let bytes = read_body(incoming).await?;
+        let bytes = read_body(call, incoming).await?;
         let key = key_from_field(route, &bytes)?;
         let hash = stable_hash(0, &bytes);
         (PlainBody::Buffered(bytes), key, hash)
     } else if key_from_header.is_some() {
-        let (body, hash) = read_prefix(incoming, &head.headers, unread).await?;
+        let (body, hash) = read_prefix(call, incoming, &head.headers, unread).await?;
         (body, key_from_header, hash)
     } else if is_idempotent && is_short {
-        (PlainBody::Buffered(read_body(incoming).await?), None, 0)
+        (
+            PlainBody::Buffered(read_body(call, incoming).await?),
+            None,
+            0,
+        )
     } else {
         let body = incoming
             .take()
@@ -200,8 +206,8 @@
     length.to_str().ok()?.parse().ok()
 }
 
-async fn read_body(incoming: &mut Option<Incoming>) -> Result<Bytes, Refusal> {
-    match read_limited(incoming).await? {
+async fn read_body(call: &PlainCall, incoming: &mut Option<Incoming>) -> Result<Bytes, Refusal> {
+    match read_limited(call, incoming).await? {
         (bytes, false) => Ok(bytes),
         (_, true) => Err(Refusal::not_run(
             RefusalCode::RequestTooLarge,
@@ -213,11 +219,12 @@
 /// Reads the part of the body that the fingerprint covers. If the body is longer, the rest is
 /// streamed, and the fingerprint includes the declared length.
 async fn read_prefix(
+    call: &PlainCall,
     incoming: &mut Option<Incoming>,
     headers: &HeaderMap,
     unread: &UnreadRest,
 ) -> Result<(PlainBody, u64), Refusal> {
-    let (bytes, _) = read_limited(incoming).await?;
+    let (bytes, _) = read_limited(call, incoming).await?;
     let hash = stable_hash(0, &bytes);
     match incoming.take() {
         None => Ok((PlainBody::Buffered(bytes), hash)),
@@ -232,30 +239,21 @@
 
 /// Reads a body up to the limit. Returns the bytes and whether the body continues; the rest stays
 /// in `incoming`.
-async fn read_limited(incoming: &mut Option<Incoming>) -> Result<(Bytes, bool), Refusal> {
+async fn read_limited(
+    call: &PlainCall,
+    incoming: &mut Option<Incoming>,
+) -> Result<(Bytes, bool), Refusal> {
     let Some(body) = incoming.as_mut() else {
         return Ok((Bytes::new(), false));
     };
-    let read = async {
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame?.into_data() {
-                bytes.extend_from_slice(&data);
-            }
-            if bytes.len() > MAX_CLAIM_BODY_BYTES {
-                return Ok::<_, hyper::Error>((bytes.freeze(), true));
-            }
-        }
-        Ok((bytes.freeze(), false))
-    };
+    let read = read_start(body, MAX_CLAIM_BODY_BYTES, &call.memory);
     match compio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok((bytes, is_truncated))) => {
-            if !is_truncated {
-                incoming.take();
-            }
-            Ok((bytes, is_truncated))
+        Ok(Ok((bytes, None))) => {
+            incoming.take();
+            Ok((bytes, false))
         }
-        Ok(Err(_)) => Err(invalid("the body broke off")),
+        Ok(Ok((bytes, Some(excess)))) => Ok(([bytes, excess].concat().into(), true)),
+        Ok(Err(failure)) => Err(failure.refuse(call.proxy.context.metrics())),
         Err(_) => Err(Refusal::not_run(
             RefusalCode::DeadlineExceeded,
             "the body did not arrive in time",
--- a/src/jujubelink/ops/proxy/request_body.rs
+++ b/src/jujubelink/ops/proxy/request_body.rs
@@ -57,6 +57,17 @@
     limit_bytes: usize,
     reservation: &Reservation,
 ) -> Result<Option<Bytes>, BodyFailure> {
+    let (collected, excess) = read_start(body, limit_bytes, reservation).await?;
+    Ok(excess.is_none().then_some(collected))
+}
+
+/// Reads a body until it ends or exceeds `limit_bytes`, and reserves the memory for it as it arrives. Returns the
+/// bytes within the limit, and those of the frame that exceeds it.
+pub(super) async fn read_start(
+    body: &mut Incoming,
+    limit_bytes: usize,
+    reservation: &Reservation,
+) -> Result<(Bytes, Option<Bytes>), BodyFailure> {
     // Growth by doubling would hold up to twice the size of a long body. Memory that is not written to is not
     // in use yet.
     let declared_bytes = body.size_hint().exact().unwrap_or(0);
@@ -77,7 +88,7 @@
             return Err(BodyFailure::NoMemory);
         }
         if collected.len() + data.len() > limit_bytes {
-            return Ok(None);
+            return Ok((collected.freeze(), Some(data)));
         }
         // Growth by doubling leaves gaps in the heap. A buffer of this size is mapped, and the part of it that
         // is not written to is not in use.
@@ -89,5 +100,5 @@
         collected.extend_from_slice(&data);
     }
     reservation.complete();
-    Ok(Some(collected.freeze()))
+    Ok((collected.freeze(), None))
 }
