Close the connection after a refusal for lack of memory

Callers saw: while 300 clients sent one request after the other and read no response, no ordinary request was served within 30 s.

Change: a refusal for lack of memory closes the connection under HTTP/1.1, which also releases its charge. Callers that come back use a new connection anyway.

--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -110,6 +110,7 @@
             self.context.metrics().count("requests_without_memory", 1);
             Refusal::not_run(RefusalCode::Overloaded, "no memory is left for the request")
                 .with_retry_after(NO_TARGET_RETRY_AFTER)
+                .with_close()
         })
     }
 
--- a/src/jujubelink/ops/proxy/refusal.rs
+++ b/src/jujubelink/ops/proxy/refusal.rs
@@ -104,6 +104,8 @@
     pub outcome: Outcome,
     /// Delay after which a retry can succeed.
     pub retry_after: Option<Duration>,
+    /// Whether the connection is closed after the response, so that it holds no memory any more.
+    pub closes_connection: bool,
 }
 
 #[derive(Serialize)]
@@ -130,6 +132,7 @@
             message: message.into(),
             outcome: Outcome::NotRun,
             retry_after: None,
+            closes_connection: false,
         }
     }
 
@@ -147,6 +150,12 @@
         self
     }
 
+    /// Closes the connection after the response. HTTP/2 connections stay open.
+    pub fn with_close(mut self) -> Self {
+        self.closes_connection = true;
+        self
+    }
+
     /// Encodes the refusal as JSON.
     pub fn to_json(&self, request_id: &str) -> Vec<u8> {
         let body = ErrorBody {
@@ -171,6 +180,9 @@
         if let Some(after) = self.retry_after {
             builder = builder.header(http::header::RETRY_AFTER, after.as_secs_f64().ceil() as u64);
         }
+        if self.closes_connection {
+            builder = builder.header(http::header::CONNECTION, "close");
+        }
         builder
             .body(full(self.to_json(request_id)))
             .expect("valid headers")
--- a/src/jujubelink/ops/proxy/request_body.rs
+++ b/src/jujubelink/ops/proxy/request_body.rs
@@ -33,6 +33,7 @@
         let overloaded = |message: &str| {
             Refusal::not_run(RefusalCode::Overloaded, message)
                 .with_retry_after(NO_TARGET_RETRY_AFTER)
+                .with_close()
         };
         match self {
             Self::NoMemory => {
