Charge HTTP/2 connections for their streams and header blocks

Callers saw: 300 HTTP/2 connections with 32 streams each held 108.0 MB on a machine of 64 MB, and 900 unfinished header blocks 124.3 MB.

Cause: an unfinished header block counted against no bound. A refused stream held about 10 KB until its body had been discarded, which takes up to 60 s. Unread streams never counted as stalled.

Change: a connection is charged for a header block and for the streams that it may open, once it uses HTTP/2. The number of streams follows from the memory (16 to 128). The rest of a refused body is reset after the response. A connection is stalled if no stream of it takes its next frame.

--- a/src/jujubelink/core/capacity/ledger.rs
+++ b/src/jujubelink/core/capacity/ledger.rs
@@ -214,6 +214,18 @@
         }
     }
 
+    /// Grants further bytes to a connection as [`Self::grow_if_free`] does to a transfer.
+    pub fn grow_connection_if_free(&mut self, id: ConnectionId, bytes: usize) -> bool {
+        let is_free = self.total_bytes().saturating_add(bytes) <= self.limits.total_bytes / 8 * 7;
+        let connection = self.connections.get_mut(&id);
+        let Some(connection) = connection.filter(|_| is_free) else {
+            return false;
+        };
+        connection.held_bytes += bytes;
+        self.connection_bytes += bytes;
+        true
+    }
+
     /// Closes a connection. What its transfers hold stays counted until they end.
     pub fn close_connection(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.remove(&id) {
--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -23,6 +23,19 @@
 /// Memory that a connection with TLS holds in addition, in bytes: its buffers and the state of its handshake.
 pub const TLS_BYTES: usize = 48 * 1024;
 
+/// Memory that a connection over HTTP/2 holds in addition, in bytes: an unfinished header block and the state of
+/// the protocol.
+const HTTP2_CONNECTION_BYTES: usize = 96 * 1024;
+
+/// Memory that a stream of such a connection holds until its request is admitted or refused, in bytes.
+const HTTP2_STREAM_BYTES: usize = 8 * 1024;
+
+/// Fewest and most concurrent streams of a connection over HTTP/2.
+const HTTP2_STREAMS: (usize, usize) = (16, 128);
+
+/// Part of the memory for clients, in bytes, that stands for one concurrent stream of each connection.
+const TOTAL_BYTES_PER_HTTP2_STREAM: usize = 2_000_000;
+
 /// Memory that a request holds beside its head and body, in bytes: its state, its connection to the target with
 /// receive and read buffers, and [`UNSENT_BYTES`].
 pub const REQUEST_BYTES: usize = 64 * 1024 + UNSENT_BYTES;
@@ -130,6 +143,17 @@
         Some(share.clamp(MIN_RECEIVE_BYTES, largest))
     }
 
+    /// Returns the most concurrent streams of a connection over HTTP/2.
+    pub fn http2_streams(&self) -> usize {
+        let (fewest, most) = HTTP2_STREAMS;
+        (self.total_bytes / TOTAL_BYTES_PER_HTTP2_STREAM).clamp(fewest, most)
+    }
+
+    /// Returns what a connection over HTTP/2 holds beside [`CONNECTION_BYTES`] and its admitted requests.
+    pub fn http2_connection_bytes(&self) -> usize {
+        HTTP2_CONNECTION_BYTES + self.http2_streams() * HTTP2_STREAM_BYTES
+    }
+
     /// Returns the size of the receive buffer of connections to targets. `None` leaves it to the kernel.
     pub fn target_receive_bytes(&self) -> Option<usize> {
         self.receive_bytes.map(|_| TARGET_RECEIVE_BYTES)
--- a/src/jujubelink/ops/proxy/connections.rs
+++ b/src/jujubelink/ops/proxy/connections.rs
@@ -81,6 +81,16 @@
         self.bounds.receive_bytes(self.connections.get())
     }
 
+    /// Most concurrent streams of a connection over HTTP/2.
+    pub(super) fn http2_streams(&self) -> usize {
+        self.bounds.http2_streams()
+    }
+
+    /// Reserves what a connection needs over HTTP/2. Returns whether it is left.
+    pub(super) fn reserve_http2(&self, connection: &ConnectionMemory) -> bool {
+        connection.grow_if_free(self.bounds.http2_connection_bytes())
+    }
+
     /// Number of open connections.
     pub(super) fn connections(&self) -> usize {
         self.connections.get()
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -321,6 +321,10 @@
         self.memory.poll_end(cx)
     }
 
+    fn on_http2(&self) -> bool {
+        self.proxy.load.reserve_http2(&self.memory)
+    }
+
     fn on_end(&self, end: &ConnectionEnd<'_>) {
         let context = &self.proxy.context;
         match end {
--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -253,6 +253,7 @@
             Some(_) => MAX_HEAD_BYTES,
             None => defaults.max_header_bytes,
         },
+        max_concurrent_streams: proxy.load.http2_streams() as u32,
         window_bytes: WINDOW_BYTES as u32,
         send_buffer_bytes: SEND_BUFFER_BYTES,
         // The platform's entry proxy half-closes a connection only after its client has disconnected.
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -105,6 +105,11 @@
         Poll::Pending
     }
 
+    /// Called when the client turns out to use HTTP/2. Returns whether the connection may go on.
+    fn on_http2(&self) -> bool {
+        true
+    }
+
     /// Called when a connection ends while it waits for a client, other than by the client's close
     /// between two requests.
     fn on_end(&self, _end: &ConnectionEnd<'_>) {}
@@ -266,13 +271,20 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            if let Some(unread) = unread {
+            // Under HTTP/2 the rest is reset after the response.
+            if let Some(unread) = unread.filter(|_| version <= Version::HTTP_11) {
                 compio::runtime::spawn(discard_unread(unread, Rc::clone(&exchange))).detach();
             }
-            let unsent = Rc::clone(&exchange.state.unsent);
+            let state = Rc::clone(state);
             let body = response.map(|body| attach_guard(body, exchange));
             let is_http2 = version == Version::HTTP_2;
-            Ok::<_, Infallible>(body.map(|body| GatedBody::new(body, unsent, is_http2)))
+            Ok::<_, Infallible>(body.map(|body| {
+                match is_http2 {
+                    false => GatedBody::new(body, Rc::clone(&state.unsent)),
+                    true => GatedBody::new(body, Rc::clone(&state.unsent))
+                        .with_http2(Box::new(move |is_unread| state.on_unread(is_unread))),
+                }
+            }))
         }
     });
     let io = ObservedIo {
@@ -295,7 +307,7 @@
             if state.lacks_memory(cx) {
                 return Poll::Ready(ConnectionEvent::NoMemory);
             }
-            if state.handler.poll_end(cx).is_ready() {
+            if state.lacks_room.get() || state.handler.poll_end(cx).is_ready() {
                 return Poll::Ready(ConnectionEvent::GaveWay);
             }
             if drain.as_mut().poll(cx).is_ready() {
@@ -430,6 +442,8 @@
     is_draining: Cell<bool>,
     /// Whether the client uses HTTP/2.
     is_http2: Cell<bool>,
+    /// Whether there is no room for what the connection needs under HTTP/2.
+    lacks_room: Cell<bool>,
     has_received: Cell<bool>,
     /// Whether bytes have arrived since the last response, which may be the start of a request.
     may_have_begun_head: Cell<bool>,
@@ -439,6 +453,8 @@
     exchanges: Cell<usize>,
     /// Number of refused bodies that are still read.
     discards: Cell<usize>,
+    /// Number of HTTP/2 responses of which the client has not taken the last frame.
+    unread_streams: Rc<Cell<usize>>,
     /// What was reported to the handler.
     phase: Cell<ConnectionPhase>,
     /// The wait for the client and when it began. `None` while a request is in progress.
@@ -474,11 +490,13 @@
             connection: ClientConnection::default(),
             is_draining: Cell::default(),
             is_http2: Cell::default(),
+            lacks_room: Cell::default(),
             has_received: Cell::default(),
             may_have_begun_head: Cell::default(),
             has_begun_exchange: Cell::default(),
             exchanges: Cell::default(),
             discards: Cell::default(),
+            unread_streams: Rc::default(),
             phase: Cell::new(ConnectionPhase::Idle),
             wait: Cell::default(),
             check_at: Cell::default(),
@@ -525,7 +543,9 @@
     /// Reports what the connection does, if that has changed.
     fn update_phase(&self) {
         let exchanges = self.exchanges.get();
-        let is_stalled = self.discards.get() > 0 || self.unsent.is_write_blocked();
+        let is_stalled = self.discards.get() > 0
+            || self.unsent.is_write_blocked()
+            || self.unread_streams.get() >= exchanges;
         let phase = match exchanges {
             0 if self.head_wait().is_some() => ConnectionPhase::ReceivingHead,
             0 => ConnectionPhase::Idle,
@@ -544,6 +564,7 @@
         }
         if !self.has_received.replace(true) && bytes.starts_with(HTTP2_PREFACE) {
             self.is_http2.set(true);
+            self.lacks_room.set(!self.handler.on_http2());
         }
         self.may_have_begun_head.set(true);
         if self.is_http2.get() {
@@ -558,6 +579,16 @@
         }
     }
 
+    /// Records that the client of an HTTP/2 response has not taken its last frame yet, or has taken it.
+    fn on_unread(&self, is_unread: bool) {
+        let streams = self.unread_streams.get();
+        self.unread_streams.set(match is_unread {
+            true => streams + 1,
+            false => streams - 1,
+        });
+        self.update_phase();
+    }
+
     /// Reserves memory for the head that has begun. Returns whether too little is left for it.
     fn lacks_memory(&self, cx: &mut Context<'_>) -> bool {
         let excess = self.head_bytes.get().saturating_sub(FREE_HEAD_BYTES);
--- a/src/jujubelink/util/http/unsent.rs
+++ b/src/jujubelink/util/http/unsent.rs
@@ -143,21 +143,68 @@
 pub(super) struct GatedBody {
     body: Body,
     unsent: Rc<Unsent>,
-    is_http2: bool,
+    /// Set for HTTP/2.
+    stream: Option<UnreadStream>,
     /// Rest of a frame that is passed on in parts.
     rest: Bytes,
 }
 
+/// Whether the client of an HTTP/2 response has taken its last frame. hyper asks for the next one once it has.
+struct UnreadStream {
+    is_unread: bool,
+    /// Called when it changes.
+    report: Box<dyn Fn(bool)>,
+}
+
+impl UnreadStream {
+    fn set_unread(&mut self, is_unread: bool) {
+        if self.is_unread != is_unread {
+            self.is_unread = is_unread;
+            (self.report)(is_unread);
+        }
+    }
+}
+
+impl Drop for UnreadStream {
+    fn drop(&mut self) {
+        self.set_unread(false);
+    }
+}
+
 impl GatedBody {
-    pub(super) fn new(body: Body, unsent: Rc<Unsent>, is_http2: bool) -> Self {
+    pub(super) fn new(body: Body, unsent: Rc<Unsent>) -> Self {
         Self {
             body,
             unsent,
-            is_http2,
+            stream: None,
             rest: Bytes::new(),
         }
     }
 
+    /// Adapts the body to HTTP/2. `report` is told whether the client has not taken the last frame.
+    pub(super) fn with_http2(mut self, report: Box<dyn Fn(bool)>) -> Self {
+        self.stream = Some(UnreadStream {
+            is_unread: false,
+            report,
+        });
+        self
+    }
+
+    /// Returns the next frame for HTTP/2.
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.rest.is_empty() {
+            let frame = ready!(self.body.as_mut().poll_frame(cx));
+            match frame.map(|frame| frame.map(Frame::into_data)) {
+                Some(Ok(Ok(data))) if data.len() > MAX_HTTP2_FRAME_BYTES => self.rest = data,
+                Some(Ok(Ok(data))) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+                Some(Ok(Err(frame))) => return Poll::Ready(Some(Ok(frame))),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => return Poll::Ready(None),
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(self.take_part()))))
+    }
+
     /// Returns the next part of the rest. It is a copy, so that an unsent part does not keep the whole frame.
     fn take_part(&mut self) -> Bytes {
         let length = self.rest.len().min(MAX_HTTP2_FRAME_BYTES);
@@ -173,19 +220,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.is_http2 {
-            if self.rest.is_empty() {
-                match ready!(self.body.as_mut().poll_frame(cx))
-                    .map(|frame| frame.map(Frame::into_data))
-                {
-                    Some(Ok(Ok(data))) if data.len() > MAX_HTTP2_FRAME_BYTES => self.rest = data,
-                    Some(Ok(Ok(data))) => return Poll::Ready(Some(Ok(Frame::data(data)))),
-                    Some(Ok(Err(frame))) => return Poll::Ready(Some(Ok(frame))),
-                    Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-                    None => return Poll::Ready(None),
-                }
+        if let Some(stream) = &mut self.stream {
+            stream.set_unread(false);
+            let part = ready!(self.poll_part(cx));
+            if let (Some(stream), Some(Ok(_))) = (&mut self.stream, &part) {
+                stream.set_unread(true);
             }
-            return Poll::Ready(Some(Ok(Frame::data(self.take_part()))));
+            return Poll::Ready(part);
         }
         // hyper polls the body again after a write.
         if !self.unsent.may_read() {
--- a/src/jujubelink/util/memory_budget.rs
+++ b/src/jujubelink/util/memory_budget.rs
@@ -130,6 +130,12 @@
             .set_phase(self.id, phase, now);
     }
 
+    /// Reserves further memory for the connection as far as it is left. Returns whether it is.
+    pub fn grow_if_free(&self, bytes: usize) -> bool {
+        let mut ledger = self.shared.ledger.borrow_mut();
+        ledger.grow_connection_if_free(self.id, bytes)
+    }
+
     /// Completes once the connection has to end in favor of others.
     pub fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
         self.shared.poll_end(self.id, cx)
