Leave fewer gaps in the heap while bodies and heads grow

Callers saw: unfinished heads of 900 clients held 64.6 MB on a machine of 64 MB although their charges were within it.

Cause: buffers that grow by doubling in step leave their earlier sizes as gaps in the heap, as much again as they hold. With endless chunked bodies the heap reached 40 MB, where 28 MB were charged.

Change: the buffer of a body of unknown length is mapped from 16 KiB instead of 64 KiB, and a head that is being received is charged three times what exceeds 8 KiB instead of twice.

--- a/src/jujubelink/ops/proxy/request_body.rs
+++ b/src/jujubelink/ops/proxy/request_body.rs
@@ -14,7 +14,7 @@
 use crate::util::memory_budget::Reservation;
 
 /// Size from which the buffer of a body of unknown size is as large as the largest body.
-const MAPPED_BODY_BYTES: usize = 64 * 1024;
+const MAPPED_BODY_BYTES: usize = 16 * 1024;
 
 /// Why a request body was not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/jujubelink/util/http/server.rs
+++ b/src/jujubelink/util/http/server.rs
@@ -55,8 +55,8 @@
 /// Bytes of a head that need no reservation. The initial read buffer of a connection holds them.
 pub const FREE_HEAD_BYTES: usize = 8 * 1024;
 
-/// Buffers of heads grow by doubling.
-const HEAD_BUFFER_FACTOR: usize = 2;
+/// Buffers of heads grow by doubling, and the smaller ones before them leave gaps in the heap.
+const HEAD_BUFFER_FACTOR: usize = 3;
 
 /// Limits of connections whose handler states none.
 pub const DEFAULT_WAIT_LIMITS: WaitLimits = WaitLimits {
