Let settings state the limits for clients

Change: machine.program_memory_mb, max_client_connections, receive_buffer_kib and http2_streams, which replace what is derived from the machine. Zero is an error where it would serve nobody. Defaults are unchanged.

--- a/src/jujubelink/core/capacity/mod.rs
+++ b/src/jujubelink/core/capacity/mod.rs
@@ -12,8 +12,8 @@
 /// Most memory for requests, on a machine of any size, in bytes.
 const MAX_REQUEST_BYTES: u64 = 128 * 1024 * 1024;
 
-/// Memory of the process without clients, in bytes, on a machine of any size. A sixteenth of the memory is added for
-/// what grows with the deployment, and for gaps in the heap.
+/// Memory of the process without clients, in bytes, on a machine of any size. Unless the settings state it, a
+/// sixteenth of the machine's memory is added for what grows with the deployment.
 pub const PROGRAM_BYTES: usize = 28_000_000;
 
 /// Memory that a connection over HTTP/1.1 holds beside its request, in bytes: its state (16 KiB), two reads of
@@ -77,6 +77,8 @@
     pub memory_bytes: Option<u64>,
     /// Number of open descriptors; `None` if it is not limited.
     pub descriptors: Option<u64>,
+    /// Memory of the process without clients, in bytes; `None` if it is derived from `memory_bytes`.
+    pub program_bytes: Option<u64>,
 }
 
 /// Bounds on what an instance holds for all clients together.
@@ -96,6 +98,10 @@
     read_bytes: usize,
     /// Receive buffers of the kernel beyond their smallest size, in bytes. `None` if they are not limited.
     receive_bytes: Option<usize>,
+    /// Size of the receive buffer of each connection, if the settings state it.
+    fixed_receive_bytes: Option<usize>,
+    /// Most concurrent streams of a connection over HTTP/2.
+    http2_streams: usize,
 }
 
 impl ClientBounds {
@@ -105,17 +111,24 @@
             .descriptors
             .map(|count| count.saturating_sub(RESERVED_DESCRIPTORS) / 3 * 2);
         let connections = by_descriptors.unwrap_or(MAX_CONNECTIONS);
-        let total_bytes = limits.memory_bytes.map(client_bytes);
+        let total_bytes = limits
+            .memory_bytes
+            .map(|bytes| client_bytes(bytes, limits.program_bytes));
         let request_bytes = total_bytes.map_or(MAX_REQUEST_BYTES, |bytes| {
             MAX_REQUEST_BYTES.min(bytes / 4 * 3)
         });
         let buffer_bytes = limits.memory_bytes.map(|bytes| (bytes / 32) as usize);
+        let total_bytes = total_bytes.map_or(usize::MAX, |bytes| bytes as usize);
+        let (fewest_streams, most_streams) = HTTP2_STREAMS;
+        let http2_streams = total_bytes / TOTAL_BYTES_PER_HTTP2_STREAM;
         Self {
             connections: connections.min(MAX_CONNECTIONS) as usize,
-            total_bytes: total_bytes.map_or(usize::MAX, |bytes| bytes as usize),
+            total_bytes,
             request_bytes: request_bytes as usize,
             read_bytes: buffer_bytes.unwrap_or(MAX_REQUEST_BYTES as usize / 4),
             receive_bytes: buffer_bytes,
+            fixed_receive_bytes: None,
+            http2_streams: http2_streams.clamp(fewest_streams, most_streams),
         }
     }
 
@@ -125,6 +138,24 @@
         self
     }
 
+    /// Replaces the number of open connections.
+    pub fn with_connections(mut self, connections: usize) -> Self {
+        self.connections = connections;
+        self
+    }
+
+    /// Replaces the size of the receive buffer of each connection.
+    pub fn with_receive_bytes(mut self, receive_bytes: usize) -> Self {
+        self.fixed_receive_bytes = Some(receive_bytes);
+        self
+    }
+
+    /// Replaces the number of concurrent streams of a connection over HTTP/2.
+    pub fn with_http2_streams(mut self, http2_streams: usize) -> Self {
+        self.http2_streams = http2_streams;
+        self
+    }
+
     /// Returns the most bytes of a read from a client, as far as reads of [`MIN_READ_BYTES`] allow. Each connection
     /// may hold two reads: one in the buffer and one that is taken from it.
     pub fn read_bytes(&self, connections: usize) -> usize {
@@ -137,6 +168,9 @@
     /// A buffer keeps its size as long as its connection is open. The sum over all of them stays within
     /// `receive_bytes` as the size falls with the number of connections, and as the kernel fills up to twice as much.
     pub fn receive_bytes(&self, connections: usize) -> Option<usize> {
+        if self.fixed_receive_bytes.is_some() {
+            return self.fixed_receive_bytes;
+        }
         let bytes = self.receive_bytes?;
         let share = bytes / 4 / (connections + 1);
         let largest = (bytes / 128).clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
@@ -145,13 +179,12 @@
 
     /// Returns the most concurrent streams of a connection over HTTP/2.
     pub fn http2_streams(&self) -> usize {
-        let (fewest, most) = HTTP2_STREAMS;
-        (self.total_bytes / TOTAL_BYTES_PER_HTTP2_STREAM).clamp(fewest, most)
+        self.http2_streams
     }
 
     /// Returns what a connection over HTTP/2 holds beside [`CONNECTION_BYTES`] and its admitted requests.
     pub fn http2_connection_bytes(&self) -> usize {
-        HTTP2_CONNECTION_BYTES + self.http2_streams() * HTTP2_STREAM_BYTES
+        HTTP2_CONNECTION_BYTES + self.http2_streams * HTTP2_STREAM_BYTES
     }
 
     /// Returns the size of the receive buffer of connections to targets. `None` leaves it to the kernel.
@@ -161,9 +194,9 @@
 }
 
 /// Returns what is left to clients of a machine's memory.
-fn client_bytes(memory_bytes: u64) -> u64 {
+fn client_bytes(memory_bytes: u64, program_bytes: Option<u64>) -> u64 {
     let buffer_bytes = memory_bytes / 16;
-    let program_bytes = PROGRAM_BYTES as u64 + memory_bytes / 16;
+    let program_bytes = program_bytes.unwrap_or(PROGRAM_BYTES as u64 + memory_bytes / 16);
     let rest = memory_bytes.saturating_sub(program_bytes + buffer_bytes);
     // A machine that is too small for the program still serves single requests.
     rest.max(memory_bytes / 8)
--- a/src/jujubelink/ops/proxy/handler.rs
+++ b/src/jujubelink/ops/proxy/handler.rs
@@ -359,14 +359,24 @@
 fn client_bounds(context: &Context) -> ClientBounds {
     let bytes = |mb: u64| mb.saturating_mul(1_000_000);
     let machine = &context.settings().machine;
-    let bounds = ClientBounds::new(&MachineLimits {
+    let mut bounds = ClientBounds::new(&MachineLimits {
         memory_bytes: machine.memory_mb.map(bytes),
         descriptors: machine.max_descriptors,
+        program_bytes: machine.program_memory_mb.map(bytes),
     });
-    match machine.client_memory_mb {
-        Some(mb) => bounds.with_request_bytes(bytes(mb) as usize),
-        None => bounds,
+    if let Some(mb) = machine.client_memory_mb {
+        bounds = bounds.with_request_bytes(bytes(mb) as usize);
     }
+    if let Some(connections) = machine.max_client_connections {
+        bounds = bounds.with_connections(connections as usize);
+    }
+    if let Some(kib) = machine.receive_buffer_kib {
+        bounds = bounds.with_receive_bytes(kib.saturating_mul(1024) as usize);
+    }
+    if let Some(streams) = machine.http2_streams {
+        bounds = bounds.with_http2_streams(streams as usize);
+    }
+    bounds
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/src/jujubelink/ops/settings/load.rs
+++ b/src/jujubelink/ops/settings/load.rs
@@ -187,6 +187,16 @@
         let message = "must be at least 1".to_owned();
         report(Severity::Error, &["tracing", "sample_one_in"], message);
     }
+    let machine = &settings.machine;
+    let at_least_one = [
+        ("max_client_connections", machine.max_client_connections),
+        ("receive_buffer_kib", machine.receive_buffer_kib),
+        ("http2_streams", machine.http2_streams),
+    ];
+    for (name, _) in at_least_one.iter().filter(|(_, value)| *value == Some(0)) {
+        let message = "must be at least 1".to_owned();
+        report(Severity::Error, &["machine", name], message);
+    }
     for (name, key) in &settings.admin.keys {
         if !is_sha256_hex(&key.sha256) {
             let message = "must be a lower-case hexadecimal SHA-256 hash".to_owned();
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -226,8 +226,19 @@
 pub struct MachineSettings {
     /// Memory that the process may use, in megabytes. Not limited if absent.
     pub memory_mb: Option<u64>,
-    /// Memory for heads and bodies of requests, in megabytes. A quarter of `memory_mb` if absent.
+    /// Memory of the process without clients, in megabytes. If absent, 28 and a sixteenth of `memory_mb`.
+    pub program_memory_mb: Option<u64>,
+    /// Memory for requests with their heads and bodies, in megabytes. If absent, three quarters of what is left to
+    /// clients, at most 134.
     pub client_memory_mb: Option<u64>,
+    /// Number of open connections of clients. If absent, it follows from `max_descriptors`; the memory limits it in
+    /// any case.
+    pub max_client_connections: Option<u64>,
+    /// Receive buffer of each connection of a client, in KiB. If absent, it follows from `memory_mb` and the number
+    /// of connections.
+    pub receive_buffer_kib: Option<u64>,
+    /// Number of concurrent streams of a connection over HTTP/2. If absent, it follows from `memory_mb`.
+    pub http2_streams: Option<u64>,
     /// Number of descriptors that the process may open. Not limited if absent.
     pub max_descriptors: Option<u64>,
 }
--- a/tests/testsuite/platform_path/held_requests.rs
+++ b/tests/testsuite/platform_path/held_requests.rs
@@ -100,6 +100,7 @@
     ClientBounds::new(&MachineLimits {
         memory_bytes: memory_mb.map(|mb| mb * 1_000_000),
         descriptors,
+        program_bytes: None,
     })
 }
 
