Add crowds of small bodies and of large heads under HTTP/2

Three further crowds: bodies that stop after 1 KB with large heads, small chunked bodies without their end, both of more clients than the machine has room for, and HTTP/2 streams with heads of 15 KB.

--- a/tests/testsuite/untrusted_clients/bodies.rs
+++ b/tests/testsuite/untrusted_clients/bodies.rs
@@ -21,6 +21,12 @@
 /// How often a client whose connection was closed tries again.
 const RECONNECTS: usize = 2;
 
+/// Number of clients that send little and keep their requests open. They are more than the machine has room for.
+const WAITING_CLIENTS: usize = 1_200;
+
+/// Bytes of a head that is below the usual limit.
+const HEAD_BYTES: usize = 15_000;
+
 /// Size of the pieces of a body that is sent piece by piece.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -77,6 +83,27 @@
     check_bodies("large chunks without their end", script);
 }
 
+/// Guards against requests that hold their connections and the memory beside their bodies until their deadline.
+#[test]
+fn bodies_that_stop_at_their_start() {
+    let line = format!("x-large: {}\r\n", "x".repeat(HEAD_BYTES));
+    let framing = format!("{line}content-length: {MAX_BODY_BYTES}");
+    let script = Script::new(head(&framing)).with_units("b".repeat(1_000), 1);
+    check_crowd("bodies that stop at their start", |site| {
+        Crowd::start(site.instance.client_address, WAITING_CLIENTS, script)
+    });
+}
+
+/// Guards against chunked bodies that are small enough to use all of the memory for requests.
+#[test]
+fn small_chunked_bodies_without_their_end() {
+    let data = chunk(&"b".repeat(1_000));
+    let script = Script::new(chunked_head()).with_units(data, 48);
+    check_crowd("small chunked bodies without their end", |site| {
+        Crowd::start(site.instance.client_address, WAITING_CLIENTS, script)
+    });
+}
+
 /// Guards against memory that each chunk needs beside its data. With chunks of one byte, 1 MB of such a body
 /// arrives as 174,000 pieces.
 #[test]
--- a/tests/testsuite/untrusted_clients/http2.rs
+++ b/tests/testsuite/untrusted_clients/http2.rs
@@ -91,6 +91,25 @@
     });
 }
 
+/// Guards against large heads on many streams, whose requests are admitted or refused at the same time.
+#[test]
+fn streams_with_large_heads() {
+    let mut head = request_head("/read/x");
+    // A literal name and a value of 15,000 bytes.
+    head.extend(b"\x00\x06x-long\x7f\x99\x74");
+    head.extend(vec![b'x'; 15_000]);
+    let mut bytes = http2_start();
+    for number in 0..STREAMS {
+        let flags = END_HEADERS | END_STREAM;
+        bytes.extend(http2_frame(HEADERS, flags, 2 * number + 1, &head));
+    }
+    check_crowd("streams with large heads", |site| {
+        let flood = Flood::new("chunks", &chunked(), chunk(&"b".repeat(FRAME_BYTES)));
+        site.proxy_of("/read/x").set_flood(Some(flood));
+        start(site.instance.client_address, CONNECTIONS, bytes)
+    });
+}
+
 /// Guards against connections that are kept for clients that send nothing more.
 #[test]
 fn connections_that_are_idle_after_a_request() {
