Log and count connections that give way within a TLS handshake

Such a connection was closed in favor of others without a log line, and connections_gave_way did not count it. Both now report it as idle.

--- a/src/jujubelink/ops/proxy/plugin.rs
+++ b/src/jujubelink/ops/proxy/plugin.rs
@@ -13,11 +13,13 @@
 
 use super::handler::{ClientHandler, Proxy};
 use super::http2_memory::{SEND_BUFFER_BYTES, WINDOW_BYTES};
-use crate::core::capacity::MAX_HEAD_BYTES;
+use crate::core::capacity::{ConnectionPhase, MAX_HEAD_BYTES};
 use crate::core::stop::HANDSHAKE_COMPLETION_TIME;
 use crate::ops::kernel::{Context, DrainPhase, Plugin, PluginEntry};
 use crate::ops::tls::ServerTls;
-use crate::util::http::{ConnectionUse, NewConnectionReason, ServerOptions, serve_connection};
+use crate::util::http::{
+    ConnectionEnd, ConnectionUse, Handler, NewConnectionReason, ServerOptions, serve_connection,
+};
 use crate::util::net::{KeepaliveSettings, Listener, MAX_STALL, Stream};
 
 /// Accepting a connection fails mostly because the process is out of file descriptors.
@@ -231,7 +233,11 @@
                 let mut gave_way = poll_fn(|cx| memory.poll_end(cx)).fuse();
                 let accepted = futures_util::select_biased! {
                     accepted = pin!(tls.accept(stream).fuse()) => accepted,
-                    () = gave_way => None,
+                    () = gave_way => {
+                        let phase = ConnectionPhase::Idle;
+                        handler.on_end(&ConnectionEnd::GaveWay { phase });
+                        None
+                    }
                 };
                 match accepted {
                     Some(stream) => serve_connection(stream, handler, options, drain).await,
