Pass on buffered responses in parts and charge them

Callers saw: 900 clients that ask for responses of 250 KB and read none made an instance hold 122.8 MB on a machine of 64 MB (123.1 in a second run).

Cause: a response of up to 256 KiB with a length is read completely before it is forwarded, against no bound, and was given to hyper as one piece. Each unread one was held whole beside its connection.

Without memory the response is forwarded as it arrives, like a long one.

--- a/src/jujubelink/core/capacity/ledger.rs
+++ b/src/jujubelink/core/capacity/ledger.rs
@@ -257,6 +257,17 @@
         id
     }
 
+    /// Begins a transfer with the owner and the connection of another one. It holds nothing yet, and ends only with
+    /// the connection.
+    pub fn begin_beside(&mut self, id: TransferId, now: Timestamp) -> TransferId {
+        let other = self.transfers.get(&id);
+        let connection = other.and_then(|other| other.connection);
+        let owner = other.map_or_else(Owner::default, |other| other.owner.clone());
+        let id = self.begin_on(connection, owner, now);
+        self.complete(id);
+        id
+    }
+
     /// Sets the workspace of a transfer.
     pub fn set_workspace(&mut self, id: TransferId, workspace: Option<WorkspaceId>) {
         if let Some(transfer) = self.transfers.get_mut(&id) {
--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -16,12 +16,14 @@
 use super::expiry::with_expiry;
 use super::send::{SendFailure, SendOutcome};
 use super::takeover::{SilentTarget, Takeover};
+use crate::core::capacity::UNSENT_BYTES;
 use crate::core::ids::Timestamp;
 use crate::core::relay::{Failure, NoResend};
 use crate::ops::proxy::waits::Awaited;
 use crate::ops::services::AttemptOutcome;
 use crate::platform::is_connection_header;
-use crate::util::http::{Body, BodyError, full};
+use crate::util::http::{Body, BodyError, attach_guard, full_in_parts};
+use crate::util::memory_budget::Reservation;
 
 /// A larger event is treated as a failed connection.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -54,7 +56,8 @@
 }
 
 enum TargetBody {
-    Buffered(Bytes),
+    /// With the memory that is reserved for it.
+    Buffered(Bytes, Reservation),
     Streamed(StreamedBody),
 }
 
@@ -151,10 +154,10 @@
 }
 
 impl TargetResponse {
-    pub(super) fn buffered(head: Parts, body: Bytes) -> Self {
+    pub(super) fn buffered(head: Parts, body: Bytes, memory: Reservation) -> Self {
         Self {
             head,
-            body: TargetBody::Buffered(body),
+            body: TargetBody::Buffered(body, memory),
         }
     }
 
@@ -172,7 +175,7 @@
     pub(super) fn streamed_body(&mut self) -> Option<&mut StreamedBody> {
         match &mut self.body {
             TargetBody::Streamed(body) => Some(body),
-            TargetBody::Buffered(_) => None,
+            TargetBody::Buffered(..) => None,
         }
     }
 
@@ -180,7 +183,7 @@
     fn is_delimited(&self) -> bool {
         match &self.body {
             TargetBody::Streamed(body) => body.is_delimited(&self.head.headers),
-            TargetBody::Buffered(_) => true,
+            TargetBody::Buffered(..) => true,
         }
     }
 
@@ -209,12 +212,12 @@
         }
         head.extensions.clear();
         let body = match self.body {
-            TargetBody::Buffered(body) => {
+            TargetBody::Buffered(body, memory) => {
                 exchange.record_first_token();
                 exchange.record_complete_response(status);
                 exchange.log_response("complete", status);
                 exchange.end_placement(completed_outcome(&exchange, status));
-                full(body)
+                attach_guard(full_in_parts(body, UNSENT_BYTES), memory)
             }
             TargetBody::Streamed(body) => {
                 let context = exchange.proxy.context.clone();
--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -62,7 +62,7 @@
     pub(super) head: RelayHead,
     pub(super) body: Bytes,
     /// What the request holds until its response has ended.
-    memory: Reservation,
+    pub(super) memory: Reservation,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) admission: Option<Admission>,
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -475,7 +475,7 @@
         self.head.prompt.is_some() && head.load.is_none_or(has_free_slots)
     }
 
-    /// Reads a short response completely. A long response or a stream is read while it is
+    /// Reads a short response completely if memory is left for it. A long response or a stream is read while it is
     /// forwarded.
     fn read_response(
         &self,
@@ -483,7 +483,10 @@
     ) -> impl Future<Output = Result<TargetResponse, SendFailure>> + 'static {
         let length = http_body::Body::size_hint(response.body()).exact();
         let is_bufferable = length.is_some_and(|length| length <= MAX_BUFFERED_RESPONSE_BYTES);
-        let is_streamed = self.is_stream() || !is_bufferable;
+        let memory = self.memory.begin_beside();
+        let is_streamed = self.is_stream()
+            || !is_bufferable
+            || !memory.grow_if_free(length.unwrap_or_default() as usize);
         let timers = *self.proxy.context.timers();
         let remaining = self.remaining();
         if !self.is_taking_over {
@@ -496,7 +499,7 @@
             }
             let read = collect_limited(body, MAX_BUFFERED_RESPONSE_BYTES as usize);
             match timers.timeout(remaining, read).await {
-                Some(Ok(Some(body))) => Ok(TargetResponse::buffered(head, body)),
+                Some(Ok(Some(body))) => Ok(TargetResponse::buffered(head, body, memory)),
                 Some(_) => Err(SendFailure::connection_lost()),
                 None => Err(SendFailure::timed_out()),
             }
--- a/src/jujubelink/util/http/body.rs
+++ b/src/jujubelink/util/http/body.rs
@@ -28,6 +28,42 @@
     Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
 }
 
+/// Returns a body that is passed on in parts of at most `part_bytes`, so that no more than is asked for is held
+/// elsewhere.
+pub fn full_in_parts(bytes: Bytes, part_bytes: usize) -> Body {
+    Box::pin(PartedBody {
+        rest: bytes,
+        part_bytes,
+    })
+}
+
+struct PartedBody {
+    rest: Bytes,
+    part_bytes: usize,
+}
+
+impl http_body::Body for PartedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let length = self.part_bytes.min(self.rest.len());
+        let part = self.rest.split_to(length);
+        Poll::Ready((!part.is_empty()).then(|| Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
 /// Maximum number of bytes read of an unwanted body.
 const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
 
--- a/src/jujubelink/util/http/mod.rs
+++ b/src/jujubelink/util/http/mod.rs
@@ -12,7 +12,7 @@
 
 pub use body::{
     Body, BodyError, DEFAULT_SEND_TIME, UnreadBody, attach_guard, collect_limited, discard, empty,
-    full,
+    full, full_in_parts,
 };
 pub use buffered_call::CallError;
 pub use client::{
--- a/src/jujubelink/util/memory_budget.rs
+++ b/src/jujubelink/util/memory_budget.rs
@@ -210,6 +210,16 @@
         ledger.grow_if_free(self.id, bytes)
     }
 
+    /// Begins the reservation for something else that is held for the same owner and connection. It ends only with
+    /// the connection.
+    pub fn begin_beside(&self) -> Reservation {
+        let now = self.shared.now();
+        Reservation {
+            id: self.shared.ledger.borrow_mut().begin_beside(self.id, now),
+            shared: Rc::clone(&self.shared),
+        }
+    }
+
     /// Counts the transfer for a workspace.
     pub fn set_workspace(&self, workspace: Option<WorkspaceId>) {
         let mut ledger = self.shared.ledger.borrow_mut();
--- a/tests/testsuite/endless_bytes/floods.rs
+++ b/tests/testsuite/endless_bytes/floods.rs
@@ -16,7 +16,7 @@
 }
 
 /// Returns the start of a successful response to the flooded request, up to the given headers.
-pub(super) fn success(headers: &str) -> String {
+pub(crate) fn success(headers: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {ID}\r\njujubelink-server-stamp: s\r\n{headers}\r\n"
     )
--- a/tests/testsuite/untrusted_clients/responses.rs
+++ b/tests/testsuite/untrusted_clients/responses.rs
@@ -2,7 +2,7 @@
 
 use super::crowd::{Crowd, Reading, Script};
 use super::machine::check_crowd;
-use crate::endless_bytes::floods::{chunk, chunked};
+use crate::endless_bytes::floods::{chunk, chunked, success};
 use crate::endless_bytes::site::Site;
 use crate::support::Flood;
 
@@ -22,6 +22,12 @@
 /// Number of clients with a body of the largest size.
 const CLIENTS_WITH_LARGE_BODY: usize = 300;
 
+/// Bytes of a response that is short enough to be read completely before it is forwarded.
+const BUFFERED_RESPONSE_BYTES: usize = 250_000;
+
+/// Number of such responses that each client asks for.
+const REQUESTS_WITH_A_LENGTH: usize = 100;
+
 /// Bytes of a head that is below the usual limit.
 const HEAD_BYTES: usize = 15_000;
 
@@ -81,6 +87,20 @@
     check_readers(name, CLIENTS_WITHOUT_BODY, request, Reading::Nothing);
 }
 
+/// Guards against responses that are read completely before they are forwarded, and that nobody reads.
+#[test]
+fn responses_with_a_length_that_are_not_read() {
+    check_crowd("responses with a length", |site| {
+        let head = success(&format!("content-length: {BUFFERED_RESPONSE_BYTES}\r\n"));
+        let flood = Flood::new("a long body", &head, "b");
+        site.proxy_of("/read/x").set_flood(Some(flood));
+        let address = site.instance.client_address;
+        // The first responses fill what the kernel takes for the client.
+        let script = Script::new("").with_units(request("", ""), REQUESTS_WITH_A_LENGTH);
+        Crowd::start(address, CLIENTS_WITH_REQUEST, script)
+    });
+}
+
 /// Guards against heads that are not counted any more once they have arrived.
 #[test]
 fn slow_readers_with_large_heads() {
