--- a/src/jujubelink/core/capacity/ledger.rs
+++ b/src/jujubelink/core/capacity/ledger.rs
@@ -166,8 +166,9 @@
         id
     }
 
-    /// Admits a connection that holds `bytes` as long as it is open. Large transfers leave a quarter of all memory, of
-    /// which connections leave one half to small requests. Without room, those end whose clients have kept them waiting, as [`connection::candidates`] states.
+    /// Admits a connection that holds `bytes` as long as it is open. Large transfers leave a quarter of all memory,
+    /// and connections leave half of that to small requests. Without room, connections end whose clients have kept
+    /// them waiting, in the order that [`connection::candidates`] states.
     pub fn open_connection(
         &mut self,
         address: Option<IpAddr>,
