--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -194,7 +194,7 @@
 /// Servers send bytes that are no answer, without end, while one machine is left. Clients leave after two seconds
 /// without a piece.
 fn endless(record: &Path, has_trouble: bool) -> bool {
-    const CLIENTS: usize = 600;
+    const CLIENTS: u32 = 600;
     const GAP: Duration = Duration::from_micros(4_700);
     let site = Site::start(record);
     site.write("config", "main", &configuration(7, 12_000));
@@ -217,11 +217,14 @@
         true => "/endless/x?parts=15&part_bytes=17408&gap_ms=2",
         false => "/unframed/x?events=20&gap_ms=100",
     };
+    // Each request has its time from the start, so that the time that sending takes does not lower the rate.
+    let begin = Instant::now();
     let requests: Vec<_> = (0..CLIENTS)
         .map(|number| {
+            let due = begin + GAP * number;
+            sleep(due.saturating_duration_since(Instant::now()));
             let id = format!("a{number}");
             let conn = site.send(1, "POST", route, &id, &prompt(12_000));
-            sleep(GAP);
             spawn(move || {
                 let mut conn = conn?;
                 let _ = conn.stream.set_read_timeout(Some(ms(2_000)));
@@ -229,6 +232,10 @@
             })
         })
         .collect();
+    log(
+        "case",
+        &format!("the requests were sent within {:?}", begin.elapsed()),
+    );
     let end = Instant::now() + ms(4_000);
     let mut is_broken = false;
     while Instant::now() < end {
