Wait for the first response of a leaving target in a test

Cause: targets_that_announce_their_shutdown_in_responses_get_no_requests took a target for unused when six requests happened to reach the other one. The target had announced nothing then, and its first request counted as one too many.

Change: the test waits until the target has answered a request before it waits until it is unused. The checks that follow are the same.

--- a/tests/testsuite/platform_path/mod.rs
+++ b/tests/testsuite/platform_path/mod.rs
@@ -875,6 +875,12 @@
         let (deployment, instance) = Deployment::start_ready("").await;
         deployment.services[0].set_leaving(true);
         deployment.engines[0].set_leaving(true);
+        // Before its first response the target has announced nothing, and its next request is no fault.
+        eventually("the target announces its shutdown", || async {
+            instance.send_request("r", "GET", "/read/x").await;
+            (deployment.services[0].runs() > 0).then_some(())
+        })
+        .await;
         wait_until_unused(&deployment.services[0], &instance).await;
         eventually("prompts go to the other engine", || async {
             let before = deployment.engines[0].runs();
