relay: complete a response without a length only if its target still answers

Cause: the end of a target that had been known to leave for drain_ms + 40 ms counted as planned, and with it the end of the response, without a probe. The time since a notice proves neither: targets are taken away at any time after it, and those that leave as planned go on for many seconds at times.

Change: only a response of the target to a probe that was sent after the end proves the end. The time since the departure is logged and decides nothing; drain_ms tells in the log whether a target ended before or after its drain time. A stream that may be resumed is continued by another target, which has no further events if nothing was missing. Three tests demanded that a response whose target is gone is complete. On the wire it is the same as one that was cut; they are replaced by tests that demand a complete response if the target still serves, and none if it is gone, at more moments of the departure than before.

--- a/src/jujubelink/core/relay/end.rs
+++ b/src/jujubelink/core/relay/end.rs
@@ -1,17 +1,13 @@
 //! Decision whether the end of a connection is the end of the response.
 //!
-//! A body with a length or in chunks states its end. Any other body ends with its connection, which a crash of
-//! the target closes in the same way, so that such an end needs a proof.
+//! A body with a length or in chunks states its end. Any other body ends with its connection, which the end of
+//! the target's process closes in the same way, so that such an end needs a proof. The only one is a response of
+//! the target to a probe that was sent after the end.
 
 use std::time::Duration;
 
 use derive_more::Display;
 
-/// Time after the drain time from which an ended target counts as one that left as planned. A target that is
-/// taken away exactly at the end of its drain time is seen to end a few milliseconds later. One that leaves as
-/// planned goes on a little longer.
-pub const DRAIN_MARGIN: Duration = Duration::from_millis(40);
-
 /// What a probe that was sent after the end showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeFinding {
@@ -31,7 +27,8 @@
     /// What the probe of the target showed; `None` before it.
     pub probe: Option<ProbeFinding>,
     /// Time from the news that the target leaves to the end of the response; `None` without such news, or if
-    /// the response may have ended before.
+    /// the response may have ended before. It explains the end of a target and proves nothing about its
+    /// responses, as a target may be taken away at any time after its notice.
     pub departed_for: Option<Duration>,
     /// Time for which a leaving target serves after its notice.
     pub drain_time: Duration,
@@ -48,12 +45,12 @@
     /// The target lived after the end.
     #[display("target_alive")]
     TargetAlive,
-    /// The target has left, and its drain time had passed.
-    #[display("target_left")]
-    TargetLeft,
     /// The target is gone before the end of its drain time.
     #[display("gone_while_draining")]
     GoneWhileDraining,
+    /// The target is gone after its drain time.
+    #[display("gone_after_draining")]
+    GoneAfterDraining,
     /// The target is gone, and no departure is known.
     #[display("target_gone")]
     TargetGone,
@@ -68,7 +65,7 @@
 impl EndReason {
     /// Whether the response is complete.
     pub fn is_complete(self) -> bool {
-        matches!(self, Self::Delimited | Self::TargetAlive | Self::TargetLeft)
+        matches!(self, Self::Delimited | Self::TargetAlive)
     }
 }
 
@@ -77,15 +74,14 @@
     if end.is_delimited {
         return Some(EndReason::Delimited);
     }
-    let planned_end = end.drain_time + DRAIN_MARGIN;
-    if end.departed_for.is_some_and(|time| time >= planned_end) {
-        return Some(EndReason::TargetLeft);
-    }
     Some(match end.probe? {
         ProbeFinding::Alive => EndReason::TargetAlive,
         ProbeFinding::Unknown => EndReason::NoProof,
-        ProbeFinding::Gone if end.departed_for.is_some() => EndReason::GoneWhileDraining,
-        ProbeFinding::Gone if end.is_store_fresh => EndReason::TargetGone,
-        ProbeFinding::Gone => EndReason::GoneUnannounced,
+        ProbeFinding::Gone => match end.departed_for {
+            Some(time) if time < end.drain_time => EndReason::GoneWhileDraining,
+            Some(_) => EndReason::GoneAfterDraining,
+            None if end.is_store_fresh => EndReason::TargetGone,
+            None => EndReason::GoneUnannounced,
+        },
     })
 }
--- a/src/jujubelink/ops/settings/process.rs
+++ b/src/jujubelink/ops/settings/process.rs
@@ -91,7 +91,7 @@
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
     /// Time for which a target serves after the store has its announcement that it leaves, or has removed its
-    /// entry, in milliseconds. With 0 it is not stated: any known departure counts as having run its course.
+    /// entry, in milliseconds. The log states with it whether a target ended before or after its drain time.
     #[serde(default)]
     pub drain_ms: u64,
     /// Names of the features that the deployment asks for. Unknown names are ignored.
--- a/tests/testsuite/platform_path/crashing_prompts.rs
+++ b/tests/testsuite/platform_path/crashing_prompts.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use jujubelink_standins::fleet::{CrashingPart, FleetTarget, StoreMode, TargetFault};
 use serde_json::json;
 
+use super::scripted_deployment::stream;
 use super::{Deployment, KEY, RunningInstance, expected_events, schedule_faults};
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, TestResponse, eventually, run};
 
@@ -505,19 +506,31 @@
     });
 }
 
-/// Starts a target that answers the first request with a body that ends with the connection, and ends itself
-/// then. The body is sent so long after the head.
-fn start_ending_target(content_type: &'static str, body: String, pause: Duration) -> SocketAddr {
+/// What a target does after its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterResponse {
+    /// It ends, which closes the connection of the response.
+    Ends,
+    /// It closes the connection of the response and serves for [`SERVING_TIME`].
+    Serves,
+}
+
+/// Time for which a target serves after its last response.
+const SERVING_TIME: Duration = Duration::from_secs(1);
+
+/// Starts a target that answers the first request with a body that ends with the connection, and then ends
+/// itself, at once or later. The body is sent so long after the head.
+fn start_ending_target(
+    content_type: &'static str,
+    body: String,
+    pause: Duration,
+    after: AfterResponse,
+) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let (mut connection, _) = listener.accept().unwrap();
-        let mut request = String::new();
-        let mut buffer = [0; 4096];
-        while !request.contains("\r\n\r\n") {
-            let length = connection.read(&mut buffer).unwrap();
-            request += &String::from_utf8_lossy(&buffer[..length]);
-        }
+        let request = read_head(&mut connection);
         let id = request
             .lines()
             .find_map(|line| line.strip_prefix("jujubelink-attempt-id: "));
@@ -529,6 +542,11 @@
         connection.write_all(head.as_bytes()).unwrap();
         std::thread::sleep(pause);
         connection.write_all(body.as_bytes()).unwrap();
+        if after == AfterResponse::Serves {
+            drop(connection);
+            serve_probes(&listener);
+            return;
+        }
         // The connection is closed regularly, as the kernel does for a process that has ended.
         std::thread::sleep(Duration::from_millis(50));
         drop(listener);
@@ -541,6 +559,33 @@
     address
 }
 
+/// Reads the head of a request.
+fn read_head(connection: &mut TcpStream) -> String {
+    let mut request = String::new();
+    let mut buffer = [0; 4096];
+    while !request.contains("\r\n\r\n") {
+        let length = connection.read(&mut buffer).unwrap();
+        assert_ne!(length, 0, "the connection ends within a head");
+        request += &String::from_utf8_lossy(&buffer[..length]);
+    }
+    request
+}
+
+/// Answers each request with 404 for [`SERVING_TIME`], as a target does that has no reports.
+fn serve_probes(listener: &TcpListener) {
+    let end = Instant::now() + SERVING_TIME;
+    listener.set_nonblocking(true).unwrap();
+    while Instant::now() < end {
+        let Ok((mut connection, _)) = listener.accept() else {
+            std::thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        connection.set_nonblocking(false).unwrap();
+        read_head(&mut connection);
+        let _ = connection.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
+    }
+}
+
 /// Guards against a response without a length that looks complete although its target crashed within it.
 #[test]
 fn a_response_without_length_of_a_target_that_ends_is_not_complete() {
@@ -561,7 +606,12 @@
                 (send(path).await.status == 503).then_some(())
             })
             .await;
-            let address = start_ending_target(content_type, body.clone(), Duration::ZERO);
+            let address = start_ending_target(
+                content_type,
+                body.clone(),
+                Duration::ZERO,
+                AfterResponse::Ends,
+            );
             deployment.put_target_at(id, address, "ready", 1, 1);
             let response = eventually("the target gets the request", || async {
                 let response = send(path).await;
@@ -573,37 +623,95 @@
     });
 }
 
-/// Guards against a whole response without a length that is cut because its target has left without notice.
+/// Guards against a whole response without a length that is cut although its target, which has left without
+/// notice, still serves, and against a part of one that looks complete because a departure was known.
 #[test]
-fn a_response_without_length_of_a_target_that_has_left_is_complete() {
+fn a_response_without_length_of_a_target_that_has_left_is_complete_only_if_it_serves() {
     run(async {
-        let rows = [
-            ("/tell/x", "e9", "text/event-stream", expected_events(1..=2)),
-            ("/read/x", "s9", "text/plain", "the whole body".to_owned()),
-        ];
-        join_all(rows.map(|(path, id, content_type, body)| async move {
+        let rows = [AfterResponse::Serves, AfterResponse::Ends].map(|after| {
+            [
+                ("/tell/x", "e9", "text/event-stream", expected_events(1..=2)),
+                ("/read/x", "s9", "text/plain", "the body so far".to_owned()),
+            ]
+            .map(|row| (after, row))
+        });
+        let rows = rows.into_iter().flatten();
+        join_all(
+            rows.map(|(after, (path, id, content_type, body))| async move {
+                let deployment = Deployment::new();
+                for other in ["e1", "e2", "s1", "s2"] {
+                    deployment.store.remove("servers", other);
+                }
+                let pause = Duration::from_millis(2_000);
+                let address = start_ending_target(content_type, body.clone(), pause, after);
+                deployment.put_target_at(id, address, "ready", 1, 1);
+                let instance = deployment.start("n1", "").await;
+                instance.wait_ready().await;
+                let send = async || match path {
+                    "/read/x" => instance.send_request("r", "GET", path).await,
+                    _ => instance.send_prompt("r", path).await,
+                };
+                let response = eventually("the target gets the request", || async {
+                    let response = send().await;
+                    (response.status != 503).then_some(response)
+                });
+                let (response, ()) = futures_util::join!(response, async {
+                    compio::time::sleep(Duration::from_millis(800)).await;
+                    deployment.store.remove("servers", id);
+                });
+                let status = if after == AfterResponse::Serves {
+                    200
+                } else {
+                    0
+                };
+                assert_eq!(
+                    (response.status, response.body),
+                    (status, body),
+                    "{path} {after:?}"
+                );
+            }),
+        )
+        .await;
+    });
+}
+
+/// Guards against a stream without a length that is taken for complete, or closed as cut, because its engine is
+/// taken away after its drain time. Another engine knows whether events are missing.
+#[test]
+fn a_resumable_stream_of_an_engine_that_has_left_is_continued() {
+    run(async {
+        let rows = [("cut", 1..=2), ("whole", 1..=5)];
+        join_all(rows.map(|(what, events)| async move {
             let deployment = Deployment::new();
-            for other in ["e1", "e2", "s1", "s2"] {
+            for other in ["e1", "e2"] {
                 deployment.store.remove("servers", other);
             }
-            let pause = Duration::from_millis(2_000);
-            let address = start_ending_target(content_type, body.clone(), pause);
-            deployment.put_target_at(id, address, "ready", 1, 1);
-            let instance = deployment.start("n1", "").await;
+            // Shorter than the silence after which another engine is asked.
+            let (body, pause) = (expected_events(events), Duration::from_millis(1_000));
+            let after = AfterResponse::Ends;
+            let address = start_ending_target("text/event-stream", body, pause, after);
+            deployment.put_target_at("e9", address, "ready", 1, 1);
+            let other = ScriptedTarget::start(|request| stream(request, &[]));
+            let instance = deployment.start("n1", "drain_ms = 200").await;
             instance.wait_ready().await;
-            let send = async || match path {
-                "/read/x" => instance.send_request("r", "GET", path).await,
-                _ => instance.send_prompt("r", path).await,
-            };
-            let response = eventually("the target gets the request", || async {
-                let response = send().await;
+            let response = eventually("the engine gets the request", || async {
+                let response = instance.send_prompt("r", "/ask/x").await;
                 (response.status != 503).then_some(response)
             });
             let (response, ()) = futures_util::join!(response, async {
-                compio::time::sleep(Duration::from_millis(800)).await;
-                deployment.store.remove("servers", id);
+                compio::time::sleep(Duration::from_millis(300)).await;
+                deployment.put_target_at("e9", address, "draining", 1, 1);
+                deployment.put_target_at("e8", other.address(), "ready", 1, 1);
             });
-            assert_eq!((response.status, response.body), (200, body), "{path}");
+            let whole = expected_events(1..=5);
+            assert_eq!((response.status, response.body), (200, whole), "{what}");
+            let resumed_after: Vec<_> = other
+                .received()
+                .iter()
+                .map(|request| request.last_event)
+                .collect();
+            let expected = if what == "cut" { 2 } else { 5 };
+            assert_eq!(resumed_after, [Some(expected)], "{what}");
         }))
         .await;
     });
@@ -627,7 +735,8 @@
         for number in 0..PART_CRASHES + 2 {
             let id = format!("e-{number}");
             let pause = Duration::from_millis(1_800);
-            let address = start_ending_target("text/event-stream", cut(), pause);
+            let address =
+                start_ending_target("text/event-stream", cut(), pause, AfterResponse::Ends);
             deployment.put_target_at(&id, address, "ready", 1, 1);
             let sender = Rc::clone(&instance);
             sent.push(compio::runtime::spawn(async move {
@@ -695,11 +804,12 @@
     });
 }
 
-/// Starts a deployment with one target that answers a request with a body without a length and then ends,
-/// while the instance hears nothing from the store. Returns the response.
+/// Starts a deployment with one target that answers a request with a body without a length and then ends, at
+/// once or later, while the instance hears nothing from the store. Returns the response.
 async fn response_while_the_store_is_silent(
     row: (&'static str, &'static str, &'static str, String),
     has_left: bool,
+    after: AfterResponse,
 ) -> TestResponse {
     let (path, id, content_type, body) = row;
     let deployment = Deployment::new();
@@ -712,7 +822,7 @@
     }
     deployment.store.put("config", "main", config);
     let pause = Duration::from_millis(3_000);
-    let address = start_ending_target(content_type, body, pause);
+    let address = start_ending_target(content_type, body, pause, after);
     deployment.put_target_at(id, address, "ready", 1, 1);
     let instance = deployment.start("n1", "").await;
     instance.wait_ready().await;
@@ -744,28 +854,36 @@
 }
 
 /// Guards against a whole response without a length that is cut because the removal of its target's entry
-/// arrives after the end of the target.
+/// arrives after the end of the response, though the target still serves.
 #[test]
 fn a_response_of_a_target_whose_departure_is_learned_late_is_complete() {
     run(async {
         join_all(unlimited_bodies().map(|row| async move {
             let (path, body) = (row.0, row.3.clone());
-            let response = response_while_the_store_is_silent(row, true).await;
+            let response =
+                response_while_the_store_is_silent(row, true, AfterResponse::Serves).await;
             assert_eq!((response.status, response.body), (200, body), "{path}");
         }))
         .await;
     });
 }
 
-/// Guards against a response without a length that looks complete although its target crashed within it,
-/// because the store was silent then.
+/// Guards against a response without a length that looks complete although its target ended within it, because
+/// the store was silent then. Whether the target had left makes no difference.
 #[test]
 fn a_response_of_a_target_that_ends_while_the_store_is_silent_is_not_complete() {
     run(async {
-        join_all(unlimited_bodies().map(|row| async move {
+        let rows = unlimited_bodies().into_iter();
+        let rows = rows.flat_map(|row| [(row.clone(), false), (row, true)]);
+        join_all(rows.map(|(row, has_left)| async move {
             let (path, body) = (row.0, row.3.clone());
-            let response = response_while_the_store_is_silent(row, false).await;
-            assert_eq!((response.status, response.body), (0, body), "{path}");
+            let response =
+                response_while_the_store_is_silent(row, has_left, AfterResponse::Ends).await;
+            assert_eq!(
+                (response.status, response.body),
+                (0, body),
+                "{path} {has_left}"
+            );
         }))
         .await;
     });
--- a/tests/testsuite/platform_path/response_ends.rs
+++ b/tests/testsuite/platform_path/response_ends.rs
@@ -184,22 +184,25 @@
     });
 }
 
-/// Guards against a response that looks complete although its target was taken away before the end of its
-/// drain time, and against a whole one that is cut although its target left as planned.
+/// Guards against a response that looks complete because its target was taken away after a departure, at any
+/// time, and against a whole one that is cut although its target still answers.
 #[test]
-fn a_response_of_a_leaving_target_is_complete_after_its_drain_time() {
+fn a_response_of_a_leaving_target_is_complete_only_if_its_target_is_proved_to_live() {
     run(async {
-        let early = DRAIN_TIME / 2;
-        let late = DRAIN_TIME + Duration::from_millis(300);
-        let rows = [
-            ("draining", early, Probed::Refuses, 0),
-            ("draining", early, Probed::Resets, 0),
-            ("draining", early, Probed::Answers, 200),
-            ("draining", late, Probed::Refuses, 200),
-            ("removed", early, Probed::Refuses, 0),
-            ("removed", early, Probed::Answers, 200),
-            ("removed", late, Probed::Refuses, 200),
+        let times = [
+            DRAIN_TIME / 2,
+            DRAIN_TIME + Duration::from_millis(300),
+            DRAIN_TIME * 2,
+        ];
+        let probed = [
+            (Probed::Refuses, 0),
+            (Probed::Resets, 0),
+            (Probed::Answers, 200),
         ];
+        let rows = ["draining", "removed"]
+            .into_iter()
+            .flat_map(|news| times.map(|time| (news, time)))
+            .flat_map(|(news, time)| probed.map(|(probed, status)| (news, time, probed, status)));
         join_all(rows.map(|(news, time, probed, expected)| async move {
             let target = EndlessTarget::start(probed, "");
             let settings = format!("drain_ms = {}", DRAIN_TIME.as_millis());
@@ -215,6 +218,10 @@
             };
             let (response, ()) = futures_util::join!(sent, ended);
             assert_eq!(response.status, expected, "{news} {time:?} {probed:?}");
+            assert!(
+                response.body.contains("piece"),
+                "{news} {time:?} {probed:?}"
+            );
         }))
         .await;
     });
--- a/tests/testsuite/response_end.rs
+++ b/tests/testsuite/response_end.rs
@@ -5,7 +5,7 @@
 
 use jujubelink::core::fleet::{FleetState, TargetRecord};
 use jujubelink::core::ids::TargetId;
-use jujubelink::core::relay::{DRAIN_MARGIN, EndReason, ProbeFinding, ResponseEnd, judge_end};
+use jujubelink::core::relay::{EndReason, ProbeFinding, ResponseEnd, judge_end};
 
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -23,27 +23,22 @@
     }
 }
 
-/// Guards against an end without a proof that counts as complete, in each combination of what is known.
+/// Guards against an end without a proof that counts as complete, in each combination of what is known. The time
+/// since a departure is none.
 #[test]
 fn an_end_is_complete_only_with_a_proof() {
     use ProbeFinding::{Alive, Gone, Unknown};
-    let planned = DRAIN_TIME + DRAIN_MARGIN;
+    let departures = [None, Some(Duration::ZERO), Some(DRAIN_TIME), Some(secs(60))];
     for is_store_fresh in [true, false] {
         for probe in [None, Some(Alive), Some(Gone), Some(Unknown)] {
-            for departed_for in [None, Some(Duration::ZERO), Some(DRAIN_TIME), Some(planned)] {
+            for departed_for in departures {
                 let end = ResponseEnd {
                     is_store_fresh,
                     ..end(probe, departed_for)
                 };
-                let has_left = departed_for == Some(planned);
-                let expected = match probe {
-                    _ if has_left => Some(true),
-                    None => None,
-                    Some(finding) => Some(finding == Alive),
-                };
                 assert_eq!(
                     judge_end(&end).map(EndReason::is_complete),
-                    expected,
+                    probe.map(|finding| finding == Alive),
                     "{end:?}"
                 );
                 let delimited = ResponseEnd {
@@ -67,8 +62,8 @@
     for (end, expected) in [
         (gone(None), EndReason::TargetGone),
         (silent, EndReason::GoneUnannounced),
-        (gone(Some(DRAIN_TIME)), EndReason::GoneWhileDraining),
-        (gone(Some(secs(3))), EndReason::TargetLeft),
+        (gone(Some(secs(1))), EndReason::GoneWhileDraining),
+        (gone(Some(DRAIN_TIME)), EndReason::GoneAfterDraining),
         (end(Some(ProbeFinding::Unknown), None), EndReason::NoProof),
         (end(Some(ProbeFinding::Alive), None), EndReason::TargetAlive),
     ] {
