relay: send waiting prompts again when a workspace is isolated

Cause: the salt of a request is fixed when it is sent, and an engine takes cached parts when the request begins.

Change: an unanswered request whose cache namespace is no longer that of the active configuration is cancelled and sent again, if it may run more than once and the resend budget allows it. The namespace is compared once more when the connection is open. A cancelled run counts neither as a failure of its target nor of its version. Requests that may run only once stay where they are.

Evidence: a_prompt_that_waits_at_its_engine_uses_nothing_of_a_workspace_isolated_meanwhile failed before, with the former salt "1/" as the only arrival. The other new tests try a resend, a resume, an outage, a cut-off instance and a set of isolated workspaces that returns; they pass with and without the change.

--- a/src/jujubelink/ops/proxy/relay/exchange.rs
+++ b/src/jujubelink/ops/proxy/relay/exchange.rs
@@ -501,18 +501,6 @@
         })
     }
 
-    /// Returns the namespace of the cached prompts of the request's workspace by the active configuration,
-    /// which may have isolated a workspace while the request waited.
-    fn cache_namespace(&self, admission: &Admission) -> String {
-        let workspace = admission.workspace.as_ref();
-        let active = self.relay.fleet.policy();
-        active
-            .and_then(|policy| policy.cache_namespace(workspace))
-            // The active configuration no longer contains the workspace.
-            .or_else(|| admission.policy.cache_namespace(workspace))
-            .unwrap_or_default()
-    }
-
     /// Returns the parameters for an engine with the given weights. The weights version is part of
     /// the cache salt, because targets and cache stores do not check the weights of cached prompts.
     pub(super) fn engine_params(&self, weights: Option<u64>) -> Result<EngineParams, Refusal> {
@@ -616,10 +604,14 @@
     ) {
         let target = placement.as_ref().map(|placement| placement.target.clone());
         if let (Failure::MayHaveRun, Some(target)) = (failure.kind, &target) {
-            if failure.outcome != AttemptOutcome::Interrupted {
-                self.record_version_response(target, true);
+            match failure.outcome {
+                AttemptOutcome::Cancelled => self.record_cancelled_run(target),
+                AttemptOutcome::Interrupted => self.record_failed_run(target),
+                _ => {
+                    self.record_version_response(target, true);
+                    self.record_failed_run(target);
+                }
             }
-            self.record_failed_run(target);
         }
         if let (AttemptOutcome::ConnectFailed, Some(target)) = (&failure.outcome, &target) {
             self.attempts.on_connection_failed(target);
--- a/src/jujubelink/ops/proxy/relay/mod.rs
+++ b/src/jujubelink/ops/proxy/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod body;
+mod cache_isolation;
 mod crashes;
 mod exchange;
 mod expiry;
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -105,6 +105,32 @@
         )
     }
 
+    /// The request may not be sent as it was prepared. It is checked and placed again.
+    fn outdated() -> Self {
+        Self {
+            exclude_target: false,
+            ..Self::new(
+                Failure::NotSent,
+                RefusalCode::NoTarget,
+                "the request was outdated when its connection was open",
+                AttemptOutcome::Cancelled,
+            )
+        }
+    }
+
+    /// The run was cancelled before its response, because other cached prompts apply to its workspace now.
+    pub(super) fn cache_isolated() -> Self {
+        Self {
+            exclude_target: false,
+            ..Self::new(
+                Failure::MayHaveRun,
+                RefusalCode::UpstreamFailed,
+                "the cached prompts of the workspace changed before the target answered",
+                AttemptOutcome::Cancelled,
+            )
+        }
+    }
+
     fn paused(remaining: Duration) -> Self {
         let failure = Self::new(
             Failure::NotSent,
@@ -164,6 +190,8 @@
     response: LocalBoxFuture<'static, SendResult>,
     /// Result that has arrived and is read next.
     result: Option<SendResult>,
+    /// Namespace of the cached prompts that the request may use; `None` if its target caches none.
+    cache_namespace: Option<String>,
     sent_at: Rc<Cell<Option<Timestamp>>>,
 }
 
@@ -183,6 +211,11 @@
         self.sent_at.get()
     }
 
+    /// Namespace of the cached prompts that the request may use; `None` if its target caches none.
+    pub(super) fn cache_namespace(&self) -> Option<&str> {
+        self.cache_namespace.as_deref()
+    }
+
     /// Polls for the response head.
     pub(super) fn poll_result(&mut self, cx: &mut Context<'_>) -> Poll<SendResult> {
         match self.result.take() {
@@ -245,6 +278,7 @@
             ));
         }
         let request = self.request_for(&record, remaining, weights)?;
+        let cache_namespace = self.sent_cache_namespace();
         let options = self.request_options(&record);
         self.attempts.on_send();
         self.sent_to.push((Rc::clone(&record), self.now()));
@@ -260,8 +294,11 @@
             let wait = self.progress.wait.clone();
             let is_refused = self.crash_refusal();
             let version_uses = Rc::clone(&self.version_uses);
+            let is_cache_current = self.cache_check(cache_namespace.clone());
             move || {
-                let is_allowed = check_target(&proxy, &relay, &record).is_ok() && !is_refused();
+                let is_allowed = check_target(&proxy, &relay, &record).is_ok()
+                    && is_cache_current()
+                    && !is_refused();
                 if is_allowed {
                     version_uses
                         .borrow_mut()
@@ -279,6 +316,7 @@
             record,
             response: response.boxed_local(),
             result: None,
+            cache_namespace,
             sent_at,
         })
     }
@@ -333,7 +371,7 @@
             ),
             ClientError::Withheld { .. } => check_target(&self.proxy, &self.relay, record)
                 .err()
-                .unwrap_or_else(SendFailure::removed),
+                .unwrap_or_else(SendFailure::outdated),
             ClientError::MaybeSent { .. } => SendFailure::connection_lost(),
         })
     }
@@ -377,14 +415,12 @@
         weights: Option<u64>,
     ) -> Result<Request<crate::util::http::Body>, SendFailure> {
         let admission = self.admission().map_err(SendFailure::before_send)?;
-        let service = admission.policy.services.get(&admission.service);
-        let is_engine = service.is_some_and(|service| service.engine.is_some());
-        let engine = match (&self.head.prompt, is_engine) {
-            (Some(_), true) => Some(
+        let engine = match self.is_model_request() {
+            true => Some(
                 self.engine_params(weights)
                     .map_err(SendFailure::before_send)?,
             ),
-            _ => None,
+            false => None,
         };
         let send = AttemptHead {
             target: record.id.clone(),
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -129,9 +129,17 @@
         loop {
             let remaining = self.remaining();
             let timeout = self.head_timeout(remaining);
-            let response = std::future::poll_fn(|cx| pending.poll_result(cx));
-            let result = match timers.timeout(timeout, response).await {
-                Some(result) => result,
+            let answer = {
+                let mut isolated = pin!(self.cache_isolated(pending.cache_namespace()));
+                let answer = std::future::poll_fn(|cx| match pending.poll_result(cx) {
+                    Poll::Ready(result) => Poll::Ready(Ok(result)),
+                    Poll::Pending => isolated.as_mut().poll(cx).map(|()| Err(())),
+                });
+                timers.timeout(timeout, answer).await
+            };
+            let result = match answer {
+                Some(Ok(result)) => result,
+                Some(Err(())) => return Err(SendFailure::cache_isolated()),
                 None if timeout >= remaining => return Err(SendFailure::timed_out()),
                 None => match self.take_over(&mut pending, &accepts).await {
                     Takeover::Continued(result) => result,
@@ -331,7 +339,7 @@
     }
 
     /// Records that a run was cancelled which might have gone on.
-    fn record_cancelled_run(&mut self, target: &TargetId) {
+    pub(super) fn record_cancelled_run(&mut self, target: &TargetId) {
         self.attempts.on_cancelled(target);
         self.may_have_run = true;
     }
--- a/tests/testsuite/platform_path/isolated_caches.rs
+++ b/tests/testsuite/platform_path/isolated_caches.rs
@@ -2,15 +2,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use jujubelink::platform::decode_configuration;
 use jujubelink_standins::StandInHandle;
-use jujubelink_standins::fleet::CacheStore;
+use jujubelink_standins::fleet::{CacheStore, StoreMode};
 use serde_json::{Value, json};
 
+use super::faulty_responses::{refusal, stream_head, stream_part};
+use super::scripted_deployment::{deploy, is_complete, stream, wait_until_prompts_complete};
 use super::{Deployment, KEY, RunningInstance, header, send_with_host};
-use crate::support::{eventually, run};
+use crate::support::{ReceivedRequest, Reply, ScriptedTarget, Step, TestResponse, eventually, run};
 
 /// Workspaces with their keys.
 const WORKSPACES: [(&str, &str); 3] = [
@@ -197,6 +200,247 @@
     });
 }
 
+/// Prompts of a workspace at two scripted engines, while a configuration isolates another workspace.
+struct Change {
+    deployment: Deployment,
+    instance: RunningInstance,
+    engines: Vec<ScriptedTarget>,
+}
+
+/// Time for which a scripted engine lets a prompt wait, in which the configuration changes.
+const WAIT: Duration = Duration::from_millis(1_200);
+
+impl Change {
+    /// `script` gets each request and the number of its earlier arrivals.
+    async fn start(
+        script: impl Fn(&ReceivedRequest, usize) -> Reply + Send + Sync + 'static,
+    ) -> Self {
+        let (deployment, engines) = deploy(&["e1", "e2"], script);
+        let config = configuration(6, &[], &[]);
+        deployment.store.put("config", "main", config);
+        let instance = deployment.start("n1", "").await;
+        wait_until_prompts_complete(&instance).await;
+        Self {
+            deployment,
+            instance,
+            engines,
+        }
+    }
+
+    /// Sends a prompt of the workspace `bank`, isolates `club` once it has reached an engine, and returns the
+    /// response.
+    async fn send(&self, path: &str) -> TestResponse {
+        let (_, key) = WORKSPACES[1];
+        let request = http::Request::post(path)
+            .header("host", "shop.example")
+            .header("jujubelink-attempt-id", "r")
+            .header("jujubelink-deadline-ms", 4_000)
+            .header("jujubelink-model", "m")
+            .header("jujubelink-token-count", "1200,50")
+            .header("jujubelink-prompt-prefix", "a1:800,b2:400")
+            .header("authorization", format!("Bearer {key}"));
+        let sent = send_with_host(self.instance.process.client_address, request, "prompt");
+        let isolated = async {
+            eventually("the prompt reaches an engine", || async {
+                (!self.salts().is_empty()).then_some(())
+            })
+            .await;
+            let config = configuration(7, &["club"], &[]);
+            self.deployment.store.put("config", "main", config);
+        };
+        futures_util::join!(sent, isolated).0
+    }
+
+    /// Returns the salts of the arrivals of the prompt, in their order.
+    fn salts(&self) -> Vec<String> {
+        let received = self.engines.iter().flat_map(ScriptedTarget::received);
+        let mut arrivals: Vec<_> = received.filter(|request| request.id == "r").collect();
+        arrivals.sort_by_key(|request| request.arrived_at);
+        let salts = arrivals.iter().filter_map(|request| {
+            let mut lines = request.head.lines();
+            let salt = lines.find_map(|line| line.strip_prefix("jujubelink-cache-salt: "));
+            salt.map(str::to_owned)
+        });
+        salts.collect()
+    }
+}
+
+/// The salt of the shared prompts while only `club` is isolated.
+fn salt_beside_club() -> String {
+    let config = configuration(7, &["club"], &[]);
+    let policy = decode_configuration(&config.to_string()).unwrap();
+    format!("1/{}", policy.shared_cache_namespace)
+}
+
+/// Guards against a prompt that waits at its engine while a workspace becomes isolated, and then begins with
+/// what that workspace has cached.
+#[test]
+fn a_prompt_that_waits_at_its_engine_uses_nothing_of_a_workspace_isolated_meanwhile() {
+    run(async {
+        let change = Change::start(|request, attempt| {
+            let reply = stream(request, &[]);
+            if attempt == 0 {
+                reply.with_delay(WAIT)
+            } else {
+                reply
+            }
+        });
+        let change = change.await;
+        let response = change.send("/ask/x").await;
+        assert!(
+            is_complete(&response),
+            "{} {}",
+            response.status,
+            response.body
+        );
+        assert_eq!(change.salts(), ["1/".to_owned(), salt_beside_club()]);
+    });
+}
+
+/// Guards against a prompt that may run only once and is sent again because a workspace became isolated.
+#[test]
+fn a_prompt_that_may_run_only_once_stays_at_its_engine_when_a_workspace_becomes_isolated() {
+    run(async {
+        let change = Change::start(|request, _| stream(request, &[]).with_delay(WAIT)).await;
+        let response = change.send("/tell/x").await;
+        assert!(
+            is_complete(&response),
+            "{} {}",
+            response.status,
+            response.body
+        );
+        assert_eq!(change.salts(), ["1/"]);
+    });
+}
+
+/// Guards against a refused prompt that is sent again with the salt of its first send, though a workspace became
+/// isolated in between.
+#[test]
+fn a_prompt_that_is_sent_again_after_an_isolation_has_the_new_salt() {
+    run(async {
+        let change = Change::start(|request, attempt| match attempt {
+            0 => Reply::kept(refusal(&request.id)).with_delay(WAIT),
+            _ => stream(request, &[]),
+        });
+        let change = change.await;
+        let response = change.send("/tell/x").await;
+        assert!(
+            is_complete(&response),
+            "{} {}",
+            response.status,
+            response.body
+        );
+        assert_eq!(change.salts().last(), Some(&salt_beside_club()));
+    });
+}
+
+/// Guards against a stream that is resumed after a workspace became isolated, with what that workspace has
+/// cached before.
+#[test]
+fn a_stream_that_is_resumed_after_an_isolation_has_the_new_salt() {
+    run(async {
+        let change = Change::start(|request, attempt| match attempt {
+            0 => Reply {
+                steps: vec![
+                    Step::Send(stream_head(request) + &stream_part(1..=2)),
+                    Step::Pause(WAIT * 3 / 4),
+                ],
+                closes: true,
+            },
+            _ => stream(request, &[]),
+        });
+        let change = change.await;
+        let response = change.send("/ask/x").await;
+        assert!(
+            is_complete(&response),
+            "{} {}",
+            response.status,
+            response.body
+        );
+        assert_eq!(change.salts(), ["1/".to_owned(), salt_beside_club()]);
+    });
+}
+
+/// Guards against an instance that uses former prompts after an outage of the store in which a workspace became
+/// isolated, and against one that starts within it.
+#[test]
+fn an_isolation_during_an_outage_applies_when_the_store_is_back() {
+    run(async {
+        let caches = Caches::start().await;
+        assert_eq!(caches.salts(6, &[]).await, ["1/"; 3]);
+        caches.instance.store_endpoint.set_mode(StoreMode::Silent);
+        let config = configuration(7, &["club"], &[]);
+        caches.deployment.store.put("config", "main", config);
+        let started = caches
+            .deployment
+            .start_with_store("n2", "", StoreMode::Silent)
+            .await;
+        compio::time::sleep(WAIT).await;
+        caches.instance.store_endpoint.set_mode(StoreMode::Up);
+        started.store_endpoint.set_mode(StoreMode::Up);
+        started.wait_ready().await;
+        let started = Caches {
+            deployment: caches.deployment,
+            instance: started,
+            requests: Cell::new(1_000),
+        };
+        assert_eq!(started.salt("bank").await, salt_beside_club());
+        let caches = Caches {
+            deployment: started.deployment,
+            instance: caches.instance,
+            requests: Cell::new(2_000),
+        };
+        caches.activate(7, &["club"], &[]).await;
+        assert_eq!(caches.salt("bank").await, salt_beside_club());
+        assert_eq!(caches.salt("club").await, "1/club");
+    });
+}
+
+/// Guards against an instance without the store that goes on to use former prompts after its peer knows of an
+/// isolation. It may refuse instead.
+#[test]
+fn an_isolation_reaches_an_instance_that_cannot_reach_the_store() {
+    run(async {
+        let caches = Caches::start().await;
+        let cut_off = caches.deployment.start("n2", "").await;
+        cut_off.wait_ready().await;
+        assert_eq!(caches.salts(6, &[]).await, ["1/"; 3]);
+        cut_off.store_endpoint.set_mode(StoreMode::Silent);
+        caches.activate(7, &["club"], &[]).await;
+        let cut_off = Caches {
+            deployment: caches.deployment,
+            instance: cut_off,
+            requests: Cell::new(1_000),
+        };
+        let uses_former_prompts = async || {
+            let headers = cut_off.headers("bank").await;
+            headers.is_some_and(|headers| header(&headers, "jujubelink-cache-salt") == "1/")
+        };
+        eventually("no former prompts are used", || async {
+            (!uses_former_prompts().await).then_some(())
+        })
+        .await;
+        for _ in 0..20 {
+            assert!(!uses_former_prompts().await);
+        }
+    });
+}
+
+/// Guards against a set of isolated workspaces that returns and brings prompts back which one of them has cached
+/// in between.
+#[test]
+fn a_set_of_isolated_workspaces_that_returns_brings_no_foreign_prompts_back() {
+    run(async {
+        let caches = Caches::start().await;
+        let [club, bank, _] = caches.salts(6, &["club"]).await;
+        let between = caches.salts(7, &["bank"]).await;
+        let again = caches.salts(8, &["club"]).await;
+        assert_eq!(again[..2], [club, bank]);
+        // In between, `club` has placed nothing where the others use it now.
+        assert!(!again[1..].contains(&between[0]), "{between:?} {again:?}");
+    });
+}
+
 /// Guards against names of isolated workspaces whose salt is that of the shared prompts, and against sets
 /// of names that give the same salt.
 #[test]
