relay: do not take a restarted target for the one that sent a response

What callers saw: a response without a length that was cut by a crash looked complete (MIXED) if the target had started again before a slow client had read what had arrived.

Cause: targets of services without a model do not state their incarnation when they are asked, and such an answer counted as one of the incarnation that had sent the response, however long ago that may have ended.

Change: a later incarnation in the store proves that the target has ended. An answer without an incarnation proves life if the response cannot have ended 0.5 s or more before it; otherwise the end waits 0.6 s for the registration of a later incarnation, and without the store it is no proof. The log states both.

The test a_response_of_a_target_that_has_started_again_is_not_complete failed before: complete with a later incarnation registered.

--- a/src/jujubelink/core/relay/end.rs
+++ b/src/jujubelink/core/relay/end.rs
@@ -8,11 +8,16 @@
 
 use derive_more::Display;
 
+/// Shortest time that a target takes to end and start again.
+pub const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// What a probe that was sent after the end showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeFinding {
-    /// The target responded, so it has closed the connection itself.
+    /// The incarnation that sent the response has responded to the probe.
     Alive,
+    /// A target responded that does not state its incarnation. It may have started after the end.
+    Responded,
     /// Nothing accepts connections there, or another incarnation or target responded.
     Gone,
     /// There was no response in time, or the connection failed in another way.
@@ -26,9 +31,16 @@
     pub is_delimited: bool,
     /// What the probe of the target showed; `None` before it.
     pub probe: Option<ProbeFinding>,
+    /// Longest time that the response may have ended before the finding of the probe. A client that reads slowly
+    /// keeps the end from being read.
+    pub probed_after: Duration,
+    /// Whether a later incarnation of the target is registered.
+    pub is_replaced: bool,
+    /// Whether an incarnation that responded to the probe would be registered by now.
+    pub is_registration_known: bool,
     /// Time from the news that the target leaves to the end of the response; `None` without such news, or if
     /// the response may have ended before. It explains the end of a target and proves nothing about its
-    /// responses, as a target may be taken away at any time after its notice.
+    /// responses: a target may be taken away at any time after its notice.
     pub departed_for: Option<Duration>,
     /// Time for which a leaving target serves after its notice.
     pub drain_time: Duration,
@@ -57,7 +69,7 @@
     /// The target is gone, and the store does not answer, so that a departure would not be known.
     #[display("gone_unannounced")]
     GoneUnannounced,
-    /// The probe failed.
+    /// The probe failed, or its response may be of a later incarnation.
     #[display("no_proof")]
     NoProof,
 }
@@ -69,19 +81,36 @@
     }
 }
 
-/// Decides whether a response is complete. Returns `None` if that depends on a probe that was not sent yet.
-pub fn judge_end(end: &ResponseEnd) -> Option<EndReason> {
+/// What has to be found out before an end can be judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MissingEvidence {
+    /// The finding of a probe that is sent after the end.
+    Probe,
+    /// Whether the target that responded to the probe is registered as a later incarnation.
+    Registration,
+}
+
+/// Decides whether a response is complete, or returns what is missing for that.
+pub fn judge_end(end: &ResponseEnd) -> Result<EndReason, MissingEvidence> {
     if end.is_delimited {
-        return Some(EndReason::Delimited);
+        return Ok(EndReason::Delimited);
+    }
+    let gone = match end.departed_for {
+        Some(time) if time < end.drain_time => EndReason::GoneWhileDraining,
+        Some(_) => EndReason::GoneAfterDraining,
+        None if end.is_store_fresh => EndReason::TargetGone,
+        None => EndReason::GoneUnannounced,
+    };
+    if end.is_replaced {
+        return Ok(gone);
     }
-    Some(match end.probe? {
+    Ok(match end.probe.ok_or(MissingEvidence::Probe)? {
         ProbeFinding::Alive => EndReason::TargetAlive,
+        ProbeFinding::Responded if end.probed_after < RESTART_TIME => EndReason::TargetAlive,
+        ProbeFinding::Responded if !end.is_store_fresh => EndReason::NoProof,
+        ProbeFinding::Responded if end.is_registration_known => EndReason::TargetAlive,
+        ProbeFinding::Responded => return Err(MissingEvidence::Registration),
         ProbeFinding::Unknown => EndReason::NoProof,
-        ProbeFinding::Gone => match end.departed_for {
-            Some(time) if time < end.drain_time => EndReason::GoneWhileDraining,
-            Some(_) => EndReason::GoneAfterDraining,
-            None if end.is_store_fresh => EndReason::TargetGone,
-            None => EndReason::GoneUnannounced,
-        },
+        ProbeFinding::Gone => gone,
     })
 }
--- a/src/jujubelink/core/relay/mod.rs
+++ b/src/jujubelink/core/relay/mod.rs
@@ -10,7 +10,7 @@
 mod response;
 
 pub use attempts::{AllowedTargets, Attempts, FIRST_ATTEMPT_TIME_RATIO, MIN_SEND_TIME};
-pub use end::{EndReason, ProbeFinding, ResponseEnd, judge_end};
+pub use end::{EndReason, MissingEvidence, ProbeFinding, RESTART_TIME, ResponseEnd, judge_end};
 pub use head::{
     AttemptHead, BLOCK_TOKENS, BlockCounting, EngineParams, PromptHead, PromptPart, RelayHead,
 };
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -8,7 +8,7 @@
 use crate::core::crash::{Admission, Features};
 use crate::core::fleet::TargetRecord;
 use crate::core::ids::{Fingerprint, TargetId, Timestamp};
-use crate::core::relay::{ResponseEnd, judge_end};
+use crate::core::relay::{MissingEvidence, ResponseEnd, judge_end};
 use crate::ops::proxy::refusal::{Refusal, RefusalCode};
 use crate::ops::quarantine::InterruptedRun;
 use crate::util::duration::ms;
@@ -17,6 +17,10 @@
 /// Heartbeats of targets without an answer of the store from which it counts as silent.
 const OUTAGE_HEARTBEATS: u32 = 2;
 
+/// Time after which an incarnation that responds is known to be registered. It registers when it starts, and the
+/// store's watch reports that up to 0.4 s later.
+const REGISTRATION_TIME: Duration = Duration::from_millis(600);
+
 /// State of a request for the quarantine.
 #[derive(Default)]
 pub(super) struct CrashCheck {
@@ -131,30 +135,45 @@
             return false;
         };
         let fleet = &self.relay.fleet;
-        let end = |probe| {
-            let departed_at = fleet.state().departed_at(&target);
+        let mut probe = None;
+        let mut probed_at = None;
+        let mut is_registration_known = false;
+        let end = |probe, probed_at: Option<Timestamp>, is_registration_known| {
+            let state = fleet.state();
+            let departed_at = state.departed_at(&target);
+            let current = state.target(&target.id);
             let settings = fleet.settings();
             let outage = Duration::from_millis(settings.heartbeat_ms) * OUTAGE_HEARTBEATS;
             ResponseEnd {
                 is_delimited: false,
                 probe,
+                probed_after: probed_at.map_or(Duration::ZERO, |at| at.saturating_sub(ended_at)),
+                is_replaced: current.is_some_and(|it| it.incarnation > target.incarnation),
+                is_registration_known,
                 departed_for: departed_at.and_then(|at| ended_at.checked_sub(at)),
                 drain_time: Duration::from_millis(settings.drain_ms),
                 is_store_fresh: fleet.store_unanswered() < outage,
             }
         };
-        let mut probe = None;
         let (end, reason) = loop {
-            let end = end(probe);
+            let end = end(probe, probed_at, is_registration_known);
             match judge_end(&end) {
-                Some(reason) => break (end, reason),
-                None => probe = Some(self.relay.quarantine.probe_after_end(&target).await),
+                Ok(reason) => break (end, reason),
+                Err(MissingEvidence::Probe) => {
+                    probe = Some(self.relay.quarantine.probe_after_end(&target).await);
+                    probed_at = Some(self.now());
+                }
+                Err(MissingEvidence::Registration) => {
+                    self.proxy.context.timers().sleep(REGISTRATION_TIME).await;
+                    is_registration_known = true;
+                }
             }
         };
         slog::info!(self.proxy.context.log(), "response ended with its connection";
             "request" => &*self.head.id, "target" => &*target.id, "incarnation" => target.incarnation,
             "complete" => reason.is_complete(), "reason" => reason.to_string(),
             "probe" => end.probe.map(|probe| format!("{probe:?}")),
+            "probed_after_ms" => ms(end.probed_after), "replaced" => end.is_replaced,
             "departed_for_ms" => end.departed_for.map(ms), "drain_ms" => ms(end.drain_time));
         let name = format!("relay.ends.{reason}");
         self.proxy.context.metrics().count(&name, 1);
--- a/src/jujubelink/ops/quarantine/service.rs
+++ b/src/jujubelink/ops/quarantine/service.rs
@@ -223,7 +223,8 @@
             let status = read_status(&client, asked.address, &asked.id).await;
             match (end_of_target(&asked, status), status) {
                 (Some(_), _) => ProbeFinding::Gone,
-                (None, TargetStatus::Responded { .. }) => ProbeFinding::Alive,
+                (None, _) if is_alive(&asked, status) => ProbeFinding::Alive,
+                (None, TargetStatus::Responded { .. }) => ProbeFinding::Responded,
                 (None, _) => ProbeFinding::Unknown,
             }
         };
--- a/tests/testsuite/platform_path/response_ends.rs
+++ b/tests/testsuite/platform_path/response_ends.rs
@@ -227,6 +227,112 @@
     });
 }
 
+/// What a target that has closed the connection of its response is registered as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registered {
+    /// The incarnation that sent the response.
+    Same,
+    /// A later one, before the client reads the end.
+    Later,
+    /// A later one, after the client has read to the end.
+    LaterAndLate,
+}
+
+/// Starts a target that answers the request `slow` with a body without a length, which it closes once nothing
+/// reads it any more. It answers questions with 404, as a target does that has no reports.
+fn start_closing_target() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for connection in listener.incoming() {
+            let mut connection = connection.unwrap();
+            let id = read_attempt_id(&mut connection);
+            let head = |id| {
+                format!(
+                    "HTTP/1.1 200 OK\r\njujubelink-attempt-id: {id}\r\n\
+                     jujubelink-server-stamp: s\r\n"
+                )
+            };
+            let response = match id.as_deref() {
+                Some("slow") => head("slow") + "\r\n",
+                Some(id) => head(id) + "content-length: 0\r\n\r\n",
+                None => "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            };
+            let _ = connection.write_all(response.as_bytes());
+            if id.as_deref() == Some("slow") {
+                let timeout = Some(Duration::from_millis(300));
+                connection.set_write_timeout(timeout).unwrap();
+                while connection.write_all(&[b'x'; 16 * 1024]).is_ok() {}
+            }
+        }
+    });
+    address
+}
+
+/// Sends a request, and reads the response only from a while after its head on. Returns whether the response
+/// ends as a complete one.
+fn read_slowly(address: SocketAddr) -> bool {
+    let mut client = TcpStream::connect(address).unwrap();
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nhost: shop.example\r\njujubelink-attempt-id: slow\r\n\
+         jujubelink-deadline-ms: 4000\r\nauthorization: Bearer {KEY}\r\n\r\n"
+    );
+    client.write_all(request.as_bytes()).unwrap();
+    let mut start = [0; 64];
+    client.read_exact(&mut start).unwrap();
+    assert!(start.starts_with(b"HTTP/1.1 200"));
+    std::thread::sleep(Duration::from_millis(1_500));
+    client
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
+    let mut tail = Vec::new();
+    let mut part = [0; 64 * 1024];
+    while let Ok(length @ 1..) = client.read(&mut part) {
+        tail.extend_from_slice(&part[..length]);
+        if tail.ends_with(b"\r\n0\r\n\r\n") {
+            return true;
+        }
+        tail.drain(..tail.len().saturating_sub(16));
+    }
+    false
+}
+
+/// Guards against a response that was cut by a crash and looks complete, because its target, which states no
+/// incarnation, has started again before a slow client has read what had arrived.
+#[test]
+fn a_response_of_a_target_that_has_started_again_is_not_complete() {
+    run(async {
+        let rows = [
+            Registered::Same,
+            Registered::Later,
+            Registered::LaterAndLate,
+        ];
+        join_all(rows.map(|registered| async move {
+            let address = start_closing_target();
+            let (deployment, instance) = start_with_target(address, "").await;
+            instance.wait_status("the target is in service", 200).await;
+            let client_address = instance.process.client_address;
+            let (sender, received) = std::sync::mpsc::channel();
+            std::thread::spawn(move || sender.send(read_slowly(client_address)));
+            let registered_after = match registered {
+                Registered::LaterAndLate => Duration::from_millis(1_700),
+                _ => Duration::from_millis(1_000),
+            };
+            compio::time::sleep(registered_after).await;
+            let incarnation = if registered == Registered::Same { 1 } else { 2 };
+            deployment.put_target_at("s9", address, "ready", incarnation, 1);
+            let is_complete =
+                eventually("the response ends", || async { received.try_recv().ok() }).await;
+            assert_eq!(
+                is_complete,
+                registered == Registered::Same,
+                "{registered:?}"
+            );
+        }))
+        .await;
+    });
+}
+
 /// Guards against a part of a response that looks complete because writing the request failed before the reset
 /// of the connection was read. The target lives.
 #[test]
--- a/tests/testsuite/response_end.rs
+++ b/tests/testsuite/response_end.rs
@@ -5,7 +5,9 @@
 
 use jujubelink::core::fleet::{FleetState, TargetRecord};
 use jujubelink::core::ids::TargetId;
-use jujubelink::core::relay::{EndReason, ProbeFinding, ResponseEnd, judge_end};
+use jujubelink::core::relay::{
+    EndReason, MissingEvidence, ProbeFinding, RESTART_TIME, ResponseEnd, judge_end,
+};
 
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -17,6 +19,9 @@
     ResponseEnd {
         is_delimited: false,
         probe,
+        probed_after: Duration::ZERO,
+        is_replaced: false,
+        is_registration_known: false,
         departed_for,
         drain_time: DRAIN_TIME,
         is_store_fresh: true,
@@ -38,14 +43,16 @@
                 };
                 assert_eq!(
                     judge_end(&end).map(EndReason::is_complete),
-                    probe.map(|finding| finding == Alive),
+                    probe
+                        .map(|finding| finding == Alive)
+                        .ok_or(MissingEvidence::Probe),
                     "{end:?}"
                 );
                 let delimited = ResponseEnd {
                     is_delimited: true,
                     ..end
                 };
-                assert_eq!(judge_end(&delimited), Some(EndReason::Delimited), "{end:?}");
+                assert_eq!(judge_end(&delimited), Ok(EndReason::Delimited), "{end:?}");
             }
         }
     }
@@ -67,7 +74,52 @@
         (end(Some(ProbeFinding::Unknown), None), EndReason::NoProof),
         (end(Some(ProbeFinding::Alive), None), EndReason::TargetAlive),
     ] {
-        assert_eq!(judge_end(&end), Some(expected), "{end:?}");
+        assert_eq!(judge_end(&end), Ok(expected), "{end:?}");
+    }
+}
+
+/// Guards against a response that looks complete because its target, which has started again since, responds
+/// without stating its incarnation.
+#[test]
+fn a_target_that_may_have_started_again_proves_nothing() {
+    let late = ResponseEnd {
+        probed_after: RESTART_TIME,
+        ..end(Some(ProbeFinding::Responded), None)
+    };
+    let known = ResponseEnd {
+        is_registration_known: true,
+        ..late
+    };
+    let rows = [
+        (
+            end(Some(ProbeFinding::Responded), None),
+            Ok(EndReason::TargetAlive),
+        ),
+        (late, Err(MissingEvidence::Registration)),
+        (known, Ok(EndReason::TargetAlive)),
+        (
+            ResponseEnd {
+                is_store_fresh: false,
+                ..known
+            },
+            Ok(EndReason::NoProof),
+        ),
+        (
+            ResponseEnd {
+                probe: Some(ProbeFinding::Alive),
+                ..late
+            },
+            Ok(EndReason::TargetAlive),
+        ),
+    ];
+    for (end, expected) in rows {
+        assert_eq!(judge_end(&end), expected, "{end:?}");
+        let replaced = ResponseEnd {
+            is_replaced: true,
+            is_store_fresh: true,
+            ..end
+        };
+        assert_eq!(judge_end(&replaced), Ok(EndReason::TargetGone), "{end:?}");
     }
 }
 
