relay: pass resumable streams on without a length

Cause: the head of the first response was passed on with its content-length, which the continuation need not have.

Change: an event stream that may be resumed is passed on without a length.

The test a_stream_with_a_length_is_complete_after_it_is_resumed failed before, with the last event cut.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Response};
 use http_body::{Body as _, Frame};
@@ -223,11 +223,16 @@
                 let context = exchange.proxy.context.clone();
                 let (id, deadline) = (exchange.head.id.clone(), exchange.deadline);
                 exchange.is_response_begun = true;
+                let is_event_stream = exchange.is_stream() && (200..300).contains(&status);
+                if is_event_stream && exchange.is_resumable() {
+                    // Another target may continue the stream with events of other lengths.
+                    head.headers.remove(CONTENT_LENGTH);
+                }
                 let mut relayed = RelayedBody {
                     is_delimited,
                     first_data_at: None,
                     media_type: media_type(&head.headers),
-                    is_event_stream: exchange.is_stream() && (200..300).contains(&status),
+                    is_event_stream,
                     exchange,
                     status,
                     body,
--- a/tests/testsuite/platform_path/broken_streams.rs
+++ b/tests/testsuite/platform_path/broken_streams.rs
@@ -3,9 +3,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use super::faulty_responses::refusal;
+use super::expected_events;
+use super::faulty_responses::{refusal, stream_head};
 use super::scripted_deployment::{
-    ScriptedDeployment, assert_complete, broken_stream, is_complete, refusal_when_full, stream,
+    EVENTS, ScriptedDeployment, assert_complete, broken_stream, is_complete, refusal_when_full,
+    stream,
 };
 use crate::support::{ReceivedRequest, Reply, ScriptedTarget, eventually, run};
 
@@ -132,3 +134,30 @@
         assert_complete([("a new engine", response)]);
     });
 }
+
+/// Guards against a resumed stream that is cut at the length of its first engine's stream and looks complete, as
+/// the events of the other engine are longer.
+#[test]
+fn a_stream_with_a_length_is_complete_after_it_is_resumed() {
+    run(async {
+        let setup = ScriptedDeployment::start(&["e1", "e2"], "", |request, attempt| {
+            let length = expected_events(1..=EVENTS).len();
+            let head = stream_head(request).replace(
+                "transfer-encoding: chunked",
+                &format!("content-length: {length}"),
+            );
+            match attempt {
+                0 => Reply::closed(head + &expected_events(1..=2)),
+                _ => {
+                    let longer = expected_events(3..=EVENTS).replace("piece", "a longer piece");
+                    let chunk = format!("{:x}\r\n{longer}\r\n0\r\n\r\n", longer.len());
+                    Reply::kept(stream_head(request) + &chunk)
+                }
+            }
+        });
+        let response = setup.await.ask("r").await;
+        let longer = expected_events(3..=EVENTS).replace("piece", "a longer piece");
+        let expected = expected_events(1..=2) + &longer;
+        assert_eq!((response.status, response.body), (200, expected));
+    });
+}
