relay: count the age of the end of a response from the last wait

What callers saw: a response without a length that was cut by a crash looked complete (MIXED) if its target had started again while the instance was suspended.

Cause: the response was taken to have ended when the instance read the end, less the time that its client had taken. An instance that was suspended reads the end later.

Change: the end counts from the last read that had to wait for bytes of the target. Such a wait is begun anew after 0.25 s, so that a target which is silent for long is not taken for one that may have ended long ago.

Evidence: a_response_whose_target_started_again_during_a_suspension_is_not_complete failed before: status 200 with a later incarnation registered 0.2 s after the suspension.

--- a/src/jujubelink/ops/proxy/relay/body.rs
+++ b/src/jujubelink/ops/proxy/relay/body.rs
@@ -35,6 +35,11 @@
 /// arrived takes less.
 const MIN_READ_WAIT: Duration = Duration::from_millis(10);
 
+/// Longest single wait for bytes of a response that ends with its connection. It limits how far the time of the
+/// end is in doubt, and is shorter than
+/// [`RESTART_TIME`](crate::core::relay::RESTART_TIME).
+const MAX_READ_WAIT: Duration = Duration::from_millis(250);
+
 /// Bytes of a silent stream that are buffered while another target is asked to continue it.
 const MAX_BUFFERED_SILENT_BYTES: usize = MAX_EVENT_BYTES / 2;
 
@@ -228,6 +233,7 @@
                     // Another target may continue the stream with events of other lengths.
                     head.headers.remove(CONTENT_LENGTH);
                 }
+                let awaited_at = exchange.now();
                 let mut relayed = RelayedBody {
                     is_delimited,
                     first_data_at: None,
@@ -240,7 +246,7 @@
                     has_data: false,
                     silence_ends_at: None,
                     forwarded_at: None,
-                    unread_for: Duration::ZERO,
+                    awaited_at,
                 };
                 relayed.restart_silence();
                 with_expiry(relayed.into_body(), &context, id, deadline)
@@ -291,9 +297,9 @@
     silence_ends_at: Option<Timestamp>,
     /// When the last bytes were handed over, until the client has room for more.
     forwarded_at: Option<Timestamp>,
-    /// Time that the client took to accept bytes since the instance last waited for bytes of the target. The
-    /// connection may have ended as long ago as this.
-    unread_for: Duration,
+    /// When the last read began that had to wait for bytes of the target. The connection may have ended at any
+    /// time since: the client may read slowly, or the process may have been suspended.
+    awaited_at: Timestamp,
 }
 
 impl RelayedBody {
@@ -324,7 +330,6 @@
         if let Some(forwarded_at) = self.forwarded_at.take() {
             let waited = self.exchange.now().saturating_sub(forwarded_at);
             self.silence_ends_at = self.silence_ends_at.map(|at| at + waited);
-            self.unread_for += waited;
         }
     }
 
@@ -365,17 +370,22 @@
             let remaining = ends_at.saturating_sub(self.exchange.now());
             let frame = std::future::poll_fn(|cx| self.body.poll_frame(cx));
             let timers = *self.exchange.proxy.context.timers();
+            let wait = match self.is_delimited {
+                true => remaining,
+                false => remaining.min(MAX_READ_WAIT),
+            };
             // Bytes that arrive without a pause must not put off the end.
             let asked_at = self.exchange.now();
             let frame = match remaining.is_zero() {
                 true => None,
-                false => timers.timeout(remaining, frame).await,
+                false => timers.timeout(wait, frame).await,
             };
             if self.exchange.now().saturating_sub(asked_at) >= MIN_READ_WAIT {
-                self.unread_for = Duration::ZERO;
+                self.awaited_at = asked_at;
             }
             let frame = match frame {
                 Some(frame) => frame,
+                None if wait < remaining => continue,
                 None if ends_at >= deadline => return Err(ReadError::DeadlinePassed),
                 None => {
                     let goes_on = self.replace_silent_target().await?;
@@ -440,7 +450,7 @@
         self.has_data = false;
         self.first_data_at = None;
         self.is_delimited = body.is_delimited(&response.head.headers);
-        self.unread_for = Duration::ZERO;
+        self.awaited_at = self.exchange.now();
         self.buffer.clear();
         self.body = body;
         self.restart_silence();
@@ -505,11 +515,10 @@
     }
 
     /// Whether the end of the connection is the end of the response. The connection of a target that crashes
-    /// may end in the same way as a response without a length.
+    /// may end in the same way as a response without a length, and may have ended at any time since the last
+    /// bytes were awaited.
     async fn is_complete(&self) -> bool {
-        // The client may have kept the end from being read for so long.
-        let ended_at = self.exchange.now().saturating_sub(self.unread_for);
-        self.is_delimited || self.exchange.is_end_proved(ended_at).await
+        self.is_delimited || self.exchange.is_end_proved(self.awaited_at).await
     }
 
     fn finish(&mut self) {
--- a/src/jujubelink/ops/proxy/relay/crashes.rs
+++ b/src/jujubelink/ops/proxy/relay/crashes.rs
@@ -127,7 +127,7 @@
         self.relay.quarantine.on_survival(self.crash_features());
     }
 
-    /// Whether a response without a length that ended with its connection at `ended_at` is complete.
+    /// Whether a response without a length that ended with its connection, at `ended_at` or later, is complete.
     pub(super) async fn is_end_proved(&self, ended_at: Timestamp) -> bool {
         let current = self.current_target();
         let target = current.and_then(|target| self.last_send(&target));
--- a/tests/testsuite/platform_path/response_ends.rs
+++ b/tests/testsuite/platform_path/response_ends.rs
@@ -333,6 +333,34 @@
     });
 }
 
+/// Guards against a response that was cut by a crash and looks complete, because its target, which states no
+/// incarnation, has started again while the instance was suspended.
+#[test]
+fn a_response_whose_target_started_again_during_a_suspension_is_not_complete() {
+    run(async {
+        let rows = [(1, 200), (2, 0)];
+        join_all(rows.map(|(incarnation, expected)| async move {
+            let target = EndlessTarget::start(Probed::Answers, "");
+            let (deployment, instance) = start_with_target(target.address, "").await;
+            let sent = send_to_target(&instance);
+            let restarted = async {
+                compio::time::sleep(Duration::from_millis(400)).await;
+                instance.process.pause();
+                target.end_after(Duration::from_millis(100)).await;
+                compio::time::sleep(Duration::from_millis(900)).await;
+                instance.process.resume();
+                // The news of the later incarnation arrives after the answer to the probe.
+                compio::time::sleep(Duration::from_millis(200)).await;
+                deployment.put_target_at("s9", target.address, "ready", incarnation, 1);
+            };
+            let (response, ()) = futures_util::join!(sent, restarted);
+            assert_eq!(response.status, expected, "{incarnation}");
+            assert!(response.body.contains("piece"), "{incarnation}");
+        }))
+        .await;
+    });
+}
+
 /// Guards against a part of a response that looks complete because writing the request failed before the reset
 /// of the connection was read. The target lives.
 #[test]
