--- a/src/jujubelink/ops/proxy/relay/cache_isolation.rs
+++ b/src/jujubelink/ops/proxy/relay/cache_isolation.rs
@@ -12,7 +12,6 @@
 use crate::ops::services::ConfigService;
 
 /// A workspace, and the policy by which its request was admitted.
-#[derive(Clone)]
 struct CacheUser {
     relay: Rc<Relay>,
     policy: Rc<FleetPolicy>,
@@ -55,10 +54,13 @@
         }
     }
 
-    /// Completes once an unanswered request that was sent with a namespace has to be sent with another one. It may
-    /// wait at its target, and would use cached prompts of a workspace that has been isolated since. A request that
-    /// may run only once, or that no budget is left for, stays where it is.
-    pub(super) fn cache_isolated(&self, sent: Option<&str>) -> impl Future<Output = ()> + use<'_> {
+    /// Completes once an unanswered request has to be sent again, as its namespace is no longer the one that it was
+    /// sent with. It may wait at its target, and would use cached prompts of a workspace that has been isolated since.
+    /// A request that may run only once, or that no budget is left for, stays where it is.
+    pub(super) fn cache_namespace_changed(
+        &self,
+        sent: Option<&str>,
+    ) -> impl Future<Output = ()> + use<'_> {
         let is_watched = sent.is_some() && self.check_attempts(Failure::MayHaveRun).is_ok();
         let is_current = self.cache_check(sent.map(str::to_owned));
         async move {
--- a/src/jujubelink/ops/proxy/relay/send.rs
+++ b/src/jujubelink/ops/proxy/relay/send.rs
@@ -119,7 +119,7 @@
     }
 
     /// The run was cancelled before its response, because other cached prompts apply to its workspace now.
-    pub(super) fn cache_isolated() -> Self {
+    pub(super) fn cache_namespace_changed() -> Self {
         Self {
             exclude_target: false,
             ..Self::new(
--- a/src/jujubelink/ops/proxy/relay/takeover.rs
+++ b/src/jujubelink/ops/proxy/relay/takeover.rs
@@ -130,16 +130,16 @@
             let remaining = self.remaining();
             let timeout = self.head_timeout(remaining);
             let answer = {
-                let mut isolated = pin!(self.cache_isolated(pending.cache_namespace()));
+                let mut changed = pin!(self.cache_namespace_changed(pending.cache_namespace()));
                 let answer = std::future::poll_fn(|cx| match pending.poll_result(cx) {
                     Poll::Ready(result) => Poll::Ready(Ok(result)),
-                    Poll::Pending => isolated.as_mut().poll(cx).map(|()| Err(())),
+                    Poll::Pending => changed.as_mut().poll(cx).map(|()| Err(())),
                 });
                 timers.timeout(timeout, answer).await
             };
             let result = match answer {
                 Some(Ok(result)) => result,
-                Some(Err(())) => return Err(SendFailure::cache_isolated()),
+                Some(Err(())) => return Err(SendFailure::cache_namespace_changed()),
                 None if timeout >= remaining => return Err(SendFailure::timed_out()),
                 None => match self.take_over(&mut pending, &accepts).await {
                     Takeover::Continued(result) => result,
